--- /dev/null
+++ b/daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
--- /dev/null
+++ b/lib/testutils/src/lib.rs
@@ -0,0 +1,1 @@
+//! Test support shared by pomeloramp's test files.
