--- /dev/null
+++ b/lib/src/membership.rs
@@ -0,0 +1,146 @@
+//! One process's view of the other VMs.
+//!
+//! The platform's VM list lags, so it only says who may exist. Whether a process runs, and whether
+//! it is leaving, is its own word, which it gives in answers to heartbeats and beside other
+//! answers. The view steers routing; no guarantee rests on it.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::Incarnation;
+use crate::ListedVm;
+use crate::Member;
+use crate::MemberState;
+use crate::MemberWord;
+use crate::MembershipSettings;
+use crate::WordEffect;
+
+/// One process's view of the other VMs.
+///
+/// A word counts from the time at which its request was sent, not from its receipt. So a process
+/// that began to leave is no longer [`MemberState::Alive`] here after `suspect_after_ms`, however
+/// late answers come and however old the VM list is.
+#[derive(Debug)]
+pub struct Membership {
+    settings: MembershipSettings,
+    members: BTreeMap<String, Member>,
+}
+
+impl Membership {
+    /// Makes a view that knows no other VM.
+    #[must_use]
+    pub fn new(settings: MembershipSettings) -> Self {
+        Self {
+            settings,
+            members: BTreeMap::new(),
+        }
+    }
+
+    /// Takes a whole VM list. VMs that it lacks are kept while they answer.
+    pub fn observe_list(&mut self, vms: &[ListedVm], now_ms: u64) {
+        let named: BTreeSet<&str> = vms.iter().map(|vm| vm.vm_name.as_str()).collect();
+        for (name, member) in &mut self.members {
+            member.is_listed = named.contains(name.as_str());
+        }
+        for vm in vms {
+            if vm.vm_name == self.settings.vm_name {
+                continue;
+            }
+            if let Some(member) = self.members.get_mut(&vm.vm_name) {
+                member.observe_listed(vm);
+                continue;
+            }
+            let first_ms = now_ms.saturating_add(self.heartbeat_offset_ms(&vm.vm_name));
+            let member = Member::new(vm.clone(), first_ms);
+            self.members.insert(vm.vm_name.clone(), member);
+        }
+        self.forget(now_ms);
+    }
+
+    /// Takes a process's own word, in answer to a request sent at `asked_ms`.
+    pub fn observe_word(&mut self, word: &MemberWord, asked_ms: u64, now_ms: u64) -> WordEffect {
+        match self.members.get_mut(&word.vm_name) {
+            Some(member) => member.observe_word(word, asked_ms, now_ms),
+            None => WordEffect::Ignored,
+        }
+    }
+
+    /// Takes another process's word that an incarnation is leaving.
+    pub fn observe_relayed_leaving(&mut self, vm_name: &str, incarnation: Incarnation) {
+        if let Some(member) = self.members.get_mut(vm_name) {
+            member.observe_relayed_leaving(incarnation);
+        }
+    }
+
+    /// Returns which of the monitored VMs are due a heartbeat now, and plans their next ones.
+    pub fn due_heartbeats(&mut self, monitored: &[&str], now_ms: u64) -> Vec<String> {
+        let interval_ms = self.settings.heartbeat_interval_ms;
+        let mut due = Vec::new();
+        for name in monitored {
+            let Some(member) = self.members.get_mut(*name) else {
+                continue;
+            };
+            if member.take_due_heartbeat(now_ms, interval_ms) {
+                due.push((*name).to_owned());
+            }
+        }
+        due
+    }
+
+    /// Returns how the VM is regarded, or `None` when it is unknown.
+    #[must_use]
+    pub fn state(&self, vm_name: &str, now_ms: u64) -> Option<MemberState> {
+        let member = self.members.get(vm_name)?;
+        Some(member.state(now_ms, self.settings.suspect_after_ms))
+    }
+
+    /// Returns what is known of the VM.
+    #[must_use]
+    pub fn member(&self, vm_name: &str) -> Option<&Member> {
+        self.members.get(vm_name)
+    }
+
+    /// Returns all known VMs in the order of their names.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// Returns the endpoints of a service that are in the given state.
+    pub fn endpoints_in_state(
+        &self,
+        service: &str,
+        state: MemberState,
+        now_ms: u64,
+    ) -> impl Iterator<Item = &Member> {
+        let suspect_after_ms = self.settings.suspect_after_ms;
+        self.members.values().filter(move |member| {
+            member.listed().service == service && member.state(now_ms, suspect_after_ms) == state
+        })
+    }
+
+    /// Returns the highest configuration revision that any known process named.
+    #[must_use]
+    pub fn highest_config_revision(&self) -> u64 {
+        let words = self.members.values().filter_map(Member::word);
+        words.map(|word| word.config_revision).max().unwrap_or(0)
+    }
+
+    /// Forgets VMs that left the list and have not answered for long.
+    pub fn forget(&mut self, now_ms: u64) {
+        let forget_after_ms = self.settings.forget_after_ms;
+        self.members.retain(|_, member| {
+            let silent_ms = now_ms.saturating_sub(member.asked_ms());
+            let was_heard = member.word().is_some();
+            member.is_listed || (was_heard && silent_ms <= forget_after_ms)
+        });
+    }
+
+    /// Spreads the first heartbeats of processes that start together.
+    fn heartbeat_offset_ms(&self, vm_name: &str) -> u64 {
+        let seed = xxh3_64_with_seed(self.settings.vm_name.as_bytes(), 0);
+        let hash = xxh3_64_with_seed(vm_name.as_bytes(), seed);
+        hash % self.settings.heartbeat_interval_ms.max(1)
+    }
+}
--- /dev/null
+++ b/lib/tests/test_membership.rs
@@ -0,0 +1,146 @@
+//! Tests of a process's view of the other VMs.
+
+use googletest::prelude::*;
+use pomeloramp_lib::Incarnation;
+use pomeloramp_lib::ListedVm;
+use pomeloramp_lib::MemberState;
+use pomeloramp_lib::MemberWord;
+use pomeloramp_lib::Membership;
+use pomeloramp_lib::MembershipSettings;
+use pomeloramp_lib::WordEffect;
+
+fn vm(name: &str, leaving: bool) -> ListedVm {
+    ListedVm {
+        vm_name: name.to_owned(),
+        availability_zone: "heredia".to_owned(),
+        peer_address: "127.0.0.1:1".to_owned(),
+        service: "quote-draft".to_owned(),
+        leaving,
+    }
+}
+
+fn word(name: &str, incarnation: u64) -> MemberWord {
+    MemberWord {
+        vm_name: name.to_owned(),
+        incarnation: Incarnation(incarnation),
+        clock_ms: 1,
+        leaving: false,
+        endpoint_up: true,
+        config_revision: 1,
+    }
+}
+
+fn membership(vms: &[ListedVm]) -> Membership {
+    let settings = MembershipSettings::builder()
+        .vm_name("entry-1".to_owned())
+        .build();
+    let mut membership = Membership::new(settings);
+    membership.observe_list(vms, 0);
+    membership
+}
+
+#[googletest::test]
+fn a_listed_vm_is_alive_once_it_was_heard() {
+    let mut members = membership(&[vm("a", false), vm("entry-1", false)]);
+    expect_that!(members.state("entry-1", 0), none());
+    expect_that!(members.state("a", 0), some(eq(MemberState::Unheard)));
+    let effect = members.observe_word(&word("a", 5), 100, 110);
+    expect_that!(effect, eq(WordEffect::NewIncarnation));
+    expect_that!(members.state("a", 3_100), some(eq(MemberState::Alive)));
+    expect_that!(members.state("a", 3_101), some(eq(MemberState::Suspected)));
+    let effect = members.observe_word(&word("b", 5), 100, 110);
+    expect_that!(effect, eq(WordEffect::Ignored));
+}
+
+/// A word counts from its request: an answer that lay in a buffer for 20 s is no sign of life.
+#[googletest::test]
+fn a_late_answer_does_not_refresh() {
+    let mut members = membership(&[vm("a", false)]);
+    members.observe_word(&word("a", 5), 100, 110);
+    members.observe_word(&word("a", 5), 200, 20_200);
+    expect_that!(members.state("a", 20_200), some(eq(MemberState::Suspected)));
+}
+
+#[googletest::test]
+fn own_word_to_leave_counts_while_the_list_lags() {
+    let mut members = membership(&[vm("a", false)]);
+    members.observe_word(&word("a", 5), 100, 110);
+    let mut leaving = word("a", 5);
+    leaving.leaving = true;
+    members.observe_word(&leaving, 1_100, 1_110);
+    members.observe_list(&[vm("a", false)], 1_200);
+    members.observe_word(&word("a", 5), 900, 1_300);
+    expect_that!(members.state("a", 1_300), some(eq(MemberState::Leaving)));
+}
+
+#[googletest::test]
+fn a_relayed_word_counts_for_its_incarnation_only() {
+    let mut members = membership(&[vm("a", false)]);
+    members.observe_word(&word("a", 5), 100, 110);
+    members.observe_relayed_leaving("a", Incarnation(4));
+    expect_that!(members.state("a", 200), some(eq(MemberState::Alive)));
+    members.observe_relayed_leaving("a", Incarnation(5));
+    expect_that!(members.state("a", 200), some(eq(MemberState::Leaving)));
+}
+
+#[googletest::test]
+fn the_list_marks_an_incarnation_not_its_successor() {
+    let mut members = membership(&[vm("a", false)]);
+    members.observe_word(&word("a", 5), 100, 110);
+    members.observe_list(&[vm("a", true)], 150);
+    expect_that!(members.state("a", 200), some(eq(MemberState::Leaving)));
+    members.observe_word(&word("a", 6), 300, 310);
+    members.observe_list(&[vm("a", true)], 350);
+    expect_that!(members.state("a", 400), some(eq(MemberState::Alive)));
+    members.observe_list(&[vm("a", false)], 500);
+    members.observe_list(&[vm("a", true)], 600);
+    expect_that!(members.state("a", 600), some(eq(MemberState::Leaving)));
+}
+
+#[googletest::test]
+fn an_older_incarnation_is_not_taken_for_a_newer_one() {
+    let mut members = membership(&[vm("a", false)]);
+    members.observe_word(&word("a", 6), 300, 310);
+    let overlapping = members.observe_word(&word("a", 5), 305, 400);
+    expect_that!(overlapping, eq(WordEffect::Ignored));
+    members.observe_word(&word("a", 7), 500, 510);
+    let former = members.observe_word(&word("a", 6), 600, 610);
+    expect_that!(former, eq(WordEffect::Ignored));
+}
+
+#[googletest::test]
+fn a_vm_that_left_the_list_is_kept_while_it_answers() {
+    let mut members = membership(&[vm("a", false), vm("b", false)]);
+    members.observe_word(&word("a", 5), 100, 110);
+    members.observe_list(&[], 200);
+    expect_that!(members.state("a", 200), some(eq(MemberState::Alive)));
+    expect_that!(members.state("b", 200), none());
+    members.observe_list(&[], 60_101);
+    expect_that!(members.state("a", 60_101), none());
+}
+
+#[googletest::test]
+fn heartbeats_are_due_where_nothing_else_was_heard() {
+    let mut members = membership(&[vm("a", false), vm("b", false), vm("c", false)]);
+    expect_that!(members.due_heartbeats(&["a", "b"], 1_000), len(eq(2)));
+    expect_that!(members.due_heartbeats(&["a", "b"], 1_999), is_empty());
+    members.observe_word(&word("a", 5), 1_900, 1_910);
+    let due = members.due_heartbeats(&["a", "b"], 2_000);
+    expect_that!(due, elements_are![eq("b")]);
+    expect_that!(members.due_heartbeats(&["a"], 2_900), len(eq(1)));
+}
+
+#[googletest::test]
+fn endpoints_are_found_by_service_and_state() {
+    let mut members = membership(&[vm("a", false), vm("b", false)]);
+    members.observe_word(&word("a", 5), 100, 110);
+    let mut down = word("b", 6);
+    down.endpoint_up = false;
+    down.config_revision = 9;
+    members.observe_word(&down, 100, 110);
+    let alive = members.endpoints_in_state("quote-draft", MemberState::Alive, 200);
+    let names: Vec<_> = alive.map(|m| m.listed().vm_name.clone()).collect();
+    expect_that!(names, elements_are![eq("a")]);
+    expect_that!(members.state("b", 200), some(eq(MemberState::EndpointDown)));
+    expect_that!(members.highest_config_revision(), eq(9));
+}
--- /dev/null
+++ b/lib/tests/test_reader_election.rs
@@ -0,0 +1,87 @@
+//! Tests of the election of configuration readers.
+
+use googletest::prelude::*;
+use pomeloramp_lib::ReaderElection;
+use pomeloramp_lib::ReaderElectionSettings;
+
+fn election(vm_name: &str, seed: u64) -> ReaderElection {
+    let settings = ReaderElectionSettings::builder()
+        .vm_name(vm_name.to_owned())
+        .availability_zone("heredia".to_owned())
+        .build();
+    ReaderElection::new(settings, seed, 0)
+}
+
+fn readers(live: &[&str]) -> Vec<String> {
+    let is_reader = |vm: &&&str| election(vm, 0).is_reader(live);
+    let readers = live.iter().filter(is_reader);
+    readers.map(|vm| (*vm).to_owned()).collect()
+}
+
+#[googletest::test]
+fn members_that_agree_elect_two_readers() {
+    let names: Vec<String> = (0..30).map(|n| format!("entry-{n}")).collect();
+    let live: Vec<&str> = names.iter().map(String::as_str).collect();
+    let elected = readers(&live);
+    expect_that!(elected, len(eq(2)));
+    let rest: Vec<&str> = live
+        .iter()
+        .copied()
+        .filter(|vm| *vm != elected[0])
+        .collect();
+    let successors = readers(&rest);
+    expect_that!(successors, len(eq(2)));
+    expect_that!(successors, contains(eq(&elected[1])));
+}
+
+#[googletest::test]
+fn a_process_that_sees_nobody_is_a_reader() {
+    expect_that!(election("entry-1", 0).is_reader(&[]), eq(true));
+    expect_that!(election("entry-1", 0).is_reader(&["entry-1"]), eq(true));
+}
+
+#[googletest::test]
+fn news_from_a_reader_put_off_the_fallback() {
+    let mut election = election("entry-1", 7);
+    let first_ms = election.next_fallback_read_ms();
+    expect_that!(first_ms, all!(ge(3_000), lt(33_000)));
+    election.observe_reader_news(first_ms);
+    expect_that!(election.take_due_fallback_read(first_ms), eq(false));
+    expect_that!(election.next_fallback_read_ms(), ge(first_ms + 3_000));
+}
+
+#[googletest::test]
+fn a_paused_process_reads_once_when_it_wakes() {
+    let mut election = election("entry-1", 7);
+    expect_that!(election.take_due_fallback_read(3_600_000), eq(true));
+    expect_that!(election.take_due_fallback_read(3_600_000), eq(false));
+}
+
+/// All 1,690 processes of the design size lose their readers at one moment; their own reads stay
+/// below the call limit in each second.
+#[googletest::test]
+fn fallback_reads_stay_below_the_call_limit() {
+    let processes = 390 + 1_300;
+    let spread_ms = ReaderElection::fallback_spread_ms(processes, 25, 1_000);
+    expect_that!(spread_ms, eq(42_250));
+    let mut calls_in_second = vec![0_u64; 300];
+    let mut reads_of_process = Vec::new();
+    for process in 0..processes {
+        let settings = ReaderElectionSettings::builder()
+            .vm_name(format!("vm-{process}"))
+            .availability_zone("heredia".to_owned())
+            .fallback_spread_ms(spread_ms)
+            .build();
+        let mut election = ReaderElection::new(settings, process, 0);
+        let mut reads = 0;
+        for now_ms in (0..220_000).step_by(100) {
+            if election.take_due_fallback_read(now_ms) {
+                reads += 1;
+                calls_in_second[usize::try_from(now_ms / 1_000).unwrap()] += 25;
+            }
+        }
+        reads_of_process.push(reads);
+    }
+    expect_that!(calls_in_second.iter().max(), some(lt(&2_000)));
+    expect_that!(reads_of_process.iter().min(), some(ge(&5)));
+}
