lib: ledger that splits an endpoint's capacity into used, lent and idle

Each slot is owned by one organisation for turns of 100 ms, handed out by stride scheduling over the share weights. Whole slots are matched with running requests, so all accounts are integers, who lent to whom falls out of the matching, and the sum is the time that passed times the capacity.

Ruled out: fractional ownership at each moment; at 3,800 organisations each settlement touches all of them, and the split of what is lent among owners is a ratio that no integer keeps exactly.

--- /dev/null
+++ b/lib/tests/test_idle_ledger.rs
@@ -0,0 +1,172 @@
+//! Tests of the accounts of an endpoint's capacity.
+
+use googletest::prelude::*;
+use pomeloramp_lib::IdleAccount;
+use pomeloramp_lib::IdleLedger;
+use pomeloramp_lib::protos::template::OrganisationParameters;
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::Strategy;
+use proptest::prelude::prop;
+use proptest::prelude::proptest;
+use proptest::prop_oneof;
+
+fn shares(weights: &[u32]) -> Vec<OrganisationParameters> {
+    let weights = weights.iter().enumerate();
+    weights
+        .map(|(n, share_weight)| OrganisationParameters {
+            organisation: format!("org-{n}"),
+            share_weight: *share_weight,
+            ..OrganisationParameters::default()
+        })
+        .collect()
+}
+
+fn account(ledger: &IdleLedger, name: &str) -> IdleAccount {
+    ledger
+        .account(name)
+        .expect("a declared organisation")
+        .clone()
+}
+
+#[googletest::test]
+fn splits_capacity_into_used_lent_and_idle() {
+    let mut ledger = IdleLedger::new(4, 0);
+    ledger.set_parameters(&shares(&[3, 1]), 0);
+    ledger.observe_start("org-1", 0);
+    ledger.observe_start("org-1", 0);
+    ledger.advance(10_000);
+    expect_that!(
+        account(&ledger, "org-0"),
+        eq(&IdleAccount {
+            organisation: "org-0".to_owned(),
+            used_ms: 0,
+            lent_ms: 10_000,
+            idle_ms: 20_000,
+            borrowed_ms: 0,
+        })
+    );
+    expect_that!(
+        account(&ledger, "org-1"),
+        eq(&IdleAccount {
+            organisation: "org-1".to_owned(),
+            used_ms: 10_000,
+            lent_ms: 0,
+            idle_ms: 0,
+            borrowed_ms: 10_000,
+        })
+    );
+    let lent: Vec<_> = ledger.lent_times().collect();
+    expect_that!(lent, len(eq(1)));
+    expect_that!(lent[0].owner, eq("org-0"));
+    expect_that!(lent[0].borrower, eq("org-1"));
+}
+
+#[googletest::test]
+fn capacity_without_an_owner_has_its_own_account() {
+    let mut ledger = IdleLedger::new(2, 50);
+    ledger.observe_start("org-0", 100);
+    ledger.advance(150);
+    let unowned = &ledger.accounts()[0];
+    expect_that!(unowned.idle_ms, eq(150));
+    expect_that!(unowned.lent_ms, eq(50));
+    expect_that!(account(&ledger, "org-0").borrowed_ms, eq(50));
+}
+
+#[googletest::test]
+fn many_organisations_own_less_than_a_slot_each() {
+    let mut ledger = IdleLedger::new(16, 0);
+    ledger.set_parameters(&shares(&[1; 3_800]), 0);
+    ledger.advance(760_000);
+    let owned: Vec<u64> = ledger.accounts()[1..]
+        .iter()
+        .map(IdleAccount::owned_ms)
+        .collect();
+    expect_that!(owned.iter().min(), some(eq(&3_200)));
+    expect_that!(owned.iter().max(), some(eq(&3_200)));
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Start(usize),
+    Finish(usize),
+    SetShares(Vec<u32>),
+    SetCapacity(u32),
+    Advance,
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        6 => (0_usize..6).prop_map(Event::Start),
+        6 => (0_usize..6).prop_map(Event::Finish),
+        1 => prop::collection::vec(0_u32..50, 0..5).prop_map(Event::SetShares),
+        1 => (0_u32..6).prop_map(Event::SetCapacity),
+        2 => proptest::prelude::Just(Event::Advance),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(128))]
+
+    /// Every slot-millisecond is in one account, and in the right column.
+    #[test]
+    fn capacity_time_is_conserved(
+        steps in prop::collection::vec((0_u64..700, event()), 1..120),
+    ) {
+        let mut ledger = IdleLedger::new(3, 0);
+        let (mut capacity, mut now_ms, mut expected_ms) = (3_u32, 0, 0);
+        let mut held = [0_u32; 6];
+        let mut busy_ms = 0;
+        for (after_ms, event) in steps {
+            now_ms += after_ms;
+            expected_ms += after_ms * u64::from(capacity);
+            busy_ms += after_ms * u64::from(capacity.min(held.iter().sum()));
+            match event {
+                Event::Start(n) => {
+                    ledger.observe_start(&format!("org-{n}"), now_ms);
+                    held[n] += 1;
+                }
+                Event::Finish(n) if held[n] > 0 => {
+                    ledger.observe_finish(&format!("org-{n}"), now_ms);
+                    held[n] -= 1;
+                }
+                Event::SetShares(weights) => ledger.set_parameters(&shares(&weights), now_ms),
+                Event::SetCapacity(slots) => {
+                    ledger.set_capacity(slots, now_ms);
+                    capacity = slots;
+                }
+                Event::Finish(_) | Event::Advance => ledger.advance(now_ms),
+            }
+            let accounts = ledger.accounts();
+            let sum = |column: fn(&IdleAccount) -> u64| accounts.iter().map(column).sum::<u64>();
+            assert_that!(ledger.capacity_ms(), eq(expected_ms));
+            assert_that!(sum(IdleAccount::owned_ms), eq(expected_ms));
+            let lent_ms = sum(|account| account.lent_ms);
+            assert_that!(sum(|account| account.borrowed_ms), eq(lent_ms));
+            assert_that!(sum(|account| account.used_ms) + lent_ms, eq(busy_ms));
+            let told_ms: u64 = ledger.lent_times().map(|lent| lent.lent_ms).sum();
+            assert_that!(told_ms + ledger.untold_lent_ms(), eq(lent_ms));
+        }
+    }
+
+    /// Organisations own capacity in proportion to their weights, and changes don't shift it.
+    #[test]
+    fn ownership_follows_the_weights(
+        weights in prop::collection::vec(1_u32..40, 2..12),
+        capacity in 1_u32..6,
+        change_every_ms in 30_u64..2_000,
+    ) {
+        let mut ledger = IdleLedger::new(capacity, 0);
+        let until_ms = 60_000;
+        for now_ms in (0..until_ms).step_by(usize::try_from(change_every_ms).unwrap()) {
+            ledger.set_parameters(&shares(&weights), now_ms);
+        }
+        ledger.advance(until_ms);
+        let total: u64 = weights.iter().copied().map(u64::from).sum();
+        let turns = u64::from(capacity) + weights.len() as u64;
+        for (n, weight) in weights.iter().enumerate() {
+            let owned_ms = account(&ledger, &format!("org-{n}")).owned_ms();
+            let fair_ms = until_ms * u64::from(capacity) * u64::from(*weight) / total;
+            assert_that!(owned_ms.abs_diff(fair_ms), le(turns * 100));
+        }
+    }
+}
