daemon: thin entry and endpoint roles

An entry forwards completions and plain calls to the agent beside an endpoint; the generated settings and templates now derive serialisation, which the path pattern had missed.

--- a/lib/gen-protos/src/main.rs
+++ b/lib/gen-protos/src/main.rs
@@ -14,10 +14,10 @@
     let descriptors = protox::compile(PROTO_FILES, [&protos_dir])?;
     tonic_prost_build::configure()
         .out_dir(&protos_dir)
-        .type_attribute("pomeloramp.settings", SERDE_DERIVES)
-        .type_attribute("pomeloramp.settings", SERDE_CONTAINER)
-        .type_attribute("pomeloramp.template", SERDE_DERIVES)
-        .type_attribute("pomeloramp.template", SERDE_CONTAINER)
+        .type_attribute(".pomeloramp.settings", SERDE_DERIVES)
+        .type_attribute(".pomeloramp.settings", SERDE_CONTAINER)
+        .type_attribute(".pomeloramp.template", SERDE_DERIVES)
+        .type_attribute(".pomeloramp.template", SERDE_CONTAINER)
         .compile_fds(descriptors)?;
     Ok(())
 }
--- /dev/null
+++ b/lib/src/config_view.rs
@@ -0,0 +1,79 @@
+//! The configuration in force, as request handling reads it.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use sha2::Digest;
+use sha2::Sha256;
+
+use crate::protos::template::OrganisationParameters;
+use crate::protos::template::ServiceTemplate;
+
+/// One service with an index over its organisations' credentials.
+#[derive(Debug)]
+pub struct ServiceView {
+    template: ServiceTemplate,
+    by_credential: HashMap<String, usize>,
+}
+
+impl ServiceView {
+    /// Indexes a template.
+    #[must_use]
+    pub fn new(template: ServiceTemplate) -> Self {
+        let by_credential = template
+            .organisations
+            .iter()
+            .enumerate()
+            .map(|(index, organisation)| {
+                let digest = organisation.credential_sha256.to_ascii_lowercase();
+                (digest, index)
+            })
+            .collect();
+        Self {
+            template,
+            by_credential,
+        }
+    }
+
+    /// Returns the template.
+    #[must_use]
+    pub fn template(&self) -> &ServiceTemplate {
+        &self.template
+    }
+
+    /// Finds the organisation that holds `credential`.
+    #[must_use]
+    pub fn organisation(&self, credential: &str) -> Option<&OrganisationParameters> {
+        let digest = hex_digest(credential.as_bytes());
+        self.by_credential
+            .get(&digest)
+            .map(|&index| &self.template.organisations[index])
+    }
+}
+
+/// Every service in force at one revision.
+#[derive(Debug, Default)]
+pub struct ConfigView {
+    /// Highest revision in force.
+    pub revision: u64,
+    /// Services by name.
+    pub services: BTreeMap<String, Arc<ServiceView>>,
+}
+
+impl ConfigView {
+    /// Finds a service by name.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<&Arc<ServiceView>> {
+        self.services.get(name)
+    }
+}
+
+/// Returns the SHA-256 of `bytes` in lower-case hexadecimal digits.
+#[must_use]
+pub fn hex_digest(bytes: &[u8]) -> String {
+    Sha256::digest(bytes)
+        .iter()
+        .map(|byte| format!("{byte:02x}"))
+        .collect()
+}
--- /dev/null
+++ b/lib/src/duty.rs
@@ -0,0 +1,102 @@
+//! A thread with one duty, fed through a bounded ring.
+
+use std::thread;
+use std::time::Duration;
+
+use crossbeam_channel::Receiver;
+use crossbeam_channel::RecvTimeoutError;
+use crossbeam_channel::Sender;
+use crossbeam_channel::TrySendError;
+use snafu::Snafu;
+
+/// Reports that a duty did not take a command.
+#[derive(Debug, Snafu)]
+pub enum DutyError {
+    /// The ring is full; the sender has to slow down.
+    #[snafu(display("ring of duty \"{duty}\" is full"))]
+    RingFull {
+        /// Name of the duty.
+        duty: &'static str,
+    },
+    /// The thread has ended.
+    #[snafu(display("duty \"{duty}\" has ended"))]
+    Ended {
+        /// Name of the duty.
+        duty: &'static str,
+    },
+}
+
+/// What wakes a duty.
+pub(crate) enum Wake<C> {
+    /// A command from the ring.
+    Command(C),
+    /// The tick interval has passed without a command.
+    Tick,
+}
+
+/// Sending side of a duty's ring; the thread ends when the last one is dropped.
+#[derive(Debug)]
+pub struct Duty<C> {
+    name: &'static str,
+    ring: Sender<C>,
+}
+
+impl<C> Clone for Duty<C> {
+    fn clone(&self) -> Self {
+        Self {
+            name: self.name,
+            ring: self.ring.clone(),
+        }
+    }
+}
+
+impl<C: Send + 'static> Duty<C> {
+    /// Starts a thread that passes each command, and each tick, to `handle`.
+    pub(crate) fn spawn<H>(name: &'static str, capacity: usize, tick: Duration, handle: H) -> Self
+    where
+        H: FnMut(Wake<C>) + Send + 'static,
+    {
+        let (ring, commands) = crossbeam_channel::bounded(capacity);
+        thread::Builder::new()
+            .name(name.to_owned())
+            .spawn(move || run(&commands, tick, handle))
+            .expect("the operating system starts a thread for each duty");
+        Self { name, ring }
+    }
+
+    /// Puts a command into the ring without waiting.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the ring is full or the thread has ended.
+    pub fn submit(&self, command: C) -> Result<(), DutyError> {
+        self.ring.try_send(command).map_err(|error| match error {
+            TrySendError::Full(_) => DutyError::RingFull { duty: self.name },
+            TrySendError::Disconnected(_) => DutyError::Ended { duty: self.name },
+        })
+    }
+
+    /// Puts a command that must not be lost into the ring, waiting while it is full.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the thread has ended.
+    pub fn submit_waiting(&self, command: C) -> Result<(), DutyError> {
+        self.ring
+            .send(command)
+            .map_err(|_| DutyError::Ended { duty: self.name })
+    }
+}
+
+fn run<C, H>(commands: &Receiver<C>, tick: Duration, mut handle: H)
+where
+    H: FnMut(Wake<C>),
+{
+    loop {
+        match commands.recv_timeout(tick) {
+            Ok(command) => handle(Wake::Command(command)),
+            Err(RecvTimeoutError::Timeout) => handle(Wake::Tick),
+            Err(RecvTimeoutError::Disconnected) => return,
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/entry_server.rs
@@ -0,0 +1,179 @@
+//! The callers' interface of an entry.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Response;
+use http::StatusCode;
+use http::header::AUTHORIZATION;
+use http::header::CONTENT_LENGTH;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use tokio::sync::oneshot;
+use volo_http::body::Body;
+use volo_http::request::Request;
+
+use crate::agent_channels::AgentChannels;
+use crate::caller_error::CallerError;
+use crate::config_duty::SharedConfig;
+use crate::config_view::ServiceView;
+use crate::duty::Duty;
+use crate::protos::settings::EntrySettings;
+use crate::protos::template::OrganisationParameters;
+use crate::routing_duty::Chosen;
+use crate::routing_duty::RoutingCommand;
+
+const OVERLOAD_RETRY: Duration = Duration::from_secs(1);
+
+/// State shared by the request handlers of an entry.
+pub(crate) struct EntryState {
+    pub(crate) settings: EntrySettings,
+    pub(crate) channels: AgentChannels,
+    pub(crate) config: SharedConfig,
+    pub(crate) routing: Duty<RoutingCommand>,
+    pub(crate) in_flight: InFlight,
+}
+
+/// Counts the requests in flight.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct InFlight {
+    count: Arc<AtomicUsize>,
+}
+
+impl InFlight {
+    /// Counts a request until the guard is dropped.
+    pub(crate) fn enter(&self) -> InFlightGuard {
+        self.count.fetch_add(1, Ordering::AcqRel);
+        InFlightGuard {
+            count: Arc::clone(&self.count),
+        }
+    }
+
+    /// Returns the number of requests in flight.
+    pub(crate) fn count(&self) -> usize {
+        self.count.load(Ordering::Acquire)
+    }
+}
+
+/// One request in flight.
+#[derive(Debug)]
+pub(crate) struct InFlightGuard {
+    count: Arc<AtomicUsize>,
+}
+
+impl Drop for InFlightGuard {
+    fn drop(&mut self) {
+        self.count.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// A request whose caller is known.
+pub(crate) struct Authorised {
+    pub(crate) service: Arc<ServiceView>,
+    pub(crate) organisation: OrganisationParameters,
+}
+
+impl EntryState {
+    /// Finds the service and the organisation that a request's credential names.
+    pub(crate) fn authorise(
+        &self,
+        service: &str,
+        headers: &HeaderMap,
+    ) -> Result<Authorised, CallerError> {
+        let config = self.config.load();
+        let view = config.service(service).ok_or_else(|| {
+            let message = format!("service \"{service}\" does not exist");
+            CallerError::not_run(StatusCode::NOT_FOUND, "service-unknown", message)
+        })?;
+        let organisation = bearer(headers)
+            .and_then(|credential| view.organisation(credential))
+            .ok_or_else(|| {
+                let message = format!("credential is not declared for service \"{service}\"");
+                CallerError::not_run(StatusCode::UNAUTHORIZED, "credential-unknown", message)
+            })?;
+        Ok(Authorised {
+            service: Arc::clone(view),
+            organisation: organisation.clone(),
+        })
+    }
+
+    /// Reads a request's body, up to the limit of the settings.
+    pub(crate) async fn read_body(&self, request: Request) -> Result<Bytes, CallerError> {
+        let limit_bytes = usize::try_from(self.settings.max_body_bytes).unwrap_or(usize::MAX);
+        let too_large = || {
+            let message = format!("body is larger than {limit_bytes} bytes");
+            CallerError::not_run(StatusCode::PAYLOAD_TOO_LARGE, "body-too-large", message)
+        };
+        let declared_bytes = request
+            .headers()
+            .get(CONTENT_LENGTH)
+            .and_then(|value| value.to_str().ok())
+            .and_then(|text| text.parse::<usize>().ok());
+        if declared_bytes.is_some_and(|length| length > limit_bytes) {
+            return Err(too_large());
+        }
+        let timeout = Duration::from_millis(self.settings.header_timeout_ms);
+        let body = Limited::new(request.into_body(), limit_bytes).collect();
+        let collected = tokio::time::timeout(timeout, body)
+            .await
+            .map_err(|_| {
+                let message = format!("body did not arrive within {} ms", timeout.as_millis());
+                CallerError::not_run(StatusCode::REQUEST_TIMEOUT, "body-timeout", message)
+            })?
+            .map_err(|_| too_large())?;
+        Ok(collected.to_bytes())
+    }
+
+    /// Asks the routing duty for an endpoint.
+    pub(crate) async fn choose(
+        &self,
+        service: &str,
+        exclude: &[String],
+    ) -> Result<Chosen, CallerError> {
+        let (reply, answer) = oneshot::channel();
+        let command = RoutingCommand::Choose {
+            service: service.to_owned(),
+            exclude: exclude.to_vec(),
+            reply,
+        };
+        self.routing.submit(command).map_err(|_| overloaded())?;
+        answer
+            .await
+            .map_err(|_| overloaded())?
+            .ok_or_else(|| no_endpoint(service))
+    }
+}
+
+/// Returns the refusal of an entry whose rings are full.
+pub(crate) fn overloaded() -> CallerError {
+    CallerError::not_run(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "entry-overloaded",
+        "entry has no room for the request",
+    )
+    .retry_after(OVERLOAD_RETRY)
+}
+
+/// Returns the refusal for a service without a usable endpoint.
+pub(crate) fn no_endpoint(service: &str) -> CallerError {
+    let message = format!("service \"{service}\" has no reachable endpoint");
+    CallerError::not_run(StatusCode::SERVICE_UNAVAILABLE, "no-endpoint", message)
+        .retry_after(OVERLOAD_RETRY)
+}
+
+/// Turns a handler's result into a response.
+pub(crate) fn respond(result: Result<Response<Body>, CallerError>) -> Response<Body> {
+    result.unwrap_or_else(CallerError::into_response)
+}
+
+fn bearer(headers: &HeaderMap) -> Option<&str> {
+    headers
+        .get(AUTHORIZATION)?
+        .to_str()
+        .ok()?
+        .strip_prefix("Bearer ")
+}
--- /dev/null
+++ b/lib/src/http_client.rs
@@ -0,0 +1,141 @@
+//! HTTP requests over a connection of their own.
+//!
+//! A pooled client hides whether a request was written before its connection failed. Here each
+//! request opens a connection and counts what it writes, so that "nothing was written" is known.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use snafu::Snafu;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+
+/// Why a request has no response.
+#[derive(Debug, Snafu)]
+pub enum HttpError {
+    /// The connection failed before any byte of the request was written.
+    #[snafu(display("{step} {peer}: {reason}; nothing was written"))]
+    NotWritten {
+        /// Step that failed.
+        step: &'static str,
+        /// Address of the peer.
+        peer: String,
+        /// What the operating system or the library said.
+        reason: String,
+    },
+    /// The connection failed after part of the request was written.
+    #[snafu(display("{step} {peer}: {reason}"))]
+    Written {
+        /// Step that failed.
+        step: &'static str,
+        /// Address of the peer.
+        peer: String,
+        /// What the operating system or the library said.
+        reason: String,
+    },
+}
+
+/// Sends one request to `peer` over a fresh connection.
+///
+/// Dropping the response's body closes the connection.
+///
+/// # Errors
+///
+/// Tells whether any byte of the request was written.
+pub(crate) async fn send(
+    peer: &str,
+    connect_timeout: Duration,
+    request: Request<Full<Bytes>>,
+) -> Result<Response<Incoming>, HttpError> {
+    let stream = connect(peer, connect_timeout).await?;
+    let written_bytes = Arc::new(AtomicU64::new(0));
+    let counted = CountedStream {
+        inner: stream,
+        written_bytes: Arc::clone(&written_bytes),
+    };
+    let classify = |step: &'static str, error: &hyper::Error| {
+        let reason = error.to_string();
+        let peer = peer.to_owned();
+        if written_bytes.load(Ordering::Acquire) == 0 {
+            HttpError::NotWritten { step, peer, reason }
+        } else {
+            HttpError::Written { step, peer, reason }
+        }
+    };
+    let (mut sender, connection) = http1::handshake(TokioIo::new(counted))
+        .await
+        .map_err(|error| classify("handshake with", &error))?;
+    tokio::spawn(connection);
+    sender
+        .send_request(request)
+        .await
+        .map_err(|error| classify("request to", &error))
+}
+
+async fn connect(peer: &str, timeout: Duration) -> Result<TcpStream, HttpError> {
+    let not_written = |reason: String| HttpError::NotWritten {
+        step: "connect to",
+        peer: peer.to_owned(),
+        reason,
+    };
+    let stream = tokio::time::timeout(timeout, TcpStream::connect(peer))
+        .await
+        .map_err(|_| not_written(format!("timeout after {} ms", timeout.as_millis())))?
+        .map_err(|error| not_written(error.to_string()))?;
+    stream
+        .set_nodelay(true)
+        .map_err(|error| not_written(error.to_string()))?;
+    Ok(stream)
+}
+
+struct CountedStream {
+    inner: TcpStream,
+    written_bytes: Arc<AtomicU64>,
+}
+
+impl AsyncRead for CountedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for CountedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.inner).poll_write(context, buffer);
+        if let Poll::Ready(Ok(count)) = result {
+            self.written_bytes.fetch_add(count as u64, Ordering::AcqRel);
+        }
+        result
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(context)
+    }
+}
