standins: platform, engine and plain service

Tests and the local fleet need something to stand in for the platform's configuration service and VM list, a model engine and a plain service. Weight store, cache events and the prompt prefix cache are not in yet; an engine prefills the whole prompt each time.

--- /dev/null
+++ b/standins/src/http_answer.rs
@@ -0,0 +1,34 @@
+//! Answers in JSON and the reading of JSON bodies.
+
+use bytes::Bytes;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use volo_http::body::Body;
+use volo_http::response::Response;
+
+use crate::refusal::Refusal;
+
+const JSON_TYPE: &str = "application/json";
+
+/// Answers 200 with `value` in JSON.
+pub(crate) fn ok_json(value: &impl Serialize) -> Response {
+    let text = serde_json::to_string(value).expect("answers of the stand-ins serialise");
+    with_status(StatusCode::OK, text)
+}
+
+/// Reads a JSON body, or refuses it with the reason.
+pub(crate) fn read_json<T: DeserializeOwned>(body: &Bytes) -> Result<T, Refusal> {
+    serde_json::from_slice(body)
+        .map_err(|error| Refusal::new(StatusCode::BAD_REQUEST, error.to_string()))
+}
+
+/// Answers `status` with a text in JSON.
+pub(crate) fn with_status(status: StatusCode, text: String) -> Response {
+    Response::builder()
+        .status(status)
+        .header(CONTENT_TYPE, JSON_TYPE)
+        .body(Body::from(text))
+        .expect("the parts of the answer are valid")
+}
