settings: read over shipped defaults, refuse what is unknown or out of range

The daemon took any YAML and left absent keys at zero. A file now holds only the keys that differ from the shipped one of its role; unknown keys, other types, numbers out of range, host names and short keys are refused, each with path, line and reason. Lines come from the YAML parser itself: a probe descends to the path and fails there, since its errors carry the line.

Seen to fail: dropping one number range (the completeness test), ignoring unknown keys (the path-and-line test).

--- /dev/null
+++ b/lib/src/settings_check.rs
@@ -0,0 +1,234 @@
+//! Reading a daemon's settings over the shipped defaults of its role.
+
+use serde_norway::Mapping;
+use serde_norway::Value;
+
+use crate::arguments::nearest;
+use crate::daemon_role::DaemonRole;
+use crate::protos::settings::DaemonSettings;
+use crate::settings_error::SettingsError;
+use crate::settings_error::SettingsProblem;
+use crate::settings_ranges::range_of;
+use crate::settings_ranges::text_rule;
+use crate::yaml_location::line_of;
+
+const HEARTBEATS_BEFORE_SUSPICION: u64 = 2;
+
+/// Reads the settings of `role` from `text`, a YAML mapping that may leave out any key with a
+/// default.
+///
+/// # Errors
+///
+/// Returns every unknown key, wrong type and value out of range, each with its path and line.
+pub fn load_settings(role: DaemonRole, text: &str) -> Result<DaemonSettings, SettingsError> {
+    let defaults = parse_mapping(role.default_settings())?;
+    let given = parse_mapping(text)?;
+    let mut checker = SettingsChecker::new(role, text);
+    let merged = checker.merge("", &defaults, &given);
+    if checker.problems.is_empty() {
+        checker.check_values("", &merged);
+        checker.check_role(&merged);
+        checker.check_suspicion(&merged);
+    }
+    checker.finish()?;
+    serde_norway::from_value(Value::Mapping(merged)).map_err(|error| {
+        SettingsError::from(SettingsProblem {
+            path: String::new(),
+            line: None,
+            reason: error.to_string(),
+        })
+    })
+}
+
+/// Reads which role the settings in `text` are for.
+///
+/// # Errors
+///
+/// Returns a problem when the role is absent or not a known one.
+pub fn settings_role(text: &str) -> Result<DaemonRole, SettingsError> {
+    let given = parse_mapping(text)?;
+    let role = given.get("role").and_then(Value::as_str);
+    role.and_then(DaemonRole::from_name).ok_or_else(|| {
+        SettingsError::from(SettingsProblem {
+            path: "role".to_owned(),
+            line: line_of(text, &["role"]),
+            reason: "must be \"entry\" or \"endpoint\"".to_owned(),
+        })
+    })
+}
+
+/// Parses a YAML mapping; an empty document is an empty mapping.
+fn parse_mapping(text: &str) -> Result<Mapping, SettingsError> {
+    match serde_norway::from_str::<Value>(text) {
+        Ok(Value::Mapping(mapping)) => Ok(mapping),
+        Ok(Value::Null) => Ok(Mapping::new()),
+        Ok(_) => Err(SettingsError::from(SettingsProblem {
+            path: String::new(),
+            line: Some(1),
+            reason: "the settings must be a mapping".to_owned(),
+        })),
+        Err(error) => Err(SettingsError::from(SettingsProblem {
+            path: String::new(),
+            line: error.location().map(|location| location.line()),
+            reason: error.to_string(),
+        })),
+    }
+}
+
+/// Gathers the problems of one settings file.
+struct SettingsChecker<'a> {
+    role: DaemonRole,
+    text: &'a str,
+    problems: Vec<SettingsProblem>,
+}
+
+impl<'a> SettingsChecker<'a> {
+    fn new(role: DaemonRole, text: &'a str) -> Self {
+        Self {
+            role,
+            text,
+            problems: Vec::new(),
+        }
+    }
+
+    /// Lays `given` over `defaults`, which hold every key there is.
+    fn merge(&mut self, prefix: &str, defaults: &Mapping, given: &Mapping) -> Mapping {
+        let mut merged = defaults.clone();
+        for (key, value) in given {
+            let name = key_name(key);
+            let path = join_path(prefix, &name);
+            match (defaults.get(key), value) {
+                (None, _) => self.add_unknown(&path, &name, defaults),
+                (Some(Value::Mapping(inner)), Value::Mapping(given_inner)) => {
+                    let inner = self.merge(&path, inner, given_inner);
+                    merged.insert(key.clone(), Value::Mapping(inner));
+                }
+                (Some(default), _) if same_type(default, value) => {
+                    merged.insert(key.clone(), value.clone());
+                }
+                (Some(default), _) => {
+                    self.add(&path, format!("must be {}", type_name(default)));
+                }
+            }
+        }
+        merged
+    }
+
+    fn check_values(&mut self, prefix: &str, values: &Mapping) {
+        for (key, value) in values {
+            let path = join_path(prefix, &key_name(key));
+            match value {
+                Value::Mapping(inner) => self.check_values(&path, inner),
+                Value::String(text) => self.check_text(&path, text),
+                _ => self.check_number(&path, value),
+            }
+        }
+    }
+
+    fn check_text(&mut self, path: &str, text: &str) {
+        if let Some(reason) = text_rule(path).problem(text) {
+            self.add(path, reason);
+        }
+    }
+
+    fn check_number(&mut self, path: &str, value: &Value) {
+        let Some(range) = range_of(path) else {
+            return;
+        };
+        let in_range = value
+            .as_u64()
+            .is_some_and(|number| (range.min..=range.max).contains(&number));
+        if !in_range {
+            let shown = serde_norway::to_string(value).unwrap_or_default();
+            let (min, max) = (range.min, range.max);
+            self.add(
+                path,
+                format!("{} is not between {min} and {max}", shown.trim_end()),
+            );
+        }
+    }
+
+    fn check_role(&mut self, merged: &Mapping) {
+        let given = merged.get("role").and_then(Value::as_str);
+        if given != Some(self.role.as_str()) {
+            let reason = format!("must be {:?} for this process", self.role.as_str());
+            self.add("role", reason);
+        }
+    }
+
+    fn check_suspicion(&mut self, merged: &Mapping) {
+        let control = merged.get("control");
+        let number = |key| control.and_then(|control| control.get(key)?.as_u64());
+        let heartbeat_ms = number("heartbeat_interval_ms").unwrap_or_default();
+        let suspect_ms = number("suspect_after_ms").unwrap_or_default();
+        if suspect_ms < heartbeat_ms.saturating_mul(HEARTBEATS_BEFORE_SUSPICION) {
+            let reason = format!(
+                "{suspect_ms} is less than {HEARTBEATS_BEFORE_SUSPICION} times \
+                 control.heartbeat_interval_ms, which is {heartbeat_ms}"
+            );
+            self.add("control.suspect_after_ms", reason);
+        }
+    }
+
+    fn add_unknown(&mut self, path: &str, name: &str, known: &Mapping) {
+        let names: Vec<&str> = known.keys().filter_map(Value::as_str).collect();
+        let reason = match nearest(name, &names) {
+            Some(near) => format!("unknown key, did you mean {near}?"),
+            None => format!("unknown key, expected one of {}", names.join(", ")),
+        };
+        self.add(path, reason);
+    }
+
+    fn add(&mut self, path: &str, reason: String) {
+        let steps: Vec<&str> = path.split('.').collect();
+        self.problems.push(SettingsProblem {
+            path: path.to_owned(),
+            line: line_of(self.text, &steps),
+            reason,
+        });
+    }
+
+    fn finish(mut self) -> Result<(), SettingsError> {
+        if self.problems.is_empty() {
+            return Ok(());
+        }
+        self.problems
+            .sort_by_key(|problem| problem.line.unwrap_or(usize::MAX));
+        Err(SettingsError {
+            problems: self.problems,
+        })
+    }
+}
+
+fn key_name(key: &Value) -> String {
+    match key {
+        Value::String(name) => name.clone(),
+        other => serde_norway::to_string(other)
+            .unwrap_or_default()
+            .trim_end()
+            .to_owned(),
+    }
+}
+
+fn join_path(prefix: &str, name: &str) -> String {
+    if prefix.is_empty() {
+        name.to_owned()
+    } else {
+        format!("{prefix}.{name}")
+    }
+}
+
+fn same_type(default: &Value, given: &Value) -> bool {
+    matches!(
+        (default, given),
+        (Value::String(_), Value::String(_)) | (Value::Number(_), Value::Number(_))
+    )
+}
+
+fn type_name(default: &Value) -> &'static str {
+    match default {
+        Value::Mapping(_) => "a mapping",
+        Value::String(_) => "a text",
+        _ => "a whole number",
+    }
+}
