events: numbered events with a catalogue

Records that operators act on get a number that keeps its meaning. The table in the code and docs/events.md are compared by a test, which was seen to fail with the level of one row changed.

--- /dev/null
+++ b/lib/src/events.rs
@@ -0,0 +1,132 @@
+//! The numbered events that the programs log.
+
+use std::fmt;
+
+use log::Level;
+
+/// Declares the events with their numbers, levels and texts.
+macro_rules! events {
+    ($($name:ident = $number:literal $level:ident $text:literal,)*) => {
+        /// Something that an operator may want to know of; `docs/events.md` lists them all.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub enum Event {
+            $(
+                #[doc = $text]
+                $name,
+            )*
+        }
+
+        impl Event {
+            /// Every event, by rising number.
+            pub const ALL: &'static [Self] = &[$(Self::$name,)*];
+
+            /// Returns the number, which never changes its meaning.
+            #[must_use]
+            pub fn number(self) -> u16 {
+                match self {
+                    $(Self::$name => $number,)*
+                }
+            }
+
+            /// Returns the level at which the event is logged.
+            #[must_use]
+            pub fn level(self) -> Level {
+                match self {
+                    $(Self::$name => Level::$level,)*
+                }
+            }
+
+            /// Returns the name of the event in the code.
+            #[must_use]
+            pub fn name(self) -> &'static str {
+                match self {
+                    $(Self::$name => stringify!($name),)*
+                }
+            }
+
+            /// Returns the text that every record of the event begins with.
+            #[must_use]
+            pub fn text(self) -> &'static str {
+                match self {
+                    $(Self::$name => $text,)*
+                }
+            }
+        }
+    };
+}
+
+events! {
+    EntryStarted = 1 Info "entry daemon started",
+    AgentStarted = 2 Info "agent started",
+    SettingsRefused = 3 Error "settings refused",
+    ListenFailed = 4 Error "listening failed",
+    DrainStarted = 5 Info "drain started",
+    DrainFinished = 6 Info "drain finished",
+    StoppedAtOnce = 7 Warn "stopped with requests in flight",
+    ThreadEnded = 8 Error "a thread ended before the process was told to stop",
+
+    ConfigAccepted = 101 Info "document accepted",
+    ConfigRefused = 102 Warn "document refused",
+    ConfigServiceFailed = 103 Warn "reading the configuration service failed",
+    ConfigServiceRecovered = 104 Info "the configuration service answers again",
+    ConfigServiceStale = 105 Warn "the configuration service is behind the revision in force",
+    ConfigReaderStarted = 106 Info "this process reads the configuration service",
+    ConfigReaderStopped = 107 Info "this process leaves reading to its peers",
+
+    VmListFailed = 201 Warn "reading the VM list failed",
+    VmListRecovered = 202 Info "the VM list answers again",
+    AgentFound = 203 Info "agent found",
+    AgentSuspected = 204 Warn "agent suspected",
+    AgentRecovered = 205 Info "agent answers again",
+    AgentRestarted = 206 Info "agent has another incarnation",
+    AgentLeaving = 207 Info "agent is leaving",
+    AgentForgotten = 208 Info "agent is gone from the VM list",
+    ConnectionReplaced = 209 Warn "silent connection replaced",
+
+    OutcomeUnknown = 301 Warn "outcome of a request is unknown",
+    RequestRetried = 302 Debug "request retried elsewhere",
+    StreamResumed = 303 Info "stream resumed at another endpoint",
+    AnswerDamaged = 304 Warn "frames of an answer failed their check",
+    PlacementRefused = 305 Warn "placement refused",
+    CallRecordsFull = 306 Warn "no room for the record of a call",
+    ConnectionsFull = 307 Warn "connection limit reached",
+    HeadTimedOut = 308 Debug "caller did not send a request head in time",
+    CredentialRefused = 309 Info "credential refused",
+    RetryBudgetSpent = 310 Warn "retry budget spent",
+
+    EndpointUp = 401 Info "endpoint answers",
+    EndpointDown = 402 Warn "endpoint does not answer",
+    EndpointCrashed = 403 Error "endpoint broke off requests",
+    ContentQuarantined = 404 Warn "content quarantined",
+
+    MapPrepared = 501 Info "expert map prepared",
+    MapCommitted = 502 Info "expert map committed",
+    MapAborted = 503 Warn "expert map aborted",
+    MapUndecided = 504 Warn "ranks wait for the decision on an expert map",
+}
+
+impl fmt::Display for Event {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "E{:04}", self.number())
+    }
+}
+
+/// Logs `event` with what is particular to this occurrence.
+pub fn log_event(event: Event, details: fmt::Arguments<'_>) {
+    let text = event.text();
+    match details.as_str() {
+        Some("") => log::log!(target: "pomeloramp", event.level(), "{event} {text}"),
+        _ => log::log!(target: "pomeloramp", event.level(), "{event} {text}: {details}"),
+    }
+}
+
+/// Logs a numbered event: `event!(AgentSuspected, "vm_name={vm_name}")`.
+#[macro_export]
+macro_rules! event {
+    ($name:ident) => {
+        $crate::log_event($crate::Event::$name, ::std::format_args!(""))
+    };
+    ($name:ident, $($details:tt)+) => {
+        $crate::log_event($crate::Event::$name, ::std::format_args!($($details)+))
+    };
+}
--- /dev/null
+++ b/lib/tests/test_events.rs
@@ -0,0 +1,46 @@
+//! Tests of the numbered events and their catalogue.
+
+use googletest::prelude::*;
+use pomeloramp_lib::Event;
+
+const CATALOGUE: &str = include_str!("../../docs/events.md");
+
+fn row(event: &Event) -> String {
+    format!(
+        "| {event} | {} | {} | {} |",
+        event.level().as_str().to_lowercase(),
+        event.name(),
+        event.text()
+    )
+}
+
+#[googletest::test]
+fn catalogue_and_code_agree() {
+    let listed: Vec<String> = CATALOGUE
+        .lines()
+        .filter(|line| line.starts_with("| E"))
+        .map(|line| {
+            let cells: Vec<&str> = line.split('|').map(str::trim).collect();
+            format!("| {} |", cells[1..5].join(" | "))
+        })
+        .collect();
+    let declared: Vec<String> = Event::ALL.iter().map(row).collect();
+    expect_that!(listed, container_eq(declared));
+}
+
+#[googletest::test]
+fn every_event_tells_what_to_do() {
+    for line in CATALOGUE.lines().filter(|line| line.starts_with("| E")) {
+        let cells: Vec<&str> = line.split('|').map(str::trim).collect();
+        expect_that!(cells.len(), eq(7), "{line}");
+        expect_that!(cells[5], not(eq("")), "{line}");
+    }
+}
+
+#[googletest::test]
+fn numbers_rise_without_repeats() {
+    for pair in Event::ALL.windows(2) {
+        expect_that!(pair[0].number(), lt(pair[1].number()));
+    }
+    expect_that!(Event::EntryStarted.to_string(), eq("E0001"));
+}
