fleet: the thin whole path as separate processes

The accept loop is our own: volo-http's sets no header timeout and cuts streams 30 s after a shutdown began.

--- /dev/null
+++ b/lib/src/caller_server.rs
@@ -0,0 +1,141 @@
+//! Accepts callers' connections and serves them with volo-http's router.
+//!
+//! The accept loop is our own because volo-http's sets no header timeout, does not bound the
+//! connections and ends streams 30 s after a shutdown began.
+
+use std::cell::RefCell;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::Request;
+use http::Response;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use socket2::SockRef;
+use socket2::TcpKeepalive;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::sync::watch;
+use volo::METAINFO;
+use volo::Service;
+use volo::net::Address;
+use volo_http::body::Body;
+use volo_http::context::ServerContext;
+use volo_http::server::route::Router;
+
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(10);
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
+const KEEPALIVE_RETRIES: u32 = 3;
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Bounds of the callers' side.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct CallerLimits {
+    /// Time for a whole request head.
+    pub(crate) header_timeout: Duration,
+    /// Connections served at once; more wait in the listener's backlog.
+    pub(crate) max_connections: usize,
+}
+
+/// Serves callers until `closing` turns true, then lets the open connections finish.
+pub(crate) async fn serve(
+    listener: TcpListener,
+    router: Router,
+    limits: CallerLimits,
+    mut closing: watch::Receiver<bool>,
+) {
+    let router = Arc::new(router);
+    let permits = Arc::new(Semaphore::new(limits.max_connections));
+    loop {
+        let permit = tokio::select! {
+            permit = Arc::clone(&permits).acquire_owned() => permit.expect("semaphore stays open"),
+            () = closed(&mut closing) => break,
+        };
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = closed(&mut closing) => break,
+        };
+        let (stream, peer) = match accepted {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                log::warn!("accept a caller: {error}");
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                continue;
+            }
+        };
+        let router = Arc::clone(&router);
+        let closing = closing.clone();
+        tokio::spawn(async move {
+            serve_connection(stream, peer, router, limits.header_timeout, closing).await;
+            drop(permit);
+        });
+    }
+    drop(listener);
+    let all = u32::try_from(limits.max_connections).unwrap_or(u32::MAX);
+    let _ = permits.acquire_many(all).await;
+}
+
+async fn serve_connection(
+    stream: TcpStream,
+    peer: SocketAddr,
+    router: Arc<Router>,
+    header_timeout: Duration,
+    mut closing: watch::Receiver<bool>,
+) {
+    if let Err(error) = configure(&stream) {
+        log::debug!("socket options of caller {peer}: {error}");
+    }
+    let service = service_fn(move |request| handle(Arc::clone(&router), peer, request));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(header_timeout)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        () = closed(&mut closing) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = result {
+        log::debug!("connection of caller {peer}: {error}");
+    }
+}
+
+async fn closed(closing: &mut watch::Receiver<bool>) {
+    let _ = closing.wait_for(|closing| *closing).await;
+}
+
+fn configure(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_IDLE)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_RETRIES);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
+}
+
+async fn handle(
+    router: Arc<Router>,
+    peer: SocketAddr,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Infallible> {
+    METAINFO
+        .scope(RefCell::default(), async move {
+            let mut context = ServerContext::new(Address::from(peer));
+            router
+                .call(&mut context, request.map(Body::from_incoming))
+                .await
+        })
+        .await
+}
--- a/lib/src/config_view.rs
+++ b/lib/src/config_view.rs
@@ -72,8 +72,5 @@
 /// Returns the SHA-256 of `bytes` in lower-case hexadecimal digits.
 #[must_use]
 pub fn hex_digest(bytes: &[u8]) -> String {
-    Sha256::digest(bytes)
-        .iter()
-        .map(|byte| format!("{byte:02x}"))
-        .collect()
+    hex::encode(Sha256::digest(bytes))
 }
--- a/lib/src/duty.rs
+++ b/lib/src/duty.rs
@@ -75,17 +75,6 @@
             TrySendError::Disconnected(_) => DutyError::Ended { duty: self.name },
         })
     }
-
-    /// Puts a command that must not be lost into the ring, waiting while it is full.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the thread has ended.
-    pub fn submit_waiting(&self, command: C) -> Result<(), DutyError> {
-        self.ring
-            .send(command)
-            .map_err(|_| DutyError::Ended { duty: self.name })
-    }
 }
 
 fn run<C, H>(commands: &Receiver<C>, tick: Duration, mut handle: H)
--- a/lib/src/entry_daemon.rs
+++ b/lib/src/entry_daemon.rs
@@ -8,12 +8,13 @@
 use http::HeaderValue;
 use http::Response;
 use http::header::CONTENT_TYPE;
+use serde_json::Value;
 use serde_json::json;
 use tokio::sync::oneshot;
-use volo::net::Address;
+use tokio::sync::watch;
+use tokio_stream::wrappers::TcpListenerStream;
 use volo_http::body::Body;
 use volo_http::request::Request;
-use volo_http::server::Server;
 use volo_http::server::extract::Query;
 use volo_http::server::param::PathParams;
 use volo_http::server::route::Router;
@@ -22,22 +23,30 @@
 
 use crate::agent_channels::AgentChannels;
 use crate::caller_error::CallerError;
+use crate::caller_server;
+use crate::caller_server::CallerLimits;
 use crate::clock::Clock;
 use crate::completion;
 use crate::config_duty;
 use crate::config_duty::SharedConfig;
 use crate::control_loop::ControlLoop;
 use crate::daemon_error::DaemonError;
-use crate::endpoint_daemon::parse_address;
 use crate::entry_server::EntryState;
-use crate::entry_server::InFlight;
 use crate::entry_server::overloaded;
 use crate::entry_server::respond;
+use crate::in_flight::InFlight;
+use crate::incarnation::Incarnation;
+use crate::listener::announce;
+use crate::listener::listen;
+use crate::peer_server::PeerServer;
+use crate::peer_server::PeerState;
 use crate::plain_call;
 use crate::platform_client::PlatformClient;
+use crate::protos::control::peer_server::PeerServer as PeerService;
 use crate::protos::settings::DaemonSettings;
 use crate::routing_duty;
 use crate::routing_duty::RoutingCommand;
+use crate::shutdown;
 
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -47,7 +56,7 @@
 ///
 /// Fails when an address is not usable.
 pub async fn run_entry(settings: DaemonSettings) -> Result<(), DaemonError> {
-    let control = settings.control.clone().unwrap_or_default();
+    let control = settings.control.unwrap_or_default();
     let entry = settings.entry.clone().unwrap_or_default();
     let connect_timeout = Duration::from_millis(control.connect_timeout_ms);
     let platform = PlatformClient::new(&settings.platform_address, connect_timeout);
@@ -70,33 +79,65 @@
     tokio::spawn(control_loop.run());
 
     let in_flight = InFlight::default();
+    let draining = shutdown::listen();
+    let limits = CallerLimits {
+        header_timeout: Duration::from_millis(entry.header_timeout_ms),
+        max_connections: entry.max_connections as usize,
+    };
+    let lifetime = Duration::from_millis(entry.address_lifetime_ms);
+    let peer_state = PeerState {
+        vm_name: settings.vm_name.clone(),
+        role: "entry",
+        incarnation: Incarnation::random(),
+        draining: draining.clone(),
+        config: Arc::clone(&config),
+        in_flight: in_flight.clone(),
+    };
+    let peer_listener = listen("peer_address", &settings.peer_address).await?;
+    announce("peers", &peer_listener);
+    let peer_server = PeerServer {
+        state: Arc::new(peer_state),
+    };
+    tokio::spawn(
+        tonic::transport::Server::builder()
+            .add_service(PeerService::new(peer_server))
+            .serve_with_incoming(TcpListenerStream::new(peer_listener)),
+    );
+    let listener = listen("entry.caller_address", &entry.caller_address).await?;
+    announce("callers", &listener);
     let state = Arc::new(EntryState {
-        settings: entry.clone(),
+        settings: entry,
         channels,
         config,
         routing,
         in_flight: in_flight.clone(),
     });
-    let address = parse_address("entry.caller_address", &entry.caller_address)?;
-    println!("listening {address}");
-    Server::new(router(&state))
-        .register_shutdown_hook(move || Box::pin(drain(in_flight)))
-        .run(Address::from(address))
-        .await
-        .map_err(|source| DaemonError::Serve {
-            address: entry.caller_address,
-            source,
-        })
+    let (close, closing) = watch::channel(false);
+    tokio::spawn(drain(draining, lifetime, in_flight, close));
+    caller_server::serve(listener, router(&state), limits, closing).await;
+    Ok(())
 }
 
-async fn drain(in_flight: InFlight) {
+/// Closes the listener once no caller can still hold this entry's address.
+async fn drain(
+    mut draining: watch::Receiver<bool>,
+    address_lifetime: Duration,
+    in_flight: InFlight,
+    close: watch::Sender<bool>,
+) {
+    if draining.wait_for(|draining| *draining).await.is_err() {
+        return;
+    }
+    tokio::time::sleep(address_lifetime).await;
     while in_flight.count() > 0 {
         tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
     }
+    let _ = close.send(true);
 }
 
 fn router(state: &Arc<EntryState>) -> Router {
     let for_addresses = Arc::clone(state);
+    let for_endpoints = Arc::clone(state);
     let for_completions = Arc::clone(state);
     let for_services = Arc::clone(state);
     Router::new()
@@ -106,6 +147,12 @@
                 addresses(Arc::clone(&for_addresses), query)
             }),
         )
+        .route(
+            "/v1/endpoints",
+            get(move |Query(query): Query<HashMap<String, String>>| {
+                endpoints(Arc::clone(&for_endpoints), query)
+            }),
+        )
         .route(
             "/v1/completions",
             post(move |request: Request| completion::handle(Arc::clone(&for_completions), request)),
@@ -152,9 +199,29 @@
     if let Some(service) = query.get("service") {
         body["placement"] = plain_call::fresh_placement(state, service).await?.into();
     }
+    Ok(json_response(&body))
+}
+
+/// Answers how many endpoints of a service this entry would use.
+async fn endpoints(state: Arc<EntryState>, query: HashMap<String, String>) -> Response<Body> {
+    let service = query.get("service").map_or("", String::as_str);
+    respond(answer_endpoints(&state, service).await)
+}
+
+async fn answer_endpoints(
+    state: &EntryState,
+    service: &str,
+) -> Result<Response<Body>, CallerError> {
+    let usable = state.homes(service).await?.len();
+    let configured = state.config.load().service(service).is_some();
+    let body = json!({ "service": service, "usable": usable, "configured": configured });
+    Ok(json_response(&body))
+}
+
+fn json_response(body: &Value) -> Response<Body> {
     let mut response = Response::new(Body::from(Bytes::from(body.to_string())));
     response
         .headers_mut()
         .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    Ok(response)
+    response
 }
--- a/lib/src/entry_server.rs
+++ b/lib/src/entry_server.rs
@@ -1,8 +1,6 @@
 //! The callers' interface of an entry.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -22,6 +20,8 @@
 use crate::config_duty::SharedConfig;
 use crate::config_view::ServiceView;
 use crate::duty::Duty;
+use crate::in_flight::InFlight;
+use crate::protos::control::PlacementHome;
 use crate::protos::settings::EntrySettings;
 use crate::protos::template::OrganisationParameters;
 use crate::routing_duty::Chosen;
@@ -38,39 +38,6 @@
     pub(crate) in_flight: InFlight,
 }
 
-/// Counts the requests in flight.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct InFlight {
-    count: Arc<AtomicUsize>,
-}
-
-impl InFlight {
-    /// Counts a request until the guard is dropped.
-    pub(crate) fn enter(&self) -> InFlightGuard {
-        self.count.fetch_add(1, Ordering::AcqRel);
-        InFlightGuard {
-            count: Arc::clone(&self.count),
-        }
-    }
-
-    /// Returns the number of requests in flight.
-    pub(crate) fn count(&self) -> usize {
-        self.count.load(Ordering::Acquire)
-    }
-}
-
-/// One request in flight.
-#[derive(Debug)]
-pub(crate) struct InFlightGuard {
-    count: Arc<AtomicUsize>,
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        self.count.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
 /// A request whose caller is known.
 pub(crate) struct Authorised {
     pub(crate) service: Arc<ServiceView>,
@@ -128,6 +95,17 @@
         Ok(collected.to_bytes())
     }
 
+    /// Asks the routing duty for the agents that may run calls of `service`.
+    pub(crate) async fn homes(&self, service: &str) -> Result<Vec<PlacementHome>, CallerError> {
+        let (reply, answer) = oneshot::channel();
+        let command = RoutingCommand::Homes {
+            service: service.to_owned(),
+            reply,
+        };
+        self.routing.submit(command).map_err(|_| overloaded())?;
+        answer.await.map_err(|_| overloaded())
+    }
+
     /// Asks the routing duty for an endpoint.
     pub(crate) async fn choose(
         &self,
--- /dev/null
+++ b/lib/src/listener.rs
@@ -0,0 +1,32 @@
+//! Listening sockets of a daemon.
+
+use std::net::SocketAddr;
+
+use tokio::net::TcpListener;
+
+use crate::daemon_error::DaemonError;
+
+/// Opens a listening socket at an IP address and port of the settings.
+///
+/// # Errors
+///
+/// Fails when the address is malformed or taken.
+pub(crate) async fn listen(name: &'static str, address: &str) -> Result<TcpListener, DaemonError> {
+    let parsed: SocketAddr = address.parse().map_err(|_| DaemonError::Address {
+        name,
+        value: address.to_owned(),
+    })?;
+    TcpListener::bind(parsed)
+        .await
+        .map_err(|source| DaemonError::Listen {
+            address: address.to_owned(),
+            source,
+        })
+}
+
+/// Prints the address of a listening socket, which port 0 leaves to the operating system.
+pub(crate) fn announce(name: &str, listener: &TcpListener) {
+    if let Ok(address) = listener.local_addr() {
+        println!("{name} {address}");
+    }
+}
--- a/lib/src/plain_call.rs
+++ b/lib/src/plain_call.rs
@@ -12,7 +12,6 @@
 use http::StatusCode;
 use http::header::CONTENT_TYPE;
 use prost::Message;
-use tokio::sync::oneshot;
 use volo_http::body::Body;
 use volo_http::request::Request;
 
@@ -22,7 +21,6 @@
 use crate::caller_error::PLACEMENT_HEADER;
 use crate::entry_server::EntryState;
 use crate::entry_server::no_endpoint;
-use crate::entry_server::overloaded;
 use crate::entry_server::respond;
 use crate::outcome::Outcome;
 use crate::protos::control::CallRequest;
@@ -100,13 +98,7 @@
     state: &EntryState,
     service: &str,
 ) -> Result<String, CallerError> {
-    let (reply, answer) = oneshot::channel();
-    let command = RoutingCommand::Homes {
-        service: service.to_owned(),
-        reply,
-    };
-    state.routing.submit(command).map_err(|_| overloaded())?;
-    let homes = answer.await.map_err(|_| overloaded())?;
+    let homes = state.homes(service).await?;
     if homes.is_empty() {
         return Err(no_endpoint(service));
     }
--- a/lib/src/platform_client.rs
+++ b/lib/src/platform_client.rs
@@ -127,15 +127,6 @@
         }
     }
 
-    /// Reads every value of the configuration service.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the platform is down or answers nonsense.
-    pub async fn values(&self) -> Result<PublishedValues, PlatformError> {
-        self.get("/config/values", ANSWER_TIMEOUT).await
-    }
-
     /// Waits up to `wait` for values published after `revision`.
     ///
     /// # Errors
--- /dev/null
+++ b/lib/src/shutdown.rs
@@ -0,0 +1,41 @@
+//! Signals that end the process.
+
+use std::process;
+
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::sync::watch;
+
+const INTERRUPTED_EXIT_CODE: i32 = 130;
+
+/// Returns a receiver that turns true when the process is to drain.
+///
+/// SIGTERM and the first SIGINT drain; a second SIGINT ends the process at once. SIGHUP does
+/// nothing, because the settings are read once.
+///
+/// # Panics
+///
+/// Panics when the operating system takes no signal handler.
+pub(crate) fn listen() -> watch::Receiver<bool> {
+    let (sender, receiver) = watch::channel(false);
+    let mut terminate = signal(SignalKind::terminate()).expect("SIGTERM handler is installed");
+    let mut interrupt = signal(SignalKind::interrupt()).expect("SIGINT handler is installed");
+    let mut hangup = signal(SignalKind::hangup()).expect("SIGHUP handler is installed");
+    tokio::spawn(async move {
+        let mut interrupts = 0;
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => interrupts += 1,
+                _ = hangup.recv() => continue,
+            }
+            if interrupts >= 2 {
+                process::exit(INTERRUPTED_EXIT_CODE);
+            }
+            if sender.send(true).is_err() {
+                return;
+            }
+        }
+    });
+    receiver
+}
--- /dev/null
+++ b/lib/testutils/src/caller.rs
@@ -0,0 +1,149 @@
+//! A caller that keeps the contract of the callers' interface.
+
+use std::time::Duration;
+
+use serde_json::Value;
+use serde_json::json;
+
+use crate::fleet::COMMIT_SERVICE;
+use crate::fleet::DRAFT_SERVICE;
+use crate::fleet::credential;
+use crate::http;
+
+/// What a caller heard.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Heard {
+    /// HTTP status; zero when no answer came.
+    pub status: u16,
+    /// Value of the outcome header; empty when no answer came.
+    pub outcome: String,
+    /// Fresh placement beside an error.
+    pub placement: Option<String>,
+    /// Body.
+    pub body: String,
+    /// Seconds of the `Retry-After` header.
+    pub retry_after_s: Option<u64>,
+}
+
+impl Heard {
+    /// Returns the stable code of an error answer.
+    #[must_use]
+    pub fn code(&self) -> String {
+        let body: Value = serde_json::from_str(&self.body).unwrap_or_default();
+        body["error"]["code"]
+            .as_str()
+            .unwrap_or_default()
+            .to_owned()
+    }
+}
+
+/// One caller of one organisation.
+#[derive(Debug, Clone)]
+pub struct Caller {
+    credential: String,
+    timeout: Duration,
+}
+
+impl Caller {
+    /// Creates a caller that waits up to `timeout` for each answer.
+    #[must_use]
+    pub fn new(organisation: &str, timeout: Duration) -> Self {
+        Self {
+            credential: credential(organisation),
+            timeout,
+        }
+    }
+
+    /// Asks an entry for addresses and a placement.
+    #[must_use]
+    pub fn addresses(&self, entry: &str, service: &str) -> Option<Value> {
+        http::try_get(&format!("http://{entry}/v1/addresses?service={service}"))
+    }
+
+    /// Asks an entry for a placement of the commit service.
+    #[must_use]
+    pub fn placement(&self, entry: &str) -> Option<String> {
+        let answer = self.addresses(entry, COMMIT_SERVICE)?;
+        answer["placement"].as_str().map(ToOwned::to_owned)
+    }
+
+    /// Sends one attempt of an order commit.
+    #[must_use]
+    pub fn commit(
+        &self,
+        entry: &str,
+        key: &str,
+        placement: &str,
+        attempt: u32,
+        body: &str,
+    ) -> Heard {
+        let url = format!("http://{entry}/v1/services/{COMMIT_SERVICE}/commit");
+        let result = http::agent(self.timeout)
+            .post(&url)
+            .header("authorization", format!("Bearer {}", self.credential))
+            .header("idempotency-key", key)
+            .header("pomeloramp-placement", placement)
+            .header("pomeloramp-attempt", attempt.to_string())
+            .send(body);
+        heard(result)
+    }
+
+    /// Requests a whole draft.
+    #[must_use]
+    pub fn draft(&self, entry: &str, prompt: &str, max_tokens: u32, stream: bool) -> Heard {
+        let url = format!("http://{entry}/v1/completions");
+        let body = json!({
+            "model": DRAFT_SERVICE,
+            "prompt": prompt,
+            "max_tokens": max_tokens,
+            "stream": stream,
+        });
+        let result = http::agent(self.timeout)
+            .post(&url)
+            .header("authorization", format!("Bearer {}", self.credential))
+            .send(body.to_string());
+        heard(result)
+    }
+}
+
+/// Returns the text of a streamed draft, or `None` when it has no end marker.
+#[must_use]
+pub fn whole_draft(body: &str) -> Option<String> {
+    let mut text = String::new();
+    for event in body.split("\n\n") {
+        let data = event.strip_prefix("data: ").unwrap_or_default();
+        if data == "[DONE]" {
+            return Some(text);
+        }
+        let chunk: Value = serde_json::from_str(data).ok()?;
+        text.push_str(chunk["choices"][0]["text"].as_str()?);
+    }
+    None
+}
+
+fn heard(result: Result<ureq::http::Response<ureq::Body>, ureq::Error>) -> Heard {
+    let Ok(mut response) = result else {
+        return Heard::default();
+    };
+    let header = |name: &str| {
+        response
+            .headers()
+            .get(name)
+            .and_then(|value| value.to_str().ok())
+            .map(ToOwned::to_owned)
+    };
+    let outcome = header("pomeloramp-outcome").unwrap_or_default();
+    let placement = header("pomeloramp-placement");
+    let retry_after_s = header("retry-after").and_then(|text| text.parse().ok());
+    let status = response.status().as_u16();
+    match response.body_mut().read_to_string() {
+        Ok(body) => Heard {
+            status,
+            outcome,
+            placement,
+            body,
+            retry_after_s,
+        },
+        Err(_) => Heard::default(),
+    }
+}
--- /dev/null
+++ b/lib/testutils/src/fleet.rs
@@ -0,0 +1,490 @@
+//! A small fleet of processes on loopback: the platform, endpoints with agents, and entries.
+
+use std::collections::BTreeMap;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::Value;
+use serde_json::json;
+use sha2::Digest;
+use sha2::Sha256;
+use tempfile::TempDir;
+
+use crate::http;
+use crate::process::TestProcess;
+
+const DAEMON: &str = "pomelorampd";
+const STANDIN: &str = "pomeloramp-standin";
+const ANY_PORT: &str = "127.0.0.1:0";
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+const ZONES: [&str; 3] = ["cartago", "heredia", "alajuela"];
+
+const DEFAULT_CONTROL: [&str; 9] = [
+    "heartbeat_interval_ms: 200",
+    "suspect_after_ms: 1000",
+    "vm_list_interval_ms: 200",
+    "watch_wait_ms: 5000",
+    "peer_exchange_interval_ms: 200",
+    "config_readers_per_zone: 2",
+    "connect_timeout_ms: 500",
+    "keepalive_interval_ms: 500",
+    "keepalive_timeout_ms: 500",
+];
+const DEFAULT_ENTRY: [&str; 8] = [
+    "address_lifetime_ms: 1000",
+    "max_body_bytes: 1048576",
+    "header_timeout_ms: 5000",
+    "default_deadline_ms: 30000",
+    "max_connections: 1024",
+    "endpoints_per_service: 16",
+    "retry_budget_percent: 20",
+    "# The caller address is set for each entry.",
+];
+const DEFAULT_ENDPOINT: [&str; 5] = [
+    "capacity: 8",
+    "max_queued_requests: 64",
+    "answer_window_ms: 600000",
+    "max_call_records: 10000",
+    "max_answer_bytes: 262144",
+];
+
+/// Service of the streamed completions.
+pub const DRAFT_SERVICE: &str = "quote-draft";
+/// Service of calls that may not be repeated.
+pub const COMMIT_SERVICE: &str = "order-commit";
+/// Organisations of the fleet; an organisation's credential is its name with `-secret` behind it.
+pub const ORGANISATIONS: [&str; 2] = ["estimating-desk", "shop-floor"];
+
+/// One endpoint with the agent beside it.
+#[derive(Debug)]
+pub struct EndpointVm {
+    /// Name of the VM.
+    pub vm_name: String,
+    /// Service of the endpoint.
+    pub service: String,
+    /// Address of the endpoint itself.
+    pub endpoint_address: String,
+    /// Address of the agent.
+    pub peer_address: String,
+    /// The endpoint's process.
+    pub endpoint: TestProcess,
+    /// The agent's process.
+    pub agent: TestProcess,
+    settings_path: String,
+}
+
+/// One entry.
+#[derive(Debug)]
+pub struct EntryVm {
+    /// Name of the VM.
+    pub vm_name: String,
+    /// Address for callers.
+    pub caller_address: String,
+    /// Address for other pomeloramp processes.
+    pub peer_address: String,
+    /// The entry's process.
+    pub daemon: TestProcess,
+}
+
+/// Sizes and settings of a fleet.
+#[derive(Debug, Clone, bon::Builder)]
+pub struct FleetPlan {
+    /// Number of entries.
+    #[builder(default = 3)]
+    pub entries: usize,
+    /// Number of model engines.
+    #[builder(default = 2)]
+    pub engines: usize,
+    /// Number of plain endpoints.
+    #[builder(default = 1)]
+    pub plain_endpoints: usize,
+    /// Flags of each model engine.
+    #[builder(default)]
+    pub engine_flags: Vec<String>,
+    /// Flags of each plain endpoint.
+    #[builder(default)]
+    pub plain_flags: Vec<String>,
+    /// YAML lines put under `control:` of every daemon's settings.
+    #[builder(default = lines(&DEFAULT_CONTROL))]
+    pub control_settings: Vec<String>,
+    /// YAML lines put under `endpoint:` of every agent's settings.
+    #[builder(default = lines(&DEFAULT_ENDPOINT))]
+    pub endpoint_settings: Vec<String>,
+    /// YAML lines put under `entry:` of every entry's settings.
+    #[builder(default = lines(&DEFAULT_ENTRY))]
+    pub entry_settings: Vec<String>,
+}
+
+/// A running fleet; its processes end when the value is dropped.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The platform's process.
+    pub platform: TestProcess,
+    /// Address of the platform.
+    pub platform_address: String,
+    /// Endpoints with their agents.
+    pub endpoints: Vec<EndpointVm>,
+    /// Entries.
+    pub entries: Vec<EntryVm>,
+    plan: FleetPlan,
+    directory: TempDir,
+    leaving: Vec<String>,
+    hidden: Vec<String>,
+    peer_addresses: BTreeMap<String, String>,
+    next_name: usize,
+}
+
+impl Fleet {
+    /// Starts a fleet and waits until each entry knows every endpoint.
+    ///
+    /// # Panics
+    ///
+    /// Panics when a process does not start.
+    #[must_use]
+    pub fn start(plan: FleetPlan) -> Self {
+        let platform = TestProcess::start(STANDIN, &["platform", "--listen", ANY_PORT]);
+        let platform_address = platform.announced("listening");
+        let mut fleet = Self {
+            platform,
+            platform_address,
+            endpoints: Vec::new(),
+            entries: Vec::new(),
+            plan,
+            directory: tempfile::tempdir().expect("a temporary directory"),
+            leaving: Vec::new(),
+            hidden: Vec::new(),
+            peer_addresses: BTreeMap::new(),
+            next_name: 0,
+        };
+        fleet.publish_template(DRAFT_SERVICE, &template(DRAFT_SERVICE, "model", true));
+        fleet.publish_template(COMMIT_SERVICE, &template(COMMIT_SERVICE, "plain", false));
+        for _ in 0..fleet.plan.engines {
+            fleet.add_endpoint(DRAFT_SERVICE);
+        }
+        for _ in 0..fleet.plan.plain_endpoints {
+            fleet.add_endpoint(COMMIT_SERVICE);
+        }
+        for _ in 0..fleet.plan.entries {
+            fleet.add_entry();
+        }
+        fleet.publish_vms();
+        fleet.wait_until_ready();
+        fleet
+    }
+
+    /// Publishes the text of a service's template.
+    pub fn publish_template(&self, service: &str, text: &str) {
+        let url = format!(
+            "http://{}/admin/config/services/{service}",
+            self.platform_address
+        );
+        http::put(&url, text);
+    }
+
+    /// Sets the platform's faults.
+    pub fn set_platform_faults(&self, faults: &Value) {
+        let url = format!("http://{}/admin/faults", self.platform_address);
+        http::put(&url, &faults.to_string());
+    }
+
+    /// Starts an endpoint with its agent; [`Self::publish_vms`] makes it known.
+    pub fn add_endpoint(&mut self, service: &str) -> usize {
+        let vm_name = self.new_name("endpoint");
+        let (program, flags) = if service == DRAFT_SERVICE {
+            ("engine", self.plan.engine_flags.clone())
+        } else {
+            ("plain", self.plan.plain_flags.clone())
+        };
+        let endpoint = start_standin(program, ANY_PORT, &flags);
+        let endpoint_address = endpoint.announced("listening");
+        let settings = self.agent_settings(&vm_name, service, &endpoint_address, ANY_PORT);
+        let settings_path = self.write_settings(&vm_name, &settings);
+        let agent = TestProcess::start(DAEMON, &["--settings", &settings_path]);
+        let peer_address = agent.announced("peers");
+        self.endpoints.push(EndpointVm {
+            vm_name,
+            service: service.to_owned(),
+            endpoint_address,
+            peer_address,
+            endpoint,
+            agent,
+            settings_path,
+        });
+        self.endpoints.len() - 1
+    }
+
+    /// Starts an entry; [`Self::publish_vms`] makes it known.
+    pub fn add_entry(&mut self) -> usize {
+        let vm_name = self.new_name("entry");
+        let zone = ZONES[self.entries.len() % ZONES.len()];
+        let mut settings = self.common_settings("entry", &vm_name, zone, ANY_PORT);
+        settings.push_str("entry:\n  caller_address: \"127.0.0.1:0\"\n");
+        push_lines(&mut settings, &self.plan.entry_settings);
+        let path = self.write_settings(&vm_name, &settings);
+        let daemon = TestProcess::start(DAEMON, &["--settings", &path]);
+        let peer_address = daemon.announced("peers");
+        let caller_address = daemon.announced("callers");
+        self.entries.push(EntryVm {
+            vm_name,
+            caller_address,
+            peer_address,
+            daemon,
+        });
+        self.entries.len() - 1
+    }
+
+    /// Kills an agent and starts another at the same address.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the agent does not start.
+    pub fn restart_agent(&mut self, index: usize) {
+        self.endpoints[index].agent.kill();
+        let endpoint = &self.endpoints[index];
+        let settings = self.agent_settings(
+            &endpoint.vm_name,
+            &endpoint.service,
+            &endpoint.endpoint_address,
+            &endpoint.peer_address,
+        );
+        std::fs::write(&endpoint.settings_path, settings).expect("settings are written");
+        let agent = TestProcess::start(DAEMON, &["--settings", &endpoint.settings_path]);
+        let _ = agent.announced("peers");
+        self.endpoints[index].agent = agent;
+    }
+
+    /// Kills an endpoint's process and starts another at the same address.
+    pub fn restart_endpoint_process(&mut self, index: usize) {
+        let endpoint = &mut self.endpoints[index];
+        endpoint.endpoint.kill();
+        let (program, flags) = if endpoint.service == DRAFT_SERVICE {
+            ("engine", &self.plan.engine_flags)
+        } else {
+            ("plain", &self.plan.plain_flags)
+        };
+        endpoint.endpoint = start_standin(program, &endpoint.endpoint_address, flags);
+        let _ = endpoint.endpoint.announced("listening");
+    }
+
+    /// Marks a VM as leaving in the platform's list.
+    pub fn mark_leaving(&mut self, vm_name: &str) {
+        self.leaving.push(vm_name.to_owned());
+        self.publish_vms();
+    }
+
+    /// Removes a VM from the platform's list.
+    pub fn remove_from_list(&mut self, vm_name: &str) {
+        self.hidden.push(vm_name.to_owned());
+        self.publish_vms();
+    }
+
+    /// Lists a VM under another peer address, such as a relay's.
+    pub fn list_peer_address(&mut self, vm_name: &str, address: &str) {
+        self.peer_addresses
+            .insert(vm_name.to_owned(), address.to_owned());
+        self.publish_vms();
+    }
+
+    /// Publishes the list of VMs.
+    pub fn publish_vms(&self) {
+        let mut vms = Vec::new();
+        for (index, entry) in self.entries.iter().enumerate() {
+            vms.push(self.record(
+                &entry.vm_name,
+                "entry",
+                ZONES[index % ZONES.len()],
+                "",
+                &entry.caller_address,
+                &entry.peer_address,
+            ));
+        }
+        for (index, endpoint) in self.endpoints.iter().enumerate() {
+            vms.push(self.record(
+                &endpoint.vm_name,
+                "endpoint",
+                ZONES[index % ZONES.len()],
+                &endpoint.service,
+                "",
+                &endpoint.peer_address,
+            ));
+        }
+        vms.retain(|vm| {
+            let name = vm["vm_name"].as_str().unwrap_or_default();
+            !self.hidden.iter().any(|hidden| hidden == name)
+        });
+        let url = format!("http://{}/admin/vms", self.platform_address);
+        http::put(&url, &json!({ "vms": vms }).to_string());
+    }
+
+    /// Waits until `check` holds.
+    ///
+    /// # Panics
+    ///
+    /// Panics when it does not hold within 20 s.
+    pub fn wait_for(what: &str, mut check: impl FnMut() -> bool) {
+        let deadline = Instant::now() + READY_TIMEOUT;
+        while !check() {
+            assert!(
+                Instant::now() < deadline,
+                "{what}: not within {READY_TIMEOUT:?}"
+            );
+            thread::sleep(POLL_INTERVAL);
+        }
+    }
+
+    /// Counts how often each key ran, over the plain endpoints that still run.
+    #[must_use]
+    pub fn executions(&self) -> BTreeMap<String, u64> {
+        let mut counts = BTreeMap::new();
+        for endpoint in self
+            .endpoints
+            .iter()
+            .filter(|vm| vm.service == COMMIT_SERVICE)
+        {
+            let url = format!("http://{}/admin/executions", endpoint.endpoint_address);
+            let Some(answer) = http::try_get(&url) else {
+                continue;
+            };
+            let by_key = answer["by_key"].as_object().cloned().unwrap_or_default();
+            for (key, count) in by_key {
+                *counts.entry(key).or_default() += count.as_u64().unwrap_or(0);
+            }
+        }
+        counts
+    }
+
+    fn wait_until_ready(&self) {
+        for entry in &self.entries {
+            for service in [DRAFT_SERVICE, COMMIT_SERVICE] {
+                let expected = self
+                    .endpoints
+                    .iter()
+                    .filter(|vm| vm.service == service)
+                    .count();
+                let url = format!(
+                    "http://{}/v1/endpoints?service={service}",
+                    entry.caller_address
+                );
+                Self::wait_for("entry knows its endpoints", || {
+                    let answer = http::try_get(&url).unwrap_or_default();
+                    let usable = answer["usable"].as_u64().unwrap_or(0);
+                    usable >= expected as u64 && answer["configured"] == true
+                });
+            }
+        }
+    }
+
+    fn record(
+        &self,
+        name: &str,
+        role: &str,
+        zone: &str,
+        service: &str,
+        caller_address: &str,
+        peer_address: &str,
+    ) -> Value {
+        let leaving = self.leaving.iter().any(|leaving| leaving == name);
+        let peer_address = self
+            .peer_addresses
+            .get(name)
+            .map_or(peer_address, String::as_str);
+        json!({
+            "vm_name": name,
+            "region": "cr-central",
+            "availability_zone": zone,
+            "role": role,
+            "caller_address": caller_address,
+            "peer_address": peer_address,
+            "service": service,
+            "state": if leaving { "leaving" } else { "live" },
+        })
+    }
+
+    fn agent_settings(
+        &self,
+        vm_name: &str,
+        service: &str,
+        endpoint_address: &str,
+        peer_address: &str,
+    ) -> String {
+        let zone = ZONES[self.endpoints.len() % ZONES.len()];
+        let mut settings = self.common_settings("endpoint", vm_name, zone, peer_address);
+        settings.push_str("endpoint:\n");
+        let lines = [
+            format!("service: \"{service}\""),
+            format!("endpoint_address: \"{endpoint_address}\""),
+        ];
+        push_lines(&mut settings, &lines);
+        push_lines(&mut settings, &self.plan.endpoint_settings);
+        settings
+    }
+
+    fn common_settings(&self, role: &str, vm_name: &str, zone: &str, peer_address: &str) -> String {
+        let mut settings = format!(
+            "role: {role}\nvm_name: {vm_name}\nregion: cr-central\navailability_zone: {zone}\n\
+             peer_address: \"{peer_address}\"\nplatform_address: \"{}\"\npeer_key: local-fleet\n",
+            self.platform_address,
+        );
+        if !self.plan.control_settings.is_empty() {
+            settings.push_str("control:\n");
+            push_lines(&mut settings, &self.plan.control_settings);
+        }
+        settings
+    }
+
+    fn write_settings(&self, vm_name: &str, settings: &str) -> String {
+        let path = self.directory.path().join(format!("{vm_name}.yaml"));
+        std::fs::write(&path, settings).expect("settings are written");
+        path.to_string_lossy().into_owned()
+    }
+
+    fn new_name(&mut self, role: &str) -> String {
+        self.next_name += 1;
+        format!("{role}-{}", self.next_name)
+    }
+}
+
+/// Returns the credential of an organisation.
+#[must_use]
+pub fn credential(organisation: &str) -> String {
+    format!("{organisation}-secret")
+}
+
+/// Returns a template with the fleet's organisations.
+#[must_use]
+pub fn template(service: &str, kind: &str, repeatable: bool) -> String {
+    let head = format!(
+        "service: {service}\nkind: {kind}\nrepeatable: {repeatable}\ndeadline_ms: 10000\n\
+         organisations:\n"
+    );
+    let organisations = ORGANISATIONS.map(organisation_parameters);
+    head + &organisations.concat()
+}
+
+fn organisation_parameters(organisation: &str) -> String {
+    let digest = hex::encode(Sha256::digest(credential(organisation)));
+    format!(
+        "  - organisation: {organisation}\n    credential_sha256: {digest}\n    \
+         max_in_flight: 64\n    urgency: 5\n    share_weight: 1\n    idle_weight: 1\n"
+    )
+}
+
+fn start_standin(program: &str, address: &str, flags: &[String]) -> TestProcess {
+    let mut arguments = vec![program, "--listen", address];
+    arguments.extend(flags.iter().map(String::as_str));
+    TestProcess::start(STANDIN, &arguments)
+}
+
+fn lines(texts: &[&str]) -> Vec<String> {
+    texts.iter().map(|text| (*text).to_owned()).collect()
+}
+
+fn push_lines(settings: &mut String, lines: &[String]) {
+    for line in lines {
+        settings.push_str("  ");
+        settings.push_str(line);
+        settings.push('\n');
+    }
+}
--- /dev/null
+++ b/lib/testutils/src/http.rs
@@ -0,0 +1,44 @@
+//! Blocking HTTP requests of tests.
+
+use std::time::Duration;
+
+use serde_json::Value;
+use ureq::Agent;
+
+const TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Creates a client that opens its own connections and reports every status as a response.
+#[must_use]
+pub fn agent(timeout: Duration) -> Agent {
+    Agent::config_builder()
+        .timeout_global(Some(timeout))
+        .http_status_as_error(false)
+        .max_idle_connections(0)
+        .build()
+        .into()
+}
+
+/// Puts `body`.
+///
+/// # Panics
+///
+/// Panics when the server does not answer.
+pub fn put(url: &str, body: &str) {
+    let response = agent(TIMEOUT)
+        .put(url)
+        .send(body)
+        .unwrap_or_else(|error| panic!("PUT {url}: {error}"));
+    assert!(
+        response.status().is_success(),
+        "PUT {url}: {}",
+        response.status()
+    );
+}
+
+/// Reads a JSON answer; `None` when there is none.
+#[must_use]
+pub fn try_get(url: &str) -> Option<Value> {
+    let mut response = agent(TIMEOUT).get(url).call().ok()?;
+    let text = response.body_mut().read_to_string().ok()?;
+    serde_json::from_str(&text).ok()
+}
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -1,1 +1,6 @@
 //! Test support shared by pomeloramp's test files.
+
+pub mod caller;
+pub mod fleet;
+pub mod http;
+pub mod process;
