call_registry: record of calls that may not be repeated

The agent's in-memory authority on one incarnation's calls: admit, refuse, finish, lose, not_started, expire. A call is voided before anybody is told that it was not run. Voids beyond max_voids are merged into a floor that refuses every unseen call up to its stamp, so memory stays bounded and no voided call can run.

Ruled out: xxh3 for the digests (an organisation could forge another's name); voids inside the record store (a rush of refusals would fill it for a whole window); letting a later stamp of a known call pass unrecorded (after its digest was dropped the same stamp could run).

A key used with another body is told not-run with the code key-reused and no advice to begin anew: that body did not run under this placement and will not.

--- /dev/null
+++ b/lib/src/call_registry.rs
@@ -0,0 +1,301 @@
+//! An agent's record of calls that may not be repeated.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+
+use crate::CallAttempt;
+use crate::CallDecision;
+use crate::CallKey;
+use crate::CallOccupancy;
+use crate::CallRegistrySettings;
+use crate::Incarnation;
+use crate::Outcome;
+use crate::Refusal;
+use crate::RefusalCode;
+use crate::RetryAdvice;
+use crate::StoredAnswer;
+use crate::call_record::CallRecord;
+use crate::call_record::CallState;
+use crate::digest_horizon::DigestHorizon;
+use crate::digest_horizon::PastCall;
+use crate::void_table::VoidTable;
+
+/// An agent's in-memory record of calls that may not be repeated.
+///
+/// The registry belongs to one incarnation of an agent and is the only authority on the calls
+/// placed there. It upholds, for every call (organisation and key) and every stamp:
+///
+/// - [`CallDecision::Run`] is returned once at most, unless [`CallRegistry::not_started`] reported
+///   that no byte reached the endpoint.
+/// - Once a send was answered with [`Outcome::NotRun`], no send with the same or an earlier stamp
+///   runs, ever after. For that, the call is voided before the answer is returned.
+/// - A record is never dropped while a placement that could run the call again is accepted.
+///
+/// All times are milliseconds of the agent's own monotonic clock, the same that its heartbeats
+/// report.
+#[derive(Debug)]
+pub struct CallRegistry {
+    settings: CallRegistrySettings,
+    incarnation: Incarnation,
+    records: HashMap<CallKey, CallRecord>,
+    /// Ended calls in the order in which they ended, with the time.
+    ended: VecDeque<(u64, CallKey)>,
+    answer_bytes: u64,
+    voids: VoidTable,
+    digests: DigestHorizon,
+}
+
+impl CallRegistry {
+    /// Makes an empty registry for a newly started agent.
+    #[must_use]
+    pub fn new(settings: CallRegistrySettings, incarnation: Incarnation) -> Self {
+        Self {
+            voids: VoidTable::new(settings.max_voids),
+            digests: DigestHorizon::new(settings.digest_horizon_ms, settings.max_digests),
+            settings,
+            incarnation,
+            records: HashMap::new(),
+            ended: VecDeque::new(),
+            answer_bytes: 0,
+        }
+    }
+
+    /// Decides on one send of a call.
+    ///
+    /// After [`CallDecision::Run`] the caller of this method must report the end of the call by
+    /// [`finish`](Self::finish), [`lose`](Self::lose) or [`not_started`](Self::not_started).
+    pub fn admit(&mut self, attempt: &CallAttempt, now_ms: u64) -> CallDecision<'_> {
+        self.expire(now_ms);
+        match self.check(attempt, now_ms) {
+            Check::Unseen => self.start(attempt),
+            Check::Recorded => self.decide_recorded(&attempt.call),
+            Check::AnswerGone => CallDecision::AnswerGone,
+            Check::Refused(refusal) => CallDecision::Refused(refusal),
+        }
+    }
+
+    /// Decides on one send of a call that is not to be run now, for instance for a full queue.
+    ///
+    /// Never returns [`CallDecision::Run`]. A call that has no record is voided and refused with
+    /// `code`; one that runs or ran is answered as by [`admit`](Self::admit).
+    pub fn refuse(
+        &mut self,
+        attempt: &CallAttempt,
+        code: RefusalCode,
+        retry_after_ms: u64,
+        now_ms: u64,
+    ) -> CallDecision<'_> {
+        self.expire(now_ms);
+        match self.check(attempt, now_ms) {
+            Check::Unseen => {
+                self.voids.insert(&attempt.call, attempt.stamp_ms);
+                CallDecision::Refused(Refusal::not_run(code, retry_after_ms))
+            }
+            Check::Recorded => self.decide_recorded(&attempt.call),
+            Check::AnswerGone => CallDecision::AnswerGone,
+            Check::Refused(refusal) => CallDecision::Refused(refusal),
+        }
+    }
+
+    /// Records the whole answer of a running call, and returns whether it will be held.
+    ///
+    /// An answer that does not fit into the budget is not held: resends hear that the call ran.
+    pub fn finish(&mut self, call: &CallKey, answer: StoredAnswer, now_ms: u64) -> bool {
+        let answer_bytes = answer.len_bytes();
+        let held = self.answer_bytes + answer_bytes <= self.settings.max_answer_bytes;
+        let state = CallState::Ran(held.then_some(answer));
+        let ended = self.end(call, state, now_ms);
+        if ended && held {
+            self.answer_bytes += answer_bytes;
+        }
+        ended && held
+    }
+
+    /// Records that the end of a running call was not seen, for good.
+    pub fn lose(&mut self, call: &CallKey, now_ms: u64) {
+        self.end(call, CallState::Lost, now_ms);
+    }
+
+    /// Voids a running call of which no byte was written to the endpoint.
+    ///
+    /// Must be called before anyone is told that the call did not run.
+    pub fn not_started(&mut self, call: &CallKey) {
+        let running = self
+            .records
+            .get(call)
+            .filter(|record| record.state == CallState::Running);
+        let Some(stamp_ms) = running.map(|record| record.stamp_ms) else {
+            return;
+        };
+        self.voids.insert(call, stamp_ms);
+        self.records.remove(call);
+    }
+
+    /// Drops what the windows no longer need.
+    pub fn expire(&mut self, now_ms: u64) {
+        self.voids.expire(self.oldest_stamp_ms(now_ms));
+        self.digests.expire(now_ms);
+        while let Some((ended_ms, _)) = self.ended.front() {
+            if ended_ms.saturating_add(self.settings.answer_window_ms) >= now_ms {
+                break;
+            }
+            if let Some((_, call)) = self.ended.pop_front() {
+                self.retire(&call, now_ms);
+            }
+        }
+    }
+
+    /// Reports how full the registry is.
+    #[must_use]
+    pub fn occupancy(&self) -> CallOccupancy {
+        CallOccupancy {
+            records: self.records.len(),
+            running: self.records.len() - self.ended.len(),
+            voids: self.voids.len(),
+            digests: self.digests.len(),
+            answer_bytes: self.answer_bytes,
+            void_floor_ms: self.voids.floor_ms(),
+        }
+    }
+
+    /// Returns the incarnation whose placements this registry accepts.
+    #[must_use]
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Compares a send with what is remembered. Whatever it refuses as not run cannot run later.
+    fn check(&mut self, attempt: &CallAttempt, now_ms: u64) -> Check {
+        if attempt.incarnation != self.incarnation {
+            return Check::Refused(self.unproved(attempt, RefusalCode::HomeRestarted));
+        }
+        if attempt.stamp_ms > now_ms {
+            let code = RefusalCode::PlacementInvalid;
+            return Check::Refused(Refusal::unknown_for_good(code));
+        }
+        if let Some(record) = self.records.get_mut(&attempt.call) {
+            record.stamp_ms = record.stamp_ms.max(attempt.stamp_ms);
+            if record.body_digest != attempt.body_digest {
+                return Check::Refused(key_reused());
+            }
+            return Check::Recorded;
+        }
+        let past_call = self
+            .digests
+            .find(&attempt.call, attempt.body_digest, attempt.stamp_ms);
+        match past_call {
+            Some(PastCall::Ran) => return Check::AnswerGone,
+            Some(PastCall::Lost) => return Check::Refused(endpoint_lost()),
+            Some(PastCall::OtherBody) => return Check::Refused(key_reused()),
+            None => {}
+        }
+        self.check_unseen(attempt, now_ms)
+    }
+
+    fn check_unseen(&self, attempt: &CallAttempt, now_ms: u64) -> Check {
+        let retry_after_ms = self.settings.retry_after_ms;
+        if self.digests.may_have_dropped(attempt.stamp_ms) {
+            return Check::Refused(self.unproved(attempt, RefusalCode::PlacementExpired));
+        }
+        if attempt.stamp_ms < self.oldest_stamp_ms(now_ms) {
+            let code = RefusalCode::PlacementExpired;
+            return Check::Refused(Refusal::not_run(code, retry_after_ms));
+        }
+        if self.voids.covers(&attempt.call, attempt.stamp_ms) {
+            let code = RefusalCode::CallVoided;
+            return Check::Refused(Refusal::not_run(code, retry_after_ms));
+        }
+        Check::Unseen
+    }
+
+    /// Refuses a send of which this registry has no memory: only a first send surely did not run.
+    fn unproved(&self, attempt: &CallAttempt, code: RefusalCode) -> Refusal {
+        if attempt.attempt.is_first_send() {
+            Refusal::not_run(code, self.settings.retry_after_ms)
+        } else {
+            Refusal::unknown_for_good(code)
+        }
+    }
+
+    fn start(&mut self, attempt: &CallAttempt) -> CallDecision<'_> {
+        if self.is_full() {
+            self.voids.insert(&attempt.call, attempt.stamp_ms);
+            let code = RefusalCode::RecordsFull;
+            return CallDecision::Refused(Refusal::not_run(code, self.settings.retry_after_ms));
+        }
+        self.voids.remove(&attempt.call);
+        let record = CallRecord {
+            body_digest: attempt.body_digest,
+            stamp_ms: attempt.stamp_ms,
+            state: CallState::Running,
+        };
+        self.records.insert(attempt.call.clone(), record);
+        CallDecision::Run
+    }
+
+    fn decide_recorded(&self, call: &CallKey) -> CallDecision<'_> {
+        match self.records.get(call).map(|record| &record.state) {
+            Some(CallState::Ran(Some(answer))) => CallDecision::Replay(answer),
+            Some(CallState::Ran(None)) => CallDecision::AnswerGone,
+            Some(CallState::Lost) => CallDecision::Refused(endpoint_lost()),
+            Some(CallState::Running) | None => CallDecision::Attach,
+        }
+    }
+
+    fn end(&mut self, call: &CallKey, state: CallState, now_ms: u64) -> bool {
+        let Some(record) = self.records.get_mut(call) else {
+            return false;
+        };
+        if record.state != CallState::Running {
+            return false;
+        }
+        record.state = state;
+        self.ended.push_back((now_ms, call.clone()));
+        true
+    }
+
+    fn retire(&mut self, call: &CallKey, now_ms: u64) {
+        let Some(record) = self.records.remove(call) else {
+            return;
+        };
+        let ran = record.state != CallState::Lost;
+        self.digests
+            .insert(call, record.body_digest, ran, record.stamp_ms, now_ms);
+        if let CallState::Ran(Some(answer)) = record.state {
+            self.answer_bytes -= answer.len_bytes();
+        }
+    }
+
+    fn is_full(&self) -> bool {
+        self.records.len() >= self.settings.max_records
+            || self.answer_bytes >= self.settings.max_answer_bytes
+    }
+
+    fn oldest_stamp_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.settings.answer_window_ms)
+    }
+}
+
+/// How a send relates to what is remembered of its call.
+enum Check {
+    /// The call has no record and may run.
+    Unseen,
+    /// The call has a record with the same body.
+    Recorded,
+    /// The call ran, and only its digest is left.
+    AnswerGone,
+    /// The send is refused for good under its stamp.
+    Refused(Refusal),
+}
+
+fn key_reused() -> Refusal {
+    Refusal {
+        outcome: Outcome::NotRun,
+        code: RefusalCode::KeyReused,
+        retry: RetryAdvice::Never,
+    }
+}
+
+fn endpoint_lost() -> Refusal {
+    Refusal::unknown_for_good(RefusalCode::EndpointLost)
+}
--- /dev/null
+++ b/lib/src/refusal_code.rs
@@ -0,0 +1,65 @@
+//! Stable codes of refused calls.
+
+use pomeloramp_proc_macros::key;
+
+/// Why a call was refused; callers see the code.
+#[key]
+pub enum RefusalCode {
+    /// The call needs a placement and has none.
+    PlacementRequired,
+    /// The placement is malformed, was not signed by this system or names a later time.
+    PlacementInvalid,
+    /// The placement is older than the answer window of its home.
+    PlacementExpired,
+    /// The home has restarted since the placement was made.
+    HomeRestarted,
+    /// No connection to the home could be made.
+    HomeUnreachable,
+    /// The connection to the home broke after the request was sent.
+    HomeLost,
+    /// The idempotency key belongs to a call with another body.
+    KeyReused,
+    /// This placement of the call was refused before.
+    CallVoided,
+    /// The home has no room for a further record or answer.
+    RecordsFull,
+    /// The endpoint's answer was lost after the request had reached it.
+    EndpointLost,
+    /// The endpoint could not be reached.
+    EndpointUnreachable,
+    /// The queue of the endpoint is full.
+    QueueFull,
+    /// The organisation has as many requests in flight as it may.
+    QuotaExceeded,
+    /// The deadline cannot be met.
+    DeadlineUnreachable,
+    /// The process is shutting down.
+    Draining,
+    /// The content crashed endpoints before.
+    Quarantined,
+}
+
+impl RefusalCode {
+    /// Returns the code that callers see.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::PlacementRequired => "placement-required",
+            Self::PlacementInvalid => "placement-invalid",
+            Self::PlacementExpired => "placement-expired",
+            Self::HomeRestarted => "home-restarted",
+            Self::HomeUnreachable => "home-unreachable",
+            Self::HomeLost => "home-lost",
+            Self::KeyReused => "key-reused",
+            Self::CallVoided => "call-voided",
+            Self::RecordsFull => "records-full",
+            Self::EndpointLost => "endpoint-lost",
+            Self::EndpointUnreachable => "endpoint-unreachable",
+            Self::QueueFull => "queue-full",
+            Self::QuotaExceeded => "quota-exceeded",
+            Self::DeadlineUnreachable => "deadline-unreachable",
+            Self::Draining => "draining",
+            Self::Quarantined => "quarantined",
+        }
+    }
+}
