--- /dev/null
+++ b/lib/src/frame_writer.rs
@@ -0,0 +1,103 @@
+//! The agent's side of an answer's frames.
+
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::Refusal;
+use crate::RetryAdvice;
+use crate::protos::control;
+use crate::protos::control::call_frame::Frame;
+
+/// Numbers and digests the frames of one answer.
+#[derive(Clone)]
+pub struct FrameWriter {
+    request_id: Box<str>,
+    sequence: u64,
+    data_frames: u64,
+    digest: Xxh3,
+}
+
+impl FrameWriter {
+    /// Starts the answer to one request.
+    #[must_use]
+    pub fn new(request_id: &str) -> Self {
+        Self {
+            request_id: request_id.into(),
+            sequence: 0,
+            data_frames: 0,
+            digest: Xxh3::new(),
+        }
+    }
+
+    /// Frames the HTTP status and content type, which come first.
+    pub fn head(&mut self, status: u16, content_type: &str) -> control::CallFrame {
+        let head = control::HeadFrame {
+            status: u32::from(status),
+            content_type: content_type.to_owned(),
+        };
+        self.frame(Frame::Head(head))
+    }
+
+    /// Frames a piece of the body, with the tokens in it (zero for plain answers).
+    pub fn data(&mut self, payload: Vec<u8>, tokens: u32) -> control::CallFrame {
+        self.data_frames += 1;
+        self.digest.update(&payload);
+        self.frame(Frame::Data(control::DataFrame { payload, tokens }))
+    }
+
+    /// Ends a whole answer.
+    #[must_use]
+    pub fn finish(mut self) -> control::CallFrame {
+        let end = control::FinalFrame {
+            outcome: control::Outcome::Ran.into(),
+            data_frames: self.data_frames,
+            digest: self.digest.digest(),
+            ..control::FinalFrame::default()
+        };
+        self.frame(Frame::Final(end))
+    }
+
+    /// Ends an answer that is not whole, possibly before its head.
+    #[must_use]
+    pub fn refuse(self, refusal: &Refusal, message: &str) -> control::CallFrame {
+        let retry_after_ms = match refusal.retry {
+            RetryAdvice::Never => 0,
+            RetryAdvice::FreshPlacement { after_ms } | RetryAdvice::SamePlacement { after_ms } => {
+                after_ms.max(1)
+            }
+        };
+        let outcome = refusal.outcome.into();
+        self.fail(outcome, refusal.code.as_str(), message, retry_after_ms)
+    }
+
+    /// Ends an answer that is not whole with any outcome and stable error code.
+    ///
+    /// `retry_after_ms` is zero when sending again cannot help.
+    #[must_use]
+    pub fn fail(
+        mut self,
+        outcome: control::Outcome,
+        code: &str,
+        message: &str,
+        retry_after_ms: u64,
+    ) -> control::CallFrame {
+        let end = control::FinalFrame {
+            outcome: outcome.into(),
+            code: code.to_owned(),
+            message: message.to_owned(),
+            retry_after_ms,
+            data_frames: self.data_frames,
+            digest: self.digest.digest(),
+        };
+        self.frame(Frame::Final(end))
+    }
+
+    fn frame(&mut self, frame: Frame) -> control::CallFrame {
+        let sequence = self.sequence;
+        self.sequence += 1;
+        control::CallFrame {
+            request_id: self.request_id.to_string(),
+            sequence,
+            frame: Some(frame),
+        }
+    }
+}
