router: send each request by predicted time to first token

An entry decides by lagging load reports plus what it sent itself since, compares a few sampled endpoints and those that hold a prefix of the prompt, stays in its availability zone unless another is clearly better, passes over endpoints above a bound on load, and refuses at once, with a jittered Retry-After, only after it has compared every endpoint against the deadline. An own request that waits for its first token makes its endpoint predict at least that wait, so a stalled endpoint is avoided although its reports look idle.

Sampling with replacement was ruled out: with two endpoints it misses the better one every eighth time. Positions are drawn without replacement.

--- /dev/null
+++ b/lib/src/endpoint_view.rs
@@ -0,0 +1,197 @@
+//! What an entry knows of one endpoint.
+
+use crate::EndpointFlags;
+use crate::EndpointId;
+use crate::RouterSettings;
+use crate::protos::control::LoadReport;
+
+const US_PER_MS: u64 = 1_000;
+const US_PER_S: u64 = 1_000_000;
+
+/// Weight of one new sample in the mean duration of requests, as a divisor.
+const MEAN_DIVISOR: u64 = 8;
+
+/// What an entry knows of one endpoint: its last load report and this entry's own sends since.
+#[derive(Debug)]
+pub(crate) struct EndpointView {
+    pub(crate) id: EndpointId,
+    pub(crate) is_local: bool,
+    pub(crate) flags: EndpointFlags,
+    report: Option<LoadReport>,
+    own_requests: Vec<OwnRequest>,
+    /// Requests and tokens of `own_requests` that no report counts yet.
+    uncounted_requests: u64,
+    uncounted_tokens: u64,
+    /// Requests that the last report counts but that have finished since.
+    finished_since_report: u64,
+    mean_request_us: u64,
+}
+
+/// One request that this entry sent and that has not finished.
+#[derive(Debug)]
+struct OwnRequest {
+    number: u64,
+    sent_at_ms: u64,
+    prefill_tokens: u64,
+    has_first_token: bool,
+    is_counted: bool,
+}
+
+/// Predicted parts of the time to first token.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Prediction {
+    pub(crate) queue_us: u64,
+    pub(crate) prefill_us: u64,
+}
+
+impl EndpointView {
+    pub(crate) fn new(id: EndpointId, is_local: bool, settings: &RouterSettings) -> Self {
+        Self {
+            id,
+            is_local,
+            flags: EndpointFlags::default(),
+            report: None,
+            own_requests: Vec::new(),
+            uncounted_requests: 0,
+            uncounted_tokens: 0,
+            finished_since_report: 0,
+            mean_request_us: settings.default_request_ms * US_PER_MS,
+        }
+    }
+
+    /// Takes in a report; sends up to `made_at_ms` are counted in it.
+    pub(crate) fn take_report(&mut self, report: LoadReport, made_at_ms: Option<u64>) {
+        self.report = Some(report);
+        self.finished_since_report = 0;
+        for request in &mut self.own_requests {
+            if made_at_ms.is_some_and(|made_at_ms| request.sent_at_ms <= made_at_ms) {
+                request.is_counted = true;
+            }
+        }
+        self.recount();
+    }
+
+    pub(crate) fn add_request(&mut self, number: u64, prefill_tokens: u64, now_ms: u64) {
+        self.own_requests.push(OwnRequest {
+            number,
+            sent_at_ms: now_ms,
+            prefill_tokens,
+            has_first_token: false,
+            is_counted: false,
+        });
+        self.recount();
+    }
+
+    pub(crate) fn mark_first_token(&mut self, number: u64) {
+        let request = self.own_requests.iter_mut().find(|r| r.number == number);
+        if let Some(request) = request {
+            request.has_first_token = true;
+        }
+        self.recount();
+    }
+
+    pub(crate) fn remove_request(&mut self, number: u64, now_ms: u64) {
+        let Some(position) = self.own_requests.iter().position(|r| r.number == number) else {
+            return;
+        };
+        let request = self.own_requests.remove(position);
+        if request.is_counted {
+            self.finished_since_report += 1;
+        }
+        let duration_us = now_ms
+            .saturating_sub(request.sent_at_ms)
+            .saturating_mul(US_PER_MS);
+        self.mean_request_us -= self.mean_request_us / MEAN_DIVISOR;
+        self.mean_request_us += duration_us / MEAN_DIVISOR;
+        self.recount();
+    }
+
+    /// Requests running or queued, as far as this entry knows.
+    pub(crate) fn load_requests(&self) -> u64 {
+        let reported = self.report.map_or(0, |report| {
+            u64::from(report.running_requests) + u64::from(report.queued_requests)
+        });
+        reported.saturating_sub(self.finished_since_report) + self.uncounted_requests
+    }
+
+    /// Requests that this entry sent and that have not finished.
+    pub(crate) fn own_request_count(&self) -> usize {
+        self.own_requests.len()
+    }
+
+    /// Predicts the time to first token of a request with this much prefill to compute.
+    pub(crate) fn predict(
+        &self,
+        prefill_tokens: u64,
+        settings: &RouterSettings,
+        now_ms: u64,
+    ) -> Prediction {
+        let speed_per_s = self.prefill_tokens_per_s(settings);
+        let reported_tokens = self.report.map_or(0, |report| report.queued_tokens);
+        let queued_tokens = reported_tokens.saturating_add(self.uncounted_tokens);
+        let token_wait_us = time_us(queued_tokens, speed_per_s);
+        let queue_us = token_wait_us
+            .max(self.slot_wait_us(settings))
+            .max(self.oldest_wait_us(now_ms));
+        Prediction {
+            queue_us,
+            prefill_us: time_us(prefill_tokens, speed_per_s),
+        }
+    }
+
+    /// Time until enough running requests have finished for one more to start.
+    fn slot_wait_us(&self, settings: &RouterSettings) -> u64 {
+        let capacity = self
+            .report
+            .map(|report| report.capacity)
+            .filter(|&capacity| capacity > 0)
+            .unwrap_or(settings.default_capacity);
+        let capacity = u64::from(capacity.max(1));
+        let ahead = (self.load_requests() + 1).saturating_sub(capacity);
+        ahead.saturating_mul(self.mean_request_us) / capacity
+    }
+
+    /// Age of the oldest own request without a first token: a stalled endpoint shows by it.
+    fn oldest_wait_us(&self, now_ms: u64) -> u64 {
+        self.own_requests
+            .iter()
+            .find(|request| !request.has_first_token)
+            .map_or(0, |request| {
+                now_ms
+                    .saturating_sub(request.sent_at_ms)
+                    .saturating_mul(US_PER_MS)
+            })
+    }
+
+    fn prefill_tokens_per_s(&self, settings: &RouterSettings) -> u64 {
+        self.report
+            .map(|report| report.prefill_tokens_per_s)
+            .filter(|&speed_per_s| speed_per_s > 0)
+            .unwrap_or(settings.default_prefill_tokens_per_s)
+            .max(1)
+    }
+
+    fn recount(&mut self) {
+        self.uncounted_requests = 0;
+        self.uncounted_tokens = 0;
+        for request in self.own_requests.iter().filter(|r| !r.is_counted) {
+            self.uncounted_requests += 1;
+            if !request.has_first_token {
+                self.uncounted_tokens =
+                    self.uncounted_tokens.saturating_add(request.prefill_tokens);
+            }
+        }
+    }
+}
+
+impl Prediction {
+    /// Time to first token when only a part of the queue is waited for.
+    pub(crate) fn first_token_us(self, queue_percent: u64) -> u64 {
+        let queue_us = self.queue_us.saturating_mul(queue_percent) / 100;
+        queue_us.saturating_add(self.prefill_us)
+    }
+}
+
+fn time_us(tokens: u64, speed_per_s: u64) -> u64 {
+    tokens.saturating_mul(US_PER_S) / speed_per_s
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -3,9 +3,29 @@
 //! Decisions are plain state machines: events and the time go in, actions come out. Threads and
 //! sockets live in modules of their own and drive them.
 
+mod cached_prefix;
+mod endpoint_flags;
+mod endpoint_id;
+mod endpoint_view;
 mod incarnation;
 mod outcome;
 pub mod protos;
+mod refusal_code;
+mod route_choice;
+mod route_request;
+mod router;
+mod router_settings;
+mod send_ticket;
 
+pub use cached_prefix::CachedPrefix;
+pub use endpoint_flags::EndpointFlags;
+pub use endpoint_id::EndpointId;
 pub use incarnation::Incarnation;
 pub use outcome::Outcome;
+pub use refusal_code::RefusalCode;
+pub use route_choice::RouteChoice;
+pub use route_request::RouteRequest;
+pub use router::Router;
+pub use router_settings::MAX_URGENCY;
+pub use router_settings::RouterSettings;
+pub use send_ticket::SendTicket;
--- /dev/null
+++ b/lib/src/router.rs
@@ -0,0 +1,324 @@
+//! The entry's decision on where each request of one service goes.
+
+use std::collections::HashMap;
+
+use rand::RngExt;
+use rand::rngs::SmallRng;
+
+use crate::EndpointFlags;
+use crate::EndpointId;
+use crate::RefusalCode;
+use crate::RouteChoice;
+use crate::RouteRequest;
+use crate::RouterSettings;
+use crate::SendTicket;
+use crate::endpoint_view::EndpointView;
+use crate::protos::control::LoadReport;
+
+const US_PER_MS: u64 = 1_000;
+
+/// The entry's decision on where each request of one service goes.
+///
+/// A request goes to the endpoint with the shortest predicted time to first token among a few
+/// sampled ones and those that hold a prefix of its prompt. All times are milliseconds of the
+/// process's own monotonic clock.
+#[derive(Debug)]
+pub struct Router {
+    settings: RouterSettings,
+    availability_zone: String,
+    rng: SmallRng,
+    endpoints: Vec<EndpointView>,
+    positions: HashMap<EndpointId, usize>,
+    /// Positions of endpoints that may be sent work, by preference.
+    open_local: Vec<usize>,
+    open_remote: Vec<usize>,
+    last_resort: Vec<usize>,
+    /// Sum of the loads of all open endpoints.
+    open_load_requests: u64,
+    next_endpoint: u32,
+    next_send: u64,
+}
+
+/// One endpoint under comparison; the least one is the best.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Candidate {
+    is_late: bool,
+    is_over_bound: bool,
+    cost_us: u64,
+    /// Predicted time until the whole answer, and its part spent waiting in the queue.
+    answer_us: u64,
+    queue_us: u64,
+    position: usize,
+}
+
+impl Router {
+    /// Makes a router without endpoints for an entry in this availability zone.
+    #[must_use]
+    pub fn new(settings: RouterSettings, availability_zone: &str, rng: SmallRng) -> Self {
+        Self {
+            settings,
+            availability_zone: availability_zone.to_owned(),
+            rng,
+            endpoints: Vec::new(),
+            positions: HashMap::new(),
+            open_local: Vec::new(),
+            open_remote: Vec::new(),
+            last_resort: Vec::new(),
+            open_load_requests: 0,
+            next_endpoint: 0,
+            next_send: 0,
+        }
+    }
+
+    /// Adds an endpoint; a restarted one is removed and added again.
+    pub fn add_endpoint(&mut self, availability_zone: &str) -> EndpointId {
+        let id = EndpointId(self.next_endpoint);
+        self.next_endpoint += 1;
+        let is_local = availability_zone == self.availability_zone;
+        self.positions.insert(id, self.endpoints.len());
+        self.endpoints
+            .push(EndpointView::new(id, is_local, &self.settings));
+        self.rebuild_lists();
+        id
+    }
+
+    /// Forgets an endpoint; tickets of requests sent to it lose their effect.
+    pub fn remove_endpoint(&mut self, id: EndpointId) {
+        let Some(position) = self.positions.remove(&id) else {
+            return;
+        };
+        self.endpoints.swap_remove(position);
+        if let Some(moved) = self.endpoints.get(position) {
+            self.positions.insert(moved.id, position);
+        }
+        self.rebuild_lists();
+    }
+
+    /// Takes in a load report that arrived now. Reports of unknown endpoints are ignored.
+    pub fn update_load(&mut self, id: EndpointId, report: &LoadReport, now_ms: u64) {
+        let made_at_ms = now_ms.checked_sub(self.settings.report_lag_ms);
+        self.change(id, |endpoint| {
+            endpoint.take_report(*report, made_at_ms);
+        });
+    }
+
+    /// Sets which states keep work away from an endpoint.
+    pub fn set_state(&mut self, id: EndpointId, flags: EndpointFlags) {
+        let Some(&position) = self.positions.get(&id) else {
+            return;
+        };
+        if self.endpoints[position].flags == flags {
+            return;
+        }
+        self.endpoints[position].flags = flags;
+        self.rebuild_lists();
+    }
+
+    /// Notes that a request was sent, with the part of its prompt that is not cached there.
+    pub fn mark_sent(&mut self, id: EndpointId, prefill_tokens: u64, now_ms: u64) -> SendTicket {
+        let number = self.next_send;
+        self.next_send += 1;
+        self.change(id, |endpoint| {
+            endpoint.add_request(number, prefill_tokens, now_ms);
+        });
+        SendTicket {
+            endpoint: id,
+            number,
+        }
+    }
+
+    /// Notes that the first token (or byte) of an answer arrived.
+    pub fn mark_first_token(&mut self, ticket: SendTicket) {
+        self.change(ticket.endpoint, |endpoint| {
+            endpoint.mark_first_token(ticket.number);
+        });
+    }
+
+    /// Notes that a request ended, however it ended.
+    pub fn mark_finished(&mut self, ticket: SendTicket, now_ms: u64) {
+        self.change(ticket.endpoint, |endpoint| {
+            endpoint.remove_request(ticket.number, now_ms);
+        });
+    }
+
+    /// Number of endpoints in the table.
+    #[must_use]
+    pub fn endpoint_count(&self) -> usize {
+        self.endpoints.len()
+    }
+
+    /// Number of requests that were sent to the endpoint and have not finished.
+    #[must_use]
+    pub fn in_flight_requests(&self, id: EndpointId) -> usize {
+        self.positions
+            .get(&id)
+            .map_or(0, |&position| self.endpoints[position].own_request_count())
+    }
+
+    /// Decides at once where a request goes. The caller then calls [`Router::mark_sent`].
+    pub fn choose(&mut self, request: &RouteRequest, now_ms: u64) -> RouteChoice {
+        let sampled = self.best_of_samples(request, now_ms);
+        if let Some(candidate) = sampled.filter(|candidate| !candidate.is_late) {
+            return RouteChoice::Send(self.endpoints[candidate.position].id);
+        }
+        match self.best_of_all(request, now_ms) {
+            None => RouteChoice::Refuse {
+                code: RefusalCode::NoEndpoint,
+                retry_after_ms: self.jittered_retry_after_ms(self.settings.min_retry_after_ms),
+            },
+            Some(candidate) if candidate.is_late => self.refuse_late(candidate, request),
+            Some(candidate) => RouteChoice::Send(self.endpoints[candidate.position].id),
+        }
+    }
+
+    fn best_of_samples(&mut self, request: &RouteRequest, now_ms: u64) -> Option<Candidate> {
+        let mut best = None;
+        for prefix in request.cached.iter().take(self.settings.cached_samples) {
+            if let Some(&position) = self.positions.get(&prefix.endpoint)
+                && self.endpoints[position].flags.is_open()
+            {
+                best = better(best, self.candidate(position, request, now_ms));
+            }
+        }
+        let local = draw(
+            &mut self.open_local,
+            self.settings.local_samples,
+            &mut self.rng,
+        );
+        let remote = draw(
+            &mut self.open_remote,
+            self.settings.remote_samples,
+            &mut self.rng,
+        );
+        for &position in self.open_local[..local]
+            .iter()
+            .chain(&self.open_remote[..remote])
+        {
+            best = better(best, self.candidate(position, request, now_ms));
+        }
+        best
+    }
+
+    /// Compares all open endpoints, or the suspected ones when no open one is left.
+    fn best_of_all(&self, request: &RouteRequest, now_ms: u64) -> Option<Candidate> {
+        let open = self.open_local.iter().chain(&self.open_remote);
+        open.filter_map(|&position| self.candidate(position, request, now_ms))
+            .min()
+            .or_else(|| {
+                self.last_resort
+                    .iter()
+                    .filter_map(|&position| self.candidate(position, request, now_ms))
+                    .min()
+            })
+    }
+
+    /// Predicts how the endpoint would do; none when the request excludes it.
+    fn candidate(&self, position: usize, request: &RouteRequest, now_ms: u64) -> Option<Candidate> {
+        let endpoint = &self.endpoints[position];
+        if request.exclude.contains(&endpoint.id) {
+            return None;
+        }
+        let prefill_tokens = request.prompt_tokens - request.cached_tokens(endpoint.id);
+        let prediction = endpoint.predict(prefill_tokens, &self.settings, now_ms);
+        let queue_percent = self.settings.queue_percent(request.urgency);
+        let first_token_us = prediction.first_token_us(queue_percent);
+        let answer_us = first_token_us.saturating_add(us(request.expected_rest_ms));
+        let margin_us = if endpoint.is_local {
+            0
+        } else {
+            us(self.settings.zone_margin_ms)
+        };
+        Some(Candidate {
+            is_late: answer_us > us(request.time_left_ms),
+            is_over_bound: endpoint.load_requests() > self.load_bound_requests(),
+            cost_us: first_token_us.saturating_add(margin_us),
+            answer_us,
+            queue_us: first_token_us - prediction.prefill_us,
+            position,
+        })
+    }
+
+    /// Load above which an endpoint is passed over while others can take the request.
+    fn load_bound_requests(&self) -> u64 {
+        let open_count = (self.open_local.len() + self.open_remote.len()).max(1) as u64;
+        let bound_percent = self.settings.load_bound_percent;
+        (self.open_load_requests + open_count).saturating_mul(bound_percent) / (open_count * 100)
+    }
+
+    fn refuse_late(&mut self, candidate: Candidate, request: &RouteRequest) -> RouteChoice {
+        let excess_us = candidate.answer_us - us(request.time_left_ms);
+        let code = if excess_us > candidate.queue_us {
+            RefusalCode::DeadlineTooShort
+        } else {
+            RefusalCode::Overloaded
+        };
+        RouteChoice::Refuse {
+            code,
+            retry_after_ms: self.jittered_retry_after_ms(excess_us / US_PER_MS),
+        }
+    }
+
+    /// Spreads refused callers, so that they do not all return at once.
+    fn jittered_retry_after_ms(&mut self, wait_ms: u64) -> u64 {
+        let least_ms = self.settings.min_retry_after_ms;
+        let most_ms = self.settings.max_retry_after_ms.max(least_ms);
+        let wait_ms = wait_ms.clamp(least_ms, most_ms);
+        let jitter_ms = self.rng.random_range(0..=wait_ms / 2);
+        (wait_ms + jitter_ms).min(most_ms)
+    }
+
+    fn change(&mut self, id: EndpointId, change: impl FnOnce(&mut EndpointView)) {
+        let Some(&position) = self.positions.get(&id) else {
+            return;
+        };
+        let endpoint = &mut self.endpoints[position];
+        let load_before = endpoint.load_requests();
+        change(endpoint);
+        if endpoint.flags.is_open() {
+            self.open_load_requests -= load_before;
+            self.open_load_requests += endpoint.load_requests();
+        }
+    }
+
+    fn rebuild_lists(&mut self) {
+        self.open_local.clear();
+        self.open_remote.clear();
+        self.last_resort.clear();
+        self.open_load_requests = 0;
+        for (position, endpoint) in self.endpoints.iter().enumerate() {
+            if endpoint.flags.is_last_resort() {
+                self.last_resort.push(position);
+            }
+            if !endpoint.flags.is_open() {
+                continue;
+            }
+            self.open_load_requests += endpoint.load_requests();
+            if endpoint.is_local {
+                self.open_local.push(position);
+            } else {
+                self.open_remote.push(position);
+            }
+        }
+    }
+}
+
+fn better(best: Option<Candidate>, other: Option<Candidate>) -> Option<Candidate> {
+    match (best, other) {
+        (Some(best), Some(other)) => Some(best.min(other)),
+        (best, other) => best.or(other),
+    }
+}
+
+fn us(time_ms: u64) -> u64 {
+    time_ms.saturating_mul(US_PER_MS)
+}
+
+/// Moves up to `count` random positions to the front and returns how many.
+fn draw(positions: &mut [usize], count: usize, rng: &mut SmallRng) -> usize {
+    let count = count.min(positions.len());
+    for front in 0..count {
+        let drawn = rng.random_range(front..positions.len());
+        positions.swap(front, drawn);
+    }
+    count
+}
--- /dev/null
+++ b/lib/tests/test_router.rs
@@ -0,0 +1,318 @@
+//! Focused tests of the routing decision.
+
+use googletest::prelude::*;
+use pomeloramp_lib::CachedPrefix;
+use pomeloramp_lib::EndpointFlags;
+use pomeloramp_lib::EndpointId;
+use pomeloramp_lib::RefusalCode;
+use pomeloramp_lib::RouteChoice;
+use pomeloramp_lib::RouteRequest;
+use pomeloramp_lib::Router;
+use pomeloramp_lib::RouterSettings;
+use pomeloramp_lib::protos::control::LoadReport;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const TRIES: usize = 200;
+
+fn router() -> Router {
+    let settings = RouterSettings::builder().build();
+    Router::new(settings, "heredia", SmallRng::seed_from_u64(7))
+}
+
+fn report(queued_tokens: u64) -> LoadReport {
+    LoadReport {
+        running_requests: 4,
+        queued_requests: 0,
+        queued_tokens,
+        capacity: 16,
+        prefill_tokens_per_s: 10_000,
+    }
+}
+
+fn request() -> RouteRequest<'static> {
+    RouteRequest::builder()
+        .prompt_tokens(1_000)
+        .time_left_ms(5_000)
+        .urgency(5)
+        .build()
+}
+
+fn sent_to(router: &mut Router, request: &RouteRequest, now_ms: u64) -> EndpointId {
+    match router.choose(request, now_ms) {
+        RouteChoice::Send(id) => id,
+        refusal @ RouteChoice::Refuse { .. } => panic!("request refused: {refusal:?}"),
+    }
+}
+
+#[googletest::test]
+fn shorter_queue_wins() {
+    let mut router = router();
+    let busy = router.add_endpoint("heredia");
+    let idle = router.add_endpoint("heredia");
+    router.update_load(busy, &report(20_000), 1_000);
+    router.update_load(idle, &report(0), 1_000);
+    for _ in 0..TRIES {
+        expect_that!(sent_to(&mut router, &request(), 1_000), eq(idle));
+    }
+}
+
+#[googletest::test]
+fn own_sends_count_until_a_report_covers_them() {
+    let mut router = router();
+    let endpoint = router.add_endpoint("heredia");
+    router.update_load(endpoint, &report(0), 1_000);
+    let tight = RouteRequest::builder()
+        .prompt_tokens(1_000)
+        .time_left_ms(1_000)
+        .urgency(5)
+        .build();
+    let ticket = router.mark_sent(endpoint, 20_000, 1_000);
+    expect_that!(
+        router.choose(&tight, 1_000),
+        refused(RefusalCode::Overloaded)
+    );
+
+    router.update_load(endpoint, &report(0), 1_100);
+    expect_that!(
+        router.choose(&tight, 1_100),
+        refused(RefusalCode::Overloaded)
+    );
+
+    router.update_load(endpoint, &report(0), 1_300);
+    expect_that!(
+        router.choose(&tight, 1_300),
+        eq(RouteChoice::Send(endpoint))
+    );
+    expect_that!(router.in_flight_requests(endpoint), eq(1));
+    router.mark_finished(ticket, 1_400);
+    expect_that!(router.in_flight_requests(endpoint), eq(0));
+}
+
+#[googletest::test]
+fn stalled_endpoint_is_avoided_although_its_reports_look_idle() {
+    let mut router = router();
+    let stalled = router.add_endpoint("heredia");
+    router.update_load(stalled, &report(0), 1_000);
+    router.mark_sent(stalled, 100, 1_000);
+    let healthy = router.add_endpoint("alajuela");
+    router.update_load(healthy, &report(500), 1_000);
+    router.update_load(stalled, &report(0), 4_000);
+    router.update_load(healthy, &report(500), 4_000);
+    for _ in 0..TRIES {
+        expect_that!(sent_to(&mut router, &request(), 4_000), eq(healthy));
+    }
+}
+
+#[googletest::test]
+fn cached_prefix_outweighs_a_short_queue_but_not_a_long_one() {
+    let mut router = router();
+    let cached = router.add_endpoint("heredia");
+    let others: Vec<_> = (0..9).map(|_| router.add_endpoint("heredia")).collect();
+    for &other in &others {
+        router.update_load(other, &report(0), 1_000);
+    }
+    let prefixes = [CachedPrefix {
+        endpoint: cached,
+        tokens: 8_000,
+    }];
+    let long_prompt = RouteRequest::builder()
+        .prompt_tokens(9_000)
+        .time_left_ms(60_000)
+        .cached(&prefixes)
+        .urgency(5)
+        .build();
+    router.update_load(cached, &report(4_000), 1_000);
+    for _ in 0..TRIES {
+        expect_that!(sent_to(&mut router, &long_prompt, 1_000), eq(cached));
+    }
+    router.update_load(cached, &report(12_000), 2_000);
+    for _ in 0..TRIES {
+        expect_that!(sent_to(&mut router, &long_prompt, 2_000), not(eq(cached)));
+    }
+}
+
+#[googletest::test]
+fn load_bound_turns_away_from_the_cached_prefix() {
+    let mut router = router();
+    let cached = router.add_endpoint("heredia");
+    for _ in 0..9 {
+        router.add_endpoint("heredia");
+    }
+    let prefixes = [CachedPrefix {
+        endpoint: cached,
+        tokens: 9_000,
+    }];
+    let popular = RouteRequest::builder()
+        .prompt_tokens(9_000)
+        .time_left_ms(60_000)
+        .cached(&prefixes)
+        .build();
+    let mut to_cached = 0;
+    for _ in 0..20 {
+        let id = sent_to(&mut router, &popular, 1_000);
+        router.mark_sent(id, 0, 1_000);
+        to_cached += u32::from(id == cached);
+    }
+    // Mean load 2 at the end, plus one, times 1.5.
+    expect_that!(to_cached, le(5));
+}
+
+#[googletest::test]
+fn local_availability_zone_goes_first_unless_clearly_worse() {
+    let mut router = router();
+    let local = router.add_endpoint("heredia");
+    let remote = router.add_endpoint("cartago");
+    router.update_load(remote, &report(0), 1_000);
+    router.update_load(local, &report(400), 1_000);
+    expect_that!(sent_to(&mut router, &request(), 1_000), eq(local));
+    router.update_load(local, &report(2_000), 1_000);
+    expect_that!(sent_to(&mut router, &request(), 1_000), eq(remote));
+}
+
+#[googletest::test]
+fn closed_endpoints_get_nothing_and_suspected_ones_only_as_last_resort() {
+    let mut router = router();
+    let leaving = router.add_endpoint("heredia");
+    let suspected = router.add_endpoint("heredia");
+    let open = router.add_endpoint("cartago");
+    router.update_load(open, &report(20_000), 1_000);
+    router.set_state(
+        leaving,
+        EndpointFlags {
+            leaving: true,
+            ..EndpointFlags::default()
+        },
+    );
+    router.set_state(
+        suspected,
+        EndpointFlags {
+            suspected: true,
+            ..EndpointFlags::default()
+        },
+    );
+    for _ in 0..TRIES {
+        expect_that!(sent_to(&mut router, &request(), 1_000), eq(open));
+    }
+    let exclude = [open];
+    let retry = RouteRequest::builder()
+        .time_left_ms(5_000)
+        .exclude(&exclude)
+        .build();
+    expect_that!(sent_to(&mut router, &retry, 1_000), eq(suspected));
+    router.remove_endpoint(suspected);
+    expect_that!(
+        router.choose(&retry, 1_000),
+        refused(RefusalCode::NoEndpoint)
+    );
+}
+
+#[googletest::test]
+fn hopeless_deadline_is_told_apart_from_overload() {
+    let mut router = router();
+    let endpoint = router.add_endpoint("heredia");
+    router.update_load(endpoint, &report(0), 1_000);
+    let hopeless = RouteRequest::builder()
+        .prompt_tokens(100_000)
+        .time_left_ms(1_000)
+        .build();
+    expect_that!(
+        router.choose(&hopeless, 1_000),
+        refused(RefusalCode::DeadlineTooShort)
+    );
+}
+
+#[googletest::test]
+fn urgent_requests_are_admitted_into_queues_that_refuse_others() {
+    let mut router = router();
+    let endpoint = router.add_endpoint("heredia");
+    router.update_load(endpoint, &report(10_000), 1_000);
+    let urgent = RouteRequest::builder().time_left_ms(900).urgency(9).build();
+    let patient = RouteRequest::builder().time_left_ms(900).urgency(0).build();
+    expect_that!(
+        router.choose(&urgent, 1_000),
+        eq(RouteChoice::Send(endpoint))
+    );
+    expect_that!(
+        router.choose(&patient, 1_000),
+        refused(RefusalCode::Overloaded)
+    );
+}
+
+#[googletest::test]
+fn refused_callers_come_back_at_different_times_within_bounds() {
+    let mut router = router();
+    let endpoint = router.add_endpoint("heredia");
+    router.update_load(endpoint, &report(100_000), 1_000);
+    let mut waits_ms: Vec<u64> = (0..TRIES)
+        .map(|_| match router.choose(&request(), 1_000) {
+            RouteChoice::Refuse { retry_after_ms, .. } => retry_after_ms,
+            RouteChoice::Send(id) => panic!("sent to {id:?}"),
+        })
+        .collect();
+    // The queue drains in 10 s, half of which fits the deadline.
+    expect_that!(waits_ms, each(all!(ge(&4_000), le(&9_000))));
+    waits_ms.sort_unstable();
+    waits_ms.dedup();
+    expect_that!(waits_ms.len(), gt(TRIES / 2));
+}
+
+#[googletest::test]
+fn extreme_numbers_do_not_overflow() {
+    let mut router = router();
+    let endpoint = router.add_endpoint("heredia");
+    let report = LoadReport {
+        running_requests: u32::MAX,
+        queued_requests: u32::MAX,
+        queued_tokens: u64::MAX,
+        capacity: 0,
+        prefill_tokens_per_s: 1,
+    };
+    router.update_load(endpoint, &report, u64::MAX);
+    router.mark_sent(endpoint, u64::MAX, u64::MAX);
+    router.mark_sent(endpoint, u64::MAX, u64::MAX);
+    let request = RouteRequest::builder()
+        .prompt_tokens(u64::MAX)
+        .time_left_ms(u64::MAX)
+        .expected_rest_ms(u64::MAX)
+        .urgency(u32::MAX)
+        .build();
+    expect_that!(
+        router.choose(&request, u64::MAX),
+        eq(RouteChoice::Send(endpoint))
+    );
+    let hurried = RouteRequest::builder().time_left_ms(0).build();
+    expect_that!(
+        router.choose(&hurried, u64::MAX),
+        refused(RefusalCode::Overloaded)
+    );
+}
+
+fn refused(expected: RefusalCode) -> impl Matcher<RouteChoice> {
+    predicate(
+        move |choice: RouteChoice| matches!(choice, RouteChoice::Refuse { code, retry_after_ms } if code == expected && retry_after_ms > 0),
+    )
+}
+
+#[googletest::test]
+fn finished_request_frees_its_slot_before_the_next_report() {
+    let mut router = router();
+    let endpoint = router.add_endpoint("heredia");
+    let ticket = router.mark_sent(endpoint, 0, 0);
+    let full = LoadReport {
+        running_requests: 16,
+        ..report(0)
+    };
+    router.update_load(endpoint, &full, 4_000);
+    router.mark_first_token(ticket);
+    let instant = RouteRequest::builder().time_left_ms(0).build();
+    expect_that!(
+        router.choose(&instant, 4_000),
+        refused(RefusalCode::Overloaded)
+    );
+    router.mark_finished(ticket, 4_100);
+    expect_that!(
+        router.choose(&instant, 4_100),
+        eq(RouteChoice::Send(endpoint))
+    );
+}
