--- a/lib/src/refusal_code.rs
+++ b/lib/src/refusal_code.rs
@@ -31,8 +31,14 @@
     QueueFull,
     /// The organisation has as many requests in flight as it may.
     QuotaExceeded,
-    /// The deadline cannot be met.
+    /// The queue is too long for the deadline.
     DeadlineUnreachable,
+    /// The deadline could not be met by an idle endpoint either.
+    DeadlineTooShort,
+    /// No endpoint takes new work.
+    NoEndpoint,
+    /// Every endpoint's queue is too long for the deadline.
+    Overloaded,
     /// The process is shutting down.
     Draining,
     /// The content crashed endpoints before.
@@ -58,6 +64,9 @@
             Self::QueueFull => "queue-full",
             Self::QuotaExceeded => "quota-exceeded",
             Self::DeadlineUnreachable => "deadline-unreachable",
+            Self::DeadlineTooShort => "deadline-too-short",
+            Self::NoEndpoint => "no-endpoint",
+            Self::Overloaded => "overloaded",
             Self::Draining => "draining",
             Self::Quarantined => "quarantined",
         }
