entry: route by predicted time to first token, place calls, check answers

The router, the prefix index and the retry budget run in the routing duty. Calls that may not be repeated go once to the home that their signed placement names.

--- /dev/null
+++ b/lib/src/agent_call.rs
@@ -0,0 +1,107 @@
+//! One call from an entry to an agent, with its answer checked frame by frame.
+
+use futures::StreamExt;
+use snafu::Snafu;
+use tonic::Status;
+use tonic::Streaming;
+
+use crate::FrameAssembler;
+use crate::FrameEvent;
+use crate::agent_channels::AgentChannels;
+use crate::agent_channels::is_connect_failure;
+use crate::protos::control::CallFrame;
+use crate::protos::control::CallRequest;
+use crate::protos::control::agent_client::AgentClient;
+
+/// Why a call to an agent has no valid final frame.
+#[derive(Debug, Snafu)]
+pub(crate) enum AgentCallError {
+    /// No byte of the call was written.
+    #[snafu(display("call to agent {peer} was not sent: {reason}"))]
+    NotWritten {
+        /// Address of the agent.
+        peer: String,
+        /// What failed.
+        reason: String,
+    },
+    /// The call was written, and its answer was cut or damaged.
+    #[snafu(display("answer of agent {peer} was lost: {reason}"))]
+    Lost {
+        /// Address of the agent.
+        peer: String,
+        /// What failed.
+        reason: String,
+    },
+}
+
+/// An answer that is being received.
+pub(crate) struct AgentCall {
+    peer: String,
+    frames: Streaming<CallFrame>,
+    assembler: FrameAssembler,
+}
+
+impl AgentCall {
+    /// Sends a call once.
+    pub(crate) async fn open(
+        channels: &AgentChannels,
+        peer: &str,
+        call: CallRequest,
+    ) -> Result<Self, AgentCallError> {
+        let assembler = FrameAssembler::resumed(&call.request_id, call.resume_after_token);
+        let channel = channels
+            .get(peer)
+            .map_err(|status| not_written(peer, &status))?;
+        let frames = AgentClient::new(channel)
+            .call(call)
+            .await
+            .map_err(|status| classify(peer, &status))?
+            .into_inner();
+        Ok(Self {
+            peer: peer.to_owned(),
+            frames,
+            assembler,
+        })
+    }
+
+    /// Returns the next part of the answer.
+    pub(crate) async fn next(&mut self) -> Result<FrameEvent, AgentCallError> {
+        match self.frames.next().await {
+            Some(Ok(frame)) => self
+                .assembler
+                .accept(frame)
+                .map_err(|error| self.lost(&error.to_string())),
+            Some(Err(status)) => Err(self.lost(status.message())),
+            None => Err(self.lost("stream ended without its final frame")),
+        }
+    }
+
+    /// Returns the tokens passed on so far, over all streams of the answer.
+    pub(crate) fn delivered_tokens(&self) -> u64 {
+        self.assembler.delivered_tokens()
+    }
+
+    fn lost(&self, reason: &str) -> AgentCallError {
+        AgentCallError::Lost {
+            peer: self.peer.clone(),
+            reason: reason.to_owned(),
+        }
+    }
+}
+
+fn classify(peer: &str, status: &Status) -> AgentCallError {
+    if is_connect_failure(status) {
+        return not_written(peer, status);
+    }
+    AgentCallError::Lost {
+        peer: peer.to_owned(),
+        reason: status.message().to_owned(),
+    }
+}
+
+fn not_written(peer: &str, status: &Status) -> AgentCallError {
+    AgentCallError::NotWritten {
+        peer: peer.to_owned(),
+        reason: status.message().to_owned(),
+    }
+}
--- a/lib/src/caller_error.rs
+++ b/lib/src/caller_error.rs
@@ -1,7 +1,5 @@
 //! Errors as callers see them.
 
-use std::time::Duration;
-
 use bytes::Bytes;
 use http::HeaderValue;
 use http::Response;
@@ -11,28 +9,36 @@
 use serde::Serialize;
 use volo_http::body::Body;
 
-use crate::outcome::Outcome;
+use crate::Outcome;
+use crate::Refusal;
+use crate::RefusalCode;
+use crate::RetryAdvice;
 
 /// Header that carries the outcome of a request.
 pub(crate) const OUTCOME_HEADER: &str = "pomeloramp-outcome";
-/// Header that carries a fresh placement beside an error.
+/// Header that carries a placement, of a caller or beside an error.
 pub(crate) const PLACEMENT_HEADER: &str = "pomeloramp-placement";
 
+const MS_PER_S: u64 = 1000;
+
 /// A final answer that is not a whole result.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
-pub struct CallerError {
+pub(crate) struct CallerError {
     #[serde(skip)]
     pub(crate) status: StatusCode,
     /// What became of the request.
-    pub outcome: Outcome,
+    pub(crate) outcome: Outcome,
     /// Stable code.
-    pub code: String,
+    pub(crate) code: String,
     /// Text for people.
-    pub message: String,
+    pub(crate) message: String,
     /// When to come back, in milliseconds; zero when coming back does not help.
-    pub retry_after_ms: u64,
+    pub(crate) retry_after_ms: u64,
     #[serde(skip)]
     pub(crate) placement: Option<String>,
+    /// Set when the outcome is an agent's word, which holds for every send of the call.
+    #[serde(skip)]
+    is_agents_word: bool,
 }
 
 #[derive(Serialize)]
@@ -50,6 +56,7 @@
             message: message.into(),
             retry_after_ms: 0,
             placement: None,
+            is_agents_word: false,
         }
     }
 
@@ -61,9 +68,53 @@
         }
     }
 
+    /// Creates the error for a refused call.
+    pub(crate) fn refused(refusal: &Refusal, message: impl Into<String>) -> Self {
+        let retry_after_ms = match refusal.retry {
+            RetryAdvice::Never => 0,
+            RetryAdvice::FreshPlacement { after_ms } | RetryAdvice::SamePlacement { after_ms } => {
+                after_ms.max(1)
+            }
+        };
+        Self {
+            outcome: refusal.outcome,
+            retry_after_ms,
+            ..Self::not_run(status_of(refusal), refusal.code.as_str(), message)
+        }
+    }
+
+    /// Creates the error for a call that its agent ended without a whole answer.
+    pub(crate) fn from_agent(
+        outcome: Outcome,
+        code: &str,
+        message: String,
+        retry_after_ms: u64,
+    ) -> Self {
+        let status = match outcome {
+            Outcome::Ran => StatusCode::GONE,
+            Outcome::NotRun => status_of_code(code),
+            Outcome::Unknown => StatusCode::BAD_GATEWAY,
+        };
+        Self {
+            outcome,
+            retry_after_ms,
+            is_agents_word: true,
+            ..Self::not_run(status, code, message)
+        }
+    }
+
+    /// Weakens what this entry says of a resend, because an earlier send may have run.
+    pub(crate) fn of_resend(mut self) -> Self {
+        if self.outcome == Outcome::NotRun && !self.is_agents_word {
+            self.outcome = Outcome::Unknown;
+            self.placement = None;
+        }
+        self
+    }
+
     /// Sets when to come back.
-    pub(crate) fn retry_after(mut self, delay: Duration) -> Self {
-        self.retry_after_ms = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
+    pub(crate) fn retry_after_ms(mut self, retry_after_ms: u64) -> Self {
+        self.retry_after_ms = retry_after_ms;
         self
     }
 
@@ -90,7 +141,7 @@
             HeaderValue::from_static(self.outcome.as_str()),
         );
         if self.retry_after_ms > 0 {
-            let seconds = self.retry_after_ms.div_ceil(1000);
+            let seconds = self.retry_after_ms.div_ceil(MS_PER_S);
             headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
         }
         if let Some(placement) = self.placement
@@ -101,3 +152,29 @@
         response
     }
 }
+
+fn status_of(refusal: &Refusal) -> StatusCode {
+    match refusal.outcome {
+        Outcome::Unknown => StatusCode::BAD_GATEWAY,
+        Outcome::Ran | Outcome::NotRun => status_of_code(refusal.code.as_str()),
+    }
+}
+
+fn status_of_code(code: &str) -> StatusCode {
+    let is = |refusal_code: RefusalCode| refusal_code.as_str() == code;
+    if is(RefusalCode::PlacementInvalid) {
+        StatusCode::BAD_REQUEST
+    } else if is(RefusalCode::KeyReused)
+        || is(RefusalCode::PlacementRequired)
+        || is(RefusalCode::PlacementExpired)
+        || is(RefusalCode::CallVoided)
+    {
+        StatusCode::CONFLICT
+    } else if is(RefusalCode::QuotaExceeded) {
+        StatusCode::TOO_MANY_REQUESTS
+    } else if is(RefusalCode::Quarantined) {
+        StatusCode::UNPROCESSABLE_ENTITY
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    }
+}
--- a/lib/src/completion.rs
+++ b/lib/src/completion.rs
@@ -14,11 +14,14 @@
 use serde_json::json;
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::ReceiverStream;
-use tonic::Streaming;
 use volo_http::body::Body;
 use volo_http::request::Request;
 
-use crate::agent_channels::is_connect_failure;
+use crate::FrameEvent;
+use crate::RefusalCode;
+use crate::agent_call::AgentCall;
+use crate::agent_call::AgentCallError;
+use crate::attempts::Attempts;
 use crate::caller_error::CallerError;
 use crate::caller_error::OUTCOME_HEADER;
 use crate::entry_server::Authorised;
@@ -26,16 +29,11 @@
 use crate::entry_server::respond;
 use crate::in_flight::InFlightGuard;
 use crate::outcome::Outcome;
-use crate::protos::control::CallFrame;
 use crate::protos::control::CallRequest;
-use crate::protos::control::FinalFrame;
-use crate::protos::control::agent_client::AgentClient;
-use crate::protos::control::call_frame;
-use crate::routing_duty::Chosen;
-use crate::routing_duty::RoutingCommand;
+use crate::service_routes::RoutedSend;
 
 const EVENT_RING_CAPACITY: usize = 32;
-const MAX_SENDS: usize = 3;
+const RETRY_AFTER_MS: u64 = 500;
 
 /// Body of a completion request.
 #[derive(Debug, Deserialize)]
@@ -63,17 +61,18 @@
     let body = state.read_body(request).await?;
     let completion = parse(&body)?;
     let authorised = state.authorise(&completion.model, &headers)?;
-    let call = call_request(&completion, &authorised);
+    let call = call_request(&state, &completion, &authorised);
+    let attempts = state.attempts(&call, Bytes::from(completion.prompt));
     let mut relay = Relay {
         state,
-        service: completion.model.clone(),
         call,
+        attempts,
         delivered_tokens: 0,
-        tried: Vec::new(),
         _guard: guard,
     };
+    let is_stream = completion.stream;
     let first = relay.open().await?;
-    if completion.stream {
+    if is_stream {
         Ok(stream_response(relay, first))
     } else {
         whole_response(relay, first).await
@@ -92,7 +91,11 @@
     Ok(completion)
 }
 
-fn call_request(completion: &CompletionBody, authorised: &Authorised) -> CallRequest {
+fn call_request(
+    state: &EntryState,
+    completion: &CompletionBody,
+    authorised: &Authorised,
+) -> CallRequest {
     let body = json!({
         "prompt": completion.prompt,
         "max_tokens": completion.max_tokens,
@@ -104,7 +107,8 @@
         call: "completions".to_owned(),
         body: body.to_string().into_bytes(),
         content_type: "application/json".to_owned(),
-        deadline_ms: authorised.service.template().deadline_ms,
+        deadline_ms: state.deadline_ms(&authorised.service),
+        config_revision: state.config.load().revision,
         urgency: authorised.organisation.urgency,
         ..CallRequest::default()
     }
@@ -113,16 +117,17 @@
 /// Relays one completion, resuming it elsewhere when an endpoint fails.
 struct Relay {
     state: Arc<EntryState>,
-    service: String,
     call: CallRequest,
+    attempts: Attempts,
     delivered_tokens: u64,
-    tried: Vec<String>,
     _guard: InFlightGuard,
 }
 
+/// A send whose answer is being received.
 struct OpenCall {
-    chosen: Chosen,
-    frames: Streaming<CallFrame>,
+    send: RoutedSend,
+    answer: AgentCall,
+    has_first_token: bool,
 }
 
 enum Step {
@@ -132,82 +137,85 @@
 }
 
 impl Relay {
-    /// Sends the call to an endpoint, and to another when nothing was written.
+    /// Sends the call, to another endpoint when one does not begin its answer.
     async fn open(&mut self) -> Result<OpenCall, CallerError> {
         loop {
-            let chosen = self.state.choose(&self.service, &self.tried).await?;
-            self.tried.push(chosen.vm_name.clone());
-            match self.send(&chosen).await {
-                Ok(frames) => return Ok(OpenCall { chosen, frames }),
-                Err(error) if self.tried.len() >= MAX_SENDS => {
-                    self.finished(&chosen);
-                    return Err(error);
+            let send = self.attempts.choose().await?;
+            let error = match self.begin(&send).await {
+                Ok(answer) => {
+                    return Ok(OpenCall {
+                        send,
+                        answer,
+                        has_first_token: false,
+                    });
                 }
-                Err(_) => self.finished(&chosen),
+                Err(error) => error,
+            };
+            self.attempts.finished(&send);
+            if !self.attempts.may_retry().await {
+                return Err(error);
             }
         }
     }
 
-    async fn send(&self, chosen: &Chosen) -> Result<Streaming<CallFrame>, CallerError> {
-        let channel = self
-            .state
-            .channels
-            .get(&chosen.peer_address)
-            .map_err(|status| CallerError::unknown("agent-address", status.message()))?;
+    /// Sends the call to one endpoint and waits for the head of its answer.
+    async fn begin(&self, send: &RoutedSend) -> Result<AgentCall, CallerError> {
         let mut call = self.call.clone();
         call.resume_after_token = self.delivered_tokens;
-        AgentClient::new(channel)
-            .call(call)
-            .await
-            .map(tonic::Response::into_inner)
-            .map_err(|status| {
-                if is_connect_failure(&status) {
-                    CallerError::not_run(
-                        StatusCode::SERVICE_UNAVAILABLE,
-                        "agent-unreachable",
-                        status.message(),
-                    )
-                } else {
-                    CallerError::unknown("agent-failed", status.message())
-                }
-            })
-    }
-
-    fn finished(&self, chosen: &Chosen) {
-        let command = RoutingCommand::Finished {
-            vm_name: chosen.vm_name.clone(),
+        let time_left = self.attempts.time_left();
+        call.deadline_ms = u64::try_from(time_left.as_millis()).unwrap_or(u64::MAX);
+        let opening = async {
+            let mut answer = AgentCall::open(&self.state.channels, &send.peer_address, call)
+                .await
+                .map_err(|error| error_of(&error))?;
+            match answer.next().await.map_err(|error| error_of(&error))? {
+                FrameEvent::Failed {
+                    outcome,
+                    code,
+                    message,
+                    retry_after_ms,
+                } => Err(CallerError::from_agent(
+                    outcome,
+                    &code,
+                    message,
+                    retry_after_ms,
+                )),
+                FrameEvent::Head { .. } | FrameEvent::Data { .. } | FrameEvent::Whole => Ok(answer),
+            }
         };
-        if let Err(error) = self.state.routing.submit(command) {
-            log::warn!("end of a call: {error}");
-        }
+        tokio::time::timeout(time_left, opening)
+            .await
+            .unwrap_or_else(|_| Err(deadline_passed()))
     }
 
     /// Reads the next token, resuming the stream elsewhere when it was cut.
     async fn next(&mut self, open: &mut OpenCall) -> Step {
         loop {
-            let cut = match open.frames.next().await {
-                Some(Ok(frame)) => match frame.frame {
-                    Some(call_frame::Frame::Head(_)) | None => continue,
-                    Some(call_frame::Frame::Data(data)) => {
-                        self.delivered_tokens += u64::from(data.tokens);
-                        return Step::Token(
-                            serde_json::from_slice(&data.payload).unwrap_or_default(),
-                        );
+            let error = match self.receive(open).await {
+                Ok(FrameEvent::Data { payload, .. }) => {
+                    if !open.has_first_token {
+                        open.has_first_token = true;
+                        self.attempts.first_token(&open.send);
                     }
-                    Some(call_frame::Frame::Final(ending)) => {
-                        if ending.code.is_empty() {
-                            self.finished(&open.chosen);
-                            return Step::End;
-                        }
-                        error_of(ending)
-                    }
-                },
-                Some(Err(status)) => CallerError::unknown("agent-failed", status.message()),
-                None => CallerError::unknown("answer-cut", "agent ended the answer early"),
+                    self.delivered_tokens = open.answer.delivered_tokens();
+                    return Step::Token(serde_json::from_slice(&payload).unwrap_or_default());
+                }
+                Ok(FrameEvent::Head { .. }) => continue,
+                Ok(FrameEvent::Whole) => {
+                    self.attempts.finished(&open.send);
+                    return Step::End;
+                }
+                Ok(FrameEvent::Failed {
+                    outcome,
+                    code,
+                    message,
+                    retry_after_ms,
+                }) => CallerError::from_agent(outcome, &code, message, retry_after_ms),
+                Err(error) => error,
             };
-            self.finished(&open.chosen);
-            if self.tried.len() >= MAX_SENDS {
-                return Step::Failed(cut);
+            self.attempts.finished(&open.send);
+            if !self.attempts.may_retry().await {
+                return Step::Failed(error);
             }
             match self.open().await {
                 Ok(resumed) => *open = resumed,
@@ -215,19 +223,36 @@
             }
         }
     }
+
+    async fn receive(&self, open: &mut OpenCall) -> Result<FrameEvent, CallerError> {
+        tokio::time::timeout(self.attempts.time_left(), open.answer.next())
+            .await
+            .map_err(|_| deadline_passed())?
+            .map_err(|error| error_of(&error))
+    }
 }
 
-fn error_of(ending: FinalFrame) -> CallerError {
-    let outcome = Outcome::from(ending.outcome());
-    CallerError {
-        outcome,
-        retry_after_ms: ending.retry_after_ms,
-        ..CallerError::not_run(
+fn error_of(error: &AgentCallError) -> CallerError {
+    let message = error.to_string();
+    match error {
+        AgentCallError::NotWritten { .. } => CallerError::not_run(
             StatusCode::SERVICE_UNAVAILABLE,
-            &ending.code,
-            ending.message,
-        )
+            RefusalCode::HomeUnreachable.as_str(),
+            message,
+        ),
+        AgentCallError::Lost { .. } => {
+            CallerError::unknown(RefusalCode::HomeLost.as_str(), message)
+        }
     }
+    .retry_after_ms(RETRY_AFTER_MS)
+}
+
+fn deadline_passed() -> CallerError {
+    CallerError::unknown(
+        "deadline-passed",
+        "the answer did not come within the deadline",
+    )
+    .retry_after_ms(RETRY_AFTER_MS)
 }
 
 fn stream_response(relay: Relay, first: OpenCall) -> Response<Body> {
@@ -242,7 +267,7 @@
 
 async fn pump(mut relay: Relay, mut open: OpenCall, sender: mpsc::Sender<Bytes>) {
     let id = relay.call.request_id.clone();
-    let model = relay.service.clone();
+    let model = relay.call.service.clone();
     loop {
         let step = relay.next(&mut open).await;
         let ended = !matches!(step, Step::Token(_));
@@ -256,7 +281,7 @@
         };
         let sent = sender.send(Bytes::from(text)).await;
         if sent.is_err() && !ended {
-            relay.finished(&open.chosen);
+            relay.attempts.finished(&open.send);
             return;
         }
         if ended {
@@ -279,7 +304,7 @@
     }
     let mut answer = chunk(
         &relay.call.request_id,
-        &relay.service,
+        &relay.call.service,
         &Value::from(text),
         &json!("stop"),
     );
--- a/lib/src/entry_daemon.rs
+++ b/lib/src/entry_daemon.rs
@@ -46,6 +46,7 @@
 use crate::protos::settings::DaemonSettings;
 use crate::routing_duty;
 use crate::routing_duty::RoutingCommand;
+use crate::routing_duty::RoutingSettings;
 use crate::shutdown;
 
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -66,7 +67,12 @@
     tokio::spawn(config_duty::watch(platform.clone(), config_duty, wait));
 
     let channels = AgentChannels::new(&control);
-    let routing = routing_duty::spawn(Clock::start(), control.suspect_after_ms);
+    let routing_settings = RoutingSettings {
+        availability_zone: settings.availability_zone.clone(),
+        suspect_after_ms: control.suspect_after_ms,
+        retry_percent: entry.retry_budget_percent,
+    };
+    let routing = routing_duty::spawn(Clock::start(), routing_settings);
     let control_loop = ControlLoop {
         vm_name: settings.vm_name.clone(),
         platform,
@@ -107,6 +113,7 @@
     announce("callers", &listener);
     let state = Arc::new(EntryState {
         settings: entry,
+        peer_key: settings.peer_key,
         channels,
         config,
         routing,
--- a/lib/src/entry_server.rs
+++ b/lib/src/entry_server.rs
@@ -16,22 +16,25 @@
 use volo_http::request::Request;
 
 use crate::agent_channels::AgentChannels;
+use crate::attempts::Attempts;
 use crate::caller_error::CallerError;
 use crate::config_duty::SharedConfig;
 use crate::config_view::ServiceView;
 use crate::duty::Duty;
 use crate::in_flight::InFlight;
+use crate::protos::control::CallRequest;
 use crate::protos::control::PlacementHome;
 use crate::protos::settings::EntrySettings;
 use crate::protos::template::OrganisationParameters;
-use crate::routing_duty::Chosen;
+use crate::route_query::RouteQuery;
 use crate::routing_duty::RoutingCommand;
 
-const OVERLOAD_RETRY: Duration = Duration::from_secs(1);
+const OVERLOAD_RETRY_MS: u64 = 1000;
 
 /// State shared by the request handlers of an entry.
 pub(crate) struct EntryState {
     pub(crate) settings: EntrySettings,
+    pub(crate) peer_key: String,
     pub(crate) channels: AgentChannels,
     pub(crate) config: SharedConfig,
     pub(crate) routing: Duty<RoutingCommand>,
@@ -106,23 +109,24 @@
         answer.await.map_err(|_| overloaded())
     }
 
-    /// Asks the routing duty for an endpoint.
-    pub(crate) async fn choose(
-        &self,
-        service: &str,
-        exclude: &[String],
-    ) -> Result<Chosen, CallerError> {
-        let (reply, answer) = oneshot::channel();
-        let command = RoutingCommand::Choose {
-            service: service.to_owned(),
-            exclude: exclude.to_vec(),
-            reply,
+    /// Starts the sends of a request that may be repeated.
+    pub(crate) fn attempts(&self, call: &CallRequest, prompt: Bytes) -> Attempts {
+        let query = RouteQuery {
+            service: call.service.clone(),
+            prompt,
+            urgency: call.urgency,
+            time_left_ms: call.deadline_ms,
+            exclude: Vec::new(),
         };
-        self.routing.submit(command).map_err(|_| overloaded())?;
-        answer
-            .await
-            .map_err(|_| overloaded())?
-            .ok_or_else(|| no_endpoint(service))
+        Attempts::new(self.routing.clone(), query)
+    }
+
+    /// Returns the deadline of a request of `service`, in milliseconds from its arrival.
+    pub(crate) fn deadline_ms(&self, service: &ServiceView) -> u64 {
+        match service.template().deadline_ms {
+            0 => self.settings.default_deadline_ms,
+            deadline_ms => deadline_ms,
+        }
     }
 }
 
@@ -133,14 +137,14 @@
         "entry-overloaded",
         "entry has no room for the request",
     )
-    .retry_after(OVERLOAD_RETRY)
+    .retry_after_ms(OVERLOAD_RETRY_MS)
 }
 
 /// Returns the refusal for a service without a usable endpoint.
 pub(crate) fn no_endpoint(service: &str) -> CallerError {
     let message = format!("service \"{service}\" has no reachable endpoint");
     CallerError::not_run(StatusCode::SERVICE_UNAVAILABLE, "no-endpoint", message)
-        .retry_after(OVERLOAD_RETRY)
+        .retry_after_ms(OVERLOAD_RETRY_MS)
 }
 
 /// Turns a handler's result into a response.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -3,10 +3,12 @@
 //! Decisions are plain state machines: events and the time go in, actions come out. Threads and
 //! sockets live in modules of their own and drive them.
 
+mod agent_call;
 mod agent_channels;
 mod agent_server;
 mod attempt_number;
 mod attempt_policy;
+mod attempts;
 mod block_hash;
 mod block_queue;
 mod cache_event;
@@ -58,11 +60,13 @@
 mod retry_advice;
 mod retry_budget;
 mod route_choice;
+mod route_query;
 mod route_request;
 mod router;
 mod router_settings;
 mod routing_duty;
 mod send_ticket;
+mod service_routes;
 mod shutdown;
 mod stored_answer;
 mod void_table;
--- a/lib/src/plain_call.rs
+++ b/lib/src/plain_call.rs
@@ -2,37 +2,36 @@
 
 use std::sync::Arc;
 
-use base64::Engine;
-use base64::engine::general_purpose::URL_SAFE_NO_PAD;
 use bytes::Bytes;
-use futures::StreamExt;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
 use http::header::CONTENT_TYPE;
-use prost::Message;
 use volo_http::body::Body;
 use volo_http::request::Request;
 
-use crate::agent_channels::is_connect_failure;
+use crate::AttemptNumber;
+use crate::AttemptPolicy;
+use crate::FrameEvent;
+use crate::Outcome;
+use crate::Placement;
+use crate::RefusalCode;
+use crate::agent_call::AgentCall;
+use crate::agent_call::AgentCallError;
 use crate::caller_error::CallerError;
 use crate::caller_error::OUTCOME_HEADER;
 use crate::caller_error::PLACEMENT_HEADER;
 use crate::entry_server::EntryState;
 use crate::entry_server::no_endpoint;
 use crate::entry_server::respond;
-use crate::outcome::Outcome;
 use crate::protos::control::CallRequest;
 use crate::protos::control::IdempotentCall;
-use crate::protos::control::Placement;
-use crate::protos::control::PlacementHome;
-use crate::protos::control::agent_client::AgentClient;
-use crate::protos::control::call_frame;
-use crate::routing_duty::RoutingCommand;
 
 const KEY_HEADER: &str = "idempotency-key";
 const ATTEMPT_HEADER: &str = "pomeloramp-attempt";
+const MAX_KEY_BYTES: usize = 256;
+const RETRY_AFTER_MS: u64 = 500;
 
 /// Handles `POST /v1/services/{service}/{call}`.
 pub(crate) async fn handle(
@@ -41,7 +40,9 @@
     call: String,
     request: Request,
 ) -> Response<Body> {
-    respond(run(&state, service, call, request).await)
+    let is_resend = is_resend(request.headers());
+    let result = run(&state, service, call, request).await;
+    respond(result.map_err(|error| if is_resend { error.of_resend() } else { error }))
 }
 
 async fn run(
@@ -54,43 +55,112 @@
     let headers = request.headers().clone();
     let authorised = state.authorise(&service, &headers)?;
     let body = state.read_body(request).await?;
-    let mut message = CallRequest {
+    let message = CallRequest {
         request_id: format!("{:016x}", rand::random::<u64>()),
         organisation: authorised.organisation.organisation.clone(),
-        service: service.clone(),
+        service,
         call,
         body: body.to_vec(),
         content_type: text(&headers, CONTENT_TYPE.as_str())
             .unwrap_or("application/octet-stream")
             .to_owned(),
-        deadline_ms: authorised.service.template().deadline_ms,
+        deadline_ms: state.deadline_ms(&authorised.service),
+        config_revision: state.config.load().revision,
         urgency: authorised.organisation.urgency,
         ..CallRequest::default()
     };
     if authorised.service.template().repeatable {
-        let chosen = state.choose(&service, &[]).await?;
-        let result = send(state, &chosen.peer_address, message).await;
-        let _ = state.routing.submit(RoutingCommand::Finished {
-            vm_name: chosen.vm_name,
-        });
-        return result;
+        run_repeatable(state, message).await
+    } else {
+        run_once(state, &headers, message).await
     }
-    let home = home_of(
-        state,
-        &headers,
-        &authorised.organisation.organisation,
-        &service,
-    )
-    .await?;
-    message.idempotent = Some(IdempotentCall {
-        key: text(&headers, KEY_HEADER).unwrap_or_default().to_owned(),
+}
+
+/// Runs a call that may be sent again when an endpoint fails it.
+async fn run_repeatable(
+    state: &EntryState,
+    call: CallRequest,
+) -> Result<Response<Body>, CallerError> {
+    let mut attempts = state.attempts(&call, Bytes::new());
+    loop {
+        let chosen = attempts.choose().await?;
+        let result = receive(state, &chosen.peer_address, call.clone()).await;
+        attempts.finished(&chosen);
+        let error = match result {
+            Ok(Received::Whole(response)) => return Ok(response),
+            Ok(Received::Failed(error)) => error,
+            Err(AgentCallError::NotWritten { reason, .. }) => CallerError::not_run(
+                StatusCode::SERVICE_UNAVAILABLE,
+                RefusalCode::HomeUnreachable.as_str(),
+                reason,
+            )
+            .retry_after_ms(RETRY_AFTER_MS),
+            Err(error @ AgentCallError::Lost { .. }) => {
+                CallerError::unknown(RefusalCode::HomeLost.as_str(), error.to_string())
+                    .retry_after_ms(RETRY_AFTER_MS)
+            }
+        };
+        if !attempts.may_retry().await {
+            return Err(error);
+        }
+    }
+}
+
+/// Runs a call that may not be repeated: it is sent once, to the home that its placement names.
+async fn run_once(
+    state: &EntryState,
+    headers: &HeaderMap,
+    mut call: CallRequest,
+) -> Result<Response<Body>, CallerError> {
+    let key = idempotency_key(headers)?;
+    let attempt = AttemptNumber::from_header(text(headers, ATTEMPT_HEADER))
+        .map_err(|error| malformed(error.to_string()))?;
+    let policy = AttemptPolicy::new(attempt, RETRY_AFTER_MS);
+    let service = call.service.clone();
+    let Some(encoded) = text(headers, PLACEMENT_HEADER) else {
+        let message = "header \"Pomeloramp-Placement\" is missing";
+        let error = CallerError::refused(&policy.placement_missing(), message);
+        return Err(with_placement(state, &service, error).await);
+    };
+    let placement = match Placement::decode(encoded, state.peer_key.as_bytes(), &service) {
+        Ok(placement) => placement,
+        Err(error) => {
+            let refusal = policy.refuse_unwritten(RefusalCode::PlacementInvalid);
+            let error = CallerError::refused(&refusal, error.to_string());
+            return Err(with_placement(state, &service, error).await);
+        }
+    };
+    let home = placement
+        .home(&call.organisation, key)
+        .ok_or_else(|| malformed("placement names no agent"))?;
+    call.idempotent = Some(IdempotentCall {
+        key: key.to_owned(),
         incarnation: home.incarnation,
         stamp_ms: home.stamp_ms,
-        attempt: text(&headers, ATTEMPT_HEADER)
-            .and_then(|attempt| attempt.parse().ok())
-            .unwrap_or(0),
+        attempt: attempt.get(),
     });
-    send(state, &home.peer_address, message).await
+    let error = match receive(state, &home.peer_address, call).await {
+        Ok(Received::Whole(response)) => return Ok(response),
+        Ok(Received::Failed(error)) => error,
+        Err(AgentCallError::NotWritten { reason, .. }) => {
+            let refusal = policy.refuse_unwritten(RefusalCode::HomeUnreachable);
+            CallerError::refused(&refusal, reason)
+        }
+        Err(error @ AgentCallError::Lost { .. }) => {
+            let refusal = policy.answer_lost(RefusalCode::HomeLost);
+            CallerError::refused(&refusal, error.to_string())
+        }
+    };
+    Err(with_placement(state, &service, error).await)
+}
+
+/// Adds a fresh placement to an error after which the call may begin anew.
+async fn with_placement(state: &EntryState, service: &str, error: CallerError) -> CallerError {
+    if error.outcome != Outcome::NotRun {
+        return error;
+    }
+    let placement = fresh_placement(state, service).await.ok();
+    error.placement(placement)
 }
 
 /// Encodes a fresh placement over the usable agents of `service`.
@@ -102,112 +172,78 @@
     if homes.is_empty() {
         return Err(no_endpoint(service));
     }
-    let placement = Placement {
-        service: service.to_owned(),
-        config_revision: state.config.load().revision,
-        homes,
-        signature: Vec::new(),
-    };
-    Ok(URL_SAFE_NO_PAD.encode(placement.encode_to_vec()))
+    let revision = state.config.load().revision;
+    let placement = Placement::new(service, revision, homes);
+    Ok(placement.encode(state.peer_key.as_bytes()))
 }
 
-async fn home_of(
-    state: &EntryState,
-    headers: &HeaderMap,
-    organisation: &str,
-    service: &str,
-) -> Result<PlacementHome, CallerError> {
-    let malformed =
-        |message: &str| CallerError::not_run(StatusCode::BAD_REQUEST, "request-malformed", message);
-    let key = text(headers, KEY_HEADER)
-        .ok_or_else(|| malformed("header \"Idempotency-Key\" is missing"))?;
-    let Some(placement) = text(headers, PLACEMENT_HEADER) else {
-        let fresh = fresh_placement(state, service).await.ok();
-        let message = "header \"Pomeloramp-Placement\" is missing";
-        return Err(
-            CallerError::not_run(StatusCode::CONFLICT, "placement-required", message)
-                .placement(fresh),
-        );
-    };
-    let bytes = URL_SAFE_NO_PAD
-        .decode(placement)
-        .map_err(|_| malformed("header \"Pomeloramp-Placement\" is not a placement"))?;
-    let placement = Placement::decode(bytes.as_slice())
-        .map_err(|_| malformed("header \"Pomeloramp-Placement\" is not a placement"))?;
-    placement
-        .homes
-        .into_iter()
-        .max_by_key(|home| {
-            let weighed = format!("{organisation}\n{key}\n{}", home.incarnation);
-            xxhash_rust::xxh3::xxh3_64(weighed.as_bytes())
-        })
-        .ok_or_else(|| malformed("header \"Pomeloramp-Placement\" names no agent"))
+enum Received {
+    Whole(Response<Body>),
+    Failed(CallerError),
 }
 
-async fn send(
+/// Sends a call to one agent and receives its whole answer.
+async fn receive(
     state: &EntryState,
     peer_address: &str,
     call: CallRequest,
-) -> Result<Response<Body>, CallerError> {
-    let channel = state
-        .channels
-        .get(peer_address)
-        .map_err(|status| CallerError::unknown("agent-address", status.message()))?;
-    let mut frames = AgentClient::new(channel)
-        .call(call)
-        .await
-        .map_err(|status| {
-            if is_connect_failure(&status) {
-                CallerError::not_run(
-                    StatusCode::SERVICE_UNAVAILABLE,
-                    "agent-unreachable",
-                    status.message(),
-                )
-            } else {
-                CallerError::unknown("agent-failed", status.message())
-            }
-        })?
-        .into_inner();
+) -> Result<Received, AgentCallError> {
+    let mut answer = AgentCall::open(&state.channels, peer_address, call).await?;
     let mut response = Response::new(Body::empty());
     let mut body = Vec::new();
-    while let Some(frame) = frames.next().await {
-        let frame = frame.map_err(|status| CallerError::unknown("answer-cut", status.message()))?;
-        match frame.frame {
-            Some(call_frame::Frame::Head(head)) => {
-                let status = u16::try_from(head.status).unwrap_or(502);
+    loop {
+        match answer.next().await? {
+            FrameEvent::Head {
+                status,
+                content_type,
+            } => {
                 *response.status_mut() =
                     StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
-                if let Ok(value) = HeaderValue::from_str(&head.content_type) {
+                if let Ok(value) = HeaderValue::from_str(&content_type) {
                     response.headers_mut().insert(CONTENT_TYPE, value);
                 }
             }
-            Some(call_frame::Frame::Data(data)) => body.extend_from_slice(&data.payload),
-            Some(call_frame::Frame::Final(ending)) if ending.code.is_empty() => {
+            FrameEvent::Data { payload, .. } => body.extend_from_slice(&payload),
+            FrameEvent::Whole => {
                 *response.body_mut() = Body::from(Bytes::from(body));
-                response.headers_mut().insert(
-                    OUTCOME_HEADER,
-                    HeaderValue::from_static(Outcome::Ran.as_str()),
-                );
-                return Ok(response);
+                let outcome = HeaderValue::from_static(Outcome::Ran.as_str());
+                response.headers_mut().insert(OUTCOME_HEADER, outcome);
+                return Ok(Received::Whole(response));
             }
-            Some(call_frame::Frame::Final(ending)) => {
-                return Err(CallerError {
-                    outcome: Outcome::from(ending.outcome()),
-                    retry_after_ms: ending.retry_after_ms,
-                    ..CallerError::not_run(
-                        StatusCode::SERVICE_UNAVAILABLE,
-                        &ending.code,
-                        ending.message,
-                    )
-                });
+            FrameEvent::Failed {
+                outcome,
+                code,
+                message,
+                retry_after_ms,
+            } => {
+                let error = CallerError::from_agent(outcome, &code, message, retry_after_ms);
+                return Ok(Received::Failed(error));
             }
-            None => {}
         }
     }
-    Err(CallerError::unknown(
-        "answer-cut",
-        "agent ended the answer early",
-    ))
+}
+
+/// Tells whether an earlier send of the same call may have run.
+fn is_resend(headers: &HeaderMap) -> bool {
+    let attempt = AttemptNumber::from_header(text(headers, ATTEMPT_HEADER));
+    let is_first_send = attempt.is_ok_and(AttemptNumber::is_first_send);
+    headers.contains_key(KEY_HEADER) && !is_first_send
+}
+
+fn idempotency_key(headers: &HeaderMap) -> Result<&str, CallerError> {
+    let key = text(headers, KEY_HEADER)
+        .ok_or_else(|| malformed("header \"Idempotency-Key\" is missing"))?;
+    if key.is_empty() || key.len() > MAX_KEY_BYTES {
+        return Err(malformed(format!(
+            "header \"Idempotency-Key\" has {} bytes, not 1 to {MAX_KEY_BYTES}",
+            key.len()
+        )));
+    }
+    Ok(key)
+}
+
+fn malformed(message: impl Into<String>) -> CallerError {
+    CallerError::not_run(StatusCode::BAD_REQUEST, "request-malformed", message)
 }
 
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
--- /dev/null
+++ b/lib/src/service_routes.rs
@@ -0,0 +1,188 @@
+//! What an entry knows of the endpoints of one service.
+
+use std::collections::BTreeMap;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::EndpointFlags;
+use crate::EndpointId;
+use crate::PrefixChain;
+use crate::PrefixIndex;
+use crate::PrefixIndexSettings;
+use crate::RetryBudget;
+use crate::RouteChoice;
+use crate::RouteRequest;
+use crate::Router;
+use crate::RouterSettings;
+use crate::SendTicket;
+use crate::protos::control::LoadReport;
+use crate::route_query::RouteQuery;
+
+const BLOCK_BYTES: usize = 256;
+const BLOCK_TOKENS: u64 = 64;
+const MAX_BLOCKS: usize = 256;
+const CACHED_CANDIDATES: usize = 3;
+const BYTES_PER_TOKEN: u64 = 4;
+const MAX_SAVED_RETRIES: u32 = 20;
+const RETRY_FLOOR_INTERVAL_MS: u64 = 1000;
+
+/// An endpoint that was chosen, with the ticket of the send.
+#[derive(Debug, Clone)]
+pub(crate) struct RoutedSend {
+    pub(crate) vm_name: String,
+    pub(crate) peer_address: String,
+    pub(crate) ticket: SendTicket,
+}
+
+#[derive(Debug)]
+struct Route {
+    vm_name: String,
+    peer_address: String,
+}
+
+/// Router, prefix index and retry budget of one service.
+#[derive(Debug)]
+pub(crate) struct ServiceRoutes {
+    router: Router,
+    prefixes: PrefixIndex,
+    retries: RetryBudget,
+    ids: BTreeMap<String, EndpointId>,
+    routes: BTreeMap<EndpointId, Route>,
+}
+
+impl ServiceRoutes {
+    /// Creates the routes of a service without endpoints.
+    pub(crate) fn new(availability_zone: &str, retry_percent: u32, now_ms: u64) -> Self {
+        let rng = SmallRng::seed_from_u64(rand::random());
+        let prefix_settings = PrefixIndexSettings::builder()
+            .block_tokens(BLOCK_TOKENS)
+            .build();
+        Self {
+            router: Router::new(RouterSettings::builder().build(), availability_zone, rng),
+            prefixes: PrefixIndex::new(prefix_settings),
+            retries: RetryBudget::new(
+                retry_percent,
+                MAX_SAVED_RETRIES,
+                RETRY_FLOOR_INTERVAL_MS,
+                now_ms,
+            ),
+            ids: BTreeMap::new(),
+            routes: BTreeMap::new(),
+        }
+    }
+
+    /// Adds an endpoint, or sets the address of a known one.
+    pub(crate) fn put(&mut self, vm_name: &str, availability_zone: &str, peer_address: &str) {
+        let id = if let Some(&id) = self.ids.get(vm_name) {
+            id
+        } else {
+            let id = self.router.add_endpoint(availability_zone);
+            self.prefixes.add_endpoint(id, None);
+            self.ids.insert(vm_name.to_owned(), id);
+            id
+        };
+        let route = Route {
+            vm_name: vm_name.to_owned(),
+            peer_address: peer_address.to_owned(),
+        };
+        self.routes.insert(id, route);
+    }
+
+    /// Forgets the endpoints that `keep` does not name.
+    pub(crate) fn retain(&mut self, keep: impl Fn(&str) -> bool) {
+        let gone: Vec<String> = self.ids.keys().filter(|vm| !keep(vm)).cloned().collect();
+        for vm_name in gone {
+            self.remove(&vm_name);
+        }
+    }
+
+    /// Forgets an endpoint, for instance one that restarted with an empty cache.
+    pub(crate) fn remove(&mut self, vm_name: &str) {
+        if let Some(id) = self.ids.remove(vm_name) {
+            self.router.remove_endpoint(id);
+            self.prefixes.remove_endpoint(id);
+            self.routes.remove(&id);
+        }
+    }
+
+    /// Sets what keeps work away from an endpoint.
+    pub(crate) fn set_state(&mut self, vm_name: &str, flags: EndpointFlags) {
+        if let Some(&id) = self.ids.get(vm_name) {
+            self.router.set_state(id, flags);
+        }
+    }
+
+    /// Takes in a load report.
+    pub(crate) fn update_load(&mut self, vm_name: &str, report: &LoadReport, now_ms: u64) {
+        if let Some(&id) = self.ids.get(vm_name) {
+            self.router.update_load(id, report, now_ms);
+        }
+    }
+
+    /// Chooses an endpoint and counts the send.
+    pub(crate) fn choose(
+        &mut self,
+        query: &RouteQuery,
+        now_ms: u64,
+    ) -> Result<RoutedSend, RouteChoice> {
+        let chain = PrefixChain::new(&query.prompt, 0, BLOCK_BYTES, MAX_BLOCKS);
+        let spread = usize::try_from(rand::random::<u32>()).unwrap_or(0);
+        let cached = self.prefixes.lookup(&chain, CACHED_CANDIDATES, spread);
+        let exclude: Vec<EndpointId> = query
+            .exclude
+            .iter()
+            .filter_map(|vm_name| self.ids.get(vm_name).copied())
+            .collect();
+        let prompt_tokens = query.prompt.len() as u64 / BYTES_PER_TOKEN;
+        let request = RouteRequest::builder()
+            .prompt_tokens(prompt_tokens)
+            .time_left_ms(query.time_left_ms)
+            .urgency(query.urgency)
+            .cached(&cached)
+            .exclude(&exclude)
+            .build();
+        if query.exclude.is_empty() {
+            self.retries.note_request();
+        }
+        match self.router.choose(&request, now_ms) {
+            RouteChoice::Send(id) => {
+                let prefill_tokens = prompt_tokens - request.cached_tokens(id);
+                Ok(self.send(id, &chain, prefill_tokens, now_ms))
+            }
+            refused @ RouteChoice::Refuse { .. } => Err(refused),
+        }
+    }
+
+    /// Takes a retry from the service's budget.
+    pub(crate) fn try_retry(&mut self, now_ms: u64) -> bool {
+        self.retries.try_retry(now_ms)
+    }
+
+    /// Notes the first token of an answer.
+    pub(crate) fn first_token(&mut self, ticket: SendTicket) {
+        self.router.mark_first_token(ticket);
+    }
+
+    /// Notes the end of a request.
+    pub(crate) fn finished(&mut self, ticket: SendTicket, now_ms: u64) {
+        self.router.mark_finished(ticket, now_ms);
+    }
+
+    fn send(
+        &mut self,
+        id: EndpointId,
+        chain: &PrefixChain,
+        prefill_tokens: u64,
+        now_ms: u64,
+    ) -> RoutedSend {
+        let ticket = self.router.mark_sent(id, prefill_tokens, now_ms);
+        self.prefixes.note_sent(id, chain, now_ms);
+        let route = &self.routes[&id];
+        RoutedSend {
+            vm_name: route.vm_name.clone(),
+            peer_address: route.peer_address.clone(),
+            ticket,
+        }
+    }
+}
