--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -2,32 +2,33 @@
 
 use std::process;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
-use futures::stream;
 use http::StatusCode;
-use http::header::CONTENT_TYPE;
-use http_body_util::StreamBody;
-use hyper::body::Frame;
 use serde::Deserialize;
 use serde_json::json;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
-use volo_http::body::Body;
-use volo_http::error::BoxError;
 use volo_http::response::Response;
+use volo_http::server::extract::Query;
 use volo_http::server::route::Router;
 use volo_http::server::route::get;
 use volo_http::server::route::post;
 
+use crate::cache_event_log::CacheEventLog;
 use crate::engine_options::EngineOptions;
 use crate::engine_scheduler::EngineScheduler;
 use crate::execution_counts::ExecutionCounts;
 use crate::http_answer::ok_json;
 use crate::http_answer::read_json;
+use crate::http_answer::stream_answer;
 use crate::http_server;
 use crate::order_log::OrderLog;
+use crate::prefix_cache::PrefixCache;
 use crate::refusal::Refusal;
 use crate::standin_error::StandinError;
 use crate::token_text::prompt_tokens;
@@ -71,6 +72,16 @@
     scheduler: Arc<EngineScheduler>,
     executions: ExecutionCounts,
     orders: OrderLog,
+    cache: Mutex<PrefixCache>,
+    cache_events: Mutex<CacheEventLog>,
+}
+
+/// The query of a read of cache events.
+#[derive(Debug, Clone, Copy, Default, Deserialize)]
+#[serde(default)]
+struct CacheEventQuery {
+    /// Events after this sequence are wanted.
+    after: u64,
 }
 
 /// Serves the engine until the process is told to stop.
@@ -84,6 +95,7 @@
     let for_completions = Arc::clone(engine);
     let for_load = Arc::clone(engine);
     let for_executions = Arc::clone(engine);
+    let for_cache = Arc::clone(engine);
     let for_orders = Arc::clone(engine);
     let for_order_list = Arc::clone(engine);
     Router::new()
@@ -99,6 +111,15 @@
             "/orders",
             post(async move |body: Bytes| order(&for_orders, &body)),
         )
+        .route(
+            "/cache-events",
+            get(async move |Query(query): Query<CacheEventQuery>| {
+                let events = for_cache
+                    .lock_cache_events()
+                    .after(query.after, Instant::now());
+                ok_json(&json!({ "events": events }))
+            }),
+        )
         .route(
             "/admin/orders",
             get(async move || ok_json(&json!({ "accepted": for_order_list.orders.accepted() }))),
@@ -113,7 +134,7 @@
     let request = read_json(body)?;
     let (events, receiver) = mpsc::channel(EVENT_QUEUE_LENGTH);
     tokio::spawn(Arc::clone(engine).generate(request, events));
-    Ok(event_stream(receiver))
+    Ok(stream_answer(EVENT_STREAM_TYPE, receiver))
 }
 
 fn order(engine: &Engine, body: &Bytes) -> Result<Response, Refusal> {
@@ -132,7 +153,11 @@
             options.prefill_tokens_per_s,
             options.report_lag,
         );
+        let cache_events =
+            CacheEventLog::new(options.cache_event_lag, options.lose_cache_event_every);
         Self {
+            cache: Mutex::new(PrefixCache::new(options.cache_blocks)),
+            cache_events: Mutex::new(cache_events),
             orders: OrderLog::new(options.check_fencing),
             options,
             scheduler: Arc::new(scheduler),
@@ -150,13 +175,13 @@
     }
 
     async fn run(&self, request: &CompletionRequest, events: &mpsc::Sender<Bytes>) {
-        let tokens = prompt_tokens(&request.prompt);
+        let tokens = prompt_tokens(request.prompt.len());
         let _slot = self.scheduler.admit(request.priority, tokens).await;
         self.executions.count(&request.request_id);
         if request.prompt.contains(CRASH_MARKER) {
             process::exit(CRASH_EXIT_CODE);
         }
-        sleep(self.prefill_time(tokens)).await;
+        self.prefill(&request.prompt).await;
         for index in request.resume_after_token..request.max_tokens {
             sleep(self.options.token_interval).await;
             let event = token_event(&request.prompt, index);
@@ -167,6 +192,25 @@
         let _ = events.send(Bytes::from_static(END_EVENT.as_bytes())).await;
     }
 
+    /// Takes the time for the part of the prompt that is not cached, and caches it.
+    async fn prefill(&self, prompt: &str) {
+        let cached_bytes = self.lock_cache().cached_bytes(prompt);
+        let uncached_tokens = prompt_tokens(prompt.len() - cached_bytes);
+        sleep(self.prefill_time(uncached_tokens)).await;
+        let changes = self.lock_cache().store(prompt);
+        self.lock_cache_events().append(&changes, Instant::now());
+    }
+
+    fn lock_cache(&self) -> MutexGuard<'_, PrefixCache> {
+        self.cache.lock().expect("no holder of the lock panics")
+    }
+
+    fn lock_cache_events(&self) -> MutexGuard<'_, CacheEventLog> {
+        self.cache_events
+            .lock()
+            .expect("no holder of the lock panics")
+    }
+
     fn prefill_time(&self, tokens: u64) -> Duration {
         let micros = tokens.saturating_mul(MICROS_PER_S) / self.options.prefill_tokens_per_s.max(1);
         Duration::from_micros(micros)
@@ -177,15 +221,3 @@
     let data = json!({ "index": index, "text": token_text(prompt, index) });
     Bytes::from(format!("data: {data}\n\n"))
 }
-
-fn event_stream(mut receiver: mpsc::Receiver<Bytes>) -> Response {
-    let frames = stream::poll_fn(move |context| {
-        receiver
-            .poll_recv(context)
-            .map(|event| event.map(|bytes| Ok::<_, BoxError>(Frame::data(bytes))))
-    });
-    Response::builder()
-        .header(CONTENT_TYPE, EVENT_STREAM_TYPE)
-        .body(Body::from_body(StreamBody::new(frames)))
-        .expect("the parts of the answer are valid")
-}
--- a/standins/src/http_answer.rs
+++ b/standins/src/http_answer.rs
@@ -1,11 +1,16 @@
 //! Answers in JSON and the reading of JSON bodies.
 
 use bytes::Bytes;
+use futures::stream;
 use http::StatusCode;
 use http::header::CONTENT_TYPE;
+use http_body_util::StreamBody;
+use hyper::body::Frame;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::sync::mpsc;
 use volo_http::body::Body;
+use volo_http::error::BoxError;
 use volo_http::response::Response;
 
 use crate::refusal::Refusal;
@@ -32,3 +37,18 @@
         .body(Body::from(text))
         .expect("the parts of the answer are valid")
 }
+
+/// Answers 200 with the chunks that `receiver` yields until its sender is gone.
+///
+/// The channel is closed when the caller's connection is gone.
+pub(crate) fn stream_answer(content_type: &str, mut receiver: mpsc::Receiver<Bytes>) -> Response {
+    let frames = stream::poll_fn(move |context| {
+        receiver
+            .poll_recv(context)
+            .map(|chunk| chunk.map(|bytes| Ok::<_, BoxError>(Frame::data(bytes))))
+    });
+    Response::builder()
+        .header(CONTENT_TYPE, content_type)
+        .body(Body::from_body(StreamBody::new(frames)))
+        .expect("the parts of the answer are valid")
+}
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -2,6 +2,8 @@
 //!
 //! One process plays one program: the platform, a model engine or a plain service.
 
+mod cache_event;
+mod cache_event_log;
 mod call_meter;
 mod config_store;
 mod config_value;
@@ -14,6 +16,7 @@
 mod http_answer;
 mod http_server;
 mod load_history;
+mod option_values;
 mod order_log;
 mod plain;
 mod plain_faults;
@@ -21,11 +24,13 @@
 mod platform;
 mod platform_faults;
 mod platform_options;
+mod prefix_cache;
 mod refusal;
 mod standin_error;
 mod token_text;
 mod vm_list;
 mod vm_record;
+mod weight_store;
 
 use std::process::ExitCode;
 
--- a/standins/src/plain.rs
+++ b/standins/src/plain.rs
@@ -1,6 +1,5 @@
 //! A plain service with calls that may not be repeated.
 
-use std::fmt::Write;
 use std::future;
 use std::process;
 use std::sync::Arc;
@@ -112,7 +111,7 @@
         Ok(ok_json(&json!({
             "call": head.uri.path().strip_prefix(CALLS_PREFIX),
             "execution": execution,
-            "echo": hex_digest(&body),
+            "echo": hex::encode(Sha256::digest(&body)),
         })))
     }
 
@@ -136,14 +135,6 @@
         .unwrap_or_default()
 }
 
-fn hex_digest(body: &[u8]) -> String {
-    let mut digits = String::new();
-    for byte in Sha256::digest(body) {
-        let _ = write!(digits, "{byte:02x}");
-    }
-    digits
-}
-
 /// Announces a body and breaks the connection before its first byte.
 fn broken_answer() -> Response {
     let broken = stream::once(future::ready(Err::<_, BoxError>("dropped".into())));
--- a/standins/src/plain_options.rs
+++ b/standins/src/plain_options.rs
@@ -4,11 +4,12 @@
 use std::time::Duration;
 
 use pico_args::Arguments;
-use snafu::ResultExt;
 
-use crate::standin_error::ArgumentsSnafu;
+use crate::option_values::optional;
+use crate::option_values::optional_ms;
+use crate::option_values::refuse_rest;
+use crate::option_values::required;
 use crate::standin_error::StandinError;
-use crate::standin_error::refuse_rest;
 
 const DEFAULT_CAPACITY: u32 = 8;
 const DEFAULT_WORK_MS: u64 = 5;
@@ -27,27 +28,13 @@
 impl PlainOptions {
     /// Reads the options from the command line.
     pub(crate) fn parse(mut arguments: Arguments) -> Result<Self, StandinError> {
-        let listen = arguments
-            .value_from_str("--listen")
-            .context(ArgumentsSnafu)?;
-        let capacity = arguments
-            .opt_value_from_str("--capacity")
-            .context(ArgumentsSnafu)?
-            .unwrap_or(DEFAULT_CAPACITY);
-        let work_ms = arguments
-            .opt_value_from_str("--work-ms")
-            .context(ArgumentsSnafu)?
-            .unwrap_or(DEFAULT_WORK_MS);
-        let report_lag_ms = arguments
-            .opt_value_from_str("--report-lag-ms")
-            .context(ArgumentsSnafu)?
-            .unwrap_or(DEFAULT_REPORT_LAG_MS);
+        let options = Self {
+            listen: required(&mut arguments, "--listen")?,
+            capacity: optional(&mut arguments, "--capacity", DEFAULT_CAPACITY)?,
+            work: optional_ms(&mut arguments, "--work-ms", DEFAULT_WORK_MS)?,
+            report_lag: optional_ms(&mut arguments, "--report-lag-ms", DEFAULT_REPORT_LAG_MS)?,
+        };
         refuse_rest(arguments)?;
-        Ok(Self {
-            listen,
-            capacity,
-            work: Duration::from_millis(work_ms),
-            report_lag: Duration::from_millis(report_lag_ms),
-        })
+        Ok(options)
     }
 }
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -1,4 +1,4 @@
-//! The platform: configuration service and VM list.
+//! The platform: configuration service, VM list and weight store.
 
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -32,6 +32,7 @@
 use crate::standin_error::StandinError;
 use crate::vm_list::VmList;
 use crate::vm_list::VmListDocument;
+use crate::weight_store::WeightStore;
 
 const ADMIN_CONFIG_PREFIX: &str = "/admin/config/";
 const MAX_VALUE_BYTES: usize = 1 << 20;
@@ -41,6 +42,7 @@
 struct Platform {
     state: Mutex<PlatformState>,
     changed: Notify,
+    weights: Arc<WeightStore>,
 }
 
 #[derive(Debug)]
@@ -65,6 +67,7 @@
     let for_values = Arc::clone(platform);
     let for_watch = Arc::clone(platform);
     let for_vms = Arc::clone(platform);
+    let for_weights = Arc::clone(platform);
     let for_put_config = Arc::clone(platform);
     let for_put_vms = Arc::clone(platform);
     let for_faults = Arc::clone(platform);
@@ -78,6 +81,10 @@
             "/config/watch",
             get(async move |Query(watch): Query<ConfigWatch>| for_watch.watch(watch).await),
         )
+        .route(
+            "/weights/{expert}",
+            get(async move |uri: Uri| for_weights.weights.read(&uri)),
+        )
         .route("/vms", get(async move || for_vms.vms().await))
         .route(
             "/admin/config/{*key}",
@@ -109,6 +116,10 @@
         Self {
             state: Mutex::new(state),
             changed: Notify::new(),
+            weights: Arc::new(WeightStore::new(
+                options.weight_bytes_per_s,
+                options.weight_bytes,
+            )),
         }
     }
 
--- a/standins/src/standin_error.rs
+++ b/standins/src/standin_error.rs
@@ -23,14 +23,3 @@
     #[snafu(display("serving on {listen} failed: {reason}"))]
     Serve { listen: SocketAddr, reason: String },
 }
-
-/// Refuses arguments that no option consumed.
-pub(crate) fn refuse_rest(arguments: pico_args::Arguments) -> Result<(), StandinError> {
-    match arguments.finish().first() {
-        Some(argument) => UnknownArgumentSnafu {
-            argument: argument.to_string_lossy(),
-        }
-        .fail(),
-        None => Ok(()),
-    }
-}
--- a/standins/src/token_text.rs
+++ b/standins/src/token_text.rs
@@ -21,8 +21,8 @@
     format!("{word}{:02x} ", (digest >> 8) & 0xff)
 }
 
-/// Estimates the tokens of a prompt from its bytes.
-pub(crate) fn prompt_tokens(prompt: &str) -> u64 {
+/// Estimates the tokens in that many bytes of a prompt.
+pub(crate) fn prompt_tokens(bytes: usize) -> u64 {
     const BYTES_PER_TOKEN: usize = 4;
-    u64::try_from(prompt.len().div_ceil(BYTES_PER_TOKEN)).unwrap_or(u64::MAX)
+    u64::try_from(bytes.div_ceil(BYTES_PER_TOKEN)).unwrap_or(u64::MAX)
 }
