--- a/lib/src/protos/pomeloramp.settings.rs
+++ b/lib/src/protos/pomeloramp.settings.rs
@@ -78,6 +78,9 @@
     pub endpoints_per_service: u32,
     #[prost(uint32, tag = "8")]
     pub retry_budget_percent: u32,
+    /// IP address and port on which metrics are scraped.
+    #[prost(string, tag = "9")]
+    pub metrics_address: ::prost::alloc::string::String,
 }
 /// Settings of the endpoint role.
 #[derive(serde::Serialize, serde::Deserialize)]
