--- /dev/null
+++ b/lib/src/agent_duty.rs
@@ -0,0 +1,346 @@
+//! The duty of an agent that admits calls, queues them and records how they ended.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use tokio::sync::oneshot;
+
+use crate::Admission;
+use crate::CallAttempt;
+use crate::CallDecision;
+use crate::CallKey;
+use crate::CallRegistry;
+use crate::Clock;
+use crate::Dispatch;
+use crate::FairQueue;
+use crate::QueuedRequest;
+use crate::Refusal;
+use crate::RefusalCode;
+use crate::RequestNumber;
+use crate::StoredAnswer;
+use crate::duty::Duty;
+use crate::duty::Wake;
+use crate::protos::control::LoadReport;
+use crate::protos::template::OrganisationParameters;
+
+const RING_CAPACITY: usize = 4096;
+const TICK: Duration = Duration::from_millis(20);
+/// Weight of one new sample in the mean run time, as a divisor.
+const MEAN_DIVISOR: u64 = 8;
+const INITIAL_RUN_MS: u64 = 100;
+
+/// A call that asks to run.
+pub(crate) struct CallAdmission {
+    pub(crate) organisation: String,
+    /// Set for a call that may not be repeated.
+    pub(crate) attempt: Option<CallAttempt>,
+    pub(crate) time_left_ms: u64,
+    pub(crate) queued_tokens: u64,
+    pub(crate) reply: oneshot::Sender<Verdict>,
+}
+
+/// What an agent does with a call.
+#[derive(Debug)]
+pub(crate) enum Verdict {
+    /// Send the call to the endpoint now, and report its end under this number.
+    Run(RequestNumber),
+    /// The call ran; this is its answer.
+    Replay(StoredAnswer),
+    /// The call ran, and its answer is no longer held.
+    AnswerGone,
+    /// The call does not run for this send.
+    Refused(Refusal),
+}
+
+/// How a call that was sent to the endpoint ended.
+#[derive(Debug)]
+pub(crate) enum CallEnd {
+    /// The whole answer came; it is kept for resends of a call that may not be repeated.
+    Answered(StoredAnswer),
+    /// The answer was streamed to its end.
+    Streamed,
+    /// No byte reached the endpoint.
+    NotStarted,
+    /// The answer was lost.
+    Lost,
+}
+
+/// What the duty is told or asked.
+pub(crate) enum AgentCommand {
+    /// A call asks to run.
+    Admit(CallAdmission),
+    /// A call that was told to run has ended.
+    Ended { number: RequestNumber, end: CallEnd },
+    /// Parameters of the organisations come into force.
+    SetParameters(Vec<OrganisationParameters>),
+    /// New calls are refused from now on.
+    Drain,
+}
+
+/// Load as the agent itself knows it, for heartbeats.
+pub(crate) type SharedLoad = Arc<ArcSwap<LoadReport>>;
+
+struct PendingCall {
+    attempt: Option<CallAttempt>,
+    queued_tokens: u64,
+    /// Present until the call is told to run or refused.
+    reply: Option<oneshot::Sender<Verdict>>,
+    started_ms: u64,
+}
+
+struct AttachedSend {
+    attempt: CallAttempt,
+    reply: oneshot::Sender<Verdict>,
+}
+
+/// State of the duty.
+pub(crate) struct AgentDuty {
+    clock: Clock,
+    registry: CallRegistry,
+    queue: FairQueue,
+    load: SharedLoad,
+    capacity: u32,
+    is_draining: bool,
+    next_number: u64,
+    pending: HashMap<RequestNumber, PendingCall>,
+    attached: HashMap<CallKey, Vec<AttachedSend>>,
+    mean_run_ms: u64,
+}
+
+impl AgentDuty {
+    /// Creates the duty of a newly started agent.
+    pub(crate) fn new(
+        clock: Clock,
+        registry: CallRegistry,
+        queue: FairQueue,
+        capacity: u32,
+        load: SharedLoad,
+    ) -> Self {
+        Self {
+            clock,
+            registry,
+            queue,
+            load,
+            capacity,
+            is_draining: false,
+            next_number: 0,
+            pending: HashMap::new(),
+            attached: HashMap::new(),
+            mean_run_ms: INITIAL_RUN_MS,
+        }
+    }
+
+    /// Starts the thread.
+    pub(crate) fn spawn(mut self) -> Duty<AgentCommand> {
+        self.publish_load();
+        Duty::spawn("agent", RING_CAPACITY, TICK, move |wake| {
+            let now_ms = self.clock.now_ms();
+            match wake {
+                Wake::Command(command) => self.handle(command, now_ms),
+                Wake::Tick => self.registry.expire(now_ms),
+            }
+            self.dispatch(now_ms);
+            self.publish_load();
+        })
+    }
+
+    fn handle(&mut self, command: AgentCommand, now_ms: u64) {
+        match command {
+            AgentCommand::Admit(admission) => self.admit(admission, now_ms),
+            AgentCommand::Ended { number, end } => self.ended(number, end, now_ms),
+            AgentCommand::SetParameters(parameters) => {
+                self.queue.set_parameters(&parameters, now_ms);
+            }
+            AgentCommand::Drain => {
+                self.is_draining = true;
+                self.queue.drain();
+            }
+        }
+    }
+
+    fn admit(&mut self, admission: CallAdmission, now_ms: u64) {
+        let Some(attempt) = &admission.attempt else {
+            self.offer(admission, now_ms);
+            return;
+        };
+        let decision = if self.is_draining {
+            self.registry
+                .refuse(attempt, RefusalCode::Draining, 0, now_ms)
+        } else {
+            self.registry.admit(attempt, now_ms)
+        };
+        match verdict_of(&decision) {
+            Some(Verdict::Run(_)) => self.offer(admission, now_ms),
+            Some(verdict) => {
+                let _ = admission.reply.send(verdict);
+            }
+            None => self.attach(attempt.clone(), admission.reply),
+        }
+    }
+
+    fn attach(&mut self, attempt: CallAttempt, reply: oneshot::Sender<Verdict>) {
+        self.attached
+            .entry(attempt.call.clone())
+            .or_default()
+            .push(AttachedSend { attempt, reply });
+    }
+
+    fn offer(&mut self, admission: CallAdmission, now_ms: u64) {
+        let number = RequestNumber(self.next_number);
+        self.next_number += 1;
+        let request = QueuedRequest {
+            number,
+            organisation: admission.organisation,
+            deadline_ms: now_ms.saturating_add(admission.time_left_ms),
+            expected_run_ms: self.mean_run_ms.min(admission.time_left_ms),
+        };
+        let pending = PendingCall {
+            attempt: admission.attempt,
+            queued_tokens: admission.queued_tokens,
+            reply: Some(admission.reply),
+            started_ms: now_ms,
+        };
+        self.pending.insert(number, pending);
+        match self.queue.offer(request, now_ms) {
+            Admission::Start(started) => self.start(started.number, now_ms),
+            Admission::Queued {
+                displaced,
+                retry_after_ms,
+            } => {
+                if let Some(displaced) = displaced {
+                    self.give_up(displaced, RefusalCode::QueueFull, retry_after_ms, now_ms);
+                }
+            }
+            Admission::Refused {
+                code,
+                retry_after_ms,
+            } => self.give_up(number, code, retry_after_ms, now_ms),
+        }
+    }
+
+    /// Tells a call to run, unless its caller is gone.
+    fn start(&mut self, number: RequestNumber, now_ms: u64) {
+        let Some(pending) = self.pending.get_mut(&number) else {
+            return;
+        };
+        pending.started_ms = now_ms;
+        let told = pending
+            .reply
+            .take()
+            .is_some_and(|reply| reply.send(Verdict::Run(number)).is_ok());
+        if !told {
+            self.ended(number, CallEnd::NotStarted, now_ms);
+        }
+    }
+
+    /// Refuses a call that has not started; it is voided first.
+    fn give_up(
+        &mut self,
+        number: RequestNumber,
+        code: RefusalCode,
+        retry_after_ms: u64,
+        now_ms: u64,
+    ) {
+        let Some(pending) = self.pending.remove(&number) else {
+            return;
+        };
+        if let Some(attempt) = &pending.attempt {
+            self.registry.not_started(&attempt.call);
+        }
+        if let Some(reply) = pending.reply {
+            let refusal = Refusal::not_run(code, retry_after_ms);
+            let _ = reply.send(Verdict::Refused(refusal));
+        }
+        self.settle_attached(pending.attempt.as_ref(), now_ms);
+    }
+
+    fn ended(&mut self, number: RequestNumber, end: CallEnd, now_ms: u64) {
+        self.queue.finish(number, now_ms);
+        let Some(pending) = self.pending.remove(&number) else {
+            return;
+        };
+        let run_ms = now_ms.saturating_sub(pending.started_ms);
+        if !matches!(end, CallEnd::NotStarted) {
+            self.mean_run_ms -= self.mean_run_ms / MEAN_DIVISOR;
+            self.mean_run_ms += run_ms / MEAN_DIVISOR;
+        }
+        if let Some(attempt) = &pending.attempt {
+            match end {
+                CallEnd::Answered(answer) => {
+                    self.registry.finish(&attempt.call, answer, now_ms);
+                }
+                CallEnd::NotStarted => self.registry.not_started(&attempt.call),
+                CallEnd::Streamed | CallEnd::Lost => self.registry.lose(&attempt.call, now_ms),
+            }
+        }
+        self.settle_attached(pending.attempt.as_ref(), now_ms);
+    }
+
+    /// Decides again on the sends that waited for the end of a call.
+    fn settle_attached(&mut self, ended: Option<&CallAttempt>, now_ms: u64) {
+        let Some(sends) = ended.and_then(|ended| self.attached.remove(&ended.call)) else {
+            return;
+        };
+        for send in sends {
+            let decision = self
+                .registry
+                .refuse(&send.attempt, RefusalCode::CallVoided, 0, now_ms);
+            match verdict_of(&decision) {
+                Some(verdict) => {
+                    let _ = send.reply.send(verdict);
+                }
+                None => self.attach(send.attempt, send.reply),
+            }
+        }
+    }
+
+    fn dispatch(&mut self, now_ms: u64) {
+        for dispatch in self.queue.next(now_ms) {
+            match dispatch {
+                Dispatch::Start(started) => self.start(started.number, now_ms),
+                Dispatch::Expired {
+                    number,
+                    retry_after_ms,
+                } => self.give_up(
+                    number,
+                    RefusalCode::DeadlineUnreachable,
+                    retry_after_ms,
+                    now_ms,
+                ),
+            }
+        }
+    }
+
+    fn publish_load(&self) {
+        let queued_tokens = self
+            .pending
+            .values()
+            .filter(|pending| pending.reply.is_some())
+            .map(|pending| pending.queued_tokens)
+            .sum();
+        self.load.store(Arc::new(LoadReport {
+            running_requests: count(self.queue.running_requests()),
+            queued_requests: count(self.queue.queued_requests()),
+            queued_tokens,
+            capacity: self.capacity,
+            prefill_tokens_per_s: 0,
+        }));
+    }
+}
+
+/// Converts a decision; `None` stands for a send that waits for the running call.
+fn verdict_of(decision: &CallDecision<'_>) -> Option<Verdict> {
+    match decision {
+        CallDecision::Run => Some(Verdict::Run(RequestNumber(0))),
+        CallDecision::Attach => None,
+        CallDecision::Replay(answer) => Some(Verdict::Replay((*answer).clone())),
+        CallDecision::AnswerGone => Some(Verdict::AnswerGone),
+        CallDecision::Refused(refusal) => Some(Verdict::Refused(*refusal)),
+    }
+}
+
+fn count(number: usize) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
+}
--- a/lib/src/agent_server.rs
+++ b/lib/src/agent_server.rs
@@ -2,34 +2,57 @@
 
 use std::pin::Pin;
 use std::sync::Arc;
+use std::time::Duration;
 
-use bytes::Bytes;
 use futures::Stream;
 use serde_json::Value;
 use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::Request;
 use tonic::Response;
 use tonic::Status;
+use xxhash_rust::xxh3::xxh3_64;
 
-use crate::clock::Clock;
+use crate::AttemptNumber;
+use crate::CallAttempt;
+use crate::CallKey;
+use crate::Clock;
+use crate::FrameWriter;
+use crate::Incarnation;
+use crate::Refusal;
+use crate::RefusalCode;
+use crate::RequestNumber;
+use crate::StoredAnswer;
+use crate::agent_duty::AgentCommand;
+use crate::agent_duty::CallAdmission;
+use crate::agent_duty::CallEnd;
+use crate::agent_duty::SharedLoad;
+use crate::agent_duty::Verdict;
 use crate::config_duty::SharedConfig;
+use crate::duty::Duty;
+use crate::duty::DutyError;
 use crate::endpoint_client::EndpointClient;
 use crate::endpoint_client::EndpointError;
-use crate::incarnation::Incarnation;
-use crate::outcome::Outcome;
+use crate::in_flight::InFlight;
+use crate::in_flight::InFlightGuard;
 use crate::protos::control;
 use crate::protos::control::CallFrame;
 use crate::protos::control::CallRequest;
-use crate::protos::control::DataFrame;
-use crate::protos::control::FinalFrame;
-use crate::protos::control::HeadFrame;
 use crate::protos::control::HeartbeatReply;
 use crate::protos::control::HeartbeatRequest;
 use crate::protos::control::agent_server::Agent;
-use crate::protos::control::call_frame::Frame;
 
 const FRAME_RING_CAPACITY: usize = 32;
+const RING_RETRY_DELAY: Duration = Duration::from_millis(1);
+/// Longest wait for the endpoint, far beyond the deadline after which an entry answers.
+const ANSWER_LIMIT: Duration = Duration::from_mins(1);
+const OVERLOAD_RETRY_MS: u64 = 500;
+const BYTES_PER_TOKEN: u64 = 4;
+const COMPLETIONS: &str = "completions";
+const ENDPOINT_ERROR: &str = "endpoint-error";
+const ANSWER_GONE: &str = "answer-no-longer-held";
 
 /// State shared by the agent's request handlers.
 pub(crate) struct AgentState {
@@ -39,6 +62,15 @@
     pub(crate) clock: Clock,
     pub(crate) config: SharedConfig,
     pub(crate) endpoint: EndpointClient,
+    pub(crate) duty: Duty<AgentCommand>,
+    pub(crate) load: SharedLoad,
+    pub(crate) in_flight: InFlight,
+    /// Turns true when the agent takes no new work.
+    pub(crate) leaving: watch::Sender<bool>,
+    /// Addresses of peers that hold a newer configuration.
+    pub(crate) pulls: mpsc::Sender<String>,
+    /// False while the endpoint does not answer.
+    pub(crate) endpoint_up: watch::Receiver<bool>,
 }
 
 /// Serves heartbeats and calls.
@@ -47,6 +79,7 @@
     pub(crate) state: Arc<AgentState>,
 }
 
+type FrameSender = mpsc::Sender<Result<CallFrame, Status>>;
 type FrameStream = Pin<Box<dyn Stream<Item = Result<CallFrame, Status>> + Send>>;
 
 #[tonic::async_trait]
@@ -55,18 +88,27 @@
 
     async fn heartbeat(
         &self,
-        _request: Request<HeartbeatRequest>,
+        request: Request<HeartbeatRequest>,
     ) -> Result<Response<HeartbeatReply>, Status> {
         let state = &self.state;
+        let heartbeat = request.into_inner();
+        if heartbeat.listed_leaving && !*state.leaving.borrow() {
+            state.leaving.send_replace(true);
+        }
+        if heartbeat.config_revision > state.config.load().revision {
+            // A pull that is already under way fetches this revision as well.
+            let _ = state.pulls.try_send(heartbeat.from_address);
+        }
         Ok(Response::new(HeartbeatReply {
             vm_name: state.vm_name.clone(),
             incarnation: state.incarnation.0,
             clock_ms: state.clock.now_ms(),
-            leaving: false,
+            leaving: *state.leaving.borrow(),
             config_revision: state.config.load().revision,
-            load: None,
+            load: Some(**state.load.load()),
             service: state.service.clone(),
-            endpoint_up: true,
+            endpoint_up: *state.endpoint_up.borrow(),
+            quarantined: Vec::new(),
         }))
     }
 
@@ -75,129 +117,207 @@
         request: Request<CallRequest>,
     ) -> Result<Response<Self::CallStream>, Status> {
         let (sender, receiver) = mpsc::channel(FRAME_RING_CAPACITY);
-        let state = Arc::clone(&self.state);
-        tokio::spawn(async move {
-            let call = request.into_inner();
-            let writer = FrameSender {
-                request_id: call.request_id.clone(),
-                sequence: 0,
-                data_frames: 0,
-                hasher: xxhash_rust::xxh3::Xxh3Default::new(),
-                sender,
-            };
-            run_call(&state, call, writer).await;
-        });
+        let call = request.into_inner();
+        let run = CallRun {
+            writer: FrameWriter::new(&call.request_id),
+            state: Arc::clone(&self.state),
+            call,
+            sender,
+            _guard: self.state.in_flight.enter(),
+        };
+        tokio::spawn(run.run());
         Ok(Response::new(Box::pin(ReceiverStream::new(receiver))))
     }
 }
 
-async fn run_call(state: &AgentState, call: CallRequest, mut writer: FrameSender) {
-    let result = if call.call == "completions" {
-        run_completion(state, &call, &mut writer).await
-    } else {
-        run_plain(state, &call, &mut writer).await
-    };
-    let ending = match result {
-        Ok(()) => FinalFrame {
-            outcome: control::Outcome::from(Outcome::Ran).into(),
-            ..FinalFrame::default()
-        },
-        Err(error) => final_of(&error),
-    };
-    writer.finish(ending).await;
+/// One call at the agent.
+struct CallRun {
+    state: Arc<AgentState>,
+    call: CallRequest,
+    writer: FrameWriter,
+    sender: FrameSender,
+    _guard: InFlightGuard,
 }
 
-async fn run_plain(
-    state: &AgentState,
-    call: &CallRequest,
-    writer: &mut FrameSender,
-) -> Result<(), EndpointError> {
-    let answer = state.endpoint.plain(call).await?;
-    writer.head(answer.status, &answer.content_type).await;
-    writer.data(answer.body, 0).await;
-    Ok(())
-}
+impl CallRun {
+    async fn run(self) {
+        match self.admit().await {
+            Ok(Verdict::Run(number)) if self.call.call == COMPLETIONS => self.stream(number).await,
+            Ok(Verdict::Run(number)) => self.answer(number).await,
+            Ok(Verdict::Replay(answer)) => self.send_answer(&answer).await,
+            Ok(Verdict::AnswerGone) => self.answer_gone().await,
+            Ok(Verdict::Refused(refusal)) => self.refuse(&refusal).await,
+            Err(error) => {
+                // A call that may not be repeated is not voided here, so that only "unknown" is
+                // true of it.
+                let refusal = if self.call.idempotent.is_some() {
+                    Refusal::unknown(RefusalCode::QueueFull, OVERLOAD_RETRY_MS)
+                } else {
+                    Refusal::not_run(RefusalCode::QueueFull, OVERLOAD_RETRY_MS)
+                };
+                log::warn!("call {}: {error}", self.call.request_id);
+                self.refuse(&refusal).await;
+            }
+        }
+    }
 
-async fn run_completion(
-    state: &AgentState,
-    call: &CallRequest,
-    writer: &mut FrameSender,
-) -> Result<(), EndpointError> {
-    let body = engine_request(call)?;
-    let mut events = state.endpoint.completion(body).await?;
-    writer.head(200, "text/event-stream").await;
-    while let Some(event) = events.next().await? {
-        if !writer.data(event, 1).await {
-            return Ok(());
+    async fn admit(&self) -> Result<Verdict, DutyError> {
+        let (reply, verdict) = oneshot::channel();
+        let admission = CallAdmission {
+            organisation: self.call.organisation.clone(),
+            attempt: self.attempt(),
+            time_left_ms: self.call.deadline_ms,
+            queued_tokens: self.call.body.len() as u64 / BYTES_PER_TOKEN,
+            reply,
+        };
+        self.state.duty.submit(AgentCommand::Admit(admission))?;
+        if self.call.idempotent.is_some() {
+            return verdict.await.map_err(|_| ended());
         }
+        let mut verdict = verdict;
+        tokio::select! {
+            verdict = &mut verdict => return verdict.map_err(|_| ended()),
+            () = self.sender.closed() => {}
+        }
+        // The duty may have told the call to run just before its caller went away.
+        verdict.close();
+        if let Ok(Verdict::Run(number)) = verdict.try_recv() {
+            self.end(number, CallEnd::NotStarted).await;
+        }
+        Err(ended())
     }
-    Ok(())
-}
 
-fn engine_request(call: &CallRequest) -> Result<Vec<u8>, EndpointError> {
-    let malformed = |reason: String| EndpointError::NotStarted { reason };
-    let mut body: Value =
-        serde_json::from_slice(&call.body).map_err(|error| malformed(error.to_string()))?;
-    body["request_id"] = Value::from(call.request_id.clone());
-    body["resume_after_token"] = Value::from(call.resume_after_token);
-    body["priority"] = Value::from(call.urgency);
-    Ok(body.to_string().into_bytes())
-}
+    fn attempt(&self) -> Option<CallAttempt> {
+        let idempotent = self.call.idempotent.as_ref()?;
+        Some(CallAttempt {
+            call: CallKey::new(&self.call.organisation, &idempotent.key),
+            body_digest: xxh3_64(&self.call.body),
+            incarnation: Incarnation(idempotent.incarnation),
+            stamp_ms: idempotent.stamp_ms,
+            attempt: AttemptNumber::new(idempotent.attempt),
+        })
+    }
 
-fn final_of(error: &EndpointError) -> FinalFrame {
-    let (outcome, code) = match error {
-        EndpointError::NotStarted { .. } => (Outcome::NotRun, "endpoint-unreachable"),
-        EndpointError::Lost { .. } => (Outcome::Unknown, "answer-lost"),
-        EndpointError::Status { .. } => (Outcome::Ran, "endpoint-error"),
-    };
-    FinalFrame {
-        outcome: control::Outcome::from(outcome).into(),
-        code: code.to_owned(),
-        message: error.to_string(),
-        ..FinalFrame::default()
+    /// Runs a plain call to its end, even when its caller has gone: a resend may want the answer.
+    async fn answer(self, number: RequestNumber) {
+        let answered = tokio::time::timeout(ANSWER_LIMIT, self.state.endpoint.plain(&self.call))
+            .await
+            .unwrap_or_else(|_| Err(self.state.endpoint.silent(ANSWER_LIMIT)));
+        match answered {
+            Ok(answer) => {
+                let answer = StoredAnswer {
+                    status: answer.status,
+                    content_type: answer.content_type.into(),
+                    body: answer.body,
+                };
+                self.end(number, CallEnd::Answered(answer.clone())).await;
+                self.send_answer(&answer).await;
+            }
+            Err(error) => self.fail(number, &error).await,
+        }
     }
-}
 
-struct FrameSender {
-    request_id: String,
-    sequence: u64,
-    data_frames: u64,
-    hasher: xxhash_rust::xxh3::Xxh3Default,
-    sender: mpsc::Sender<Result<CallFrame, Status>>,
-}
+    /// Streams a completion for as long as its caller listens.
+    async fn stream(mut self, number: RequestNumber) {
+        let sender = self.sender.clone();
+        let streamed = tokio::select! {
+            streamed = self.stream_events() => streamed,
+            () = sender.closed() => Ok(()),
+        };
+        match streamed {
+            Ok(()) => {
+                self.end(number, CallEnd::Streamed).await;
+                let frame = self.writer.finish();
+                let _ = self.sender.send(Ok(frame)).await;
+            }
+            Err(error) => self.fail(number, &error).await,
+        }
+    }
 
-impl FrameSender {
-    async fn head(&mut self, status: u16, content_type: &str) -> bool {
-        self.send(Frame::Head(HeadFrame {
-            status: u32::from(status),
-            content_type: content_type.to_owned(),
-        }))
-        .await
+    async fn stream_events(&mut self) -> Result<(), EndpointError> {
+        let body = engine_request(&self.call)?;
+        let mut events = self.state.endpoint.completion(body).await?;
+        let head = self.writer.head(200, "text/event-stream");
+        let _ = self.sender.send(Ok(head)).await;
+        while let Some(event) = events.next().await? {
+            let frame = self.writer.data(event.to_vec(), 1);
+            if self.sender.send(Ok(frame)).await.is_err() {
+                return Ok(());
+            }
+        }
+        Ok(())
     }
 
-    async fn data(&mut self, payload: Bytes, tokens: u32) -> bool {
-        self.hasher.update(&payload);
-        self.data_frames += 1;
-        self.send(Frame::Data(DataFrame {
-            payload: payload.to_vec(),
-            tokens,
-        }))
-        .await
+    async fn fail(self, number: RequestNumber, error: &EndpointError) {
+        let message = error.to_string();
+        match error {
+            EndpointError::NotStarted { .. } => {
+                self.end(number, CallEnd::NotStarted).await;
+                let refusal = Refusal::not_run(RefusalCode::EndpointUnreachable, OVERLOAD_RETRY_MS);
+                self.refuse(&refusal).await;
+            }
+            EndpointError::Lost { .. } => {
+                self.end(number, CallEnd::Lost).await;
+                let refusal = Refusal::unknown_for_good(RefusalCode::EndpointLost);
+                let frame = self.writer.refuse(&refusal, &message);
+                let _ = self.sender.send(Ok(frame)).await;
+            }
+            EndpointError::Status { .. } => {
+                self.end(number, CallEnd::Streamed).await;
+                let outcome = control::Outcome::NotRun;
+                let frame = self
+                    .writer
+                    .fail(outcome, ENDPOINT_ERROR, &message, OVERLOAD_RETRY_MS);
+                let _ = self.sender.send(Ok(frame)).await;
+            }
+        }
+    }
+
+    async fn send_answer(mut self, answer: &StoredAnswer) {
+        let head = self.writer.head(answer.status, &answer.content_type);
+        let data = self.writer.data(answer.body.to_vec(), 0);
+        let end = self.writer.finish();
+        for frame in [head, data, end] {
+            if self.sender.send(Ok(frame)).await.is_err() {
+                return;
+            }
+        }
     }
 
-    async fn finish(mut self, mut ending: FinalFrame) {
-        ending.data_frames = self.data_frames;
-        ending.digest = self.hasher.digest();
-        self.send(Frame::Final(ending)).await;
+    async fn answer_gone(self) {
+        let message = "the call ran; its answer is no longer held";
+        let outcome = control::Outcome::Ran;
+        let frame = self.writer.fail(outcome, ANSWER_GONE, message, 0);
+        let _ = self.sender.send(Ok(frame)).await;
     }
 
-    async fn send(&mut self, frame: Frame) -> bool {
-        let frame = CallFrame {
-            request_id: self.request_id.clone(),
-            sequence: self.sequence,
-            frame: Some(frame),
-        };
-        self.sequence += 1;
-        self.sender.send(Ok(frame)).await.is_ok()
+    async fn refuse(self, refusal: &Refusal) {
+        let vm_name = &self.state.vm_name;
+        let message = format!("agent of {vm_name}: {}", refusal.code.as_str());
+        let frame = self.writer.refuse(refusal, &message);
+        let _ = self.sender.send(Ok(frame)).await;
+    }
+
+    /// Reports the end of a call; waits for room in the ring, since an end must not be lost.
+    async fn end(&self, number: RequestNumber, end: CallEnd) {
+        let mut command = AgentCommand::Ended { number, end };
+        while let Err(returned) = self.state.duty.submit_or_return(command) {
+            command = returned;
+            tokio::time::sleep(RING_RETRY_DELAY).await;
+        }
     }
 }
+
+fn ended() -> DutyError {
+    DutyError::Ended { duty: "agent" }
+}
+
+fn engine_request(call: &CallRequest) -> Result<Vec<u8>, EndpointError> {
+    let malformed = |reason: String| EndpointError::NotStarted { reason };
+    let mut body: Value =
+        serde_json::from_slice(&call.body).map_err(|error| malformed(error.to_string()))?;
+    body["request_id"] = Value::from(call.request_id.clone());
+    body["resume_after_token"] = Value::from(call.resume_after_token);
+    body["priority"] = Value::from(call.urgency);
+    Ok(body.to_string().into_bytes())
+}
--- a/lib/src/caller_error.rs
+++ b/lib/src/caller_error.rs
@@ -170,7 +170,7 @@
         || is(RefusalCode::CallVoided)
     {
         StatusCode::CONFLICT
-    } else if is(RefusalCode::QuotaExceeded) {
+    } else if is(RefusalCode::OrganisationLimit) {
         StatusCode::TOO_MANY_REQUESTS
     } else if is(RefusalCode::Quarantined) {
         StatusCode::UNPROCESSABLE_ENTITY
--- a/lib/src/caller_server.rs
+++ b/lib/src/caller_server.rs
@@ -16,8 +16,6 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
-use socket2::SockRef;
-use socket2::TcpKeepalive;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
@@ -29,11 +27,9 @@
 use volo_http::context::ServerContext;
 use volo_http::server::route::Router;
 
+use crate::socket_options;
+
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-const KEEPALIVE_IDLE: Duration = Duration::from_secs(10);
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
-const KEEPALIVE_RETRIES: u32 = 3;
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Bounds of the callers' side.
 #[derive(Debug, Clone, Copy)]
@@ -89,7 +85,7 @@
     header_timeout: Duration,
     mut closing: watch::Receiver<bool>,
 ) {
-    if let Err(error) = configure(&stream) {
+    if let Err(error) = socket_options::configure(&stream) {
         log::debug!("socket options of caller {peer}: {error}");
     }
     let service = service_fn(move |request| handle(Arc::clone(&router), peer, request));
@@ -114,17 +110,6 @@
     let _ = closing.wait_for(|closing| *closing).await;
 }
 
-fn configure(stream: &TcpStream) -> std::io::Result<()> {
-    stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_IDLE)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(KEEPALIVE_RETRIES);
-    socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
-}
-
 async fn handle(
     router: Arc<Router>,
     peer: SocketAddr,
--- a/lib/src/control_loop.rs
+++ b/lib/src/control_loop.rs
@@ -9,13 +9,17 @@
 use crate::config_duty::SharedConfig;
 use crate::duty::Duty;
 use crate::platform_client::PlatformClient;
+use crate::platform_client::VmRecord;
 use crate::protos::control::HeartbeatRequest;
 use crate::protos::control::agent_client::AgentClient;
 use crate::routing_duty::RoutingCommand;
 
+const LEAVING: &str = "leaving";
+
 /// What the loop needs of its process.
 pub(crate) struct ControlLoop {
     pub(crate) vm_name: String,
+    pub(crate) peer_address: String,
     pub(crate) platform: PlatformClient,
     pub(crate) channels: AgentChannels,
     pub(crate) config: SharedConfig,
@@ -40,14 +44,14 @@
         }
     }
 
-    async fn read_list(&self, agents: &mut Vec<String>) {
+    async fn read_list(&self, agents: &mut Vec<VmRecord>) {
         match self.platform.vms().await {
             Ok(list) => {
                 *agents = list
                     .vms
                     .iter()
                     .filter(|vm| vm.role == "endpoint")
-                    .map(|vm| vm.peer_address.clone())
+                    .cloned()
                     .collect();
                 self.channels
                     .retain(|peer| list.vms.iter().any(|vm| vm.peer_address == peer));
@@ -57,11 +61,15 @@
         }
     }
 
-    fn send_heartbeats(&self, agents: &[String]) {
-        for peer_address in agents {
+    fn send_heartbeats(&self, agents: &[VmRecord]) {
+        for agent in agents {
+            let peer_address = &agent.peer_address;
             let heartbeat = HeartbeatRequest {
                 from_vm: self.vm_name.clone(),
                 config_revision: self.config.load().revision,
+                from_address: self.peer_address.clone(),
+                listed_leaving: agent.state == LEAVING,
+                quarantined: Vec::new(),
             };
             tokio::spawn(send_heartbeat(
                 self.channels.clone(),
--- a/lib/src/duty.rs
+++ b/lib/src/duty.rs
@@ -75,6 +75,27 @@
             TrySendError::Disconnected(_) => DutyError::Ended { duty: self.name },
         })
     }
+
+    /// Puts a command into the ring, waiting while it is full; for threads, not for tasks.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the thread has ended.
+    pub(crate) fn submit_waiting(&self, command: C) -> Result<(), DutyError> {
+        self.ring
+            .send(command)
+            .map_err(|_| DutyError::Ended { duty: self.name })
+    }
+
+    /// Puts a command into the ring without waiting, or gives it back when the ring is full.
+    ///
+    /// A command for a thread that has ended is dropped: nothing is left to act on it.
+    pub(crate) fn submit_or_return(&self, command: C) -> Result<(), C> {
+        match self.ring.try_send(command) {
+            Err(TrySendError::Full(command)) => Err(command),
+            Ok(()) | Err(TrySendError::Disconnected(_)) => Ok(()),
+        }
+    }
 }
 
 fn run<C, H>(commands: &Receiver<C>, tick: Duration, mut handle: H)
--- a/lib/src/endpoint_client.rs
+++ b/lib/src/endpoint_client.rs
@@ -146,6 +146,25 @@
         })
     }
 
+    /// Reads the endpoint's load report.
+    pub(crate) async fn load(&self) -> Result<Bytes, EndpointError> {
+        let request = Request::get("/load")
+            .header(HOST, &self.address)
+            .body(Full::new(Bytes::new()))
+            .expect("the load path is a valid URI");
+        let response = http_client::send(&self.address, self.connect_timeout, request).await?;
+        let body = Limited::new(response.into_body(), MAX_EVENT_BYTES)
+            .collect()
+            .await
+            .map_err(|error| self.lost(&error))?;
+        Ok(body.to_bytes())
+    }
+
+    /// Returns the error for an endpoint that accepted a call and stays silent.
+    pub(crate) fn silent(&self, limit: Duration) -> EndpointError {
+        self.lost(&format!("no answer within {} ms", limit.as_millis()))
+    }
+
     fn lost(&self, reason: &impl ToString) -> EndpointError {
         EndpointError::Lost {
             peer: self.address.clone(),
--- a/lib/src/endpoint_daemon.rs
+++ b/lib/src/endpoint_daemon.rs
@@ -3,16 +3,31 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::sync::mpsc;
+use tokio::sync::watch;
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::transport::Server;
 
+use crate::CallRegistry;
+use crate::CallRegistrySettings;
+use crate::FairQueue;
+use crate::FairQueueSettings;
+use crate::agent_channels::AgentChannels;
+use crate::agent_duty::AgentCommand;
+use crate::agent_duty::AgentDuty;
+use crate::agent_duty::SharedLoad;
 use crate::agent_server::AgentServer;
 use crate::agent_server::AgentState;
 use crate::clock::Clock;
 use crate::config_duty;
 use crate::config_duty::SharedConfig;
+use crate::config_pull::ConfigPull;
+use crate::config_view::ConfigView;
 use crate::daemon_error::DaemonError;
+use crate::duty::Duty;
 use crate::endpoint_client::EndpointClient;
+use crate::endpoint_probe;
+use crate::event;
 use crate::in_flight::InFlight;
 use crate::incarnation::Incarnation;
 use crate::listener::announce;
@@ -23,8 +38,17 @@
 use crate::protos::control::agent_server::AgentServer as AgentService;
 use crate::protos::control::peer_server::PeerServer as PeerService;
 use crate::protos::settings::DaemonSettings;
+use crate::protos::settings::EndpointSettings;
 use crate::shutdown;
 
+const MEAN_ANSWER_BYTES: u64 = 4096;
+const DIGEST_WINDOWS: u64 = 100;
+const DIGESTS_PER_RECORD: usize = 10;
+const RETRY_AFTER_MS: u64 = 500;
+const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Time in which heartbeats tell every entry that the agent is leaving.
+const LEAVING_NOTICE: Duration = Duration::from_secs(3);
+
 /// Runs the endpoint role until the process is told to stop.
 ///
 /// # Errors
@@ -32,36 +56,63 @@
 /// Fails when an address is not usable.
 pub async fn run_endpoint(settings: DaemonSettings) -> Result<(), DaemonError> {
     let control = settings.control.unwrap_or_default();
-    let endpoint = settings.endpoint.clone().unwrap_or_default();
+    let endpoint_settings = settings.endpoint.clone().unwrap_or_default();
     let connect_timeout = Duration::from_millis(control.connect_timeout_ms);
-    let platform = PlatformClient::new(&settings.platform_address, connect_timeout);
+    let clock = Clock::start();
+    let incarnation = Incarnation::random();
+    let load = SharedLoad::default();
+    let duty = agent_duty(clock, incarnation, &endpoint_settings, Arc::clone(&load));
+
     let config = SharedConfig::default();
-    let config_duty = config_duty::spawn(Arc::clone(&config));
-    let wait = Duration::from_millis(control.watch_wait_ms);
-    tokio::spawn(config_duty::watch(platform, config_duty, wait));
+    let config_duty = config_duty::spawn(
+        Arc::clone(&config),
+        parameters_setter(duty.clone(), &endpoint_settings.service),
+    );
+    let platform = PlatformClient::new(&settings.platform_address, connect_timeout);
+    let (pulls, pull_requests) = mpsc::channel(1);
+    let config_pull = ConfigPull {
+        vm_name: settings.vm_name.clone(),
+        channels: AgentChannels::new(&control),
+        duty: config_duty.clone(),
+    };
+    tokio::spawn(follow_configuration(platform, config_pull, pull_requests));
 
+    let endpoint = EndpointClient::new(
+        &endpoint_settings.endpoint_address,
+        connect_timeout,
+        usize::try_from(endpoint_settings.max_answer_bytes).unwrap_or(usize::MAX),
+    );
+    let (up, endpoint_up) = watch::channel(false);
+    tokio::spawn(endpoint_probe::run(endpoint.clone(), up));
     let in_flight = InFlight::default();
-    let incarnation = Incarnation::random();
+    let draining = shutdown::listen();
+    let (leaving, left) = watch::channel(false);
+    tokio::spawn(forward(draining.clone(), leaving.clone()));
+    let (close, closing) = watch::channel(false);
+    tokio::spawn(stop_admitting(left, duty.clone()));
+    tokio::spawn(drain(draining.clone(), in_flight.clone(), close));
     let peer_state = PeerState {
         vm_name: settings.vm_name.clone(),
         role: "endpoint",
         incarnation,
-        draining: shutdown::listen(),
+        draining: leaving.subscribe(),
         config: Arc::clone(&config),
-        in_flight,
+        in_flight: in_flight.clone(),
+        config_duty,
     };
-    let max_answer_bytes = usize::try_from(endpoint.max_answer_bytes).unwrap_or(usize::MAX);
     let state = AgentState {
-        vm_name: settings.vm_name.clone(),
-        service: endpoint.service.clone(),
+        vm_name: settings.vm_name,
+        service: endpoint_settings.service,
         incarnation,
-        clock: Clock::start(),
+        clock,
         config,
-        endpoint: EndpointClient::new(
-            &endpoint.endpoint_address,
-            connect_timeout,
-            max_answer_bytes,
-        ),
+        endpoint,
+        duty,
+        load,
+        in_flight,
+        leaving,
+        pulls,
+        endpoint_up,
     };
     let server = AgentServer {
         state: Arc::new(state),
@@ -74,10 +125,113 @@
     Server::builder()
         .add_service(AgentService::new(server))
         .add_service(PeerService::new(peer_server))
-        .serve_with_incoming(TcpListenerStream::new(listener))
+        .serve_with_incoming_shutdown(TcpListenerStream::new(listener), closed(closing))
         .await
         .map_err(|source| DaemonError::Serve {
             address: settings.peer_address,
             source: Box::new(source),
         })
 }
+
+/// Starts the duty that admits calls.
+fn agent_duty(
+    clock: Clock,
+    incarnation: Incarnation,
+    settings: &EndpointSettings,
+    load: SharedLoad,
+) -> Duty<AgentCommand> {
+    let max_records = settings.max_call_records as usize;
+    let registry_settings = CallRegistrySettings::builder()
+        .max_records(max_records)
+        .max_voids(max_records)
+        .max_answer_bytes(max_records as u64 * MEAN_ANSWER_BYTES)
+        .answer_window_ms(settings.answer_window_ms)
+        .digest_horizon_ms(settings.answer_window_ms.saturating_mul(DIGEST_WINDOWS))
+        .max_digests(max_records * DIGESTS_PER_RECORD)
+        .retry_after_ms(RETRY_AFTER_MS)
+        .build();
+    let queue_settings = FairQueueSettings::builder()
+        .capacity(settings.capacity)
+        .max_queued_requests(settings.max_queued_requests)
+        .build();
+    AgentDuty::new(
+        clock,
+        CallRegistry::new(registry_settings, incarnation),
+        FairQueue::new(queue_settings),
+        settings.capacity,
+        load,
+    )
+    .spawn()
+}
+
+/// Returns what puts the parameters of the agent's own service in force.
+fn parameters_setter(
+    duty: Duty<AgentCommand>,
+    service: &str,
+) -> impl Fn(&ConfigView) + Send + 'static {
+    let service = service.to_owned();
+    move |view| {
+        let organisations = view
+            .service(&service)
+            .map(|service| service.template().organisations.clone())
+            .unwrap_or_default();
+        if let Err(error) = duty.submit_waiting(AgentCommand::SetParameters(organisations)) {
+            log::warn!("parameters of service \"{service}\": {error}");
+        }
+    }
+}
+
+/// Marks the agent as leaving when its process is told to stop.
+async fn forward(mut draining: watch::Receiver<bool>, leaving: watch::Sender<bool>) {
+    if draining.wait_for(|draining| *draining).await.is_ok() {
+        leaving.send_replace(true);
+    }
+}
+
+/// Refuses new calls once the agent is leaving, by its own word or by the platform's list.
+async fn stop_admitting(mut leaving: watch::Receiver<bool>, duty: Duty<AgentCommand>) {
+    if leaving.wait_for(|leaving| *leaving).await.is_err() {
+        return;
+    }
+    event!(DrainStarted);
+    while duty.submit_or_return(AgentCommand::Drain).is_err() {
+        tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
+    }
+}
+
+/// Reads the whole configuration once, then pulls what entries announce.
+///
+/// An agent does not watch the configuration service: its calls would grow with the fleet.
+async fn follow_configuration(
+    platform: PlatformClient,
+    config_pull: ConfigPull,
+    mut pulls: mpsc::Receiver<String>,
+) {
+    if let Err(error) = config_duty::read_once(&platform, &config_pull.duty).await {
+        event!(ConfigServiceFailed, "{error}");
+    }
+    while let Some(peer) = pulls.recv().await {
+        config_pull.pull(&peer).await;
+    }
+}
+
+/// Lets entries learn that the agent is leaving, and closes the server when no call is left.
+async fn drain(
+    mut draining: watch::Receiver<bool>,
+    in_flight: InFlight,
+    close: watch::Sender<bool>,
+) {
+    if draining.wait_for(|draining| *draining).await.is_err() {
+        return;
+    }
+    tokio::time::sleep(LEAVING_NOTICE).await;
+    while in_flight.count() > 0 {
+        tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
+    }
+    event!(DrainFinished);
+    let _ = close.send(true);
+}
+
+async fn closed(mut closing: watch::Receiver<bool>) {
+    let _ = closing.wait_for(|closing| *closing).await;
+}
--- a/lib/src/entry_daemon.rs
+++ b/lib/src/entry_daemon.rs
@@ -38,6 +38,7 @@
 use crate::incarnation::Incarnation;
 use crate::listener::announce;
 use crate::listener::listen;
+use crate::listener::local_address;
 use crate::peer_server::PeerServer;
 use crate::peer_server::PeerState;
 use crate::plain_call;
@@ -62,9 +63,13 @@
     let connect_timeout = Duration::from_millis(control.connect_timeout_ms);
     let platform = PlatformClient::new(&settings.platform_address, connect_timeout);
     let config = SharedConfig::default();
-    let config_duty = config_duty::spawn(Arc::clone(&config));
+    let config_duty = config_duty::spawn(Arc::clone(&config), |_| {});
     let wait = Duration::from_millis(control.watch_wait_ms);
-    tokio::spawn(config_duty::watch(platform.clone(), config_duty, wait));
+    tokio::spawn(config_duty::watch(
+        platform.clone(),
+        config_duty.clone(),
+        wait,
+    ));
 
     let channels = AgentChannels::new(&control);
     let routing_settings = RoutingSettings {
@@ -73,8 +78,12 @@
         retry_percent: entry.retry_budget_percent,
     };
     let routing = routing_duty::spawn(Clock::start(), routing_settings);
+    let peer_listener = listen("peer_address", &settings.peer_address).await?;
+    announce("peers", &peer_listener);
+    let peer_address = local_address(&peer_listener);
     let control_loop = ControlLoop {
         vm_name: settings.vm_name.clone(),
+        peer_address,
         platform,
         channels: channels.clone(),
         config: Arc::clone(&config),
@@ -98,9 +107,8 @@
         draining: draining.clone(),
         config: Arc::clone(&config),
         in_flight: in_flight.clone(),
+        config_duty,
     };
-    let peer_listener = listen("peer_address", &settings.peer_address).await?;
-    announce("peers", &peer_listener);
     let peer_server = PeerServer {
         state: Arc::new(peer_state),
     };
--- a/lib/src/http_client.rs
+++ b/lib/src/http_client.rs
@@ -25,6 +25,8 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
+use crate::socket_options;
+
 /// Why a request has no response.
 #[derive(Debug, Snafu)]
 pub enum HttpError {
@@ -97,9 +99,7 @@
         .await
         .map_err(|_| not_written(format!("timeout after {} ms", timeout.as_millis())))?
         .map_err(|error| not_written(error.to_string()))?;
-    stream
-        .set_nodelay(true)
-        .map_err(|error| not_written(error.to_string()))?;
+    socket_options::configure(&stream).map_err(|error| not_written(error.to_string()))?;
     Ok(stream)
 }
 
--- a/lib/src/listener.rs
+++ b/lib/src/listener.rs
@@ -26,7 +26,13 @@
 
 /// Prints the address of a listening socket, which port 0 leaves to the operating system.
 pub(crate) fn announce(name: &str, listener: &TcpListener) {
-    if let Ok(address) = listener.local_addr() {
-        println!("{name} {address}");
-    }
+    println!("{name} {}", local_address(listener));
+}
+
+/// Returns the address of a listening socket.
+pub(crate) fn local_address(listener: &TcpListener) -> String {
+    listener
+        .local_addr()
+        .map(|address| address.to_string())
+        .unwrap_or_default()
 }
--- a/lib/src/peer_server.rs
+++ b/lib/src/peer_server.rs
@@ -2,14 +2,18 @@
 
 use std::sync::Arc;
 
+use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tonic::Request;
 use tonic::Response;
 use tonic::Status;
 
+use crate::config_duty::ConfigCommand;
 use crate::config_duty::SharedConfig;
+use crate::duty::Duty;
 use crate::in_flight::InFlight;
 use crate::incarnation::Incarnation;
+use crate::protos::control::ConfigValue;
 use crate::protos::control::ExchangeReply;
 use crate::protos::control::ExchangeRequest;
 use crate::protos::control::StatusReply;
@@ -24,6 +28,23 @@
     pub(crate) draining: watch::Receiver<bool>,
     pub(crate) config: SharedConfig,
     pub(crate) in_flight: InFlight,
+    pub(crate) config_duty: Duty<ConfigCommand>,
+}
+
+impl PeerState {
+    /// Returns the values that the peer lacks.
+    async fn newer(&self, exchange: ExchangeRequest) -> Result<Vec<ConfigValue>, Status> {
+        let busy = |_| Status::resource_exhausted("configuration duty is busy");
+        let (reply, newer) = oneshot::channel();
+        let command = ConfigCommand::Newer {
+            have: exchange.have,
+            reply,
+        };
+        self.config_duty.submit(command).map_err(busy)?;
+        newer
+            .await
+            .map_err(|_| Status::unavailable("configuration duty has ended"))
+    }
 }
 
 /// Serves exchanges and status.
@@ -36,14 +57,17 @@
 impl Peer for PeerServer {
     async fn exchange(
         &self,
-        _request: Request<ExchangeRequest>,
+        request: Request<ExchangeRequest>,
     ) -> Result<Response<ExchangeReply>, Status> {
         let state = &self.state;
+        let exchange = request.into_inner();
+        let newer = state.newer(exchange).await?;
         Ok(Response::new(ExchangeReply {
             vm_name: state.vm_name.clone(),
             incarnation: state.incarnation.0,
             config_revision: state.config.load().revision,
             leaving: *state.draining.borrow(),
+            newer,
             ..ExchangeReply::default()
         }))
     }
--- a/lib/src/refusal_code.rs
+++ b/lib/src/refusal_code.rs
@@ -30,7 +30,7 @@
     /// The queue of the endpoint is full.
     QueueFull,
     /// The organisation has as many requests in flight as it may.
-    QuotaExceeded,
+    OrganisationLimit,
     /// The queue is too long for the deadline.
     DeadlineUnreachable,
     /// The deadline could not be met by an idle endpoint either.
@@ -41,6 +41,10 @@
     Overloaded,
     /// The process is shutting down.
     Draining,
+    /// No parameters in force name the organisation.
+    UnknownOrganisation,
+    /// The number of the request is already queued or running.
+    DuplicateRequest,
     /// The content crashed endpoints before.
     Quarantined,
 }
@@ -62,12 +66,14 @@
             Self::EndpointLost => "endpoint-lost",
             Self::EndpointUnreachable => "endpoint-unreachable",
             Self::QueueFull => "queue-full",
-            Self::QuotaExceeded => "quota-exceeded",
+            Self::OrganisationLimit => "organisation-limit",
             Self::DeadlineUnreachable => "deadline-unreachable",
             Self::DeadlineTooShort => "deadline-too-short",
             Self::NoEndpoint => "no-endpoint",
             Self::Overloaded => "overloaded",
             Self::Draining => "draining",
+            Self::UnknownOrganisation => "unknown-organisation",
+            Self::DuplicateRequest => "duplicate-request",
             Self::Quarantined => "quarantined",
         }
     }
--- a/lib/tests/test_events.rs
+++ b/lib/tests/test_events.rs
@@ -5,7 +5,7 @@
 
 const CATALOGUE: &str = include_str!("../../docs/events.md");
 
-fn row(event: &Event) -> String {
+fn row(event: Event) -> String {
     format!(
         "| {event} | {} | {} | {} |",
         event.level().as_str().to_lowercase(),
@@ -24,7 +24,7 @@
             format!("| {} |", cells[1..5].join(" | "))
         })
         .collect();
-    let declared: Vec<String> = Event::ALL.iter().map(row).collect();
+    let declared: Vec<String> = Event::ALL.iter().copied().map(row).collect();
     expect_that!(listed, container_eq(declared));
 }
 
--- a/lib/tests/test_fair_queue_machine.rs
+++ b/lib/tests/test_fair_queue_machine.rs
@@ -145,6 +145,7 @@
                 RefusalCode::QueueFull => assert_eq!(self.waiting.len(), MAX_QUEUED),
                 RefusalCode::DeadlineUnreachable => assert!(!in_time || !idle),
                 RefusalCode::DuplicateRequest => panic!("number {} is new", self.next_number),
+                code => panic!("a queue does not refuse with {code:?}"),
             },
         }
     }
--- a/lib/testutils/src/fleet.rs
+++ b/lib/testutils/src/fleet.rs
@@ -32,7 +32,7 @@
     "keepalive_interval_ms: 500",
     "keepalive_timeout_ms: 500",
 ];
-const DEFAULT_ENTRY: [&str; 8] = [
+const DEFAULT_ENTRY: [&str; 7] = [
     "address_lifetime_ms: 1000",
     "max_body_bytes: 1048576",
     "header_timeout_ms: 5000",
@@ -40,7 +40,6 @@
     "max_connections: 1024",
     "endpoints_per_service: 16",
     "retry_budget_percent: 20",
-    "# The caller address is set for each entry.",
 ];
 const DEFAULT_ENDPOINT: [&str; 5] = [
     "capacity: 8",
@@ -424,7 +423,7 @@
     fn common_settings(&self, role: &str, vm_name: &str, zone: &str, peer_address: &str) -> String {
         let mut settings = format!(
             "role: {role}\nvm_name: {vm_name}\nregion: cr-central\navailability_zone: {zone}\n\
-             peer_address: \"{peer_address}\"\nplatform_address: \"{}\"\npeer_key: local-fleet\n",
+             peer_address: \"{peer_address}\"\nplatform_address: \"{}\"\npeer_key: local-fleet-of-tests\n",
             self.platform_address,
         );
         if !self.plan.control_settings.is_empty() {
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod fleet;
 pub mod http;
 pub mod process;
+pub mod relay;
