expert maps: agreement of all ranks on one map in every step

Cause: lock-step ranks must change their expert map at one step, although agents restart and forget, messages come late, doubled or never, two coordinators run at once and some engines obey orders of any age.

A participant per rank (rules for promises, ballots, read-back) and a coordinator (read, prepare, commit; recovery that hears all ranks) are pure state machines after the RankGroup messages. The schema gains the run of the agent that a request is addressed to, the map that a recovery asks about and typed refusals.

Ruled out: lease of a leader, majority agreement (docs/design/expert_maps.md). Found while arguing: a recovery must name its map, since a rank read before the map existed would seem never to prepare it; and a prepare must be bound to the run of the agent, since a restarted agent forgets that it voided the map.

--- /dev/null
+++ b/lib/src/map_outcome.rs
@@ -0,0 +1,25 @@
+//! How a coordinator's run ended.
+
+use pomeloramp_proc_macros::key;
+
+/// How the run of a [`MapCoordinator`](crate::MapCoordinator) ended.
+#[key]
+pub enum MapOutcome {
+    /// The proposed map is or will be used by all ranks.
+    Committed {
+        /// Id of the map.
+        map_id: u64,
+    },
+    /// The proposed map is used by no rank and never will be.
+    Aborted {
+        /// Id of the map.
+        map_id: u64,
+    },
+    /// A later map is in use; the fate of the proposed one is no longer known.
+    Superseded {
+        /// Id of the proposed map.
+        map_id: u64,
+    },
+    /// Nothing was proposed, and no rank has an undecided map.
+    Settled,
+}
--- /dev/null
+++ b/lib/src/map_participant.rs
@@ -0,0 +1,472 @@
+//! A rank's part in the agreement on expert maps.
+//!
+//! The argument for the rules is in `docs/design/expert_maps.md`.
+
+use crate::Incarnation;
+use crate::MapAction;
+use crate::MapEngineReport;
+use crate::MapOrder;
+use crate::MapReply;
+use crate::MapRequest;
+use crate::protos::control::DecideMapReply;
+use crate::protos::control::DecideMapRequest;
+use crate::protos::control::MapRefusal;
+use crate::protos::control::MapStateReply;
+use crate::protos::control::MapStateRequest;
+use crate::protos::control::PrepareMapReply;
+use crate::protos::control::PrepareMapRequest;
+
+const ASK_PEERS_AFTER_MS: u64 = 200;
+const RECOVER_AFTER_MS: u64 = 500;
+const RECOVER_STAGGER_MS: u64 = 20;
+
+/// Decides what the agent of one rank promises and orders its engine to do.
+///
+/// A new participant stands for a new run of the agent: it knows nothing until its engine has
+/// reported, and takes no order before.
+#[derive(Debug)]
+pub struct MapParticipant {
+    agent_incarnation: Incarnation,
+    rank: u64,
+    highest_ballot: u64,
+    engine: Option<MapEngineReport>,
+    pending: Option<PendingOrder>,
+    /// The staged map that this run read back at its start or ordered itself.
+    known_staged_map_id: u64,
+    committed_map_id: u64,
+    aborted_map_id: u64,
+    undecided_since_ms: Option<u64>,
+    held_since_ms: Option<u64>,
+    now_ms: u64,
+}
+
+#[derive(Debug)]
+enum PendingOrder {
+    Read,
+    Stage {
+        call: u64,
+        request: PrepareMapRequest,
+    },
+    Commit {
+        call: Option<u64>,
+        map_id: u64,
+    },
+    Release {
+        call: Option<u64>,
+        map_id: u64,
+        is_decision: bool,
+    },
+}
+
+impl MapParticipant {
+    /// Creates the participant of `rank` for a new run of its agent.
+    #[must_use]
+    pub fn new(agent_incarnation: Incarnation, rank: u64) -> Self {
+        Self {
+            agent_incarnation,
+            rank,
+            highest_ballot: 0,
+            engine: None,
+            pending: None,
+            known_staged_map_id: 0,
+            committed_map_id: 0,
+            aborted_map_id: 0,
+            undecided_since_ms: None,
+            held_since_ms: None,
+            now_ms: 0,
+        }
+    }
+
+    /// Handles a request; `call` comes back with the reply, at once or after an engine report.
+    pub fn on_request(&mut self, call: u64, request: &MapRequest) -> Vec<MapAction> {
+        match request {
+            MapRequest::Prepare(request) => self.prepare(call, request),
+            MapRequest::Decide(request) => self.decide(call, request),
+            MapRequest::State(request) => vec![self.state(call, *request)],
+        }
+    }
+
+    /// Handles the engine's answer to the order in flight.
+    pub fn on_engine_report(&mut self, report: MapEngineReport, now_ms: u64) -> Vec<MapAction> {
+        self.now_ms = now_ms;
+        let is_new_group = self
+            .engine
+            .is_none_or(|engine| engine.group_incarnation != report.group_incarnation);
+        let pending = self.pending.take();
+        self.engine = Some(report);
+        if is_new_group {
+            self.read_back(report);
+        }
+        let mut actions = match pending {
+            None | Some(PendingOrder::Read) => Vec::new(),
+            Some(PendingOrder::Stage { call, request }) => self.staged(call, &request, report),
+            Some(PendingOrder::Commit { call, map_id }) => {
+                self.committed(call, map_id, report).into_iter().collect()
+            }
+            Some(PendingOrder::Release {
+                call,
+                map_id,
+                is_decision,
+            }) => {
+                if is_decision {
+                    self.aborted_map_id = map_id;
+                }
+                let reply = call.map(|call| self.decide_reply(call, MapRefusal::Unspecified));
+                reply.into_iter().collect()
+            }
+        };
+        self.note_waits(report);
+        actions.extend(self.drop_unpromised(report));
+        actions
+    }
+
+    /// Handles the loss of the connection to the engine; the order in flight may have taken effect.
+    pub fn on_engine_lost(&mut self) -> Vec<MapAction> {
+        self.engine = None;
+        let call = match self.pending.take() {
+            Some(PendingOrder::Stage { call, .. }) => {
+                Some(self.prepare_reply(call, MapRefusal::Busy))
+            }
+            Some(PendingOrder::Commit { call, .. } | PendingOrder::Release { call, .. }) => {
+                call.map(|call| self.decide_reply(call, MapRefusal::Busy))
+            }
+            Some(PendingOrder::Read) | None => None,
+        };
+        call.into_iter().collect()
+    }
+
+    /// Learns a decision from another rank's unballoted state.
+    pub fn on_peer_state(&mut self, peer: &MapStateReply) -> Vec<MapAction> {
+        let Some(engine) = self.engine else {
+            return Vec::new();
+        };
+        let Some(staged) = engine.undecided() else {
+            return Vec::new();
+        };
+        let is_same_group = peer.group_incarnation == engine.group_incarnation;
+        if self.pending.is_some() || !is_same_group {
+            return Vec::new();
+        }
+        let map_id = staged.map_id;
+        if peer.committed_map_id == map_id || peer.active_map_id == map_id {
+            return vec![self.order_commit(None, map_id)];
+        }
+        if peer.aborted_map_id == map_id {
+            return vec![self.order_release(None, map_id, true)];
+        }
+        Vec::new()
+    }
+
+    /// Polls the engine and pushes on an undecided map; call it at a steady interval.
+    pub fn tick(&mut self, now_ms: u64) -> Vec<MapAction> {
+        self.now_ms = now_ms;
+        let mut actions = Vec::new();
+        if self.pending.is_none() {
+            self.pending = Some(PendingOrder::Read);
+            actions.push(MapAction::Order(MapOrder::Read));
+        }
+        let Some(since_ms) = self.undecided_since_ms else {
+            return actions;
+        };
+        let waited_ms = now_ms.saturating_sub(since_ms);
+        if waited_ms >= ASK_PEERS_AFTER_MS {
+            actions.push(MapAction::AskPeers);
+        }
+        if waited_ms >= RECOVER_AFTER_MS + self.rank * RECOVER_STAGGER_MS {
+            self.undecided_since_ms = Some(now_ms);
+            actions.push(MapAction::Recover);
+        }
+        actions
+    }
+
+    /// Returns the engine's last report, if this run of the agent has one.
+    #[must_use]
+    pub fn engine(&self) -> Option<MapEngineReport> {
+        self.engine
+    }
+
+    fn prepare(&mut self, call: u64, request: &PrepareMapRequest) -> Vec<MapAction> {
+        let refusal = self.check_prepare(request);
+        if refusal != MapRefusal::Unspecified {
+            return vec![self.prepare_reply(call, refusal)];
+        }
+        let Some(map) = request.map.clone() else {
+            return vec![self.prepare_reply(call, MapRefusal::Invalid)];
+        };
+        if self.undecided_map_id() == map.map_id {
+            return vec![self.prepare_reply(call, MapRefusal::Unspecified)];
+        }
+        self.pending = Some(PendingOrder::Stage {
+            call,
+            request: request.clone(),
+        });
+        vec![MapAction::Order(MapOrder::Stage {
+            map,
+            switch_step: request.switch_step,
+        })]
+    }
+
+    fn check_prepare(&mut self, request: &PrepareMapRequest) -> MapRefusal {
+        let refusal = self.check_address(request.group_incarnation, request.agent_incarnation);
+        if refusal != MapRefusal::Unspecified {
+            return refusal;
+        }
+        if self.pending.is_some() {
+            return MapRefusal::Busy;
+        }
+        let map_id = request.map.as_ref().map_or(0, |map| map.map_id);
+        if map_id == 0 || map_id != request.ballot {
+            return MapRefusal::Invalid;
+        }
+        if request.ballot < self.highest_ballot {
+            return MapRefusal::LowerBallot;
+        }
+        if self.undecided_map_id() == map_id {
+            return MapRefusal::Unspecified;
+        }
+        if request.ballot == self.highest_ballot {
+            // The map was refused before, and the refusal is final.
+            return MapRefusal::LowerBallot;
+        }
+        self.highest_ballot = request.ballot;
+        let Some(engine) = self.engine else {
+            return MapRefusal::NotReady;
+        };
+        if engine.staged.is_some() {
+            return MapRefusal::MapPending;
+        }
+        if engine.step >= request.switch_step {
+            return MapRefusal::StepPassed;
+        }
+        MapRefusal::Unspecified
+    }
+
+    fn staged(
+        &mut self,
+        call: u64,
+        request: &PrepareMapRequest,
+        report: MapEngineReport,
+    ) -> Vec<MapAction> {
+        let map_id = request.ballot;
+        let is_staged = report
+            .uncommitted()
+            .is_some_and(|staged| staged.map_id == map_id);
+        if !is_staged {
+            return vec![self.prepare_reply(call, MapRefusal::NotStaged)];
+        }
+        self.known_staged_map_id = map_id;
+        let refusal = if report.group_incarnation != request.group_incarnation {
+            MapRefusal::OtherGroup
+        } else if report.step >= request.switch_step {
+            MapRefusal::StepPassed
+        } else {
+            return vec![self.prepare_reply(call, MapRefusal::Unspecified)];
+        };
+        // No promise was given, so that the map can be dropped without asking anyone.
+        let release = self.order_release(None, map_id, false);
+        vec![release, self.prepare_reply(call, refusal)]
+    }
+
+    fn decide(&mut self, call: u64, request: &DecideMapRequest) -> Vec<MapAction> {
+        let refusal = self.check_ballot(
+            request.group_incarnation,
+            request.agent_incarnation,
+            request.ballot,
+        );
+        if refusal != MapRefusal::Unspecified {
+            return vec![self.decide_reply(call, refusal)];
+        }
+        if request.map_id == 0 {
+            return vec![self.decide_reply(call, MapRefusal::Invalid)];
+        }
+        if self.pending.is_some() {
+            return vec![self.decide_reply(call, MapRefusal::Busy)];
+        }
+        let map_id = request.map_id;
+        if self.undecided_map_id() == map_id {
+            let order = if request.commit {
+                self.order_commit(Some(call), map_id)
+            } else {
+                self.order_release(Some(call), map_id, true)
+            };
+            return vec![order];
+        }
+        let has_committed = self.has_committed(map_id);
+        let refusal = match (request.commit, has_committed) {
+            (true, true) => MapRefusal::Unspecified,
+            (true, false) => MapRefusal::NotStaged,
+            (false, true) => MapRefusal::Contradicts,
+            (false, false) => {
+                self.aborted_map_id = map_id;
+                MapRefusal::Unspecified
+            }
+        };
+        vec![self.decide_reply(call, refusal)]
+    }
+
+    fn committed(
+        &mut self,
+        call: Option<u64>,
+        map_id: u64,
+        report: MapEngineReport,
+    ) -> Option<MapAction> {
+        let refusal = if report.has_committed(map_id) {
+            self.committed_map_id = map_id;
+            MapRefusal::Unspecified
+        } else {
+            MapRefusal::NotStaged
+        };
+        call.map(|call| self.decide_reply(call, refusal))
+    }
+
+    fn state(&mut self, call: u64, request: MapStateRequest) -> MapAction {
+        let mut refusal = if self.engine.is_none() {
+            MapRefusal::NotReady
+        } else {
+            MapRefusal::Unspecified
+        };
+        if request.ballot > 0 {
+            refusal = self.check_ballot(
+                request.group_incarnation,
+                request.agent_incarnation,
+                request.ballot,
+            );
+        }
+        MapAction::Reply {
+            call,
+            reply: MapReply::State(self.state_reply(refusal)),
+        }
+    }
+
+    /// Checks a message that carries a ballot, and takes note of the ballot.
+    fn check_ballot(&mut self, group: u64, agent: u64, ballot: u64) -> MapRefusal {
+        let refusal = self.check_address(group, agent);
+        if refusal != MapRefusal::Unspecified {
+            return refusal;
+        }
+        let is_read = matches!(self.pending, None | Some(PendingOrder::Read));
+        if !is_read {
+            return MapRefusal::Busy;
+        }
+        if ballot < self.highest_ballot {
+            return MapRefusal::LowerBallot;
+        }
+        self.highest_ballot = ballot;
+        MapRefusal::Unspecified
+    }
+
+    fn check_address(&self, group: u64, agent: u64) -> MapRefusal {
+        let Some(engine) = self.engine else {
+            return MapRefusal::NotReady;
+        };
+        if engine.group_incarnation != group {
+            return MapRefusal::OtherGroup;
+        }
+        if self.agent_incarnation.0 != agent {
+            return MapRefusal::OtherIncarnation;
+        }
+        MapRefusal::Unspecified
+    }
+
+    fn read_back(&mut self, report: MapEngineReport) {
+        self.known_staged_map_id = report.staged.map_or(0, |staged| staged.map_id);
+        self.highest_ballot = self
+            .highest_ballot
+            .max(report.active_map_id)
+            .max(self.known_staged_map_id);
+    }
+
+    fn note_waits(&mut self, report: MapEngineReport) {
+        self.undecided_since_ms = report
+            .undecided()
+            .map(|_| self.undecided_since_ms.unwrap_or(self.now_ms));
+        self.held_since_ms = report
+            .held
+            .then(|| self.held_since_ms.unwrap_or(self.now_ms));
+    }
+
+    /// Releases a staged map that cannot have been promised: one that an earlier run of the agent
+    /// ordered and that came late, or one that was staged after its switch step had begun.
+    fn drop_unpromised(&mut self, report: MapEngineReport) -> Option<MapAction> {
+        let staged = report.uncommitted()?;
+        let is_known = staged.map_id == self.known_staged_map_id;
+        if self.pending.is_some() || (is_known && !report.is_overrun()) {
+            return None;
+        }
+        Some(self.order_release(None, staged.map_id, false))
+    }
+
+    fn order_commit(&mut self, call: Option<u64>, map_id: u64) -> MapAction {
+        self.pending = Some(PendingOrder::Commit { call, map_id });
+        MapAction::Order(MapOrder::Commit { map_id })
+    }
+
+    fn order_release(&mut self, call: Option<u64>, map_id: u64, is_decision: bool) -> MapAction {
+        self.pending = Some(PendingOrder::Release {
+            call,
+            map_id,
+            is_decision,
+        });
+        MapAction::Order(MapOrder::Release { map_id })
+    }
+
+    fn undecided_map_id(&self) -> u64 {
+        self.engine
+            .and_then(|engine| engine.undecided())
+            .map_or(0, |staged| staged.map_id)
+    }
+
+    fn has_committed(&self, map_id: u64) -> bool {
+        let in_engine = self
+            .engine
+            .is_some_and(|engine| engine.has_committed(map_id));
+        in_engine || self.committed_map_id == map_id
+    }
+
+    fn prepare_reply(&self, call: u64, reason: MapRefusal) -> MapAction {
+        let promised = reason == MapRefusal::Unspecified;
+        let refusal = if promised { "" } else { reason.as_str_name() };
+        MapAction::Reply {
+            call,
+            reply: MapReply::Prepare(PrepareMapReply {
+                promised,
+                highest_ballot: self.highest_ballot,
+                current_step: self.engine.map_or(0, |engine| engine.step),
+                refusal: refusal.to_owned(),
+                reason: reason.into(),
+            }),
+        }
+    }
+
+    fn decide_reply(&self, call: u64, reason: MapRefusal) -> MapAction {
+        MapAction::Reply {
+            call,
+            reply: MapReply::Decide(DecideMapReply {
+                accepted: reason == MapRefusal::Unspecified,
+                highest_ballot: self.highest_ballot,
+                reason: reason.into(),
+            }),
+        }
+    }
+
+    fn state_reply(&self, reason: MapRefusal) -> MapStateReply {
+        let staged = self.engine.and_then(|engine| engine.staged);
+        let committed = staged.filter(|staged| staged.committed);
+        let held_ms = self
+            .held_since_ms
+            .map_or(0, |since_ms| self.now_ms.saturating_sub(since_ms));
+        MapStateReply {
+            highest_ballot: self.highest_ballot,
+            current_step: self.engine.map_or(0, |engine| engine.step),
+            active_map_id: self.engine.map_or(0, |engine| engine.active_map_id),
+            prepared_map_id: self.undecided_map_id(),
+            switch_step: staged.map_or(0, |staged| staged.switch_step),
+            committed_map_id: committed.map_or(self.committed_map_id, |staged| staged.map_id),
+            aborted_map_id: self.aborted_map_id,
+            agent_incarnation: self.agent_incarnation.0,
+            group_incarnation: self.engine.map_or(0, |engine| engine.group_incarnation),
+            reason: reason.into(),
+            held_ms,
+        }
+    }
+}
--- a/lib/src/protos/pomeloramp.control.rs
+++ b/lib/src/protos/pomeloramp.control.rs
@@ -302,10 +302,14 @@
     pub group_incarnation: u64,
     #[prost(uint64, tag = "2")]
     pub ballot: u64,
+    /// Its id equals the ballot, so that an id is never used twice.
     #[prost(message, optional, tag = "3")]
     pub map: ::core::option::Option<ExpertMap>,
     #[prost(uint64, tag = "4")]
     pub switch_step: u64,
+    /// The run of the agent to which the request is addressed.
+    #[prost(uint64, tag = "5")]
+    pub agent_incarnation: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct PrepareMapReply {
@@ -317,6 +321,8 @@
     pub current_step: u64,
     #[prost(string, tag = "4")]
     pub refusal: ::prost::alloc::string::String,
+    #[prost(enumeration = "MapRefusal", tag = "5")]
+    pub reason: i32,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct DecideMapRequest {
@@ -328,6 +334,9 @@
     pub map_id: u64,
     #[prost(bool, tag = "4")]
     pub commit: bool,
+    /// The run of the agent to which the request is addressed.
+    #[prost(uint64, tag = "5")]
+    pub agent_incarnation: u64,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct DecideMapReply {
@@ -335,6 +344,8 @@
     pub accepted: bool,
     #[prost(uint64, tag = "2")]
     pub highest_ballot: u64,
+    #[prost(enumeration = "MapRefusal", tag = "3")]
+    pub reason: i32,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct MapStateRequest {
@@ -343,6 +354,12 @@
     /// Ballot of the recovering coordinator; zero only reads.
     #[prost(uint64, tag = "2")]
     pub ballot: u64,
+    /// The map whose fate is being decided; set when the ballot is.
+    #[prost(uint64, tag = "3")]
+    pub map_id: u64,
+    /// The run of the agent to which the request is addressed; set when the ballot is.
+    #[prost(uint64, tag = "4")]
+    pub agent_incarnation: u64,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct MapStateReply {
@@ -360,6 +377,16 @@
     pub committed_map_id: u64,
     #[prost(uint64, tag = "7")]
     pub aborted_map_id: u64,
+    #[prost(uint64, tag = "8")]
+    pub agent_incarnation: u64,
+    #[prost(uint64, tag = "9")]
+    pub group_incarnation: u64,
+    /// Set when the request was refused.
+    #[prost(enumeration = "MapRefusal", tag = "10")]
+    pub reason: i32,
+    /// Milliseconds that the engine has waited at the switch step.
+    #[prost(uint64, tag = "11")]
+    pub held_ms: u64,
 }
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
@@ -393,6 +420,65 @@
         }
     }
 }
+/// Why an agent refused a request about an expert map.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum MapRefusal {
+    Unspecified = 0,
+    /// The agent has not yet read the state of its engine.
+    NotReady = 1,
+    /// An order to the engine is in flight.
+    Busy = 2,
+    OtherGroup = 3,
+    OtherIncarnation = 4,
+    LowerBallot = 5,
+    /// Another map is undecided, or committed and not yet switched to.
+    MapPending = 6,
+    StepPassed = 7,
+    NotStaged = 8,
+    /// The map was decided the other way.
+    Contradicts = 9,
+    /// The id of the map differs from the ballot.
+    Invalid = 10,
+}
+impl MapRefusal {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Unspecified => "MAP_REFUSAL_UNSPECIFIED",
+            Self::NotReady => "MAP_REFUSAL_NOT_READY",
+            Self::Busy => "MAP_REFUSAL_BUSY",
+            Self::OtherGroup => "MAP_REFUSAL_OTHER_GROUP",
+            Self::OtherIncarnation => "MAP_REFUSAL_OTHER_INCARNATION",
+            Self::LowerBallot => "MAP_REFUSAL_LOWER_BALLOT",
+            Self::MapPending => "MAP_REFUSAL_MAP_PENDING",
+            Self::StepPassed => "MAP_REFUSAL_STEP_PASSED",
+            Self::NotStaged => "MAP_REFUSAL_NOT_STAGED",
+            Self::Contradicts => "MAP_REFUSAL_CONTRADICTS",
+            Self::Invalid => "MAP_REFUSAL_INVALID",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "MAP_REFUSAL_UNSPECIFIED" => Some(Self::Unspecified),
+            "MAP_REFUSAL_NOT_READY" => Some(Self::NotReady),
+            "MAP_REFUSAL_BUSY" => Some(Self::Busy),
+            "MAP_REFUSAL_OTHER_GROUP" => Some(Self::OtherGroup),
+            "MAP_REFUSAL_OTHER_INCARNATION" => Some(Self::OtherIncarnation),
+            "MAP_REFUSAL_LOWER_BALLOT" => Some(Self::LowerBallot),
+            "MAP_REFUSAL_MAP_PENDING" => Some(Self::MapPending),
+            "MAP_REFUSAL_STEP_PASSED" => Some(Self::StepPassed),
+            "MAP_REFUSAL_NOT_STAGED" => Some(Self::NotStaged),
+            "MAP_REFUSAL_CONTRADICTS" => Some(Self::Contradicts),
+            "MAP_REFUSAL_INVALID" => Some(Self::Invalid),
+            _ => None,
+        }
+    }
+}
 /// Generated client implementations.
 pub mod agent_client {
     #![allow(
--- /dev/null
+++ b/lib/tests/test_expert_map_agreement.rs
@@ -0,0 +1,210 @@
+//! Stateful fuzzing of the agreement on expert maps.
+//!
+//! The oracle: in every step all ranks use one map, no map is both committed and released, and the
+//! group steps on once the faults stop and a coordinator has heard every rank.
+
+use pomeloramp_testutils::MapGroup;
+use proptest::collection::vec;
+use proptest::prelude::BoxedStrategy;
+use proptest::prelude::Just;
+use proptest::prelude::Strategy;
+use proptest::prelude::any;
+use proptest::prop_oneof;
+use proptest::test_runner::Config;
+use proptest_state_machine::ReferenceStateMachine;
+use proptest_state_machine::StateMachineTest;
+use proptest_state_machine::prop_state_machine;
+
+const MIN_RANKS: usize = 2;
+const MAX_RANKS: usize = 4;
+const SLOTS: usize = 3;
+/// `PROPTEST_CASES` asks for more.
+const MIN_CASES: u32 = 1_700;
+const QUIET_ROUNDS: usize = 30;
+const MIN_PROGRESS_STEPS: u64 = 10;
+
+#[derive(Debug, Clone)]
+enum Transition {
+    Step {
+        rank: usize,
+    },
+    Coordinate {
+        slot: usize,
+        proposes: bool,
+        lead_steps: u64,
+    },
+    Freeze {
+        slot: usize,
+        is_frozen: bool,
+    },
+    Deliver {
+        index: usize,
+        is_doubled: bool,
+    },
+    DeliverInOrder {
+        count: usize,
+    },
+    Pump {
+        slot: usize,
+        is_linked: Vec<bool>,
+        limit: usize,
+    },
+    Lose {
+        index: usize,
+    },
+    AnswerEngine {
+        rank: usize,
+    },
+    RestartAgent {
+        rank: usize,
+        is_order_done: bool,
+    },
+    ReplaceRank {
+        rank: usize,
+    },
+    Tick,
+}
+
+/// Faults are drawn blindly; the only state is the number of ranks.
+struct Faults;
+
+impl ReferenceStateMachine for Faults {
+    type State = usize;
+    type Transition = Transition;
+
+    fn init_state() -> BoxedStrategy<usize> {
+        (MIN_RANKS..=MAX_RANKS).boxed()
+    }
+
+    fn transitions(ranks: &usize) -> BoxedStrategy<Transition> {
+        let rank = 0..*ranks;
+        let slot = 0..SLOTS;
+        prop_oneof![
+            8 => rank.clone().prop_map(|rank| Transition::Step { rank }),
+            8 => (slot.clone(), any::<bool>(), 1..4_u64).prop_map(
+                |(slot, proposes, lead_steps)| Transition::Coordinate {
+                    slot,
+                    proposes,
+                    lead_steps,
+                }
+            ),
+            2 => (slot.clone(), any::<bool>())
+                .prop_map(|(slot, is_frozen)| Transition::Freeze { slot, is_frozen }),
+            12 => (0..12_usize, proptest::bool::weighted(0.2))
+                .prop_map(|(index, is_doubled)| Transition::Deliver { index, is_doubled }),
+            30 => (slot.clone(), vec(proptest::bool::weighted(0.7), *ranks), 1..16_usize).prop_map(
+                |(slot, is_linked, limit)| Transition::Pump { slot, is_linked, limit }
+            ),
+            6 => (1..8_usize).prop_map(|count| Transition::DeliverInOrder { count }),
+            3 => (0..12_usize).prop_map(|index| Transition::Lose { index }),
+            8 => rank.clone().prop_map(|rank| Transition::AnswerEngine { rank }),
+            5 => (rank.clone(), any::<bool>()).prop_map(|(rank, is_order_done)| {
+                Transition::RestartAgent { rank, is_order_done }
+            }),
+            1 => rank.prop_map(|rank| Transition::ReplaceRank { rank }),
+            4 => Just(Transition::Tick),
+        ]
+        .boxed()
+    }
+
+    fn preconditions(ranks: &usize, transition: &Transition) -> bool {
+        match transition {
+            Transition::Step { rank }
+            | Transition::AnswerEngine { rank }
+            | Transition::RestartAgent { rank, .. }
+            | Transition::ReplaceRank { rank } => rank < ranks,
+            Transition::Pump { is_linked, .. } => is_linked.len() == *ranks,
+            _ => true,
+        }
+    }
+
+    fn apply(ranks: usize, _transition: &Transition) -> usize {
+        ranks
+    }
+}
+
+struct Agreement;
+
+impl StateMachineTest for Agreement {
+    type SystemUnderTest = MapGroup;
+    type Reference = Faults;
+
+    fn init_test(ranks: &usize) -> MapGroup {
+        MapGroup::new(*ranks, SLOTS)
+    }
+
+    fn apply(mut group: MapGroup, ranks: &usize, transition: Transition) -> MapGroup {
+        match transition {
+            Transition::Step { rank } => group.step(rank),
+            Transition::Coordinate {
+                slot,
+                proposes,
+                lead_steps,
+            } => group.coordinate(slot, proposes, lead_steps),
+            Transition::Freeze { slot, is_frozen } => group.set_frozen(slot, is_frozen),
+            Transition::Deliver { index, is_doubled } => group.deliver(index, is_doubled),
+            Transition::DeliverInOrder { count } => {
+                for rank in 0..*ranks {
+                    group.answer_engine(rank);
+                }
+                for _ in 0..count {
+                    group.deliver(0, false);
+                }
+            }
+            Transition::Pump {
+                slot,
+                is_linked,
+                limit,
+            } => group.pump(slot, &is_linked, limit),
+            Transition::Lose { index } => group.lose(index),
+            Transition::AnswerEngine { rank } => group.answer_engine(rank),
+            Transition::RestartAgent {
+                rank,
+                is_order_done,
+            } => group.restart_agent(rank, is_order_done),
+            Transition::ReplaceRank { rank } => group.replace_rank(rank),
+            Transition::Tick => group.tick(),
+        }
+        group
+    }
+
+    fn check_invariants(group: &MapGroup, _ranks: &usize) {
+        assert_eq!(group.violations, Vec::<String>::new());
+    }
+
+    fn teardown(mut group: MapGroup, _ranks: usize) {
+        group.coordinate(0, false, 1);
+        for _ in 0..QUIET_ROUNDS {
+            group.run_quietly();
+        }
+        assert_progress(&mut group);
+        for slot in 0..SLOTS {
+            group.set_frozen(slot, false);
+        }
+        for _ in 0..QUIET_ROUNDS {
+            group.run_quietly();
+        }
+        assert_progress(&mut group);
+        assert_eq!(group.violations, Vec::<String>::new());
+    }
+}
+
+fn assert_progress(group: &mut MapGroup) {
+    let before: Vec<u64> = group.engines.iter().map(|engine| engine.step).collect();
+    for _ in 0..=MIN_PROGRESS_STEPS {
+        group.run_quietly();
+    }
+    for (engine, before) in group.engines.iter().zip(before) {
+        assert!(
+            engine.step >= before + MIN_PROGRESS_STEPS,
+            "the group is stuck at step {before}: {engine:?}"
+        );
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(Config { cases: Config::default().cases.max(MIN_CASES), max_shrink_iters: 20_000, ..Config::default() })]
+
+    #[test]
+    fn ranks_agree_on_maps_under_faults(sequential 1..120 => Agreement);
+}
