--- a/standins/src/bin/path_benchmark.rs
+++ b/standins/src/bin/path_benchmark.rs
@@ -40,7 +40,6 @@
         .endpoint_settings(vec![
             "capacity: 64".to_owned(),
             "max_call_records: 1000000".to_owned(),
-            "max_answer_bytes: 268435456".to_owned(),
         ])
         .build();
     let fleet = Fleet::start(plan);
