--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -1,15 +1,12 @@
 //! Test support shared by pomeloramp's test files.
 
-<<<<<<< HEAD
 pub mod caller;
+mod fake_rank_engine;
 pub mod fleet;
 pub mod http;
+mod map_group;
 pub mod process;
 pub mod relay;
-=======
-mod fake_rank_engine;
-mod map_group;
 
 pub use fake_rank_engine::FakeRankEngine;
 pub use map_group::MapGroup;
->>>>>>> h2
