--- /dev/null
+++ b/lib/examples/routing_comparison/scenario.rs
@@ -0,0 +1,31 @@
+//! What is compared, and under which conditions.
+
+/// How entries select endpoints.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RoutePolicy {
+    /// Any endpoint that is not suspected.
+    Random,
+    /// The fewest requests by the last report and own sends since.
+    LeastRequests,
+    /// The rendezvous hash of the first block alone.
+    PrefixHash,
+    /// The router, the prefix index and the retry budget.
+    Router,
+}
+
+/// What happens in a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Scenario {
+    /// Seven tenths of the capacity, nothing fails.
+    Steady,
+    /// The popularity of prefixes moves on by a family every half second.
+    DriftingPrefixes,
+    /// One endpoint runs at a third of its speed.
+    OneSlow,
+    /// One endpoint makes no progress for 20 s, while its reports go on.
+    OneStalled,
+    /// 1.3 times the capacity for 20 s.
+    Rush,
+    /// No endpoint answers for 5 s; all lose their caches.
+    Outage,
+}
--- /dev/null
+++ b/lib/testutils/src/routing_workload.rs
@@ -0,0 +1,70 @@
+//! Seeded requests whose prompts share prefixes by families of a skewed, drifting popularity.
+
+use pomeloramp_lib::BlockHash;
+use rand::RngExt;
+use rand::rngs::SmallRng;
+
+use crate::EngineRequest;
+
+const FAMILIES: u64 = 300;
+const MAX_PREFIX_BLOCKS: u64 = 30;
+const MAX_SUFFIX_BLOCKS: u64 = 4;
+const MEAN_OUTPUT_TOKENS: u64 = 80;
+const URGENT_PERCENT: u32 = 20;
+const HASHES_PER_FAMILY: u64 = 1 << 32;
+
+/// Source of requests.
+#[derive(Debug)]
+pub struct RoutingWorkload {
+    /// Time after which the popularity moves on by one family; zero for never.
+    pub drift_interval_ms: u64,
+    next_unique: u64,
+}
+
+impl RoutingWorkload {
+    /// Makes a source of requests.
+    #[must_use]
+    pub fn new(drift_interval_ms: u64) -> Self {
+        Self {
+            drift_interval_ms,
+            next_unique: 1 << 60,
+        }
+    }
+
+    /// Draws a request that arrives at this time.
+    pub fn draw(&mut self, id: usize, now_ms: u64, rng: &mut SmallRng) -> EngineRequest {
+        let shift = now_ms.checked_div(self.drift_interval_ms).unwrap_or(0);
+        let family = (skewed(FAMILIES, rng) + shift) % (FAMILIES * 100);
+        let prefix_blocks = 2 + family * 7 % (MAX_PREFIX_BLOCKS - 1);
+        let start = family * HASHES_PER_FAMILY;
+        let mut blocks: Vec<BlockHash> = (start..start + prefix_blocks).map(BlockHash).collect();
+        for _ in 0..rng.random_range(1..=MAX_SUFFIX_BLOCKS) {
+            self.next_unique += 1;
+            blocks.push(BlockHash(self.next_unique));
+        }
+        let is_urgent = rng.random_range(0..100) < URGENT_PERCENT;
+        EngineRequest {
+            id,
+            blocks,
+            output_tokens: rng.random_range(1..MEAN_OUTPUT_TOKENS * 2),
+            urgency: if is_urgent { 8 } else { 3 },
+        }
+    }
+
+    /// Mean length of an answer.
+    #[must_use]
+    pub fn mean_output_tokens() -> u64 {
+        MEAN_OUTPUT_TOKENS
+    }
+}
+
+/// Draws a number below `count` with a density that falls with the number, like popularity does.
+fn skewed(count: u64, rng: &mut SmallRng) -> u64 {
+    let scale = f64::from(u32::try_from(count).unwrap_or(u32::MAX));
+    let uniform: f64 = rng.random();
+    // The inverse of a Zipf-like distribution function, log(1 + x) / log(1 + count).
+    let drawn = (scale + 1.0).powf(uniform) - 1.0;
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let drawn = drawn as u64;
+    drawn.min(count - 1)
+}
