router: give each prefix a home that all entries agree on

Entries don't know of each other's sends, so each of them spread a new prefix elsewhere. Now the hashes of the first and of the first eight blocks have homes by rendezvous hashing over endpoint names, the same at every entry; a home is compared as if it held half of the prompt when nothing is known of it. No message is needed for that. Endpoints are therefore added under the names by which all entries know them.

service_routes asks for 16 cached prefixes in place of 3: the router also needs to know of the endpoints that it samples.

--- a/lib/examples/routing_comparison/entry.rs
+++ b/lib/examples/routing_comparison/entry.rs
@@ -61,8 +61,9 @@
         let router_rng = SmallRng::seed_from_u64(rng.random());
         let mut router = Router::new(settings, &zone.to_string(), router_rng);
         let mut index = PrefixIndex::new(index_settings);
-        for zone in zones {
-            let id = router.add_endpoint(&zone.to_string());
+        for (endpoint, zone) in zones.iter().enumerate() {
+            let vm_name = format!("endpoint-{endpoint}");
+            let id = router.add_endpoint(&vm_name, &zone.to_string());
             index.add_endpoint(id, None);
         }
         Self {
@@ -123,11 +124,13 @@
         let cached = self
             .index
             .lookup(chain, MAX_HINTS, self.rng.random_range(0..1_024));
+        let home_keys = chain.home_keys();
         let route_request = RouteRequest::builder()
             .prompt_tokens(request.prompt_tokens())
             .time_left_ms(time_left_ms)
             .urgency(request.urgency)
             .cached(&cached)
+            .home_keys(&home_keys)
             .exclude(tried)
             .build();
         match self.router.choose(&route_request, now_ms) {
--- a/lib/src/endpoint_view.rs
+++ b/lib/src/endpoint_view.rs
@@ -15,6 +15,8 @@
 #[derive(Debug)]
 pub(crate) struct EndpointView {
     pub(crate) id: EndpointId,
+    /// Hash of the name by which all entries know the endpoint.
+    pub(crate) name_hash: u64,
     pub(crate) is_local: bool,
     pub(crate) flags: EndpointFlags,
     report: Option<LoadReport>,
@@ -45,9 +47,15 @@
 }
 
 impl EndpointView {
-    pub(crate) fn new(id: EndpointId, is_local: bool, settings: &RouterSettings) -> Self {
+    pub(crate) fn new(
+        id: EndpointId,
+        name_hash: u64,
+        is_local: bool,
+        settings: &RouterSettings,
+    ) -> Self {
         Self {
             id,
+            name_hash,
             is_local,
             flags: EndpointFlags::default(),
             report: None,
@@ -184,14 +192,6 @@
     }
 }
 
-impl Prediction {
-    /// Time to first token when only a part of the queue is waited for.
-    pub(crate) fn first_token_us(self, queue_percent: u64) -> u64 {
-        let queue_us = self.queue_us.saturating_mul(queue_percent) / 100;
-        queue_us.saturating_add(self.prefill_us)
-    }
-}
-
 fn time_us(tokens: u64, speed_per_s: u64) -> u64 {
     tokens.saturating_mul(US_PER_S) / speed_per_s
 }
--- a/lib/src/prefix_chain.rs
+++ b/lib/src/prefix_chain.rs
@@ -5,6 +5,9 @@
 
 use crate::BlockHash;
 
+/// Numbers of blocks whose hashes are keys of homes.
+const HOME_KEY_DEPTHS: [usize; 2] = [1, 8];
+
 /// Block hashes of a prompt: two prompts share exactly the hashes of the blocks that are the same
 /// from the start on.
 #[value]
@@ -31,6 +34,17 @@
         Self { hashes }
     }
 
+    /// Hashes by which homes of the prompt are found: of a short prefix, which many prompts share,
+    /// and of a longer one, if the prompt is as long.
+    #[must_use]
+    pub fn home_keys(&self) -> Vec<BlockHash> {
+        HOME_KEY_DEPTHS
+            .iter()
+            .filter_map(|depth| self.hashes.get(depth - 1))
+            .copied()
+            .collect()
+    }
+
     /// The hashes, from the start of the prompt on.
     #[must_use]
     pub fn hashes(&self) -> &[BlockHash] {
--- a/lib/src/route_request.rs
+++ b/lib/src/route_request.rs
@@ -2,6 +2,7 @@
 
 use bon::Builder;
 
+use crate::BlockHash;
 use crate::CachedPrefix;
 use crate::EndpointId;
 
@@ -24,6 +25,9 @@
     /// Endpoints that probably hold a prefix of the prompt, longest first.
     #[builder(default)]
     pub cached: &'a [CachedPrefix],
+    /// Hashes of prefixes of the prompt; each one has a home, the same for all entries.
+    #[builder(default)]
+    pub home_keys: &'a [BlockHash],
     /// Endpoints that an earlier attempt of the same request already used.
     #[builder(default)]
     pub exclude: &'a [EndpointId],
--- a/lib/src/router.rs
+++ b/lib/src/router.rs
@@ -4,7 +4,9 @@
 
 use rand::RngExt;
 use rand::rngs::SmallRng;
+use xxhash_rust::xxh3::xxh3_64;
 
+use crate::BlockHash;
 use crate::EndpointFlags;
 use crate::EndpointId;
 use crate::RefusalCode;
@@ -45,9 +47,10 @@
     is_late: bool,
     is_over_bound: bool,
     cost_us: u64,
-    /// Predicted time until the whole answer, and its part spent waiting in the queue.
+    /// Predicted time until the whole answer, and its parts before the first token.
     answer_us: u64,
     queue_us: u64,
+    prefill_us: u64,
     position: usize,
 }
 
@@ -71,13 +74,16 @@
     }
 
     /// Adds an endpoint; a restarted one is removed and added again.
-    pub fn add_endpoint(&mut self, availability_zone: &str) -> EndpointId {
+    ///
+    /// All entries must know it by the same name, since homes of prefixes depend on it.
+    pub fn add_endpoint(&mut self, vm_name: &str, availability_zone: &str) -> EndpointId {
         let id = EndpointId(self.next_endpoint);
         self.next_endpoint += 1;
         let is_local = availability_zone == self.availability_zone;
+        let name_hash = xxh3_64(vm_name.as_bytes());
         self.positions.insert(id, self.endpoints.len());
         self.endpoints
-            .push(EndpointView::new(id, is_local, &self.settings));
+            .push(EndpointView::new(id, name_hash, is_local, &self.settings));
         self.rebuild_lists();
         id
     }
@@ -180,6 +186,11 @@
                 best = better(best, self.candidate(position, request, now_ms));
             }
         }
+        for &key in request.home_keys {
+            if let Some(home) = self.home(key) {
+                best = better(best, self.home_candidate(home, request, now_ms));
+            }
+        }
         let local = draw(
             &mut self.open_local,
             self.settings.local_samples,
@@ -212,6 +223,29 @@
             })
     }
 
+    /// Finds the endpoint that all entries prefer for prefixes of this key.
+    fn home(&self, key: BlockHash) -> Option<usize> {
+        let open = self.open_local.iter().chain(&self.open_remote);
+        open.copied()
+            .max_by_key(|&position| rendezvous_score(key, self.endpoints[position].name_hash))
+    }
+
+    /// Predicts how a home would do, which other entries have probably sent the prefix to.
+    fn home_candidate(
+        &self,
+        position: usize,
+        request: &RouteRequest,
+        now_ms: u64,
+    ) -> Option<Candidate> {
+        let mut candidate = self.candidate(position, request, now_ms)?;
+        let is_known = request.cached_tokens(self.endpoints[position].id) > 0;
+        if !is_known {
+            let expected_us = percent_of(candidate.prefill_us, self.settings.home_cached_percent);
+            candidate.cost_us = candidate.cost_us.saturating_sub(expected_us);
+        }
+        Some(candidate)
+    }
+
     /// Predicts how the endpoint would do; none when the request excludes it.
     fn candidate(&self, position: usize, request: &RouteRequest, now_ms: u64) -> Option<Candidate> {
         let endpoint = &self.endpoints[position];
@@ -221,7 +255,9 @@
         let prefill_tokens = request.prompt_tokens - request.cached_tokens(endpoint.id);
         let prediction = endpoint.predict(prefill_tokens, &self.settings, now_ms);
         let queue_percent = self.settings.queue_percent(request.urgency);
-        let first_token_us = prediction.first_token_us(queue_percent);
+        let queue_us = percent_of(prediction.queue_us, queue_percent);
+        let prefill_us = prediction.prefill_us;
+        let first_token_us = queue_us.saturating_add(prefill_us);
         let answer_us = first_token_us.saturating_add(us(request.expected_rest_ms));
         let margin_us = if endpoint.is_local {
             0
@@ -233,7 +269,8 @@
             is_over_bound: endpoint.load_requests() > self.load_bound_requests(),
             cost_us: first_token_us.saturating_add(margin_us),
             answer_us,
-            queue_us: first_token_us - prediction.prefill_us,
+            queue_us,
+            prefill_us,
             position,
         })
     }
@@ -309,6 +346,16 @@
     }
 }
 
+/// Score by which an endpoint is the home of a key; the highest one wins.
+fn rendezvous_score(key: BlockHash, name_hash: u64) -> u64 {
+    let mixed = (key.0 ^ name_hash).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    (mixed ^ (mixed >> 32)).wrapping_mul(0xd6e8_feb8_6659_fd93)
+}
+
+fn percent_of(time_us: u64, percent: u64) -> u64 {
+    time_us.saturating_mul(percent) / 100
+}
+
 fn us(time_ms: u64) -> u64 {
     time_ms.saturating_mul(US_PER_MS)
 }
--- a/lib/src/router_settings.rs
+++ b/lib/src/router_settings.rs
@@ -17,6 +17,9 @@
     /// Endpoints with a cached prefix that are compared for one request.
     #[builder(default = 3)]
     pub cached_samples: usize,
+    /// Part of a prompt that its prefix's home is expected to hold when nothing is known, in percent.
+    #[builder(default = 50)]
+    pub home_cached_percent: u64,
     /// Predicted gain below which a request stays in the local availability zone.
     #[builder(default = 50)]
     pub zone_margin_ms: u64,
--- a/lib/src/service_routes.rs
+++ b/lib/src/service_routes.rs
@@ -22,7 +22,7 @@
 const BLOCK_BYTES: usize = 256;
 const BLOCK_TOKENS: u64 = 64;
 const MAX_BLOCKS: usize = 256;
-const CACHED_CANDIDATES: usize = 3;
+const MAX_CACHED_PREFIXES: usize = 16;
 const BYTES_PER_TOKEN: u64 = 4;
 const MAX_SAVED_RETRIES: u32 = 20;
 const RETRY_FLOOR_INTERVAL_MS: u64 = 1000;
@@ -77,7 +77,7 @@
         let id = if let Some(&id) = self.ids.get(vm_name) {
             id
         } else {
-            let id = self.router.add_endpoint(availability_zone);
+            let id = self.router.add_endpoint(vm_name, availability_zone);
             self.prefixes.add_endpoint(id, None);
             self.ids.insert(vm_name.to_owned(), id);
             id
@@ -128,7 +128,8 @@
     ) -> Result<RoutedSend, RouteChoice> {
         let chain = PrefixChain::new(&query.prompt, 0, BLOCK_BYTES, MAX_BLOCKS);
         let spread = usize::try_from(rand::random::<u32>()).unwrap_or(0);
-        let cached = self.prefixes.lookup(&chain, CACHED_CANDIDATES, spread);
+        let cached = self.prefixes.lookup(&chain, MAX_CACHED_PREFIXES, spread);
+        let home_keys = chain.home_keys();
         let exclude: Vec<EndpointId> = query
             .exclude
             .iter()
@@ -140,6 +141,7 @@
             .time_left_ms(query.time_left_ms)
             .urgency(query.urgency)
             .cached(&cached)
+            .home_keys(&home_keys)
             .exclude(&exclude)
             .build();
         if query.exclude.is_empty() {
--- a/lib/tests/test_router.rs
+++ b/lib/tests/test_router.rs
@@ -1,6 +1,7 @@
 //! Focused tests of the routing decision.
 
 use googletest::prelude::*;
+use pomeloramp_lib::BlockHash;
 use pomeloramp_lib::CachedPrefix;
 use pomeloramp_lib::EndpointFlags;
 use pomeloramp_lib::EndpointId;
@@ -20,6 +21,11 @@
     Router::new(settings, "heredia", SmallRng::seed_from_u64(7))
 }
 
+fn add(router: &mut Router, zone: &str) -> EndpointId {
+    let vm_name = router.endpoint_count().to_string();
+    router.add_endpoint(&vm_name, zone)
+}
+
 fn report(queued_tokens: u64) -> LoadReport {
     LoadReport {
         running_requests: 4,
@@ -48,8 +54,8 @@
 #[googletest::test]
 fn shorter_queue_wins() {
     let mut router = router();
-    let busy = router.add_endpoint("heredia");
-    let idle = router.add_endpoint("heredia");
+    let busy = add(&mut router, "heredia");
+    let idle = add(&mut router, "heredia");
     router.update_load(busy, &report(20_000), 1_000);
     router.update_load(idle, &report(0), 1_000);
     for _ in 0..TRIES {
@@ -60,7 +66,7 @@
 #[googletest::test]
 fn own_sends_count_until_a_report_covers_them() {
     let mut router = router();
-    let endpoint = router.add_endpoint("heredia");
+    let endpoint = add(&mut router, "heredia");
     router.update_load(endpoint, &report(0), 1_000);
     let tight = RouteRequest::builder()
         .prompt_tokens(1_000)
@@ -92,10 +98,10 @@
 #[googletest::test]
 fn stalled_endpoint_is_avoided_although_its_reports_look_idle() {
     let mut router = router();
-    let stalled = router.add_endpoint("heredia");
+    let stalled = add(&mut router, "heredia");
     router.update_load(stalled, &report(0), 1_000);
     router.mark_sent(stalled, 100, 1_000);
-    let healthy = router.add_endpoint("alajuela");
+    let healthy = add(&mut router, "alajuela");
     router.update_load(healthy, &report(500), 1_000);
     router.update_load(stalled, &report(0), 4_000);
     router.update_load(healthy, &report(500), 4_000);
@@ -107,8 +113,8 @@
 #[googletest::test]
 fn cached_prefix_outweighs_a_short_queue_but_not_a_long_one() {
     let mut router = router();
-    let cached = router.add_endpoint("heredia");
-    let others: Vec<_> = (0..9).map(|_| router.add_endpoint("heredia")).collect();
+    let cached = add(&mut router, "heredia");
+    let others: Vec<_> = (0..9).map(|_| add(&mut router, "heredia")).collect();
     for &other in &others {
         router.update_load(other, &report(0), 1_000);
     }
@@ -135,9 +141,9 @@
 #[googletest::test]
 fn load_bound_turns_away_from_the_cached_prefix() {
     let mut router = router();
-    let cached = router.add_endpoint("heredia");
+    let cached = add(&mut router, "heredia");
     for _ in 0..9 {
-        router.add_endpoint("heredia");
+        add(&mut router, "heredia");
     }
     let prefixes = [CachedPrefix {
         endpoint: cached,
@@ -161,8 +167,8 @@
 #[googletest::test]
 fn local_availability_zone_goes_first_unless_clearly_worse() {
     let mut router = router();
-    let local = router.add_endpoint("heredia");
-    let remote = router.add_endpoint("cartago");
+    let local = add(&mut router, "heredia");
+    let remote = add(&mut router, "cartago");
     router.update_load(remote, &report(0), 1_000);
     router.update_load(local, &report(400), 1_000);
     expect_that!(sent_to(&mut router, &request(), 1_000), eq(local));
@@ -173,9 +179,9 @@
 #[googletest::test]
 fn closed_endpoints_get_nothing_and_suspected_ones_only_as_last_resort() {
     let mut router = router();
-    let leaving = router.add_endpoint("heredia");
-    let suspected = router.add_endpoint("heredia");
-    let open = router.add_endpoint("cartago");
+    let leaving = add(&mut router, "heredia");
+    let suspected = add(&mut router, "heredia");
+    let open = add(&mut router, "cartago");
     router.update_load(open, &report(20_000), 1_000);
     router.set_state(
         leaving,
@@ -210,7 +216,7 @@
 #[googletest::test]
 fn hopeless_deadline_is_told_apart_from_overload() {
     let mut router = router();
-    let endpoint = router.add_endpoint("heredia");
+    let endpoint = add(&mut router, "heredia");
     router.update_load(endpoint, &report(0), 1_000);
     let hopeless = RouteRequest::builder()
         .prompt_tokens(100_000)
@@ -225,7 +231,7 @@
 #[googletest::test]
 fn urgent_requests_are_admitted_into_queues_that_refuse_others() {
     let mut router = router();
-    let endpoint = router.add_endpoint("heredia");
+    let endpoint = add(&mut router, "heredia");
     router.update_load(endpoint, &report(10_000), 1_000);
     let urgent = RouteRequest::builder().time_left_ms(900).urgency(9).build();
     let patient = RouteRequest::builder().time_left_ms(900).urgency(0).build();
@@ -242,7 +248,7 @@
 #[googletest::test]
 fn refused_callers_come_back_at_different_times_within_bounds() {
     let mut router = router();
-    let endpoint = router.add_endpoint("heredia");
+    let endpoint = add(&mut router, "heredia");
     router.update_load(endpoint, &report(100_000), 1_000);
     let mut waits_ms: Vec<u64> = (0..TRIES)
         .map(|_| match router.choose(&request(), 1_000) {
@@ -260,7 +266,7 @@
 #[googletest::test]
 fn extreme_numbers_do_not_overflow() {
     let mut router = router();
-    let endpoint = router.add_endpoint("heredia");
+    let endpoint = add(&mut router, "heredia");
     let report = LoadReport {
         running_requests: u32::MAX,
         queued_requests: u32::MAX,
@@ -297,7 +303,7 @@
 #[googletest::test]
 fn finished_request_frees_its_slot_before_the_next_report() {
     let mut router = router();
-    let endpoint = router.add_endpoint("heredia");
+    let endpoint = add(&mut router, "heredia");
     let ticket = router.mark_sent(endpoint, 0, 0);
     let full = LoadReport {
         running_requests: 16,
@@ -316,3 +322,65 @@
         eq(RouteChoice::Send(endpoint))
     );
 }
+
+/// The endpoint to which a router with these endpoints sends a prompt that no one has cached.
+fn home_of(vm_names: &[&str], key: u64) -> String {
+    let mut router = router();
+    let ids: Vec<_> = vm_names
+        .iter()
+        .map(|vm_name| router.add_endpoint(vm_name, "heredia"))
+        .collect();
+    let home_keys = [BlockHash(key)];
+    let request = RouteRequest::builder()
+        .prompt_tokens(1_000)
+        .time_left_ms(5_000)
+        .home_keys(&home_keys)
+        .build();
+    let chosen = sent_to(&mut router, &request, 1_000);
+    let position = ids.iter().position(|&id| id == chosen).unwrap();
+    vm_names[position].to_owned()
+}
+
+#[googletest::test]
+fn entries_agree_on_the_home_of_a_prefix_without_talking() {
+    for key in 0..100 {
+        let first = home_of(&["a", "b", "c", "d", "e"], key);
+        let second = home_of(&["e", "c", "a", "b", "d"], key);
+        expect_that!(first, eq(&second));
+    }
+}
+
+#[googletest::test]
+fn homes_spread_evenly_and_only_those_of_a_lost_endpoint_move() {
+    let vm_names = ["a", "b", "c", "d", "e", "f", "g", "h", "i", "j"];
+    let mut counts = [0; 10];
+    for key in 0..1_000 {
+        let home = home_of(&vm_names, key);
+        let position = vm_names.iter().position(|&name| name == home).unwrap();
+        counts[position] += 1;
+        if home != "j" {
+            expect_that!(home_of(&vm_names[..9], key), eq(&home));
+        }
+    }
+    expect_that!(counts, each(all!(ge(60), le(140))));
+}
+
+#[googletest::test]
+fn home_with_a_long_queue_is_passed_over() {
+    let mut router = router();
+    let ids: Vec<_> = (0..8).map(|_| add(&mut router, "heredia")).collect();
+    let home_keys = [BlockHash(1)];
+    let request = RouteRequest::builder()
+        .prompt_tokens(1_000)
+        .time_left_ms(5_000)
+        .home_keys(&home_keys)
+        .build();
+    let home = sent_to(&mut router, &request, 1_000);
+    expect_that!(ids.contains(&home), eq(true));
+    let long_queue = LoadReport {
+        running_requests: 1,
+        ..report(5_000)
+    };
+    router.update_load(home, &long_queue, 1_000);
+    expect_that!(sent_to(&mut router, &request, 1_000), not(eq(home)));
+}
--- a/lib/tests/test_router_state.rs
+++ b/lib/tests/test_router_state.rs
@@ -321,7 +321,9 @@
             Transition::Wait(_) => {}
             Transition::Add(is_local) => {
                 let zone = if is_local { LOCAL_ZONE } else { REMOTE_ZONE };
-                let id = state.router.add_endpoint(zone);
+                let id = state
+                    .router
+                    .add_endpoint(&state.tickets.len().to_string(), zone);
                 assert_eq!(id.0 as usize, state.tickets.len());
                 state.tickets.push(Vec::new());
             }
