--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod caller;
 mod fake_rank_engine;
+mod fake_engine;
 pub mod fleet;
 pub mod http;
 mod map_group;
@@ -10,3 +11,9 @@
 
 pub use fake_rank_engine::FakeRankEngine;
 pub use map_group::MapGroup;
+mod routing_workload;
+
+pub use fake_engine::EngineEvent;
+pub use fake_engine::EngineRequest;
+pub use fake_engine::FakeEngine;
+pub use routing_workload::RoutingWorkload;
