--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -1,19 +1,18 @@
 //! Test support shared by pomeloramp's test files.
 
 pub mod caller;
-mod fake_rank_engine;
 mod fake_engine;
+mod fake_rank_engine;
 pub mod fleet;
 pub mod http;
 mod map_group;
 pub mod process;
 pub mod relay;
-
-pub use fake_rank_engine::FakeRankEngine;
-pub use map_group::MapGroup;
 mod routing_workload;
 
 pub use fake_engine::EngineEvent;
 pub use fake_engine::EngineRequest;
 pub use fake_engine::FakeEngine;
+pub use fake_rank_engine::FakeRankEngine;
+pub use map_group::MapGroup;
 pub use routing_workload::RoutingWorkload;
