--- a/lib/src/refusal_code.rs
+++ b/lib/src/refusal_code.rs
@@ -1,35 +1,80 @@
-//! Why a queue refused a request.
+//! Stable codes of refused calls.
 
 use pomeloramp_proc_macros::key;
 
-/// Why a queue refused a request; the request was not run.
+/// Why a call was refused; callers see the code.
 #[key]
 pub enum RefusalCode {
-    /// The organisation already has as many requests in flight as its parameters allow.
-    OrganisationLimit,
-    /// The queue is full and the organisation is not entitled to another's place.
+    /// The call needs a placement and has none.
+    PlacementRequired,
+    /// The placement is malformed, was not signed by this system or names a later time.
+    PlacementInvalid,
+    /// The placement is older than the answer window of its home.
+    PlacementExpired,
+    /// The home has restarted since the placement was made.
+    HomeRestarted,
+    /// No connection to the home could be made.
+    HomeUnreachable,
+    /// The connection to the home broke after the request was sent.
+    HomeLost,
+    /// The idempotency key belongs to a call with another body.
+    KeyReused,
+    /// This placement of the call was refused before.
+    CallVoided,
+    /// The home has no room for a further record or answer.
+    RecordsFull,
+    /// The endpoint's answer was lost after the request had reached it.
+    EndpointLost,
+    /// The endpoint could not be reached.
+    EndpointUnreachable,
+    /// The queue of the endpoint is full.
     QueueFull,
-    /// The request can't be answered before its deadline.
+    /// The organisation has as many requests in flight as it may.
+    OrganisationLimit,
+    /// The queue is too long for the deadline.
     DeadlineUnreachable,
-    /// The agent is leaving and takes no new work.
+    /// The deadline could not be met by an idle endpoint either.
+    DeadlineTooShort,
+    /// No endpoint takes new work.
+    NoEndpoint,
+    /// Every endpoint's queue is too long for the deadline.
+    Overloaded,
+    /// The process is shutting down.
     Draining,
     /// No parameters in force name the organisation.
     UnknownOrganisation,
-    /// The request's number is already queued or running.
+    /// The number of the request is already queued or running.
     DuplicateRequest,
+    /// The content crashed endpoints before.
+    Quarantined,
 }
 
 impl RefusalCode {
-    /// Returns the stable code that callers see.
+    /// Returns the code that callers see.
     #[must_use]
     pub fn as_str(self) -> &'static str {
         match self {
-            Self::OrganisationLimit => "organisation-limit",
+            Self::PlacementRequired => "placement-required",
+            Self::PlacementInvalid => "placement-invalid",
+            Self::PlacementExpired => "placement-expired",
+            Self::HomeRestarted => "home-restarted",
+            Self::HomeUnreachable => "home-unreachable",
+            Self::HomeLost => "home-lost",
+            Self::KeyReused => "key-reused",
+            Self::CallVoided => "call-voided",
+            Self::RecordsFull => "records-full",
+            Self::EndpointLost => "endpoint-lost",
+            Self::EndpointUnreachable => "endpoint-unreachable",
             Self::QueueFull => "queue-full",
+            Self::OrganisationLimit => "organisation-limit",
             Self::DeadlineUnreachable => "deadline-unreachable",
+            Self::DeadlineTooShort => "deadline-too-short",
+            Self::NoEndpoint => "no-endpoint",
+            Self::Overloaded => "overloaded",
             Self::Draining => "draining",
             Self::UnknownOrganisation => "unknown-organisation",
             Self::DuplicateRequest => "duplicate-request",
+            Self::Quarantined => "quarantined",
         }
     }
 }
