--- /dev/null
+++ b/lib/examples/organisation_cost.rs
@@ -0,0 +1,182 @@
+//! Prints what one more organisation costs an agent in time and memory.
+//!
+//! Run with `cargo run --release -p pomeloramp-lib --example organisation_cost -- SEED`.
+
+use std::collections::VecDeque;
+use std::env;
+use std::fs;
+use std::hint::black_box;
+use std::time::Instant;
+
+use pomeloramp_lib::Admission;
+use pomeloramp_lib::Dispatch;
+use pomeloramp_lib::FairQueue;
+use pomeloramp_lib::FairQueueSettings;
+use pomeloramp_lib::IdleLedger;
+use pomeloramp_lib::QueuedRequest;
+use pomeloramp_lib::RequestNumber;
+use pomeloramp_lib::StartedRequest;
+use pomeloramp_lib::protos::template::OrganisationParameters;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const DEFAULT_SEED: u64 = 20_261_203;
+const ORGANISATIONS: [usize; 3] = [10, 400, 3_800];
+const CAPACITY: u32 = 16;
+const MAX_QUEUED_REQUESTS: u32 = 1_000;
+const REQUESTS: u64 = 300_000;
+const RUN_MS: u64 = 100;
+const DEADLINE_MS: u64 = 600_000;
+const PAGE_BYTES: u64 = 4_096;
+/// Organisations whose state is built to read its size from the process's resident memory.
+const ORGANISATIONS_HELD: usize = 200_000;
+
+fn main() {
+    let seed = env::args().nth(1).and_then(|seed| seed.parse().ok());
+    let seed = seed.unwrap_or(DEFAULT_SEED);
+    println!("seed {seed}, {REQUESTS} requests, capacity {CAPACITY}");
+    print_times(seed);
+    print_bytes();
+}
+
+fn print_times(seed: u64) {
+    println!("organisations  queue_ns_per_request  ledger_ns_per_request  set_parameters_us");
+    for count in ORGANISATIONS {
+        let declared = parameters(count);
+        let queue_ns = queue_ns_per_request(&declared, seed);
+        let ledger_ns = ledger_ns_per_request(&declared, seed);
+        let change_us = set_parameters_us(&declared);
+        println!("{count:13}  {queue_ns:20}  {ledger_ns:21}  {change_us:17}");
+    }
+}
+
+/// Keeps all that it builds until the end, so that no measurement reuses another's memory.
+fn print_bytes() {
+    println!("organisations  parameters_bytes_each  queue_bytes_each  ledger_bytes_each");
+    let mut parameters_held = Vec::new();
+    let mut queues_held = Vec::new();
+    let mut ledgers_held = Vec::new();
+    for count in ORGANISATIONS {
+        let declared = parameters(count);
+        let parameters_bytes = bytes_each(count, &mut parameters_held, || parameters(count));
+        let queue_bytes = bytes_each(count, &mut queues_held, || queue(&declared));
+        let ledger_bytes = bytes_each(count, &mut ledgers_held, || ledger(&declared));
+        println!("{count:13}  {parameters_bytes:21}  {queue_bytes:16}  {ledger_bytes:17}");
+    }
+    black_box((parameters_held, queues_held, ledgers_held));
+}
+
+fn parameters(count: usize) -> Vec<OrganisationParameters> {
+    (0..count)
+        .map(|n| OrganisationParameters {
+            organisation: format!("organisation-{n:05}"),
+            credential_sha256: format!("{n:064x}"),
+            max_in_flight: 64,
+            urgency: u32::try_from(n % 10).unwrap_or(0),
+            share_weight: 1 + u32::try_from(n % 7).unwrap_or(0),
+            idle_weight: 1 + u32::try_from(n % 3).unwrap_or(0),
+        })
+        .collect()
+}
+
+fn queue(declared: &[OrganisationParameters]) -> FairQueue {
+    let settings = FairQueueSettings::builder()
+        .capacity(CAPACITY)
+        .max_queued_requests(MAX_QUEUED_REQUESTS)
+        .build();
+    let mut queue = FairQueue::new(settings);
+    queue.set_parameters(declared, 0);
+    queue
+}
+
+fn ledger(declared: &[OrganisationParameters]) -> IdleLedger {
+    let mut ledger = IdleLedger::new(CAPACITY, 0);
+    ledger.set_parameters(declared, 0);
+    ledger
+}
+
+/// Time for one offer, one finish and one dispatch, with the queue about half full.
+fn queue_ns_per_request(declared: &[OrganisationParameters], seed: u64) -> u128 {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut queue = queue(declared);
+    let mut running = VecDeque::new();
+    let started = Instant::now();
+    for number in 0..REQUESTS {
+        let now_ms = number;
+        let organisation = &declared[rng.random_range(0..declared.len())].organisation;
+        let request = QueuedRequest {
+            number: RequestNumber(number),
+            organisation: organisation.clone(),
+            deadline_ms: now_ms + DEADLINE_MS,
+            expected_run_ms: RUN_MS,
+        };
+        if let Admission::Start(StartedRequest { number, .. }) = queue.offer(request, now_ms) {
+            running.push_back(number);
+        }
+        if queue.queued_requests() < MAX_QUEUED_REQUESTS as usize / 2 {
+            continue;
+        }
+        if let Some(finished) = running.pop_front() {
+            queue.finish(finished, now_ms);
+        }
+        for dispatch in queue.next(now_ms) {
+            if let Dispatch::Start(StartedRequest { number, .. }) = dispatch {
+                running.push_back(number);
+            }
+        }
+    }
+    started.elapsed().as_nanos() / u128::from(REQUESTS)
+}
+
+/// Time for one start and one finish with 10 ms between two of them, turns included.
+fn ledger_ns_per_request(declared: &[OrganisationParameters], seed: u64) -> u128 {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut ledger = ledger(declared);
+    let mut running = VecDeque::new();
+    let started = Instant::now();
+    for number in 0..REQUESTS {
+        let now_ms = number * 10;
+        let organisation = &declared[rng.random_range(0..declared.len())].organisation;
+        ledger.observe_start(organisation, now_ms);
+        running.push_back(organisation);
+        if running.len() > CAPACITY as usize - 2
+            && let Some(finished) = running.pop_front()
+        {
+            ledger.observe_finish(finished, now_ms);
+        }
+    }
+    black_box(ledger.capacity_ms());
+    started.elapsed().as_nanos() / u128::from(REQUESTS)
+}
+
+/// Time to put the parameters of all organisations in force again, in queue and ledger.
+fn set_parameters_us(declared: &[OrganisationParameters]) -> u128 {
+    const CHANGES: u64 = 50;
+    let mut queue = queue(declared);
+    let mut ledger = ledger(declared);
+    let started = Instant::now();
+    for now_ms in 0..CHANGES {
+        queue.set_parameters(declared, now_ms);
+        ledger.set_parameters(declared, now_ms);
+    }
+    started.elapsed().as_micros() / u128::from(CHANGES)
+}
+
+fn bytes_each<T>(count: usize, held: &mut Vec<T>, make: impl Fn() -> T) -> u64 {
+    let copies = ORGANISATIONS_HELD / count;
+    held.reserve(copies);
+    let before = resident_bytes();
+    held.extend((0..copies).map(|_| make()));
+    let after = resident_bytes();
+    after.saturating_sub(before) / (copies * count) as u64
+}
+
+fn resident_bytes() -> u64 {
+    let statm = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm
+        .split(' ')
+        .nth(1)
+        .and_then(|pages| pages.parse::<u64>().ok());
+    pages.unwrap_or(0) * PAGE_BYTES
+}
