--- a/lib/src/fair_queue.rs
+++ b/lib/src/fair_queue.rs
@@ -25,6 +25,7 @@
 use crate::running_request::RunningRequest;
 use crate::running_requests::RunningRequests;
 use crate::share_rate::ShareRate;
+use crate::work_estimate::WorkEstimate;
 
 /// Queue in front of one endpoint that shares its slots among organisations.
 ///
@@ -285,7 +286,8 @@
         let organisation = &mut self.organisations[index];
         self.order.remove(index, organisation);
         if organisation.waiting.is_empty() {
-            organisation.resume_demand(self.now_ms, self.idle_virtual_time);
+            let credit_ms = self.settings.share_credit_ms;
+            organisation.resume_demand(self.now_ms, credit_ms, self.idle_virtual_time);
         }
         let sequence = self.next_sequence;
         self.next_sequence += 1;
@@ -356,22 +358,21 @@
         })
     }
 
-    /// Estimates how long one more request of the organisation would wait: the time in which the
-    /// endpoint does all work present, or in which the declared share does the organisation's own.
+    fn work_estimate(&self) -> WorkEstimate {
+        WorkEstimate {
+            capacity: self.settings.capacity,
+            running_ms: self.running.remaining_work_ms(self.now_ms),
+            waiting_ms: self.waiting_work_ms,
+        }
+    }
+
+    /// Estimates how long one more request of the organisation would wait.
     fn expected_wait_ms(&self, index: usize) -> u64 {
-        let capacity = u64::from(self.settings.capacity.max(1));
-        let remaining_ms = self.running.remaining_work_ms(self.now_ms) / capacity;
-        let all_ms = remaining_ms.saturating_add(self.waiting_work_ms / capacity);
         let organisation = &self.organisations[index];
-        let share = u64::from(organisation.share_weight);
-        if share == 0 {
-            return all_ms;
-        }
-        let work_ms = u128::from(organisation.waiting_work_ms);
-        let rate = u128::from(capacity) * u128::from(share);
-        let own_ms = work_ms * u128::from(self.total_share_weight) / rate;
-        let own_ms = u64::try_from(own_ms).unwrap_or(u64::MAX);
-        all_ms.min(remaining_ms.saturating_add(own_ms))
+        let own_ms = organisation.waiting_work_ms;
+        let weight = organisation.share_weight;
+        self.work_estimate()
+            .own_ms(own_ms, weight, self.total_share_weight)
     }
 
     fn refusal(&self, code: RefusalCode) -> Admission {
@@ -387,11 +388,10 @@
 
     /// Returns the time in which the endpoint does the work present, within the settings' bounds.
     fn retry_after_ms(&self) -> u64 {
-        let remaining_ms = self.running.remaining_work_ms(self.now_ms);
-        let work_ms = self.waiting_work_ms.saturating_add(remaining_ms);
-        let wait_ms = work_ms / u64::from(self.settings.capacity.max(1));
         let settings = &self.settings;
-        wait_ms.clamp(settings.min_retry_after_ms, settings.max_retry_after_ms)
+        let wait_ms = self.work_estimate().all_ms();
+        let wait_ms = wait_ms.max(settings.min_retry_after_ms);
+        wait_ms.min(settings.max_retry_after_ms)
     }
 
     fn index_or_insert(&mut self, name: &str) -> usize {
--- a/lib/src/fair_queue_settings.rs
+++ b/lib/src/fair_queue_settings.rs
@@ -14,6 +14,10 @@
     /// Head start in the queue that one level of urgency gives.
     #[builder(default = 100)]
     pub urgency_step_ms: u64,
+    /// Time of which an organisation without demand keeps its unused share, to be made up for when
+    /// its demand returns.
+    #[builder(default = 10_000)]
+    pub share_credit_ms: u64,
     /// Shortest time to come back that a refusal names.
     #[builder(default = 100)]
     pub min_retry_after_ms: u64,
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -122,6 +122,7 @@
 mod stored_answer;
 mod void_table;
 mod word_effect;
+mod work_estimate;
 mod yaml_location;
 
 pub use admission::Admission;
--- a/lib/src/organisation_queue.rs
+++ b/lib/src/organisation_queue.rs
@@ -74,10 +74,16 @@
         in_flight >= u64::from(self.max_in_flight)
     }
 
-    /// Forgets credit from times without demand.
-    pub(crate) fn resume_demand(&mut self, now_ms: u64, idle_virtual_time: u128) {
-        let present_us = i128::from(now_ms) * MICROSECONDS_PER_MS;
-        self.owned_clock_us = self.owned_clock_us.max(present_us);
+    /// Forgets credit from times without demand, but for that of the last `share_credit_ms`.
+    pub(crate) fn resume_demand(
+        &mut self,
+        now_ms: u64,
+        share_credit_ms: u64,
+        idle_virtual_time: u128,
+    ) {
+        let oldest_ms = i128::from(now_ms) - i128::from(share_credit_ms);
+        let oldest_credit_us = oldest_ms * MICROSECONDS_PER_MS;
+        self.owned_clock_us = self.owned_clock_us.max(oldest_credit_us);
         self.idle_clock = self.idle_clock.max(idle_virtual_time);
     }
 
--- a/lib/tests/test_fair_queue.rs
+++ b/lib/tests/test_fair_queue.rs
@@ -335,6 +335,34 @@
     expect_that!(urgent.abs_diff(calm), le(1_100));
 }
 
+#[googletest::test]
+fn unused_share_is_made_up_for_within_a_bound() {
+    let mut endpoint = Endpoint::new(queue(
+        1,
+        &[parameters("owner", 1, 1), parameters("other", 1, 1)],
+    ));
+    for _ in 0..20 {
+        endpoint.offer("other", 100, 100);
+    }
+    let resend = |endpoint: &mut Endpoint, name: &str| {
+        let name = name.to_owned();
+        endpoint.offer(&name, 100, 100);
+    };
+    endpoint.run_until(100_000, resend);
+    for _ in 0..20 {
+        endpoint.offer("owner", 100, 100);
+    }
+    endpoint.run_until(102_000, resend);
+    expect_that!(endpoint.slot_ms["owner"], ge(1_800));
+    endpoint.run_until(200_000, resend);
+    let owned_ms = 50_000;
+    let credit_ms = 10_000 / 2;
+    expect_that!(
+        endpoint.slot_ms["owner"],
+        all!(ge(owned_ms), le(owned_ms + credit_ms + 200))
+    );
+}
+
 /// One organisation sends far beyond its share; the others' longest wait must stay within that
 /// without the flood plus twice the run time.
 #[googletest::test]
