listener: send the frames of an answer at once

Cause: sockets that tonic takes from our listener had no TCP_NODELAY, so each small frame waited for a delayed acknowledgement.

--- a/lib/src/agent_channels.rs
+++ b/lib/src/agent_channels.rs
@@ -16,6 +16,7 @@
 use tonic::transport::Uri;
 
 use crate::protos::settings::ControlSettings;
+use crate::socket_options;
 
 const CONNECT_FAILED: &str = "no connection to the peer";
 
@@ -88,9 +89,7 @@
         .await
         .map_err(|_| failure(format!("timeout after {} ms", timeout.as_millis())))?
         .map_err(|error| failure(error.to_string()))?;
-    stream
-        .set_nodelay(true)
-        .map_err(|error| failure(error.to_string()))?;
+    socket_options::configure(&stream).map_err(|error| failure(error.to_string()))?;
     Ok(TokioIo::new(stream))
 }
 
--- a/lib/src/endpoint_daemon.rs
+++ b/lib/src/endpoint_daemon.rs
@@ -5,7 +5,6 @@
 
 use tokio::sync::mpsc;
 use tokio::sync::watch;
-use tokio_stream::wrappers::TcpListenerStream;
 use tonic::transport::Server;
 
 use crate::CallRegistry;
@@ -32,6 +31,7 @@
 use crate::incarnation::Incarnation;
 use crate::listener::announce;
 use crate::listener::listen;
+use crate::listener::peers;
 use crate::peer_server::PeerServer;
 use crate::peer_server::PeerState;
 use crate::platform_client::PlatformClient;
@@ -125,7 +125,7 @@
     Server::builder()
         .add_service(AgentService::new(server))
         .add_service(PeerService::new(peer_server))
-        .serve_with_incoming_shutdown(TcpListenerStream::new(listener), closed(closing))
+        .serve_with_incoming_shutdown(peers(listener), closed(closing))
         .await
         .map_err(|source| DaemonError::Serve {
             address: settings.peer_address,
--- a/lib/src/entry_daemon.rs
+++ b/lib/src/entry_daemon.rs
@@ -12,7 +12,6 @@
 use serde_json::json;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
-use tokio_stream::wrappers::TcpListenerStream;
 use volo_http::body::Body;
 use volo_http::request::Request;
 use volo_http::server::extract::Query;
@@ -39,6 +38,7 @@
 use crate::listener::announce;
 use crate::listener::listen;
 use crate::listener::local_address;
+use crate::listener::peers;
 use crate::peer_server::PeerServer;
 use crate::peer_server::PeerState;
 use crate::plain_call;
@@ -115,7 +115,7 @@
     tokio::spawn(
         tonic::transport::Server::builder()
             .add_service(PeerService::new(peer_server))
-            .serve_with_incoming(TcpListenerStream::new(peer_listener)),
+            .serve_with_incoming(peers(peer_listener)),
     );
     let listener = listen("entry.caller_address", &entry.caller_address).await?;
     announce("callers", &listener);
--- a/lib/src/listener.rs
+++ b/lib/src/listener.rs
@@ -1,10 +1,16 @@
 //! Listening sockets of a daemon.
 
+use std::io;
 use std::net::SocketAddr;
 
+use futures::Stream;
+use futures::StreamExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio_stream::wrappers::TcpListenerStream;
 
 use crate::daemon_error::DaemonError;
+use crate::socket_options;
 
 /// Opens a listening socket at an IP address and port of the settings.
 ///
@@ -24,6 +30,18 @@
         })
 }
 
+/// Accepts the connections of other pomeloramp processes.
+///
+/// The frames of an answer are small writes; without the options of
+/// [`socket_options::configure`] each of them would wait for an acknowledgement.
+pub(crate) fn peers(listener: TcpListener) -> impl Stream<Item = io::Result<TcpStream>> {
+    TcpListenerStream::new(listener).map(|accepted| {
+        let stream = accepted?;
+        socket_options::configure(&stream)?;
+        Ok(stream)
+    })
+}
+
 /// Prints the address of a listening socket, which port 0 leaves to the operating system.
 pub(crate) fn announce(name: &str, listener: &TcpListener) {
     println!("{name} {}", local_address(listener));
