--- a/lib/src/agent_channels.rs
+++ b/lib/src/agent_channels.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::error::Error;
 use std::fmt;
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -19,6 +20,7 @@
 use crate::socket_options;
 
 const CONNECT_FAILED: &str = "no connection to the peer";
+const REFUSED: &str = "nobody listens";
 
 /// Connects lazily and keeps one HTTP/2 connection a peer.
 ///
@@ -79,6 +81,11 @@
     status.message().starts_with(CONNECT_FAILED)
 }
 
+/// Tells whether nobody listens at the peer's address.
+pub(crate) fn is_refused_connection(status: &Status) -> bool {
+    is_connect_failure(status) && status.message().contains(REFUSED)
+}
+
 async fn connect(uri: &Uri, timeout: Duration) -> Result<TokioIo<TcpStream>, ConnectFailure> {
     let peer = uri.authority().map(ToString::to_string).unwrap_or_default();
     let failure = |reason: String| ConnectFailure {
@@ -88,7 +95,10 @@
     let stream = tokio::time::timeout(timeout, TcpStream::connect(&peer))
         .await
         .map_err(|_| failure(format!("timeout after {} ms", timeout.as_millis())))?
-        .map_err(|error| failure(error.to_string()))?;
+        .map_err(|error| match error.kind() {
+            ErrorKind::ConnectionRefused => failure(REFUSED.to_owned()),
+            _ => failure(error.to_string()),
+        })?;
     socket_options::configure(&stream).map_err(|error| failure(error.to_string()))?;
     Ok(TokioIo::new(stream))
 }
--- a/lib/src/agent_duty.rs
+++ b/lib/src/agent_duty.rs
@@ -15,6 +15,8 @@
 use crate::Clock;
 use crate::Dispatch;
 use crate::FairQueue;
+use crate::IdleAccount;
+use crate::IdleLedger;
 use crate::QueuedRequest;
 use crate::Refusal;
 use crate::RefusalCode;
@@ -30,6 +32,7 @@
 /// Weight of one new sample in the mean run time, as a divisor.
 const MEAN_DIVISOR: u64 = 8;
 const INITIAL_RUN_MS: u64 = 100;
+const REFUSED_RETRY_MS: u64 = 200;
 
 /// A call that asks to run.
 pub(crate) struct CallAdmission {
@@ -38,6 +41,8 @@
     pub(crate) attempt: Option<CallAttempt>,
     pub(crate) time_left_ms: u64,
     pub(crate) queued_tokens: u64,
+    /// The entry's configuration is newer than this agent's.
+    pub(crate) is_config_behind: bool,
     pub(crate) reply: oneshot::Sender<Verdict>,
 }
 
@@ -77,12 +82,17 @@
     SetParameters(Vec<OrganisationParameters>),
     /// New calls are refused from now on.
     Drain,
+    /// An operator asks where the endpoint's capacity went.
+    IdleTimes {
+        reply: oneshot::Sender<Vec<IdleAccount>>,
+    },
 }
 
 /// Load as the agent itself knows it, for heartbeats.
 pub(crate) type SharedLoad = Arc<ArcSwap<LoadReport>>;
 
 struct PendingCall {
+    organisation: String,
     attempt: Option<CallAttempt>,
     queued_tokens: u64,
     /// Present until the call is told to run or refused.
@@ -100,6 +110,7 @@
     clock: Clock,
     registry: CallRegistry,
     queue: FairQueue,
+    ledger: IdleLedger,
     load: SharedLoad,
     capacity: u32,
     is_draining: bool,
@@ -119,6 +130,7 @@
         load: SharedLoad,
     ) -> Self {
         Self {
+            ledger: IdleLedger::new(capacity, clock.now_ms()),
             clock,
             registry,
             queue,
@@ -152,24 +164,36 @@
             AgentCommand::Ended { number, end } => self.ended(number, end, now_ms),
             AgentCommand::SetParameters(parameters) => {
                 self.queue.set_parameters(&parameters, now_ms);
+                self.ledger.set_parameters(&parameters, now_ms);
             }
             AgentCommand::Drain => {
                 self.is_draining = true;
                 self.queue.drain();
             }
+            AgentCommand::IdleTimes { reply } => {
+                self.ledger.advance(now_ms);
+                let _ = reply.send(self.ledger.accounts().to_vec());
+            }
         }
     }
 
     fn admit(&mut self, admission: CallAdmission, now_ms: u64) {
+        let refusal_code = self.refusal_code(&admission);
         let Some(attempt) = &admission.attempt else {
-            self.offer(admission, now_ms);
+            match refusal_code {
+                Some(code) => {
+                    let refusal = Refusal::not_run(code, REFUSED_RETRY_MS);
+                    let _ = admission.reply.send(Verdict::Refused(refusal));
+                }
+                None => self.offer(admission, now_ms),
+            }
             return;
         };
-        let decision = if self.is_draining {
-            self.registry
-                .refuse(attempt, RefusalCode::Draining, 0, now_ms)
-        } else {
-            self.registry.admit(attempt, now_ms)
+        let decision = match refusal_code {
+            Some(code) => self
+                .registry
+                .refuse(attempt, code, REFUSED_RETRY_MS, now_ms),
+            None => self.registry.admit(attempt, now_ms),
         };
         match verdict_of(&decision) {
             Some(Verdict::Run(_)) => self.offer(admission, now_ms),
@@ -180,6 +204,17 @@
         }
     }
 
+    /// Returns why no new call may start now.
+    fn refusal_code(&self, admission: &CallAdmission) -> Option<RefusalCode> {
+        if self.is_draining {
+            Some(RefusalCode::Draining)
+        } else if admission.is_config_behind {
+            Some(RefusalCode::ConfigurationBehind)
+        } else {
+            None
+        }
+    }
+
     fn attach(&mut self, attempt: CallAttempt, reply: oneshot::Sender<Verdict>) {
         self.attached
             .entry(attempt.call.clone())
@@ -192,11 +227,12 @@
         self.next_number += 1;
         let request = QueuedRequest {
             number,
-            organisation: admission.organisation,
+            organisation: admission.organisation.clone(),
             deadline_ms: now_ms.saturating_add(admission.time_left_ms),
             expected_run_ms: self.mean_run_ms.min(admission.time_left_ms),
         };
         let pending = PendingCall {
+            organisation: admission.organisation,
             attempt: admission.attempt,
             queued_tokens: admission.queued_tokens,
             reply: Some(admission.reply),
@@ -226,6 +262,7 @@
             return;
         };
         pending.started_ms = now_ms;
+        self.ledger.observe_start(&pending.organisation, now_ms);
         let told = pending
             .reply
             .take()
@@ -261,6 +298,7 @@
         let Some(pending) = self.pending.remove(&number) else {
             return;
         };
+        self.ledger.observe_finish(&pending.organisation, now_ms);
         let run_ms = now_ms.saturating_sub(pending.started_ms);
         if !matches!(end, CallEnd::NotStarted) {
             self.mean_run_ms -= self.mean_run_ms / MEAN_DIVISOR;
--- a/lib/src/agent_server.rs
+++ b/lib/src/agent_server.rs
@@ -3,6 +3,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use futures::Stream;
 use serde_json::Value;
@@ -49,6 +50,8 @@
 /// Longest wait for the endpoint, far beyond the deadline after which an entry answers.
 const ANSWER_LIMIT: Duration = Duration::from_mins(1);
 const OVERLOAD_RETRY_MS: u64 = 500;
+const CONFIGURATION_WAIT: Duration = Duration::from_secs(1);
+const CONFIGURATION_POLL_INTERVAL: Duration = Duration::from_millis(10);
 const BYTES_PER_TOKEN: u64 = 4;
 const COMPLETIONS: &str = "completions";
 const ENDPOINT_ERROR: &str = "endpoint-error";
@@ -95,7 +98,8 @@
         if heartbeat.listed_leaving && !*state.leaving.borrow() {
             state.leaving.send_replace(true);
         }
-        if heartbeat.config_revision > state.config.load().revision {
+        let view = state.config.load();
+        if heartbeat.config_revision >= view.revision && heartbeat.config_digest != view.digest {
             // A pull that is already under way fetches this revision as well.
             let _ = state.pulls.try_send(heartbeat.from_address);
         }
@@ -104,11 +108,12 @@
             incarnation: state.incarnation.0,
             clock_ms: state.clock.now_ms(),
             leaving: *state.leaving.borrow(),
-            config_revision: state.config.load().revision,
+            config_revision: view.revision,
             load: Some(**state.load.load()),
             service: state.service.clone(),
             endpoint_up: *state.endpoint_up.borrow(),
             quarantined: Vec::new(),
+            config_digest: view.digest,
         }))
     }
 
@@ -162,12 +167,14 @@
     }
 
     async fn admit(&self) -> Result<Verdict, DutyError> {
+        let is_config_behind = !self.has_configuration().await;
         let (reply, verdict) = oneshot::channel();
         let admission = CallAdmission {
             organisation: self.call.organisation.clone(),
             attempt: self.attempt(),
             time_left_ms: self.call.deadline_ms,
             queued_tokens: self.call.body.len() as u64 / BYTES_PER_TOKEN,
+            is_config_behind,
             reply,
         };
         self.state.duty.submit(AgentCommand::Admit(admission))?;
@@ -187,6 +194,18 @@
         Err(ended())
     }
 
+    /// Waits a short time for the configuration that the entry had when it sent the call.
+    async fn has_configuration(&self) -> bool {
+        let deadline = Instant::now() + CONFIGURATION_WAIT;
+        while self.state.config.load().revision < self.call.config_revision {
+            if Instant::now() >= deadline {
+                return false;
+            }
+            tokio::time::sleep(CONFIGURATION_POLL_INTERVAL).await;
+        }
+        true
+    }
+
     fn attempt(&self) -> Option<CallAttempt> {
         let idempotent = self.call.idempotent.as_ref()?;
         Some(CallAttempt {
--- /dev/null
+++ b/lib/src/config_source.rs
@@ -0,0 +1,147 @@
+//! Where a process gets its configuration: the platform's service and its peers.
+
+use std::time::Duration;
+
+use pomeloramp_proc_macros::key;
+use tokio::sync::oneshot;
+use tonic::Request;
+
+use crate::agent_channels::AgentChannels;
+use crate::agent_channels::is_refused_connection;
+use crate::config_duty::ConfigCommand;
+use crate::config_duty::SharedConfig;
+use crate::duty::Duty;
+use crate::duty::DutyError;
+use crate::platform_client::PlatformClient;
+use crate::platform_client::PlatformError;
+use crate::protos::control::ConfigValue;
+use crate::protos::control::ExchangeReply;
+use crate::protos::control::ExchangeRequest;
+use crate::protos::control::peer_client::PeerClient;
+
+const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(1);
+const RING_RETRY_DELAY: Duration = Duration::from_millis(5);
+
+/// Why a peer gave no answer to an exchange.
+#[key]
+pub(crate) enum ExchangeError {
+    /// Nobody listens at the peer's address.
+    Absent,
+    /// The peer did not answer in time.
+    Silent,
+}
+
+/// Reads the platform's service and exchanges configuration with peers.
+#[derive(Clone)]
+pub(crate) struct ConfigSource {
+    pub(crate) vm_name: String,
+    pub(crate) platform: PlatformClient,
+    pub(crate) channels: AgentChannels,
+    pub(crate) config: SharedConfig,
+    pub(crate) duty: Duty<ConfigCommand>,
+}
+
+impl ConfigSource {
+    /// Waits up to `wait` for values published after `revision`, takes them, and returns the
+    /// service's revision.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not answer.
+    pub(crate) async fn read(&self, revision: u64, wait: Duration) -> Result<u64, PlatformError> {
+        let published = self.platform.watch(revision, wait).await?;
+        let values = published
+            .values
+            .into_iter()
+            .map(|value| ConfigValue {
+                key: value.key,
+                revision: value.revision,
+                value: value.value.into_bytes(),
+            })
+            .collect();
+        self.offer(values).await;
+        Ok(published.revision)
+    }
+
+    /// Exchanges revisions with a peer and takes what it has newer.
+    ///
+    /// # Errors
+    ///
+    /// Tells whether the peer refused the connection or is silent.
+    pub(crate) async fn exchange(&self, peer: &str) -> Result<ExchangeReply, ExchangeError> {
+        let view = self.config.load_full();
+        let greeting = ExchangeRequest {
+            from_vm: self.vm_name.clone(),
+            config_revision: view.revision,
+            config_digest: view.digest,
+            ..ExchangeRequest::default()
+        };
+        let answer = self.send(peer, greeting.clone()).await?;
+        if answer.config_digest == view.digest {
+            return Ok(answer);
+        }
+        let (reply, have) = oneshot::channel();
+        let submitted = self.duty.submit(ConfigCommand::Have { reply });
+        submitted.map_err(|_| ExchangeError::Silent)?;
+        let question = ExchangeRequest {
+            have: have.await.map_err(|_| ExchangeError::Silent)?,
+            asks_for_values: true,
+            ..greeting
+        };
+        let mut answer = self.send(peer, question).await?;
+        self.offer(std::mem::take(&mut answer.newer)).await;
+        Ok(answer)
+    }
+
+    async fn send(
+        &self,
+        peer: &str,
+        exchange: ExchangeRequest,
+    ) -> Result<ExchangeReply, ExchangeError> {
+        let mut request = Request::new(exchange);
+        request.set_timeout(EXCHANGE_TIMEOUT);
+        let channel = self.channels.get(peer);
+        let mut client = PeerClient::new(channel.map_err(|_| ExchangeError::Absent)?);
+        let answer = tokio::time::timeout(EXCHANGE_TIMEOUT, client.exchange(request)).await;
+        match answer {
+            Ok(Ok(answer)) => Ok(answer.into_inner()),
+            Ok(Err(status)) if is_refused_connection(&status) => Err(ExchangeError::Absent),
+            Ok(Err(_)) | Err(_) => Err(ExchangeError::Silent),
+        }
+    }
+
+    /// Hands values to the duty and waits until they are taken, however full its ring is.
+    async fn offer(&self, values: Vec<ConfigValue>) {
+        if values.is_empty() {
+            return;
+        }
+        let (done, taken) = oneshot::channel();
+        let mut command = ConfigCommand::Offer { values, done };
+        while let Err(returned) = self.duty.submit_or_return(command) {
+            command = returned;
+            tokio::time::sleep(RING_RETRY_DELAY).await;
+        }
+        let _ = taken.await;
+    }
+}
+
+/// Returns the values that a peer with the list `have` lacks.
+///
+/// # Errors
+///
+/// Fails when the duty's ring is full or its thread has ended.
+pub(crate) async fn newer_values(
+    duty: &Duty<ConfigCommand>,
+    exchange: ExchangeRequest,
+) -> Result<Vec<ConfigValue>, DutyError> {
+    if !exchange.asks_for_values {
+        return Ok(Vec::new());
+    }
+    let (reply, newer) = oneshot::channel();
+    let command = ConfigCommand::Newer {
+        have: exchange.have,
+        reply,
+    };
+    duty.submit(command)?;
+    newer.await.map_err(|_| DutyError::Ended { duty: "config" })
+}
--- a/lib/src/config_view.rs
+++ b/lib/src/config_view.rs
@@ -13,14 +13,14 @@
 /// One service with an index over its organisations' credentials.
 #[derive(Debug)]
 pub struct ServiceView {
-    template: ServiceTemplate,
+    template: Arc<ServiceTemplate>,
     by_credential: HashMap<String, usize>,
 }
 
 impl ServiceView {
     /// Indexes a template.
     #[must_use]
-    pub fn new(template: ServiceTemplate) -> Self {
+    pub fn new(template: Arc<ServiceTemplate>) -> Self {
         let by_credential = template
             .organisations
             .iter()
@@ -42,6 +42,12 @@
         &self.template
     }
 
+    /// Returns the template as it is shared with the store.
+    #[must_use]
+    pub fn shared_template(&self) -> &Arc<ServiceTemplate> {
+        &self.template
+    }
+
     /// Finds the organisation that holds `credential`.
     #[must_use]
     pub fn organisation(&self, credential: &str) -> Option<&OrganisationParameters> {
@@ -57,6 +63,8 @@
 pub struct ConfigView {
     /// Highest revision in force.
     pub revision: u64,
+    /// Digest over all keys and revisions held.
+    pub digest: u64,
     /// Services by name.
     pub services: BTreeMap<String, Arc<ServiceView>>,
 }
--- a/lib/src/control_loop.rs
+++ b/lib/src/control_loop.rs
@@ -2,106 +2,149 @@
 
 use std::time::Duration;
 
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
 use tonic::Request;
 
 use crate::agent_channels::AgentChannels;
+use crate::clock::Clock;
 use crate::config_duty::SharedConfig;
+use crate::control_plan::ControlPlan;
+use crate::control_plan::HeartbeatTarget;
 use crate::duty::Duty;
+use crate::event;
 use crate::platform_client::PlatformClient;
-use crate::platform_client::VmRecord;
+use crate::protos::control::HeartbeatReply;
 use crate::protos::control::HeartbeatRequest;
 use crate::protos::control::agent_client::AgentClient;
 use crate::routing_duty::RoutingCommand;
 
-const LEAVING: &str = "leaving";
+const PLAN_INTERVAL: Duration = Duration::from_millis(50);
 
 /// What the loop needs of its process.
 pub(crate) struct ControlLoop {
     pub(crate) vm_name: String,
     pub(crate) peer_address: String,
+    pub(crate) clock: Clock,
     pub(crate) platform: PlatformClient,
     pub(crate) channels: AgentChannels,
     pub(crate) config: SharedConfig,
     pub(crate) routing: Duty<RoutingCommand>,
-    pub(crate) heartbeat_interval: Duration,
+    pub(crate) heartbeat_timeout: Duration,
     pub(crate) vm_list_interval: Duration,
+    /// Hears the address of an agent that holds a configuration unlike this entry's.
+    pub(crate) config_pulls: mpsc::Sender<String>,
 }
 
 impl ControlLoop {
-    /// Runs until the process ends.
-    pub(crate) async fn run(self) {
-        let mut agents = Vec::new();
+    /// Runs until the process ends, and passes each plan on.
+    pub(crate) async fn run(self, plans: watch::Sender<Option<ControlPlan>>) {
         let mut list_ticks = tokio::time::interval(self.vm_list_interval);
-        let mut heartbeat_ticks = tokio::time::interval(self.heartbeat_interval);
+        let mut plan_ticks = tokio::time::interval(PLAN_INTERVAL);
         list_ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        heartbeat_ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        plan_ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
-                _ = list_ticks.tick() => self.read_list(&mut agents).await,
-                _ = heartbeat_ticks.tick() => self.send_heartbeats(&agents),
+                _ = list_ticks.tick() => {
+                    tokio::spawn(read_list(
+                        self.platform.clone(),
+                        self.channels.clone(),
+                        self.routing.clone(),
+                    ));
+                }
+                _ = plan_ticks.tick() => {
+                    if let Some(plan) = self.plan().await {
+                        self.send_heartbeats(&plan.heartbeats);
+                        plans.send_replace(Some(plan));
+                    }
+                }
             }
         }
     }
 
-    async fn read_list(&self, agents: &mut Vec<VmRecord>) {
-        match self.platform.vms().await {
-            Ok(list) => {
-                *agents = list
-                    .vms
-                    .iter()
-                    .filter(|vm| vm.role == "endpoint")
-                    .cloned()
-                    .collect();
-                self.channels
-                    .retain(|peer| list.vms.iter().any(|vm| vm.peer_address == peer));
-                let _ = self.routing.submit(RoutingCommand::VmList(list.vms));
-            }
-            Err(error) => log::warn!("VM list: {error}"),
-        }
+    async fn plan(&self) -> Option<ControlPlan> {
+        let (reply, plan) = oneshot::channel();
+        self.routing.submit(RoutingCommand::Plan { reply }).ok()?;
+        plan.await.ok()
     }
 
-    fn send_heartbeats(&self, agents: &[VmRecord]) {
-        for agent in agents {
-            let peer_address = &agent.peer_address;
+    fn send_heartbeats(&self, targets: &[HeartbeatTarget]) {
+        let view = self.config.load();
+        for target in targets {
             let heartbeat = HeartbeatRequest {
                 from_vm: self.vm_name.clone(),
-                config_revision: self.config.load().revision,
+                config_revision: view.revision,
                 from_address: self.peer_address.clone(),
-                listed_leaving: agent.state == LEAVING,
+                listed_leaving: target.is_listed_leaving,
                 quarantined: Vec::new(),
+                config_digest: view.digest,
+            };
+            let exchange = HeartbeatExchange {
+                target: target.clone(),
+                asked_ms: self.clock.now_ms(),
+                config_revision: view.revision,
+                routing: self.routing.clone(),
+                config_pulls: self.config_pulls.clone(),
             };
-            tokio::spawn(send_heartbeat(
-                self.channels.clone(),
-                peer_address.clone(),
-                heartbeat,
-                self.routing.clone(),
-                self.heartbeat_interval * 2,
-            ));
+            let channels = self.channels.clone();
+            tokio::spawn(exchange.run(channels, heartbeat, self.heartbeat_timeout));
         }
     }
 }
 
-async fn send_heartbeat(
+async fn read_list(
+    platform: PlatformClient,
     channels: AgentChannels,
-    peer_address: String,
-    heartbeat: HeartbeatRequest,
     routing: Duty<RoutingCommand>,
-    timeout: Duration,
 ) {
-    let Ok(channel) = channels.get(&peer_address) else {
-        return;
-    };
-    let mut request = Request::new(heartbeat);
-    request.set_timeout(timeout);
-    let mut client = AgentClient::new(channel);
-    let answer = tokio::time::timeout(timeout, client.heartbeat(request)).await;
-    let command = match answer {
-        Ok(Ok(reply)) => RoutingCommand::Heartbeat {
-            peer_address,
-            reply: reply.into_inner(),
-        },
-        Ok(Err(_)) | Err(_) => RoutingCommand::Silent { peer_address },
-    };
-    let _ = routing.submit(command);
+    match platform.vms().await {
+        Ok(list) => {
+            channels.retain(|peer| list.vms.iter().any(|vm| vm.peer_address == peer));
+            if let Err(error) = routing.submit(RoutingCommand::VmList(list.vms)) {
+                log::warn!("VM list: {error}");
+            }
+        }
+        Err(error) => event!(VmListFailed, "{error}"),
+    }
+}
+
+/// One heartbeat and its answer.
+struct HeartbeatExchange {
+    target: HeartbeatTarget,
+    asked_ms: u64,
+    config_revision: u64,
+    routing: Duty<RoutingCommand>,
+    config_pulls: mpsc::Sender<String>,
+}
+
+impl HeartbeatExchange {
+    async fn run(self, channels: AgentChannels, heartbeat: HeartbeatRequest, timeout: Duration) {
+        let Ok(channel) = channels.get(&self.target.peer_address) else {
+            return;
+        };
+        let mut request = Request::new(heartbeat);
+        request.set_timeout(timeout);
+        let mut client = AgentClient::new(channel);
+        let answer = tokio::time::timeout(timeout, client.heartbeat(request)).await;
+        if let Ok(Ok(reply)) = answer {
+            self.heard(reply.into_inner());
+        }
+    }
+
+    fn heard(self, reply: HeartbeatReply) {
+        if reply.config_revision > self.config_revision {
+            // A pull that is already under way fetches this revision as well.
+            let _ = self.config_pulls.try_send(self.target.peer_address);
+        }
+        let command = RoutingCommand::Heartbeat {
+            vm_name: self.target.vm_name,
+            reply,
+            asked_ms: self.asked_ms,
+        };
+        if let Err(error) = self.routing.submit(command) {
+            log::debug!("heartbeat: {error}");
+        }
+    }
 }
--- a/lib/src/endpoint_daemon.rs
+++ b/lib/src/endpoint_daemon.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::future::BoxFuture;
 use tokio::sync::mpsc;
+use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tonic::transport::Server;
 
@@ -20,7 +22,8 @@
 use crate::clock::Clock;
 use crate::config_duty;
 use crate::config_duty::SharedConfig;
-use crate::config_pull::ConfigPull;
+use crate::config_follower::ServiceReached;
+use crate::config_source::ConfigSource;
 use crate::config_view::ConfigView;
 use crate::daemon_error::DaemonError;
 use crate::duty::Duty;
@@ -34,7 +37,9 @@
 use crate::listener::peers;
 use crate::peer_server::PeerServer;
 use crate::peer_server::PeerState;
+use crate::peer_server::RoleStatus;
 use crate::platform_client::PlatformClient;
+use crate::protos::control::IdleTime;
 use crate::protos::control::agent_server::AgentServer as AgentService;
 use crate::protos::control::peer_server::PeerServer as PeerService;
 use crate::protos::settings::DaemonSettings;
@@ -70,12 +75,14 @@
     );
     let platform = PlatformClient::new(&settings.platform_address, connect_timeout);
     let (pulls, pull_requests) = mpsc::channel(1);
-    let config_pull = ConfigPull {
+    let source = ConfigSource {
         vm_name: settings.vm_name.clone(),
+        platform,
         channels: AgentChannels::new(&control),
+        config: Arc::clone(&config),
         duty: config_duty.clone(),
     };
-    tokio::spawn(follow_configuration(platform, config_pull, pull_requests));
+    tokio::spawn(follow_configuration(source, pull_requests));
 
     let endpoint = EndpointClient::new(
         &endpoint_settings.endpoint_address,
@@ -99,6 +106,9 @@
         config: Arc::clone(&config),
         in_flight: in_flight.clone(),
         config_duty,
+        reached: ServiceReached::new(clock),
+        serving: watch::channel(true).1,
+        role_status: role_status(duty.clone(), &endpoint_settings.service),
     };
     let state = AgentState {
         vm_name: settings.vm_name,
@@ -202,19 +212,50 @@
 /// Reads the whole configuration once, then pulls what entries announce.
 ///
 /// An agent does not watch the configuration service: its calls would grow with the fleet.
-async fn follow_configuration(
-    platform: PlatformClient,
-    config_pull: ConfigPull,
-    mut pulls: mpsc::Receiver<String>,
-) {
-    if let Err(error) = config_duty::read_once(&platform, &config_pull.duty).await {
+async fn follow_configuration(source: ConfigSource, mut pulls: mpsc::Receiver<String>) {
+    if let Err(error) = source.read(0, Duration::ZERO).await {
         event!(ConfigServiceFailed, "{error}");
     }
     while let Some(peer) = pulls.recv().await {
-        config_pull.pull(&peer).await;
+        if let Err(error) = source.exchange(&peer).await {
+            log::debug!("exchange with {peer}: {error:?}");
+        }
     }
 }
 
+/// Returns what asks the agent's duty where the endpoint's capacity went.
+fn role_status(
+    duty: Duty<AgentCommand>,
+    service: &str,
+) -> Box<dyn Fn() -> BoxFuture<'static, RoleStatus> + Send + Sync> {
+    let service = service.to_owned();
+    Box::new(move || {
+        let duty = duty.clone();
+        let service = service.clone();
+        Box::pin(async move {
+            let (reply, accounts) = oneshot::channel();
+            if let Err(error) = duty.submit(AgentCommand::IdleTimes { reply }) {
+                log::warn!("status: {error}");
+            }
+            let accounts = accounts.await.unwrap_or_default();
+            let idle_times = accounts
+                .into_iter()
+                .map(|account| IdleTime {
+                    organisation: account.organisation,
+                    service: service.clone(),
+                    used_ms: account.used_ms,
+                    lent_ms: account.lent_ms,
+                    idle_ms: account.idle_ms,
+                })
+                .collect();
+            RoleStatus {
+                members: Vec::new(),
+                idle_times,
+            }
+        })
+    })
+}
+
 /// Lets entries learn that the agent is leaving, and closes the server when no call is left.
 async fn drain(
     mut draining: watch::Receiver<bool>,
--- a/lib/src/entry_daemon.rs
+++ b/lib/src/entry_daemon.rs
@@ -5,11 +5,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::future::BoxFuture;
 use http::HeaderValue;
 use http::Response;
 use http::header::CONTENT_TYPE;
 use serde_json::Value;
 use serde_json::json;
+use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 use volo_http::body::Body;
@@ -28,8 +30,12 @@
 use crate::completion;
 use crate::config_duty;
 use crate::config_duty::SharedConfig;
+use crate::config_follower::ConfigFollower;
+use crate::config_follower::ServiceReached;
+use crate::config_source::ConfigSource;
 use crate::control_loop::ControlLoop;
 use crate::daemon_error::DaemonError;
+use crate::duty::Duty;
 use crate::entry_server::EntryState;
 use crate::entry_server::overloaded;
 use crate::entry_server::respond;
@@ -41,13 +47,14 @@
 use crate::listener::peers;
 use crate::peer_server::PeerServer;
 use crate::peer_server::PeerState;
+use crate::peer_server::RoleStatus;
 use crate::plain_call;
 use crate::platform_client::PlatformClient;
 use crate::protos::control::peer_server::PeerServer as PeerService;
 use crate::protos::settings::DaemonSettings;
 use crate::routing_duty;
 use crate::routing_duty::RoutingCommand;
-use crate::routing_duty::RoutingSettings;
+use crate::routing_settings::RoutingSettings;
 use crate::shutdown;
 
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -61,37 +68,57 @@
     let control = settings.control.unwrap_or_default();
     let entry = settings.entry.clone().unwrap_or_default();
     let connect_timeout = Duration::from_millis(control.connect_timeout_ms);
+    let clock = Clock::start();
     let platform = PlatformClient::new(&settings.platform_address, connect_timeout);
     let config = SharedConfig::default();
     let config_duty = config_duty::spawn(Arc::clone(&config), |_| {});
-    let wait = Duration::from_millis(control.watch_wait_ms);
-    tokio::spawn(config_duty::watch(
-        platform.clone(),
-        config_duty.clone(),
-        wait,
-    ));
-
     let channels = AgentChannels::new(&control);
-    let routing_settings = RoutingSettings {
-        availability_zone: settings.availability_zone.clone(),
-        suspect_after_ms: control.suspect_after_ms,
-        retry_percent: entry.retry_budget_percent,
-    };
-    let routing = routing_duty::spawn(Clock::start(), routing_settings);
+    let routing_settings = RoutingSettings::builder()
+        .vm_name(settings.vm_name.clone())
+        .availability_zone(settings.availability_zone.clone())
+        .heartbeat_interval_ms(control.heartbeat_interval_ms)
+        .suspect_after_ms(control.suspect_after_ms)
+        .readers_per_zone(control.config_readers_per_zone as usize)
+        .endpoints_per_service(entry.endpoints_per_service as usize)
+        .retry_percent(entry.retry_budget_percent)
+        .build();
+    let routing = routing_duty::spawn(clock, routing_settings);
     let peer_listener = listen("peer_address", &settings.peer_address).await?;
     announce("peers", &peer_listener);
-    let peer_address = local_address(&peer_listener);
+
+    let source = ConfigSource {
+        vm_name: settings.vm_name.clone(),
+        platform: platform.clone(),
+        channels: channels.clone(),
+        config: Arc::clone(&config),
+        duty: config_duty.clone(),
+    };
+    let (config_pulls, pull_requests) = mpsc::channel(1);
     let control_loop = ControlLoop {
         vm_name: settings.vm_name.clone(),
-        peer_address,
+        peer_address: local_address(&peer_listener),
+        clock,
         platform,
         channels: channels.clone(),
         config: Arc::clone(&config),
         routing: routing.clone(),
-        heartbeat_interval: Duration::from_millis(control.heartbeat_interval_ms),
+        heartbeat_timeout: Duration::from_millis(control.heartbeat_interval_ms) * 2,
         vm_list_interval: Duration::from_millis(control.vm_list_interval_ms),
+        config_pulls,
+    };
+    let (plan_sender, plans) = watch::channel(None);
+    tokio::spawn(control_loop.run(plan_sender));
+    tokio::spawn(pull_from_agents(source.clone(), pull_requests));
+    let reached = ServiceReached::new(clock);
+    let follower = ConfigFollower {
+        source,
+        routing: routing.clone(),
+        clock,
+        reached: reached.clone(),
+        exchange_interval: Duration::from_millis(control.peer_exchange_interval_ms),
+        watch_wait: Duration::from_millis(control.watch_wait_ms),
     };
-    tokio::spawn(control_loop.run());
+    let (serve, serving) = watch::channel(false);
 
     let in_flight = InFlight::default();
     let draining = shutdown::listen();
@@ -108,6 +135,9 @@
         config: Arc::clone(&config),
         in_flight: in_flight.clone(),
         config_duty,
+        reached,
+        serving,
+        role_status: role_status(routing.clone()),
     };
     let peer_server = PeerServer {
         state: Arc::new(peer_state),
@@ -117,6 +147,9 @@
             .add_service(PeerService::new(peer_server))
             .serve_with_incoming(peers(peer_listener)),
     );
+    follower.catch_up(plans.clone()).await;
+    tokio::spawn(follower.run(plans));
+    serve.send_replace(true);
     let listener = listen("entry.caller_address", &entry.caller_address).await?;
     announce("callers", &listener);
     let state = Arc::new(EntryState {
@@ -133,6 +166,34 @@
     Ok(())
 }
 
+/// Takes over what an agent holds that this entry lacks.
+async fn pull_from_agents(source: ConfigSource, mut pulls: mpsc::Receiver<String>) {
+    while let Some(peer) = pulls.recv().await {
+        if let Err(error) = source.exchange(&peer).await {
+            log::debug!("exchange with {peer}: {error:?}");
+        }
+    }
+}
+
+/// Returns what asks the routing duty for the members.
+fn role_status(
+    routing: Duty<RoutingCommand>,
+) -> Box<dyn Fn() -> BoxFuture<'static, RoleStatus> + Send + Sync> {
+    Box::new(move || {
+        let routing = routing.clone();
+        Box::pin(async move {
+            let (reply, members) = oneshot::channel();
+            if let Err(error) = routing.submit(RoutingCommand::Members { reply }) {
+                log::warn!("status: {error}");
+            }
+            RoleStatus {
+                members: members.await.unwrap_or_default(),
+                idle_times: Vec::new(),
+            }
+        })
+    })
+}
+
 /// Closes the listener once no caller can still hold this entry's address.
 async fn drain(
     mut draining: watch::Receiver<bool>,
@@ -199,11 +260,11 @@
     let entries = answer.await.map_err(|_| overloaded())?;
     let listed: Vec<_> = entries
         .iter()
-        .filter(|entry| entry.state != "leaving")
+        .filter(|entry| !entry.is_leaving && !entry.is_suspected)
         .map(|entry| {
             json!({
-                "address": entry.caller_address,
-                "availability_zone": entry.availability_zone,
+                "address": entry.record.caller_address,
+                "availability_zone": entry.record.availability_zone,
             })
         })
         .collect();
@@ -228,8 +289,13 @@
     service: &str,
 ) -> Result<Response<Body>, CallerError> {
     let usable = state.homes(service).await?.len();
-    let configured = state.config.load().service(service).is_some();
-    let body = json!({ "service": service, "usable": usable, "configured": configured });
+    let view = state.config.load();
+    let body = json!({
+        "service": service,
+        "usable": usable,
+        "configured": view.service(service).is_some(),
+        "config_revision": view.revision,
+    });
     Ok(json_response(&body))
 }
 
--- /dev/null
+++ b/lib/src/fleet_view.rs
@@ -0,0 +1,385 @@
+//! What an entry knows of the fleet, and its decisions on routing and control traffic.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+use crate::EndpointFlags;
+use crate::EndpointSubset;
+use crate::Incarnation;
+use crate::ListedVm;
+use crate::MemberState;
+use crate::MemberWord;
+use crate::Membership;
+use crate::MembershipSettings;
+use crate::ReaderElection;
+use crate::ReaderElectionSettings;
+use crate::RefusalCode;
+use crate::RouteChoice;
+use crate::WordEffect;
+use crate::control_plan::ControlPlan;
+use crate::control_plan::HeartbeatTarget;
+use crate::control_plan::PeerTarget;
+use crate::event;
+use crate::platform_client::VmRecord;
+use crate::protos::control::HeartbeatReply;
+use crate::protos::control::MemberStatus;
+use crate::protos::control::PlacementHome;
+use crate::route_query::RouteQuery;
+use crate::routing_settings::RoutingSettings;
+use crate::service_routes::RoutedSend;
+use crate::service_routes::ServiceRoutes;
+
+const NO_ENDPOINT_RETRY_MS: u64 = 1000;
+const LEAVING: &str = "leaving";
+const ENTRY: &str = "entry";
+/// Time for which an entry that did not answer an exchange is left out.
+const PEER_AVOIDED_MS: u64 = 10_000;
+
+/// What an entry knows of the fleet.
+pub(crate) struct FleetView {
+    settings: RoutingSettings,
+    membership: Membership,
+    election: ReaderElection,
+    has_list: bool,
+    entries: Vec<VmRecord>,
+    /// Entries that did not answer, with the time until which they are left out.
+    avoided_until_ms: HashMap<String, u64>,
+    services: BTreeMap<String, ServiceRoutes>,
+    /// Endpoints in touch with this entry, by service.
+    subsets: BTreeMap<String, Vec<String>>,
+    states: BTreeMap<String, MemberState>,
+}
+
+impl FleetView {
+    /// Creates the view of a newly started entry.
+    pub(crate) fn new(settings: RoutingSettings, now_ms: u64) -> Self {
+        let membership = MembershipSettings::builder()
+            .vm_name(settings.vm_name.clone())
+            .heartbeat_interval_ms(settings.heartbeat_interval_ms)
+            .suspect_after_ms(settings.suspect_after_ms)
+            .build();
+        let election = ReaderElectionSettings::builder()
+            .vm_name(settings.vm_name.clone())
+            .availability_zone(settings.availability_zone.clone())
+            .readers_per_zone(settings.readers_per_zone)
+            .build();
+        Self {
+            membership: Membership::new(membership),
+            election: ReaderElection::new(election, rand::random(), now_ms),
+            settings,
+            has_list: false,
+            entries: Vec::new(),
+            avoided_until_ms: HashMap::new(),
+            services: BTreeMap::new(),
+            subsets: BTreeMap::new(),
+            states: BTreeMap::new(),
+        }
+    }
+
+    /// Takes the platform's list of VMs.
+    pub(crate) fn observe_list(&mut self, vms: &[VmRecord], now_ms: u64) {
+        self.has_list = true;
+        let listed: Vec<ListedVm> = vms.iter().map(listed_vm).collect();
+        self.membership.observe_list(&listed, now_ms);
+        self.entries = vms.iter().filter(|vm| vm.role == ENTRY).cloned().collect();
+        self.choose_subsets(now_ms);
+    }
+
+    /// Takes an agent's answer to a heartbeat that was sent at `asked_ms`.
+    pub(crate) fn observe_heartbeat(
+        &mut self,
+        vm_name: &str,
+        reply: &HeartbeatReply,
+        asked_ms: u64,
+        now_ms: u64,
+    ) {
+        let word = MemberWord {
+            vm_name: vm_name.to_owned(),
+            incarnation: Incarnation(reply.incarnation),
+            clock_ms: reply.clock_ms,
+            leaving: reply.leaving,
+            endpoint_up: reply.endpoint_up,
+            config_revision: reply.config_revision,
+        };
+        match self.membership.observe_word(&word, asked_ms, now_ms) {
+            WordEffect::NewIncarnation => event!(AgentFound, "vm_name={vm_name}"),
+            WordEffect::Refreshed => {}
+            WordEffect::Ignored => return,
+        }
+        let service = self.service_of(vm_name);
+        if let Some(routes) = self.services.get_mut(&service)
+            && let Some(load) = &reply.load
+        {
+            routes.update_load(vm_name, load, now_ms);
+        }
+        self.refresh_state(vm_name, now_ms);
+    }
+
+    /// Takes what another entry said of itself in an exchange.
+    pub(crate) fn observe_peer(&mut self, word: &MemberWord, asked_ms: u64, now_ms: u64) {
+        self.avoided_until_ms.remove(&word.vm_name);
+        self.membership.observe_word(word, asked_ms, now_ms);
+    }
+
+    /// Notes that an entry did not answer an exchange.
+    pub(crate) fn avoid_peer(&mut self, vm_name: &str, now_ms: u64) {
+        let until_ms = now_ms.saturating_add(PEER_AVOIDED_MS);
+        self.avoided_until_ms.insert(vm_name.to_owned(), until_ms);
+    }
+
+    /// Notes that a reader, or this entry itself, reached the configuration service.
+    pub(crate) fn observe_reader_news(&mut self, reached_ms: u64) {
+        self.election.observe_reader_news(reached_ms);
+    }
+
+    /// Tells whether this entry must read the configuration service by itself now.
+    pub(crate) fn take_due_fallback_read(&mut self, now_ms: u64) -> bool {
+        self.election.take_due_fallback_read(now_ms)
+    }
+
+    /// Applies what the passage of time changes.
+    pub(crate) fn refresh_states(&mut self, now_ms: u64) {
+        let names: Vec<String> = self.subsets.values().flatten().cloned().collect();
+        for vm_name in names {
+            self.refresh_state(&vm_name, now_ms);
+        }
+    }
+
+    /// Returns what the control traffic does next.
+    pub(crate) fn plan(&mut self, now_ms: u64) -> ControlPlan {
+        let monitored: Vec<&str> = self
+            .subsets
+            .values()
+            .flatten()
+            .map(String::as_str)
+            .collect();
+        let due = self.membership.due_heartbeats(&monitored, now_ms);
+        let heartbeats = due
+            .iter()
+            .filter_map(|vm_name| self.membership.member(vm_name))
+            .map(|member| HeartbeatTarget {
+                vm_name: member.listed().vm_name.clone(),
+                peer_address: member.listed().peer_address.clone(),
+                is_listed_leaving: member.listed().leaving,
+            })
+            .collect();
+        let peers: Vec<&VmRecord> = self.live_peers(now_ms).collect();
+        let zone_peers: Vec<&VmRecord> = peers
+            .iter()
+            .copied()
+            .filter(|vm| vm.availability_zone == self.settings.availability_zone)
+            .collect();
+        let zone_names: Vec<&str> = zone_peers.iter().map(|vm| vm.vm_name.as_str()).collect();
+        let readers = zone_peers
+            .iter()
+            .filter(|vm| self.is_zone_reader(&vm.vm_name, &zone_names))
+            .map(|vm| peer_target(vm))
+            .collect();
+        ControlPlan {
+            has_list: self.has_list,
+            heartbeats,
+            is_reader: self.election.is_reader(&zone_names),
+            readers,
+            peers: peers.into_iter().map(peer_target).collect(),
+        }
+    }
+
+    /// Chooses an endpoint for a request.
+    pub(crate) fn choose(
+        &mut self,
+        query: &RouteQuery,
+        now_ms: u64,
+    ) -> Result<RoutedSend, RouteChoice> {
+        match self.services.get_mut(&query.service) {
+            Some(routes) => routes.choose(query, now_ms),
+            None => Err(RouteChoice::Refuse {
+                code: RefusalCode::NoEndpoint,
+                retry_after_ms: NO_ENDPOINT_RETRY_MS,
+            }),
+        }
+    }
+
+    /// Returns the routes of a service that has endpoints.
+    pub(crate) fn routes(&mut self, service: &str) -> Option<&mut ServiceRoutes> {
+        self.services.get_mut(service)
+    }
+
+    /// Returns the agents that calls of a service may be bound to.
+    pub(crate) fn homes(&self, service: &str, now_ms: u64) -> Vec<PlacementHome> {
+        let subset = self.subsets.get(service).map_or(&[][..], Vec::as_slice);
+        self.membership
+            .endpoints_in_state(service, MemberState::Alive, now_ms)
+            .filter(|member| subset.contains(&member.listed().vm_name))
+            .filter_map(|member| {
+                let word = member.word()?;
+                Some(PlacementHome {
+                    vm_name: member.listed().vm_name.clone(),
+                    peer_address: member.listed().peer_address.clone(),
+                    incarnation: word.incarnation.0,
+                    stamp_ms: word.clock_ms,
+                })
+            })
+            .collect()
+    }
+
+    /// Returns the entries of the platform's list, and whether callers should be sent there.
+    pub(crate) fn entries(&self, now_ms: u64) -> Vec<ListedEntry> {
+        self.entries
+            .iter()
+            .map(|record| ListedEntry {
+                record: record.clone(),
+                is_leaving: self.is_leaving(record, now_ms),
+                is_suspected: self.is_avoided(&record.vm_name, now_ms),
+            })
+            .collect()
+    }
+
+    /// Describes the members for operators.
+    pub(crate) fn member_statuses(&self, now_ms: u64) -> Vec<MemberStatus> {
+        self.membership
+            .members()
+            .filter_map(|member| {
+                let state = self.membership.state(&member.listed().vm_name, now_ms)?;
+                let word = member.word();
+                Some(MemberStatus {
+                    vm_name: member.listed().vm_name.clone(),
+                    service: member.listed().service.clone(),
+                    state: state.as_str().to_owned(),
+                    incarnation: word.map_or(0, |word| word.incarnation.0),
+                    config_revision: word.map_or(0, |word| word.config_revision),
+                })
+            })
+            .collect()
+    }
+
+    fn choose_subsets(&mut self, now_ms: u64) {
+        let entries: Vec<&str> = self
+            .entries
+            .iter()
+            .map(|entry| entry.vm_name.as_str())
+            .collect();
+        let mut by_service: BTreeMap<String, Vec<&ListedVm>> = BTreeMap::new();
+        for member in self.membership.members() {
+            let vm = member.listed();
+            if !vm.service.is_empty() {
+                by_service.entry(vm.service.clone()).or_default().push(vm);
+            }
+        }
+        self.subsets.clear();
+        for (service, vms) in &by_service {
+            let names: Vec<&str> = vms.iter().map(|vm| vm.vm_name.as_str()).collect();
+            let subset = EndpointSubset {
+                service,
+                size: self.settings.endpoints_per_service,
+            };
+            let chosen = subset.choose(&self.settings.vm_name, &entries, &names);
+            let routes = self.services.entry(service.clone()).or_insert_with(|| {
+                let settings = &self.settings;
+                ServiceRoutes::new(&settings.availability_zone, settings.retry_percent, now_ms)
+            });
+            routes.retain(|vm_name| chosen.iter().any(|name| name == vm_name));
+            for vm in vms.iter().filter(|vm| chosen.contains(&vm.vm_name)) {
+                routes.put(&vm.vm_name, &vm.availability_zone, &vm.peer_address);
+            }
+            self.subsets.insert(service.clone(), chosen);
+        }
+        self.services
+            .retain(|service, _| by_service.contains_key(service));
+        self.states.clear();
+        self.refresh_states(now_ms);
+    }
+
+    fn refresh_state(&mut self, vm_name: &str, now_ms: u64) {
+        let Some(state) = self.membership.state(vm_name, now_ms) else {
+            return;
+        };
+        let former = self.states.insert(vm_name.to_owned(), state);
+        if former == Some(state) {
+            return;
+        }
+        if state == MemberState::Suspected {
+            event!(AgentSuspected, "vm_name={vm_name}");
+        }
+        let service = self.service_of(vm_name);
+        if let Some(routes) = self.services.get_mut(&service) {
+            routes.set_state(vm_name, flags_of(state));
+        }
+    }
+
+    fn service_of(&self, vm_name: &str) -> String {
+        self.membership
+            .member(vm_name)
+            .map(|member| member.listed().service.clone())
+            .unwrap_or_default()
+    }
+
+    fn live_peers(&self, now_ms: u64) -> impl Iterator<Item = &VmRecord> {
+        self.entries
+            .iter()
+            .filter(|vm| vm.vm_name != self.settings.vm_name)
+            .filter(move |vm| !self.is_leaving(vm, now_ms))
+            .filter(move |vm| !self.is_avoided(&vm.vm_name, now_ms))
+    }
+
+    fn is_leaving(&self, vm: &VmRecord, now_ms: u64) -> bool {
+        let state = self.membership.state(&vm.vm_name, now_ms);
+        vm.state == LEAVING || state == Some(MemberState::Leaving)
+    }
+
+    fn is_avoided(&self, vm_name: &str, now_ms: u64) -> bool {
+        let until_ms = self.avoided_until_ms.get(vm_name).copied().unwrap_or(0);
+        until_ms > now_ms
+    }
+
+    /// Tells whether another entry of the availability zone is one of its readers.
+    fn is_zone_reader(&self, vm_name: &str, zone_names: &[&str]) -> bool {
+        let settings = ReaderElectionSettings::builder()
+            .vm_name(vm_name.to_owned())
+            .availability_zone(self.settings.availability_zone.clone())
+            .readers_per_zone(self.settings.readers_per_zone)
+            .build();
+        let others: Vec<&str> = zone_names
+            .iter()
+            .copied()
+            .chain([self.settings.vm_name.as_str()])
+            .filter(|name| *name != vm_name)
+            .collect();
+        ReaderElection::new(settings, 0, 0).is_reader(&others)
+    }
+}
+
+/// An entry of the platform's list.
+#[derive(Debug, Clone)]
+pub(crate) struct ListedEntry {
+    pub(crate) record: VmRecord,
+    pub(crate) is_leaving: bool,
+    pub(crate) is_suspected: bool,
+}
+
+fn listed_vm(record: &VmRecord) -> ListedVm {
+    ListedVm {
+        vm_name: record.vm_name.clone(),
+        availability_zone: record.availability_zone.clone(),
+        peer_address: record.peer_address.clone(),
+        service: record.service.clone(),
+        leaving: record.state == LEAVING,
+    }
+}
+
+fn peer_target(record: &VmRecord) -> PeerTarget {
+    PeerTarget {
+        vm_name: record.vm_name.clone(),
+        peer_address: record.peer_address.clone(),
+    }
+}
+
+fn flags_of(state: MemberState) -> EndpointFlags {
+    EndpointFlags {
+        leaving: state == MemberState::Leaving,
+        suspected: matches!(
+            state,
+            MemberState::Suspected | MemberState::EndpointDown | MemberState::Unheard
+        ),
+        quarantining: false,
+    }
+}
--- a/lib/src/peer_server.rs
+++ b/lib/src/peer_server.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use futures::future::BoxFuture;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tonic::Request;
@@ -9,13 +10,17 @@
 use tonic::Status;
 
 use crate::config_duty::ConfigCommand;
+use crate::config_duty::DocumentReport;
 use crate::config_duty::SharedConfig;
+use crate::config_follower::ServiceReached;
+use crate::config_source::newer_values;
 use crate::duty::Duty;
 use crate::in_flight::InFlight;
 use crate::incarnation::Incarnation;
-use crate::protos::control::ConfigValue;
 use crate::protos::control::ExchangeReply;
 use crate::protos::control::ExchangeRequest;
+use crate::protos::control::IdleTime;
+use crate::protos::control::MemberStatus;
 use crate::protos::control::StatusReply;
 use crate::protos::control::StatusRequest;
 use crate::protos::control::peer_server::Peer;
@@ -29,21 +34,27 @@
     pub(crate) config: SharedConfig,
     pub(crate) in_flight: InFlight,
     pub(crate) config_duty: Duty<ConfigCommand>,
+    pub(crate) reached: ServiceReached,
+    /// Turns true once the process serves.
+    pub(crate) serving: watch::Receiver<bool>,
+    /// Asks the role's own duty for its part of the status.
+    pub(crate) role_status: Box<dyn Fn() -> BoxFuture<'static, RoleStatus> + Send + Sync>,
+}
+
+/// The part of the status that differs between the roles.
+#[derive(Debug, Default)]
+pub(crate) struct RoleStatus {
+    pub(crate) members: Vec<MemberStatus>,
+    pub(crate) idle_times: Vec<IdleTime>,
 }
 
 impl PeerState {
-    /// Returns the values that the peer lacks.
-    async fn newer(&self, exchange: ExchangeRequest) -> Result<Vec<ConfigValue>, Status> {
-        let busy = |_| Status::resource_exhausted("configuration duty is busy");
-        let (reply, newer) = oneshot::channel();
-        let command = ConfigCommand::Newer {
-            have: exchange.have,
-            reply,
-        };
-        self.config_duty.submit(command).map_err(busy)?;
-        newer
-            .await
-            .map_err(|_| Status::unavailable("configuration duty has ended"))
+    async fn documents(&self) -> DocumentReport {
+        let (reply, documents) = oneshot::channel();
+        if let Err(error) = self.config_duty.submit(ConfigCommand::Documents { reply }) {
+            log::warn!("status: {error}");
+        }
+        documents.await.unwrap_or_default()
     }
 }
 
@@ -60,15 +71,20 @@
         request: Request<ExchangeRequest>,
     ) -> Result<Response<ExchangeReply>, Status> {
         let state = &self.state;
-        let exchange = request.into_inner();
-        let newer = state.newer(exchange).await?;
+        let newer = newer_values(&state.config_duty, request.into_inner())
+            .await
+            .map_err(|error| Status::unavailable(error.to_string()))?;
+        let view = state.config.load();
         Ok(Response::new(ExchangeReply {
             vm_name: state.vm_name.clone(),
             incarnation: state.incarnation.0,
-            config_revision: state.config.load().revision,
-            leaving: *state.draining.borrow(),
+            config_revision: view.revision,
+            config_digest: view.digest,
             newer,
-            ..ExchangeReply::default()
+            quarantined: Vec::new(),
+            leaving: *state.draining.borrow(),
+            service_reached_ago_ms: state.reached.ago_ms(),
+            starting: !*state.serving.borrow(),
         }))
     }
 
@@ -77,6 +93,8 @@
         _request: Request<StatusRequest>,
     ) -> Result<Response<StatusReply>, Status> {
         let state = &self.state;
+        let documents = state.documents().await;
+        let role_status = (state.role_status)().await;
         Ok(Response::new(StatusReply {
             vm_name: state.vm_name.clone(),
             role: state.role.to_owned(),
@@ -84,7 +102,11 @@
             draining: *state.draining.borrow(),
             config_revision: state.config.load().revision,
             in_flight_requests: u32::try_from(state.in_flight.count()).unwrap_or(u32::MAX),
-            ..StatusReply::default()
+            members: role_status.members,
+            quarantined: Vec::new(),
+            idle_times: role_status.idle_times,
+            refused_documents: documents.refused,
+            documents: documents.in_force,
         }))
     }
 }
--- a/lib/src/protos/pomeloramp.control.rs
+++ b/lib/src/protos/pomeloramp.control.rs
@@ -13,6 +13,8 @@
     pub listed_leaving: bool,
     #[prost(message, repeated, tag = "5")]
     pub quarantined: ::prost::alloc::vec::Vec<QuarantineEntry>,
+    #[prost(uint64, tag = "6")]
+    pub config_digest: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct HeartbeatReply {
@@ -35,6 +37,8 @@
     pub endpoint_up: bool,
     #[prost(message, repeated, tag = "9")]
     pub quarantined: ::prost::alloc::vec::Vec<QuarantineEntry>,
+    #[prost(uint64, tag = "10")]
+    pub config_digest: u64,
 }
 /// Load of one endpoint as its agent last saw it.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -194,9 +198,14 @@
     pub from_vm: ::prost::alloc::string::String,
     #[prost(uint64, tag = "2")]
     pub config_revision: u64,
-    /// Set when the peer reported another revision; asks for what differs.
+    /// Set when the peer reported another digest; asks for what differs.
     #[prost(message, repeated, tag = "3")]
     pub have: ::prost::alloc::vec::Vec<KeyRevision>,
+    /// Digest over all keys and revisions held.
+    #[prost(uint64, tag = "5")]
+    pub config_digest: u64,
+    #[prost(bool, tag = "6")]
+    pub asks_for_values: bool,
     #[prost(message, repeated, tag = "4")]
     pub quarantined: ::prost::alloc::vec::Vec<QuarantineEntry>,
 }
@@ -214,6 +223,15 @@
     pub quarantined: ::prost::alloc::vec::Vec<QuarantineEntry>,
     #[prost(bool, tag = "6")]
     pub leaving: bool,
+    #[prost(uint64, tag = "7")]
+    pub config_digest: u64,
+    /// Milliseconds since this process, or the one it heard from, reached the
+    /// configuration service; absent when that is not known.
+    #[prost(uint64, optional, tag = "8")]
+    pub service_reached_ago_ms: ::core::option::Option<u64>,
+    /// The process does not serve yet, for it asks its peers itself.
+    #[prost(bool, tag = "9")]
+    pub starting: bool,
 }
 /// Content that crashed endpoints.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/lib/src/refusal_code.rs
+++ b/lib/src/refusal_code.rs
@@ -45,6 +45,8 @@
     UnknownOrganisation,
     /// The number of the request is already queued or running.
     DuplicateRequest,
+    /// The agent does not have the configuration of the entry yet.
+    ConfigurationBehind,
     /// The content crashed endpoints before.
     Quarantined,
 }
@@ -74,6 +76,7 @@
             Self::Draining => "draining",
             Self::UnknownOrganisation => "unknown-organisation",
             Self::DuplicateRequest => "duplicate-request",
+            Self::ConfigurationBehind => "configuration-behind",
             Self::Quarantined => "quarantined",
         }
     }
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod process;
 pub mod relay;
 mod routing_workload;
+pub mod status;
 
 pub use fake_engine::EngineEvent;
 pub use fake_engine::EngineRequest;
--- a/lib/testutils/src/process.rs
+++ b/lib/testutils/src/process.rs
@@ -126,7 +126,7 @@
     }
 }
 
-fn binary_path(binary: &str) -> PathBuf {
+pub(crate) fn binary_path(binary: &str) -> PathBuf {
     let executable = std::env::current_exe().expect("the running executable has a path");
     executable
         .ancestors()
--- a/lib/testutils/src/relay.rs
+++ b/lib/testutils/src/relay.rs
@@ -74,6 +74,13 @@
         self.switches.is_cut.store(false, Ordering::Release);
     }
 
+    /// Tells whether a connection has been forwarded.
+    #[must_use]
+    pub fn has_connections(&self) -> bool {
+        let open = self.switches.open.lock();
+        !open.unwrap_or_else(PoisonError::into_inner).is_empty()
+    }
+
     /// Lets the open connections go silent for good; new ones work.
     pub fn silence_open_connections(&self) {
         let open = self
