expert planner: few moves that pay, from drifting loads

The template weighs the two.

Each layer yields a trade of skew against moves from its present layout (cheapest replica changes and swaps, scored by the fall of a steep penalty a load); the plan takes the steps with the highest gain a move over all layers, as long as each pays within the horizon that drift and loading leave. A pacer keeps each group inside its declared share of the weight store's rate.

--- /dev/null
+++ b/lib/src/expert_packing.rs
@@ -0,0 +1,58 @@
+//! Layout of one layer from nothing.
+
+use crate::LayerLayout;
+
+/// Replicates hot experts into the slots left over and packs all replicas by longest processing
+/// time: the largest first, each on the least loaded rank with a free slot.
+///
+/// Experts without a rank left are dropped only when there are fewer slots than experts.
+pub(crate) fn pack_layer(
+    expert_loads: &[f64],
+    rank_count: usize,
+    slots_per_rank: usize,
+) -> LayerLayout {
+    let counts = replicate(expert_loads, rank_count, rank_count * slots_per_rank);
+    let mut replicas: Vec<usize> = (0..expert_loads.len()).collect();
+    let share = |expert: usize| expert_loads[expert] / f64::from(counts[expert].max(1));
+    replicas.sort_by(|a, b| share(*b).total_cmp(&share(*a)));
+    let mut layout = LayerLayout::empty(rank_count, slots_per_rank);
+    let mut rank_loads = vec![0.0; rank_count];
+    for expert in replicas {
+        for _ in 0..counts[expert] {
+            let Some(slot) = least_loaded_slot(&layout, &rank_loads, expert) else {
+                break;
+            };
+            layout.set(slot, Some(expert));
+            rank_loads[layout.rank_of(slot)] += share(expert);
+        }
+    }
+    layout
+}
+
+/// Gives every expert one replica and each further slot to the expert with the highest load a
+/// replica.
+fn replicate(expert_loads: &[f64], rank_count: usize, slot_count: usize) -> Vec<u32> {
+    let most = u32::try_from(rank_count).unwrap_or(u32::MAX);
+    let mut counts = vec![1_u32; expert_loads.len()];
+    for _ in expert_loads.len()..slot_count {
+        let experts = (0..expert_loads.len()).filter(|expert| counts[*expert] < most);
+        let share = |expert: usize| expert_loads[expert] / f64::from(counts[expert]);
+        let hottest = experts.max_by(|a, b| share(*a).total_cmp(&share(*b)));
+        let Some(hottest) = hottest else {
+            break;
+        };
+        counts[hottest] += 1;
+    }
+    counts
+}
+
+fn least_loaded_slot(layout: &LayerLayout, rank_loads: &[f64], expert: usize) -> Option<usize> {
+    let free_slot = |rank: usize| {
+        let mut slots = layout.rank_slots(rank);
+        slots.find(|slot| layout.slots()[*slot].is_none())
+    };
+    let ranks = (0..layout.rank_count()).filter(|rank| !layout.holds(*rank, expert));
+    let ranks = ranks.filter(|rank| free_slot(*rank).is_some());
+    let rank = ranks.min_by(|a, b| rank_loads[*a].total_cmp(&rank_loads[*b]))?;
+    free_slot(rank)
+}
--- /dev/null
+++ b/lib/tests/test_expert_planner.rs
@@ -0,0 +1,245 @@
+//! Properties of the planner of expert maps.
+
+use googletest::prelude::*;
+use pomeloramp_lib::ExpertLayout;
+use pomeloramp_lib::ExpertLoad;
+use pomeloramp_lib::ExpertPlanner;
+use pomeloramp_lib::LoadTracker;
+use pomeloramp_lib::PlanLimits;
+use pomeloramp_lib::WeightPacer;
+use pomeloramp_lib::protos::template::RebalanceParameters;
+use pomeloramp_lib::skew_lower_bound;
+use proptest::collection::vec;
+use proptest::prelude::Strategy;
+use proptest::prelude::prop_assert;
+use proptest::prelude::prop_assert_eq;
+use proptest::proptest;
+use proptest::test_runner::Config;
+
+const EXPERT_BYTES: u64 = 1_000;
+const SHARE_BYTES_PER_S: u64 = 1_000_000;
+const AMPLE: PlanLimits = PlanLimits {
+    drift_horizon_s: f64::INFINITY,
+    available_bytes: u64::MAX,
+};
+
+/// A group, its layout for one load, and another load to which that has to be adapted.
+#[derive(Debug)]
+struct Case {
+    layout: ExpertLayout,
+    load: ExpertLoad,
+    experts: usize,
+    ranks: u32,
+    slots: u32,
+}
+
+fn cases() -> impl Strategy<Value = Case> {
+    let sizes = (2..=8_u32, 1..=3_u32, 1..=3_usize);
+    sizes.prop_flat_map(|(ranks, slots, layers)| {
+        let experts = 1..=(ranks * slots) as usize;
+        let loads = experts.prop_flat_map(move |experts| {
+            let layer = || vec(vec(0.0..100.0_f64, experts), layers);
+            (layer(), layer())
+        });
+        loads.prop_map(move |(from, to)| {
+            let experts = from[0].len();
+            let layout =
+                ExpertLayout::packed(&ExpertLoad::new(from), ranks as usize, slots as usize);
+            Case {
+                layout,
+                load: ExpertLoad::new(to),
+                experts,
+                ranks,
+                slots,
+            }
+        })
+    })
+}
+
+fn parameters(skew_weight: f64, move_weight: f64) -> RebalanceParameters {
+    RebalanceParameters {
+        skew_weight,
+        move_weight,
+        horizon_s: 600,
+        redundant_experts_per_rank: 1,
+        max_moves_per_plan: 40,
+    }
+}
+
+fn planner(parameters: RebalanceParameters) -> ExpertPlanner {
+    ExpertPlanner::builder()
+        .parameters(parameters)
+        .expert_bytes(EXPERT_BYTES)
+        .share_bytes_per_s(SHARE_BYTES_PER_S)
+        .build()
+}
+
+/// Counts the replicas that are on another rank than before, without the library's help.
+fn count_moves(from: &ExpertLayout, to: &ExpertLayout) -> usize {
+    let before = from.replicas();
+    let after = to.replicas();
+    after
+        .iter()
+        .filter(|replica| !before.contains(replica))
+        .count()
+}
+
+proptest! {
+    #![proptest_config(Config { cases: 400, ..Config::default() })]
+
+    #[test]
+    fn a_packed_layout_holds_every_expert(case in cases()) {
+        for layer in case.layout.layers() {
+            let counts = layer.replica_counts(case.experts);
+            prop_assert!(counts.iter().all(|count| *count >= 1), "{counts:?}");
+        }
+    }
+
+    #[test]
+    fn a_plan_keeps_every_expert_and_every_slot(case in cases()) {
+        if let Some(plan) = planner(parameters(1.0, 0.1)).plan(&case.layout, &case.load, AMPLE) {
+            for layer in plan.layout.layers() {
+                let counts = layer.replica_counts(case.experts);
+                prop_assert!(counts.iter().all(|count| *count >= 1), "{counts:?}");
+                prop_assert_eq!(layer.slots().len(), (case.ranks * case.slots) as usize);
+                for rank in 0..layer.rank_count() {
+                    let mut held: Vec<_> = layer.slots()[layer.rank_slots(rank)].to_vec();
+                    held.retain(Option::is_some);
+                    held.sort_unstable();
+                    let all = held.len();
+                    held.dedup();
+                    prop_assert_eq!(held.len(), all, "a rank holds an expert twice");
+                }
+            }
+        }
+    }
+
+    #[test]
+    fn a_plan_counts_its_moves_pays_and_makes_no_layer_worse(
+        case in cases(),
+        move_weight in 0.1..200.0_f64,
+    ) {
+        if let Some(plan) = planner(parameters(1.0, move_weight)).plan(&case.layout, &case.load, AMPLE) {
+            let moves = count_moves(&case.layout, &plan.layout);
+            prop_assert_eq!(plan.moves, moves);
+            prop_assert_eq!(plan.move_bytes, moves as u64 * EXPERT_BYTES);
+            prop_assert!(plan.skew_after < plan.skew_before);
+            prop_assert!(plan.gain > plan.cost);
+            let layers = plan.layout.layers().iter().zip(case.layout.layers());
+            for ((after, before), loads) in layers.zip(case.load.layers()) {
+                prop_assert!(after.skew(loads) <= before.skew(loads) + 1e-9);
+            }
+        }
+    }
+
+    #[test]
+    fn a_plan_stays_inside_its_limits(case in cases(), moves in 0..10_u64, most in 0..10_u32) {
+        let mut parameters = parameters(1.0, 0.1);
+        parameters.max_moves_per_plan = most;
+        let available_bytes = moves * EXPERT_BYTES;
+        let limits = PlanLimits { available_bytes, ..AMPLE };
+        if let Some(plan) = planner(parameters).plan(&case.layout, &case.load, limits) {
+            prop_assert!(plan.move_bytes <= available_bytes);
+            prop_assert!(plan.moves <= most as usize);
+        }
+    }
+
+    #[test]
+    fn no_layout_beats_the_bound(case in cases()) {
+        for (layer, loads) in case.layout.layers().iter().zip(case.load.layers()) {
+            let bound = skew_lower_bound(loads, case.ranks, case.slots);
+            prop_assert!(layer.skew(loads) >= bound - 1e-9);
+        }
+    }
+
+    #[test]
+    fn a_pacer_never_exceeds_its_share(
+        steps in vec((0..500_u64, 0..5_000_u64), 1..100),
+    ) {
+        let burst_bytes = 2_000;
+        let mut pacer = WeightPacer::builder()
+            .share_bytes_per_s(1_000)
+            .burst_bytes(burst_bytes)
+            .now_ms(0)
+            .build();
+        let mut now_ms = 0;
+        let mut taken_bytes = 0;
+        for (wait_ms, bytes) in steps {
+            now_ms += wait_ms;
+            if pacer.take(bytes, now_ms) {
+                taken_bytes += bytes;
+            }
+            prop_assert!(taken_bytes <= now_ms);
+        }
+    }
+}
+
+/// A load whose first experts are much hotter than when the layout was packed.
+fn shifted() -> (ExpertLayout, ExpertLoad) {
+    let before: Vec<f64> = (0..16).map(|expert| 10.0 + f64::from(expert)).collect();
+    let after: Vec<f64> = before.iter().rev().copied().collect();
+    let layout = ExpertLayout::packed(&ExpertLoad::new(vec![before; 4]), 8, 3);
+    (layout, ExpertLoad::new(vec![after; 4]))
+}
+
+#[googletest::test]
+fn templates_get_different_plans_from_the_same_load() -> Result<()> {
+    let (layout, load) = shifted();
+    let akagera = planner(parameters(1.0, 1.0)).plan(&layout, &load, AMPLE);
+    let cartago = planner(parameters(1.0, 20.0)).plan(&layout, &load, AMPLE);
+    let akagera = akagera.or_fail()?;
+    let cartago = cartago.or_fail()?;
+    expect_that!(cartago.moves, lt(akagera.moves));
+    expect_that!(akagera.skew_after, lt(cartago.skew_after));
+    expect_that!(cartago.skew_after, lt(cartago.skew_before));
+    Ok(())
+}
+
+#[googletest::test]
+fn a_load_that_drifts_away_at_once_is_not_worth_a_move() {
+    let (layout, load) = shifted();
+    let limits = PlanLimits {
+        drift_horizon_s: 0.1,
+        ..AMPLE
+    };
+    let plan = planner(parameters(1.0, 1.0)).plan(&layout, &load, limits);
+    expect_that!(plan, none());
+}
+
+#[googletest::test]
+fn a_load_that_takes_longer_to_move_than_it_lasts_is_not_worth_it() {
+    let (layout, load) = shifted();
+    let slow = ExpertPlanner::builder()
+        .parameters(parameters(1.0, 1.0))
+        .expert_bytes(EXPERT_BYTES)
+        .share_bytes_per_s(1)
+        .build();
+    expect_that!(slow.plan(&layout, &load, AMPLE), none());
+}
+
+#[googletest::test]
+fn a_balanced_layout_is_left_alone() {
+    let load = ExpertLoad::new(vec![vec![5.0; 8]; 2]);
+    let layout = ExpertLayout::packed(&load, 8, 1);
+    let plan = planner(parameters(1.0, 0.1)).plan(&layout, &load, AMPLE);
+    expect_that!(plan, none());
+}
+
+#[googletest::test]
+fn the_drift_horizon_shrinks_as_the_load_drifts_faster() {
+    let horizon_s = |shift: f64| {
+        let mut tracker = LoadTracker::new(60.0);
+        for interval in 0..100 {
+            let moved = shift * f64::from(interval);
+            tracker.observe(
+                &ExpertLoad::new(vec![vec![50.0 + moved, 150.0 - moved]]),
+                60.0,
+            );
+        }
+        tracker.drift_horizon_s()
+    };
+    expect_that!(horizon_s(0.0), eq(f64::INFINITY));
+    expect_that!(horizon_s(0.1), gt(horizon_s(0.2)));
+    // A thousandth of the load moves in a minute, a tenth in 100 minutes.
+    expect_that!(horizon_s(0.2), near(6_000.0, 600.0));
+}
