--- a/lib/examples/control_cost/wire.rs
+++ b/lib/examples/control_cost/wire.rs
@@ -60,6 +60,7 @@
         from_address: "10.0.1.42:7000".to_owned(),
         listed_leaving: false,
         quarantined: Vec::new(),
+        config_digest: u64::MAX / 5,
     }
 }
 
@@ -80,6 +81,7 @@
         service: "quote-draft".to_owned(),
         endpoint_up: true,
         quarantined: Vec::new(),
+        config_digest: u64::MAX / 5,
     }
 }
 
@@ -94,6 +96,8 @@
             })
             .collect(),
         quarantined: Vec::new(),
+        config_digest: u64::MAX / 5,
+        asks_for_values: keys > 0,
     }
 }
 
@@ -105,6 +109,9 @@
         newer: Vec::new(),
         quarantined: Vec::new(),
         leaving: false,
+        config_digest: u64::MAX / 5,
+        service_reached_ago_ms: Some(20),
+        starting: false,
     }
 }
 
