--- /dev/null
+++ b/lib/src/entry_daemon.rs
@@ -0,0 +1,242 @@
+//! The entry role: the process that callers connect to.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Response;
+use http::header::CONTENT_TYPE;
+use serde_json::Value;
+use serde_json::json;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use volo_http::body::Body;
+use volo_http::request::Request;
+use volo_http::server::extract::Query;
+use volo_http::server::param::PathParams;
+use volo_http::server::route::Router;
+use volo_http::server::route::get;
+use volo_http::server::route::post;
+
+use crate::agent_channels::AgentChannels;
+use crate::caller_error::CallerError;
+use crate::caller_server;
+use crate::caller_server::CallerLimits;
+use crate::clock::Clock;
+use crate::completion;
+use crate::config_duty;
+use crate::config_duty::SharedConfig;
+use crate::control_loop::ControlLoop;
+use crate::daemon_error::DaemonError;
+use crate::entry_server::EntryState;
+use crate::entry_server::overloaded;
+use crate::entry_server::respond;
+use crate::in_flight::InFlight;
+use crate::incarnation::Incarnation;
+use crate::listener::announce;
+use crate::listener::listen;
+use crate::listener::local_address;
+use crate::listener::peers;
+use crate::peer_server::PeerServer;
+use crate::peer_server::PeerState;
+use crate::plain_call;
+use crate::platform_client::PlatformClient;
+use crate::protos::control::peer_server::PeerServer as PeerService;
+use crate::protos::settings::DaemonSettings;
+use crate::routing_duty;
+use crate::routing_duty::RoutingCommand;
+use crate::routing_duty::RoutingSettings;
+use crate::shutdown;
+
+const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Runs the entry role until the process is told to stop.
+///
+/// # Errors
+///
+/// Fails when an address is not usable.
+pub async fn run_entry(settings: DaemonSettings) -> Result<(), DaemonError> {
+    let control = settings.control.unwrap_or_default();
+    let entry = settings.entry.clone().unwrap_or_default();
+    let connect_timeout = Duration::from_millis(control.connect_timeout_ms);
+    let platform = PlatformClient::new(&settings.platform_address, connect_timeout);
+    let config = SharedConfig::default();
+    let config_duty = config_duty::spawn(Arc::clone(&config), |_| {});
+    let wait = Duration::from_millis(control.watch_wait_ms);
+    tokio::spawn(config_duty::watch(
+        platform.clone(),
+        config_duty.clone(),
+        wait,
+    ));
+
+    let channels = AgentChannels::new(&control);
+    let routing_settings = RoutingSettings {
+        availability_zone: settings.availability_zone.clone(),
+        suspect_after_ms: control.suspect_after_ms,
+        retry_percent: entry.retry_budget_percent,
+    };
+    let routing = routing_duty::spawn(Clock::start(), routing_settings);
+    let peer_listener = listen("peer_address", &settings.peer_address).await?;
+    announce("peers", &peer_listener);
+    let peer_address = local_address(&peer_listener);
+    let control_loop = ControlLoop {
+        vm_name: settings.vm_name.clone(),
+        peer_address,
+        platform,
+        channels: channels.clone(),
+        config: Arc::clone(&config),
+        routing: routing.clone(),
+        heartbeat_interval: Duration::from_millis(control.heartbeat_interval_ms),
+        vm_list_interval: Duration::from_millis(control.vm_list_interval_ms),
+    };
+    tokio::spawn(control_loop.run());
+
+    let in_flight = InFlight::default();
+    let draining = shutdown::listen();
+    let limits = CallerLimits {
+        header_timeout: Duration::from_millis(entry.header_timeout_ms),
+        max_connections: entry.max_connections as usize,
+    };
+    let lifetime = Duration::from_millis(entry.address_lifetime_ms);
+    let peer_state = PeerState {
+        vm_name: settings.vm_name.clone(),
+        role: "entry",
+        incarnation: Incarnation::random(),
+        draining: draining.clone(),
+        config: Arc::clone(&config),
+        in_flight: in_flight.clone(),
+        config_duty,
+    };
+    let peer_server = PeerServer {
+        state: Arc::new(peer_state),
+    };
+    tokio::spawn(
+        tonic::transport::Server::builder()
+            .add_service(PeerService::new(peer_server))
+            .serve_with_incoming(peers(peer_listener)),
+    );
+    let listener = listen("entry.caller_address", &entry.caller_address).await?;
+    announce("callers", &listener);
+    let state = Arc::new(EntryState {
+        settings: entry,
+        peer_key: settings.peer_key,
+        channels,
+        config,
+        routing,
+        in_flight: in_flight.clone(),
+    });
+    let (close, closing) = watch::channel(false);
+    tokio::spawn(drain(draining, lifetime, in_flight, close));
+    caller_server::serve(listener, router(&state), limits, closing).await;
+    Ok(())
+}
+
+/// Closes the listener once no caller can still hold this entry's address.
+async fn drain(
+    mut draining: watch::Receiver<bool>,
+    address_lifetime: Duration,
+    in_flight: InFlight,
+    close: watch::Sender<bool>,
+) {
+    if draining.wait_for(|draining| *draining).await.is_err() {
+        return;
+    }
+    tokio::time::sleep(address_lifetime).await;
+    while in_flight.count() > 0 {
+        tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
+    }
+    let _ = close.send(true);
+}
+
+fn router(state: &Arc<EntryState>) -> Router {
+    let for_addresses = Arc::clone(state);
+    let for_endpoints = Arc::clone(state);
+    let for_completions = Arc::clone(state);
+    let for_services = Arc::clone(state);
+    Router::new()
+        .route(
+            "/v1/addresses",
+            get(move |Query(query): Query<HashMap<String, String>>| {
+                addresses(Arc::clone(&for_addresses), query)
+            }),
+        )
+        .route(
+            "/v1/endpoints",
+            get(move |Query(query): Query<HashMap<String, String>>| {
+                endpoints(Arc::clone(&for_endpoints), query)
+            }),
+        )
+        .route(
+            "/v1/completions",
+            post(move |request: Request| completion::handle(Arc::clone(&for_completions), request)),
+        )
+        .route(
+            "/v1/services/{service}/{call}",
+            post(
+                move |PathParams((service, call)): PathParams<(String, String)>,
+                      request: Request| {
+                    plain_call::handle(Arc::clone(&for_services), service, call, request)
+                },
+            ),
+        )
+}
+
+async fn addresses(state: Arc<EntryState>, query: HashMap<String, String>) -> Response<Body> {
+    respond(answer_addresses(&state, &query).await)
+}
+
+async fn answer_addresses(
+    state: &EntryState,
+    query: &HashMap<String, String>,
+) -> Result<Response<Body>, CallerError> {
+    let (reply, answer) = oneshot::channel();
+    state
+        .routing
+        .submit(RoutingCommand::Entries { reply })
+        .map_err(|_| overloaded())?;
+    let entries = answer.await.map_err(|_| overloaded())?;
+    let listed: Vec<_> = entries
+        .iter()
+        .filter(|entry| entry.state != "leaving")
+        .map(|entry| {
+            json!({
+                "address": entry.caller_address,
+                "availability_zone": entry.availability_zone,
+            })
+        })
+        .collect();
+    let mut body = json!({
+        "addresses": listed,
+        "lifetime_ms": state.settings.address_lifetime_ms,
+    });
+    if let Some(service) = query.get("service") {
+        body["placement"] = plain_call::fresh_placement(state, service).await?.into();
+    }
+    Ok(json_response(&body))
+}
+
+/// Answers how many endpoints of a service this entry would use.
+async fn endpoints(state: Arc<EntryState>, query: HashMap<String, String>) -> Response<Body> {
+    let service = query.get("service").map_or("", String::as_str);
+    respond(answer_endpoints(&state, service).await)
+}
+
+async fn answer_endpoints(
+    state: &EntryState,
+    service: &str,
+) -> Result<Response<Body>, CallerError> {
+    let usable = state.homes(service).await?.len();
+    let configured = state.config.load().service(service).is_some();
+    let body = json!({ "service": service, "usable": usable, "configured": configured });
+    Ok(json_response(&body))
+}
+
+fn json_response(body: &Value) -> Response<Body> {
+    let mut response = Response::new(Body::from(Bytes::from(body.to_string())));
+    response
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
--- /dev/null
+++ b/lib/src/listener.rs
@@ -0,0 +1,56 @@
+//! Listening sockets of a daemon.
+
+use std::io;
+use std::net::SocketAddr;
+
+use futures::Stream;
+use futures::StreamExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio_stream::wrappers::TcpListenerStream;
+
+use crate::daemon_error::DaemonError;
+use crate::socket_options;
+
+/// Opens a listening socket at an IP address and port of the settings.
+///
+/// # Errors
+///
+/// Fails when the address is malformed or taken.
+pub(crate) async fn listen(name: &'static str, address: &str) -> Result<TcpListener, DaemonError> {
+    let parsed: SocketAddr = address.parse().map_err(|_| DaemonError::Address {
+        name,
+        value: address.to_owned(),
+    })?;
+    TcpListener::bind(parsed)
+        .await
+        .map_err(|source| DaemonError::Listen {
+            address: address.to_owned(),
+            source,
+        })
+}
+
+/// Accepts the connections of other pomeloramp processes.
+///
+/// The frames of an answer are small writes; without the options of
+/// [`socket_options::configure`] each of them would wait for an acknowledgement.
+pub(crate) fn peers(listener: TcpListener) -> impl Stream<Item = io::Result<TcpStream>> {
+    TcpListenerStream::new(listener).map(|accepted| {
+        let stream = accepted?;
+        socket_options::configure(&stream)?;
+        Ok(stream)
+    })
+}
+
+/// Prints the address of a listening socket, which port 0 leaves to the operating system.
+pub(crate) fn announce(name: &str, listener: &TcpListener) {
+    println!("{name} {}", local_address(listener));
+}
+
+/// Returns the address of a listening socket.
+pub(crate) fn local_address(listener: &TcpListener) -> String {
+    listener
+        .local_addr()
+        .map(|address| address.to_string())
+        .unwrap_or_default()
+}
--- /dev/null
+++ b/lib/src/plain_call.rs
@@ -0,0 +1,251 @@
+//! Calls of plain services, repeatable or not.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use volo_http::body::Body;
+use volo_http::request::Request;
+
+use crate::AttemptNumber;
+use crate::AttemptPolicy;
+use crate::FrameEvent;
+use crate::Outcome;
+use crate::Placement;
+use crate::RefusalCode;
+use crate::agent_call::AgentCall;
+use crate::agent_call::AgentCallError;
+use crate::caller_error::CallerError;
+use crate::caller_error::OUTCOME_HEADER;
+use crate::caller_error::PLACEMENT_HEADER;
+use crate::entry_server::EntryState;
+use crate::entry_server::no_endpoint;
+use crate::entry_server::respond;
+use crate::protos::control::CallRequest;
+use crate::protos::control::IdempotentCall;
+
+const KEY_HEADER: &str = "idempotency-key";
+const ATTEMPT_HEADER: &str = "pomeloramp-attempt";
+const MAX_KEY_BYTES: usize = 256;
+const RETRY_AFTER_MS: u64 = 500;
+
+/// Handles `POST /v1/services/{service}/{call}`.
+pub(crate) async fn handle(
+    state: Arc<EntryState>,
+    service: String,
+    call: String,
+    request: Request,
+) -> Response<Body> {
+    let is_resend = is_resend(request.headers());
+    let result = run(&state, service, call, request).await;
+    respond(result.map_err(|error| if is_resend { error.of_resend() } else { error }))
+}
+
+async fn run(
+    state: &EntryState,
+    service: String,
+    call: String,
+    request: Request,
+) -> Result<Response<Body>, CallerError> {
+    let _guard = state.in_flight.enter();
+    let headers = request.headers().clone();
+    let authorised = state.authorise(&service, &headers)?;
+    let body = state.read_body(request).await?;
+    let message = CallRequest {
+        request_id: format!("{:016x}", rand::random::<u64>()),
+        organisation: authorised.organisation.organisation.clone(),
+        service,
+        call,
+        body: body.to_vec(),
+        content_type: text(&headers, CONTENT_TYPE.as_str())
+            .unwrap_or("application/octet-stream")
+            .to_owned(),
+        deadline_ms: state.deadline_ms(&authorised.service),
+        config_revision: state.config.load().revision,
+        urgency: authorised.organisation.urgency,
+        ..CallRequest::default()
+    };
+    if authorised.service.template().repeatable {
+        run_repeatable(state, message).await
+    } else {
+        run_once(state, &headers, message).await
+    }
+}
+
+/// Runs a call that may be sent again when an endpoint fails it.
+async fn run_repeatable(
+    state: &EntryState,
+    call: CallRequest,
+) -> Result<Response<Body>, CallerError> {
+    let mut attempts = state.attempts(&call, Bytes::new());
+    loop {
+        let chosen = attempts.choose().await?;
+        let result = receive(state, &chosen.peer_address, call.clone()).await;
+        attempts.finished(&chosen);
+        let error = match result {
+            Ok(Received::Whole(response)) => return Ok(response),
+            Ok(Received::Failed(error)) => error,
+            Err(AgentCallError::NotWritten { reason, .. }) => CallerError::not_run(
+                StatusCode::SERVICE_UNAVAILABLE,
+                RefusalCode::HomeUnreachable.as_str(),
+                reason,
+            )
+            .retry_after_ms(RETRY_AFTER_MS),
+            Err(error @ AgentCallError::Lost { .. }) => {
+                CallerError::unknown(RefusalCode::HomeLost.as_str(), error.to_string())
+                    .retry_after_ms(RETRY_AFTER_MS)
+            }
+        };
+        if !attempts.may_retry().await {
+            return Err(error);
+        }
+    }
+}
+
+/// Runs a call that may not be repeated: it is sent once, to the home that its placement names.
+async fn run_once(
+    state: &EntryState,
+    headers: &HeaderMap,
+    mut call: CallRequest,
+) -> Result<Response<Body>, CallerError> {
+    let key = idempotency_key(headers)?;
+    let attempt = AttemptNumber::from_header(text(headers, ATTEMPT_HEADER))
+        .map_err(|error| malformed(error.to_string()))?;
+    let policy = AttemptPolicy::new(attempt, RETRY_AFTER_MS);
+    let service = call.service.clone();
+    let Some(encoded) = text(headers, PLACEMENT_HEADER) else {
+        let message = "header \"Pomeloramp-Placement\" is missing";
+        let error = CallerError::refused(&policy.placement_missing(), message);
+        return Err(with_placement(state, &service, error).await);
+    };
+    let placement = match Placement::decode(encoded, state.peer_key.as_bytes(), &service) {
+        Ok(placement) => placement,
+        Err(error) => {
+            let refusal = policy.refuse_unwritten(RefusalCode::PlacementInvalid);
+            let error = CallerError::refused(&refusal, error.to_string());
+            return Err(with_placement(state, &service, error).await);
+        }
+    };
+    let home = placement
+        .home(&call.organisation, key)
+        .ok_or_else(|| malformed("placement names no agent"))?;
+    call.idempotent = Some(IdempotentCall {
+        key: key.to_owned(),
+        incarnation: home.incarnation,
+        stamp_ms: home.stamp_ms,
+        attempt: attempt.get(),
+    });
+    let error = match receive(state, &home.peer_address, call).await {
+        Ok(Received::Whole(response)) => return Ok(response),
+        Ok(Received::Failed(error)) => error,
+        Err(AgentCallError::NotWritten { reason, .. }) => {
+            let refusal = policy.refuse_unwritten(RefusalCode::HomeUnreachable);
+            CallerError::refused(&refusal, reason)
+        }
+        Err(error @ AgentCallError::Lost { .. }) => {
+            let refusal = policy.answer_lost(RefusalCode::HomeLost);
+            CallerError::refused(&refusal, error.to_string())
+        }
+    };
+    Err(with_placement(state, &service, error).await)
+}
+
+/// Adds a fresh placement to an error after which the call may begin anew.
+async fn with_placement(state: &EntryState, service: &str, error: CallerError) -> CallerError {
+    if error.outcome != Outcome::NotRun {
+        return error;
+    }
+    let placement = fresh_placement(state, service).await.ok();
+    error.placement(placement)
+}
+
+/// Encodes a fresh placement over the usable agents of `service`.
+pub(crate) async fn fresh_placement(
+    state: &EntryState,
+    service: &str,
+) -> Result<String, CallerError> {
+    let homes = state.homes(service).await?;
+    if homes.is_empty() {
+        return Err(no_endpoint(service));
+    }
+    let revision = state.config.load().revision;
+    let placement = Placement::new(service, revision, homes);
+    Ok(placement.encode(state.peer_key.as_bytes()))
+}
+
+enum Received {
+    Whole(Response<Body>),
+    Failed(CallerError),
+}
+
+/// Sends a call to one agent and receives its whole answer.
+async fn receive(
+    state: &EntryState,
+    peer_address: &str,
+    call: CallRequest,
+) -> Result<Received, AgentCallError> {
+    let mut answer = AgentCall::open(&state.channels, peer_address, call).await?;
+    let mut response = Response::new(Body::empty());
+    let mut body = Vec::new();
+    loop {
+        match answer.next().await? {
+            FrameEvent::Head {
+                status,
+                content_type,
+            } => {
+                *response.status_mut() =
+                    StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+                if let Ok(value) = HeaderValue::from_str(&content_type) {
+                    response.headers_mut().insert(CONTENT_TYPE, value);
+                }
+            }
+            FrameEvent::Data { payload, .. } => body.extend_from_slice(&payload),
+            FrameEvent::Whole => {
+                *response.body_mut() = Body::from(Bytes::from(body));
+                let outcome = HeaderValue::from_static(Outcome::Ran.as_str());
+                response.headers_mut().insert(OUTCOME_HEADER, outcome);
+                return Ok(Received::Whole(response));
+            }
+            FrameEvent::Failed {
+                outcome,
+                code,
+                message,
+                retry_after_ms,
+            } => {
+                let error = CallerError::from_agent(outcome, &code, message, retry_after_ms);
+                return Ok(Received::Failed(error));
+            }
+        }
+    }
+}
+
+/// Tells whether an earlier send of the same call may have run.
+fn is_resend(headers: &HeaderMap) -> bool {
+    let attempt = AttemptNumber::from_header(text(headers, ATTEMPT_HEADER));
+    let is_first_send = attempt.is_ok_and(AttemptNumber::is_first_send);
+    headers.contains_key(KEY_HEADER) && !is_first_send
+}
+
+fn idempotency_key(headers: &HeaderMap) -> Result<&str, CallerError> {
+    let key = text(headers, KEY_HEADER)
+        .ok_or_else(|| malformed("header \"Idempotency-Key\" is missing"))?;
+    if key.is_empty() || key.len() > MAX_KEY_BYTES {
+        return Err(malformed(format!(
+            "header \"Idempotency-Key\" has {} bytes, not 1 to {MAX_KEY_BYTES}",
+            key.len()
+        )));
+    }
+    Ok(key)
+}
+
+fn malformed(message: impl Into<String>) -> CallerError {
+    CallerError::not_run(StatusCode::BAD_REQUEST, "request-malformed", message)
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
--- a/lib/src/refusal_code.rs
+++ b/lib/src/refusal_code.rs
@@ -30,11 +30,21 @@
     /// The queue of the endpoint is full.
     QueueFull,
     /// The organisation has as many requests in flight as it may.
-    QuotaExceeded,
-    /// The deadline cannot be met.
+    OrganisationLimit,
+    /// The queue is too long for the deadline.
     DeadlineUnreachable,
+    /// The deadline could not be met by an idle endpoint either.
+    DeadlineTooShort,
+    /// No endpoint takes new work.
+    NoEndpoint,
+    /// Every endpoint's queue is too long for the deadline.
+    Overloaded,
     /// The process is shutting down.
     Draining,
+    /// No parameters in force name the organisation.
+    UnknownOrganisation,
+    /// The number of the request is already queued or running.
+    DuplicateRequest,
     /// The content crashed endpoints before.
     Quarantined,
 }
@@ -56,9 +66,14 @@
             Self::EndpointLost => "endpoint-lost",
             Self::EndpointUnreachable => "endpoint-unreachable",
             Self::QueueFull => "queue-full",
-            Self::QuotaExceeded => "quota-exceeded",
+            Self::OrganisationLimit => "organisation-limit",
             Self::DeadlineUnreachable => "deadline-unreachable",
+            Self::DeadlineTooShort => "deadline-too-short",
+            Self::NoEndpoint => "no-endpoint",
+            Self::Overloaded => "overloaded",
             Self::Draining => "draining",
+            Self::UnknownOrganisation => "unknown-organisation",
+            Self::DuplicateRequest => "duplicate-request",
             Self::Quarantined => "quarantined",
         }
     }
