--- a/lib/src/yaml_location.rs
+++ b/lib/src/yaml_location.rs
@@ -1,7 +1,8 @@
-//! Finding the line of a key in a YAML document.
+//! Position of a value in a YAML document.
 
 use std::fmt;
 
+use pomeloramp_proc_macros::key;
 use serde::de::DeserializeSeed;
 use serde::de::Deserializer;
 use serde::de::Error;
@@ -11,14 +12,49 @@
 use serde::de::Visitor;
 use serde_norway::Deserializer as YamlDeserializer;
 
+/// Line and column of a YAML document, both counted from 1.
+#[key]
+pub struct YamlLocation {
+    /// Line, from 1.
+    pub line: usize,
+    /// Column, from 1.
+    pub column: usize,
+}
+
+impl YamlLocation {
+    /// Start of the document.
+    pub const START: Self = Self { line: 1, column: 1 };
+
+    /// Returns where a parser error arose, if it says.
+    pub(crate) fn of_error(error: &serde_norway::Error) -> Option<Self> {
+        error.location().map(|location| Self {
+            line: location.line(),
+            column: location.column(),
+        })
+    }
+
+    /// Returns where the value at `path` stands.
+    ///
+    /// A step of the path is a key of a mapping or the position of an item in a sequence.
+    pub(crate) fn of_path(text: &str, path: &[&str]) -> Option<Self> {
+        let probe = LocationProbe { path };
+        let error = probe.deserialize(YamlDeserializer::from_str(text)).err()?;
+        Self::of_error(&error)
+    }
+}
+
+impl fmt::Display for YamlLocation {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "line {} column {}", self.line, self.column)
+    }
+}
+
 /// Returns the line, counted from 1, of the value at `path`.
 ///
 /// A step of the path is a key of a mapping or the position of an item in a sequence.
 #[must_use]
 pub fn line_of(text: &str, path: &[&str]) -> Option<usize> {
-    let probe = LocationProbe { path };
-    let error = probe.deserialize(YamlDeserializer::from_str(text)).err()?;
-    error.location().map(|location| location.line())
+    YamlLocation::of_path(text, path).map(|location| location.line)
 }
 
 /// Descends to a value and fails there, since errors carry the line at which they arose.
--- /dev/null
+++ b/lib/tests/test_config_store.rs
@@ -0,0 +1,447 @@
+//! Fuzzes several copies of the configuration before a service that may be stale.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+use googletest::prelude::*;
+use pomeloramp_lib::ConfigOffer;
+use pomeloramp_lib::ConfigStart;
+use pomeloramp_lib::ConfigStore;
+use pomeloramp_lib::StartDecision;
+use pomeloramp_lib::protos::control::ConfigValue;
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest_state_machine::ReferenceStateMachine;
+use proptest_state_machine::StateMachineTest;
+use proptest_state_machine::prop_state_machine;
+
+const PROCESSES: usize = 4;
+const SERVICES: [&str; 2] = ["draft", "commit"];
+const START_DEADLINE_MS: u64 = 100;
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Content {
+    Valid,
+    Invalid,
+    Removal,
+}
+
+#[derive(Debug, Clone)]
+enum Transition {
+    Publish {
+        service: usize,
+        content: Content,
+    },
+    /// A process reads the service as it was after this share of all that was published.
+    Read {
+        process: usize,
+        staleness: usize,
+    },
+    /// A process asks a peer for what it lacks; the answer is under way.
+    Ask {
+        process: usize,
+        peer: usize,
+    },
+    Deliver {
+        index: usize,
+    },
+    Lose {
+        index: usize,
+    },
+    Restart {
+        process: usize,
+    },
+    Advance {
+        elapsed_ms: u64,
+    },
+}
+
+#[derive(Debug, Clone)]
+struct Anything;
+
+impl ReferenceStateMachine for Anything {
+    type State = Self;
+    type Transition = Transition;
+
+    fn init_state() -> BoxedStrategy<Self> {
+        Just(Self).boxed()
+    }
+
+    fn transitions(_: &Self) -> BoxedStrategy<Transition> {
+        let content = prop_oneof![
+            4 => Just(Content::Valid),
+            2 => Just(Content::Invalid),
+            1 => Just(Content::Removal),
+        ];
+        let process = 0..PROCESSES;
+        let index = 0..32_usize;
+        prop_oneof![
+            3 => (0..SERVICES.len(), content)
+                .prop_map(|(service, content)| Transition::Publish { service, content }),
+            5 => (process.clone(), 0..6_usize)
+                .prop_map(|(process, staleness)| Transition::Read { process, staleness }),
+            8 => (process.clone(), process.clone())
+                .prop_map(|(process, peer)| Transition::Ask { process, peer }),
+            8 => index.clone().prop_map(|index| Transition::Deliver { index }),
+            1 => index.prop_map(|index| Transition::Lose { index }),
+            2 => process.prop_map(|process| Transition::Restart { process }),
+            2 => (1..60_u64).prop_map(|elapsed_ms| Transition::Advance { elapsed_ms }),
+        ]
+        .boxed()
+    }
+
+    fn apply(state: Self, _: &Transition) -> Self {
+        state
+    }
+}
+
+/// What a peer told, addressed to one run of a process.
+struct Answer {
+    process: usize,
+    run: u64,
+    peer: usize,
+    /// Whether the peer was serving, and the revisions it had in force.
+    serving: bool,
+    in_force: BTreeMap<String, u64>,
+    values: Vec<ConfigValue>,
+}
+
+struct Process {
+    run: u64,
+    store: ConfigStore,
+    /// Absent once the process serves.
+    start: Option<ConfigStart>,
+    /// Revisions that peers had in force when they answered this run.
+    told: BTreeMap<String, u64>,
+    /// Revisions that every other process had in force, serving, when this run started, and has
+    /// not lost by a restart since.
+    floor: BTreeMap<String, u64>,
+    /// Valid and invalid revisions offered to this run, by key.
+    offered: HashMap<String, Vec<(u64, bool)>>,
+    in_force: BTreeMap<String, u64>,
+}
+
+struct Fleet {
+    now_ms: u64,
+    runs: u64,
+    published: Vec<ConfigValue>,
+    processes: Vec<Process>,
+    answers: Vec<Answer>,
+}
+
+fn key(service: usize) -> String {
+    format!("services/{}", SERVICES[service])
+}
+
+fn document(service: usize, content: Content) -> Vec<u8> {
+    let name = SERVICES[service];
+    match content {
+        Content::Valid => format!("service: {name}\nkind: plain\ndeadline_ms: 5\n").into_bytes(),
+        Content::Invalid => format!("service: {name}\nkind: no\ndeadline_ms: 5\n").into_bytes(),
+        Content::Removal => Vec::new(),
+    }
+}
+
+fn is_valid(value: &ConfigValue) -> bool {
+    !value.value.windows(8).any(|window| window == b"kind: no")
+}
+
+fn in_force(store: &ConfigStore) -> BTreeMap<String, u64> {
+    let documents = store.documents().into_iter();
+    documents
+        .map(|document| (document.key, document.revision))
+        .collect()
+}
+
+impl Process {
+    fn new(run: u64, now_ms: u64, own: usize) -> Self {
+        let mut start = ConfigStart::new(now_ms + START_DEADLINE_MS);
+        for peer in (0..PROCESSES).filter(|peer| *peer != own) {
+            start.asked(&peer.to_string());
+        }
+        Self {
+            run,
+            store: ConfigStore::new(),
+            start: Some(start),
+            told: BTreeMap::new(),
+            floor: BTreeMap::new(),
+            offered: HashMap::new(),
+            in_force: BTreeMap::new(),
+        }
+    }
+
+    fn offer(&mut self, value: &ConfigValue) {
+        let offered = self.offered.entry(value.key.clone()).or_default();
+        offered.push((value.revision, is_valid(value)));
+        let offer = self.store.offer(value);
+        assert_ne!(offer, ConfigOffer::Conflict);
+    }
+
+    /// Serves if it may; then it must have all that any peer had in force when it answered.
+    fn try_to_serve(&mut self, now_ms: u64) {
+        let decision = self.start.as_ref().map(|start| start.decide(now_ms));
+        if decision != Some(StartDecision::Serve) {
+            return;
+        }
+        self.start = None;
+        for (key, told) in self.told.iter().chain(&self.floor) {
+            let held = self.in_force.get(key).copied().unwrap_or(0);
+            assert!(held >= *told, "serves {key} at {held}, a peer had {told}");
+        }
+    }
+
+    fn check(&mut self) {
+        let in_force = in_force(&self.store);
+        for (key, before) in &self.in_force {
+            let after = in_force.get(key).copied().unwrap_or(0);
+            assert!(after >= *before, "{key} went from {before} back to {after}");
+        }
+        for (key, offered) in &self.offered {
+            let valid = offered.iter().filter(|(_, valid)| *valid);
+            let expected = valid.map(|(revision, _)| *revision).max();
+            assert_eq!(in_force.get(key).copied(), expected, "latest valid {key}");
+            let invalid = offered.iter().filter(|(_, valid)| !valid);
+            let refused = invalid.map(|(revision, _)| *revision).max();
+            let refused = refused.filter(|refused| Some(*refused) > expected);
+            let documents = self.store.refused_documents();
+            let found = documents.iter().find(|document| document.key == *key);
+            assert_eq!(found.map(|document| document.revision), refused);
+        }
+        self.in_force = in_force;
+    }
+}
+
+impl Fleet {
+    fn read(&mut self, process: usize, staleness: usize) {
+        let seen = self.published.len().saturating_sub(staleness);
+        let latest: BTreeMap<_, _> = self.published[..seen]
+            .iter()
+            .map(|value| (value.key.clone(), value.clone()))
+            .collect();
+        for value in latest.values() {
+            self.processes[process].offer(value);
+        }
+        if let Some(start) = &mut self.processes[process].start {
+            start.service_answered();
+        }
+    }
+
+    fn ask(&mut self, process: usize, peer: usize) {
+        if process == peer {
+            return;
+        }
+        let asking = &self.processes[process];
+        let asked = &self.processes[peer];
+        self.answers.push(Answer {
+            process,
+            run: asking.run,
+            peer,
+            serving: asked.start.is_none(),
+            in_force: in_force(&asked.store),
+            values: asked.store.newer_than(&asking.store.have()),
+        });
+    }
+
+    fn deliver(&mut self, index: usize) {
+        if self.answers.is_empty() {
+            return;
+        }
+        let index = index % self.answers.len();
+        let answer = self.answers.swap_remove(index);
+        let process = &mut self.processes[answer.process];
+        if process.run != answer.run {
+            return;
+        }
+        for value in &answer.values {
+            process.offer(value);
+        }
+        let Some(start) = &mut process.start else {
+            return;
+        };
+        let vm_name = answer.peer.to_string();
+        if answer.serving {
+            start.peer_answered(&vm_name);
+            for (key, revision) in answer.in_force {
+                let told = process.told.entry(key).or_default();
+                *told = (*told).max(revision);
+            }
+        } else {
+            start.peer_absent(&vm_name);
+        }
+    }
+
+    fn restart(&mut self, process: usize) {
+        self.runs += 1;
+        for other in &mut self.processes {
+            other.floor.clear();
+        }
+        self.processes[process] = Process::new(self.runs, self.now_ms, process);
+        let others = || self.processes.iter().filter(|other| other.run != self.runs);
+        if others().any(|other| other.start.is_some()) {
+            return;
+        }
+        let floor = (0..SERVICES.len()).map(key).map(|key| {
+            let held = others().map(|other| other.in_force.get(&key).copied().unwrap_or(0));
+            let least = held.min().unwrap_or(0);
+            (key, least)
+        });
+        self.processes[process].floor = floor.collect();
+    }
+
+    fn exchange_all(&mut self) {
+        for _ in 0..3 {
+            for process in 0..PROCESSES {
+                for peer in 0..PROCESSES {
+                    self.ask(process, peer);
+                    self.deliver(self.answers.len().saturating_sub(1));
+                }
+            }
+        }
+    }
+}
+
+impl StateMachineTest for Fleet {
+    type SystemUnderTest = Self;
+    type Reference = Anything;
+
+    fn init_test(_: &Anything) -> Self {
+        Self {
+            now_ms: 0,
+            runs: PROCESSES as u64,
+            published: Vec::new(),
+            processes: (0..PROCESSES)
+                .map(|process| Process::new(process as u64, 0, process))
+                .collect(),
+            answers: Vec::new(),
+        }
+    }
+
+    fn apply(mut fleet: Self, _: &Anything, transition: Transition) -> Self {
+        match transition {
+            Transition::Publish { service, content } => {
+                let revision = fleet.published.len() as u64 + 1;
+                let value = document(service, content);
+                let key = key(service);
+                fleet.published.push(ConfigValue {
+                    key,
+                    revision,
+                    value,
+                });
+            }
+            Transition::Read { process, staleness } => fleet.read(process, staleness),
+            Transition::Ask { process, peer } => fleet.ask(process, peer),
+            Transition::Deliver { index } => fleet.deliver(index),
+            Transition::Lose { index } => {
+                if !fleet.answers.is_empty() {
+                    let index = index % fleet.answers.len();
+                    fleet.answers.swap_remove(index);
+                }
+            }
+            Transition::Restart { process } => {
+                fleet.restart(process);
+            }
+            Transition::Advance { elapsed_ms } => fleet.now_ms += elapsed_ms,
+        }
+        for process in &mut fleet.processes {
+            process.check();
+            process.try_to_serve(fleet.now_ms);
+        }
+        fleet
+    }
+
+    fn teardown(mut fleet: Self, _: Anything) {
+        fleet.exchange_all();
+        let stores = fleet.processes.iter().map(|process| &process.store);
+        let copies: Vec<_> = stores
+            .map(|store| (store.digest(), store.have(), store.refused_documents()))
+            .collect();
+        assert!(copies.iter().all(|copy| *copy == copies[0]), "{copies:?}");
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(Config { cases: 300, ..Config::default() })]
+
+    #[test]
+    fn no_copy_goes_back_and_all_converge(sequential 1..150 => Fleet);
+}
+
+fn value(revision: u64, content: Content) -> ConfigValue {
+    ConfigValue {
+        key: key(0),
+        revision,
+        value: document(0, content),
+    }
+}
+
+#[googletest::test]
+fn an_invalid_document_leaves_the_last_good_one_in_force() {
+    let mut store = ConfigStore::new();
+    expect_that!(
+        store.offer(&value(3, Content::Valid)),
+        eq(ConfigOffer::InForce)
+    );
+    expect_that!(
+        store.offer(&value(5, Content::Invalid)),
+        eq(ConfigOffer::Refused)
+    );
+    expect_that!(store.template("draft"), some(anything()));
+    expect_that!(store.revision(), eq(5));
+    let refused = store.refused_documents();
+    assert_that!(refused, len(eq(1)));
+    let reason = r#"line 2 column 7: kind: "no" is none of ["model", "plain"]"#;
+    expect_that!(refused[0].reason, eq(reason));
+    expect_that!(
+        store.offer(&value(4, Content::Valid)),
+        eq(ConfigOffer::InForce)
+    );
+    expect_that!(store.refused_documents(), len(eq(1)));
+    expect_that!(
+        store.offer(&value(6, Content::Removal)),
+        eq(ConfigOffer::InForce)
+    );
+    expect_that!(store.template("draft"), none());
+    expect_that!(store.refused_documents(), is_empty());
+    expect_that!(
+        store.offer(&value(2, Content::Valid)),
+        eq(ConfigOffer::Stale)
+    );
+}
+
+#[googletest::test]
+fn two_values_under_one_revision_are_a_conflict_and_the_first_stays() {
+    let mut store = ConfigStore::new();
+    store.offer(&value(3, Content::Valid));
+    expect_that!(
+        store.offer(&value(3, Content::Removal)),
+        eq(ConfigOffer::Conflict)
+    );
+    expect_that!(store.template("draft"), some(anything()));
+}
+
+#[googletest::test]
+fn a_later_revision_heard_of_makes_a_copy_ask() {
+    let mut store = ConfigStore::new();
+    store.offer(&value(3, Content::Valid));
+    expect_false!(store.is_behind());
+    store.heard(4);
+    expect_true!(store.is_behind());
+    store.offer(&value(4, Content::Valid));
+    expect_false!(store.is_behind());
+}
+
+#[googletest::test]
+fn a_process_that_reaches_no_peer_does_not_serve() {
+    let mut start = ConfigStart::new(100);
+    start.asked("a");
+    start.asked("b");
+    start.service_answered();
+    expect_that!(start.decide(10_000), eq(StartDecision::Wait));
+    start.peer_absent("a");
+    expect_that!(start.decide(10_000), eq(StartDecision::Wait));
+    start.peer_answered("a");
+    expect_that!(start.decide(50), eq(StartDecision::Wait));
+    expect_that!(start.decide(100), eq(StartDecision::Serve));
+    start.peer_removed("b");
+    expect_that!(start.decide(50), eq(StartDecision::Serve));
+}
