--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -28,8 +28,6 @@
 mod clock;
 mod completion;
 mod config_duty;
-mod config_offer;
-mod config_pull;
 mod config_follower;
 mod config_offer;
 mod config_source;
