--- a/lib/examples/control_cost/main.rs
+++ b/lib/examples/control_cost/main.rs
@@ -9,12 +9,14 @@
 mod wire;
 
 use std::env;
+use std::time::Duration;
 
 use fleet::Fleet;
 use wire::RpcCost;
 
 const DEFAULT_SEED: u64 = 20_261_203;
 const DAEMONS: [usize; 4] = [10, 50, 150, 390];
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 const SERVICES: usize = 22;
 const ENDPOINTS_PER_SERVICE: usize = 8;
 const SERVICES_PER_ENTRY: usize = 4;
@@ -25,8 +27,13 @@
     println!("seed {seed}");
     let heartbeat = wire::heartbeat_cost();
     print_rpc("heartbeat", &heartbeat);
-    let exchange = wire::exchange_cost(SERVICES);
-    print_rpc("exchange without news", &exchange);
+    print_rpc("exchange without news", &wire::exchange_cost(0));
+    print_rpc(
+        "exchange that asks for values",
+        &wire::exchange_cost(SERVICES),
+    );
+    let idle_bytes = wire::idle_bytes_per_s(PROBE_INTERVAL);
+    println!("idle connection probed every second: {idle_bytes} bytes a second");
     print_fleets(seed, &heartbeat);
     templates::print_costs();
 }
--- a/lib/examples/control_cost/wire.rs
+++ b/lib/examples/control_cost/wire.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use pomeloramp_lib::protos::control::CallFrame;
 use pomeloramp_lib::protos::control::CallRequest;
@@ -40,6 +41,7 @@
 use crate::cpu_time;
 
 const CALLS: u64 = 5_000;
+const IDLE_TIME: Duration = Duration::from_secs(10);
 
 /// What one call costs.
 pub(crate) struct RpcCost {
@@ -183,6 +185,28 @@
     }
 }
 
+/// Returns the bytes a second, in both directions, of a connection that is only probed.
+pub(crate) fn idle_bytes_per_s(probe_interval: Duration) -> u64 {
+    let runtime = Runtime::new().expect("a runtime");
+    runtime.block_on(async {
+        let server = start_server().await;
+        let bytes = Arc::new(AtomicU64::new(0));
+        let relay = start_relay(server, bytes.clone(), bytes.clone()).await;
+        let channel = Endpoint::from_shared(format!("http://{relay}"))
+            .expect("a valid address")
+            .http2_keep_alive_interval(probe_interval)
+            .keep_alive_while_idle(true)
+            .connect()
+            .await
+            .expect("the server listens");
+        tokio::time::sleep(probe_interval).await;
+        let before = bytes.load(Ordering::Relaxed);
+        tokio::time::sleep(IDLE_TIME).await;
+        drop(channel);
+        (bytes.load(Ordering::Relaxed) - before) / IDLE_TIME.as_secs()
+    })
+}
+
 /// Counts the bytes of the calls through a relay, and their processor time without it.
 fn measure(calls: impl AsyncFn(Channel)) -> RpcCost {
     let runtime = Runtime::new().expect("a runtime");
