--- a/lib/examples/control_cost/main.rs
+++ b/lib/examples/control_cost/main.rs
@@ -36,6 +36,7 @@
     println!("idle connection probed every second: {idle_bytes} bytes a second");
     print_fleets(seed, &heartbeat);
     templates::print_costs();
+    templates::print_vm_list();
 }
 
 fn print_rpc(name: &str, cost: &RpcCost) {
--- a/lib/examples/control_cost/templates.rs
+++ b/lib/examples/control_cost/templates.rs
@@ -8,6 +8,7 @@
 use prost::Message;
 
 const ORGANISATIONS: [usize; 3] = [10, 400, 3_800];
+const VMS: [usize; 3] = [43, 650, 1_690];
 const PARSES: u32 = 5;
 
 /// Prints size and parse time of one template, and the size of one organisation in it.
@@ -39,6 +40,29 @@
     );
 }
 
+/// Prints the size of the platform's VM list as the entry reads it.
+pub(crate) fn print_vm_list() {
+    println!("VMs  json_bytes");
+    for count in VMS {
+        let vms: Vec<_> = (0..count).map(vm_record).collect();
+        let list = serde_json::json!({ "vms": vms });
+        println!("{count:5}  {}", list.to_string().len());
+    }
+}
+
+fn vm_record(number: usize) -> serde_json::Value {
+    serde_json::json!({
+        "vm_name": format!("endpoint-vm-{number:05}"),
+        "role": "endpoint",
+        "service": "quote-draft",
+        "region": "cr-central",
+        "availability_zone": "heredia",
+        "peer_address": "10.0.100.100:7000",
+        "caller_address": "",
+        "state": "live",
+    })
+}
+
 fn template(count: usize) -> ServiceTemplate {
     ServiceTemplate {
         service: "quote-draft".to_owned(),
