--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,36 +1,75 @@
 //! The pomeloramp daemon.
 
+use std::env;
+use std::fs;
 use std::process::ExitCode;
 
 use pico_args::Arguments;
 use pomeloramp_lib::DaemonRole;
+use pomeloramp_lib::ProgramText;
 use pomeloramp_lib::USAGE_EXIT_CODE;
+use pomeloramp_lib::event;
 use pomeloramp_lib::load_settings;
 use pomeloramp_lib::run_endpoint;
 use pomeloramp_lib::run_entry;
 use pomeloramp_lib::settings_role;
 use tokio::runtime::Runtime;
 
+const LOG_VARIABLE: &str = "RUST_LOG";
+const DEFAULT_LOG_FILTER: &str = "pomeloramp=info,warn";
+
+const TEXT: ProgramText = ProgramText {
+    name: "pomelorampd",
+    version: env!("CARGO_PKG_VERSION"),
+    help: "\
+Runs one pomeloramp daemon: an entry, or the agent beside an endpoint.
+
+Usage: pomelorampd --settings FILE
+
+Options:
+  --settings FILE  settings in YAML; their key role selects \"entry\" or \"endpoint\"
+  -h, --help       print this text
+  -V, --version    print the version
+
+SIGTERM and a first SIGINT drain; a second SIGINT stops at once.
+
+Exit codes:
+  0  drained
+  1  the daemon could not run
+  2  the arguments or the settings were refused
+  130  stopped at once
+",
+};
+
 fn main() -> ExitCode {
-    env_logger::init();
+    let default_filter = env_logger::Env::default().filter_or(LOG_VARIABLE, DEFAULT_LOG_FILTER);
+    env_logger::init_from_env(default_filter);
     let mut arguments = Arguments::from_env();
-    let Ok(path) = arguments.value_from_str::<_, String>("--settings") else {
-        eprintln!("option \"--settings\" is missing");
-        return ExitCode::from(USAGE_EXIT_CODE);
-    };
-    let text = match std::fs::read_to_string(&path) {
+    if let Some(text) = TEXT.answer(&mut arguments) {
+        print!("{text}");
+        return ExitCode::SUCCESS;
+    }
+    let path: Result<String, _> = arguments.value_from_str("--settings");
+    if let Err(error) = TEXT.refuse_rest(arguments) {
+        return refuse(&error.to_string());
+    }
+    match path {
+        Ok(path) => run(&path),
+        Err(error) => refuse(&error.to_string()),
+    }
+}
+
+fn run(path: &str) -> ExitCode {
+    let text = match fs::read_to_string(path) {
         Ok(text) => text,
-        Err(error) => {
-            eprintln!("settings file \"{path}\": {error}");
-            return ExitCode::from(USAGE_EXIT_CODE);
-        }
+        Err(error) => return refuse(&format!("settings file \"{path}\": {error}")),
     };
     let loaded = settings_role(&text).and_then(|role| Ok((role, load_settings(role, &text)?)));
     let (role, settings) = match loaded {
         Ok(loaded) => loaded,
         Err(error) => {
-            eprintln!("settings file \"{path}\": {error}");
-            return ExitCode::from(USAGE_EXIT_CODE);
+            event!(SettingsRefused, "{error}");
+            return refuse(&format!("settings file \"{path}\": {error}"));
         }
     };
     let runtime = Runtime::new().expect("the runtime starts its threads");
@@ -38,9 +77,16 @@
         DaemonRole::Entry => runtime.block_on(run_entry(settings)),
         DaemonRole::Endpoint => runtime.block_on(run_endpoint(settings)),
     };
-    if let Err(error) = result {
-        eprintln!("{error}");
-        return ExitCode::FAILURE;
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            event!(ListenFailed, "{error}");
+            ExitCode::FAILURE
+        }
     }
-    ExitCode::SUCCESS
+}
+
+fn refuse(reason: &str) -> ExitCode {
+    eprintln!("{}: {reason}", TEXT.name);
+    ExitCode::from(USAGE_EXIT_CODE)
 }
--- a/lib/src/agent_server.rs
+++ b/lib/src/agent_server.rs
@@ -22,6 +22,7 @@
 use crate::Clock;
 use crate::FrameWriter;
 use crate::Incarnation;
+use crate::Metrics;
 use crate::Refusal;
 use crate::RefusalCode;
 use crate::RequestNumber;
@@ -68,6 +69,7 @@
     pub(crate) duty: Duty<AgentCommand>,
     pub(crate) load: SharedLoad,
     pub(crate) in_flight: InFlight,
+    pub(crate) metrics: Metrics,
     /// Turns true when the agent takes no new work.
     pub(crate) leaving: watch::Sender<bool>,
     /// Addresses of peers that hold a newer configuration.
@@ -146,7 +148,13 @@
 
 impl CallRun {
     async fn run(self) {
-        match self.admit().await {
+        let arrived = Instant::now();
+        let admitted = self.admit().await;
+        if let Ok(Verdict::Run(_)) = &admitted {
+            let metrics = &self.state.metrics;
+            metrics.record_queue(&self.call.organisation, arrived.elapsed());
+        }
+        match admitted {
             Ok(Verdict::Run(number)) if self.call.call == COMPLETIONS => self.stream(number).await,
             Ok(Verdict::Run(number)) => self.answer(number).await,
             Ok(Verdict::Replay(answer)) => self.send_answer(&answer).await,
--- a/lib/src/completion.rs
+++ b/lib/src/completion.rs
@@ -1,6 +1,7 @@
 //! Streamed completions towards callers.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use bytes::Bytes;
 use futures::StreamExt;
@@ -27,6 +28,7 @@
 use crate::entry_server::Authorised;
 use crate::entry_server::EntryState;
 use crate::entry_server::respond;
+use crate::event;
 use crate::in_flight::InFlightGuard;
 use crate::outcome::Outcome;
 use crate::protos::control::CallRequest;
@@ -57,6 +59,7 @@
 
 async fn complete(state: Arc<EntryState>, request: Request) -> Result<Response<Body>, CallerError> {
     let guard = state.in_flight.enter();
+    let arrived = Instant::now();
     let headers = request.headers().clone();
     let body = state.read_body(request).await?;
     let completion = parse(&body)?;
@@ -68,10 +71,14 @@
         call,
         attempts,
         delivered_tokens: 0,
+        arrived,
         _guard: guard,
     };
     let is_stream = completion.stream;
-    let first = relay.open().await?;
+    let first = relay
+        .open()
+        .await
+        .inspect_err(|error| relay.record_end(error.outcome))?;
     if is_stream {
         Ok(stream_response(relay, first))
     } else {
@@ -120,6 +127,7 @@
     call: CallRequest,
     attempts: Attempts,
     delivered_tokens: u64,
+    arrived: Instant,
     _guard: InFlightGuard,
 }
 
@@ -196,6 +204,7 @@
                     if !open.has_first_token {
                         open.has_first_token = true;
                         self.attempts.first_token(&open.send);
+                        self.record_first_token();
                     }
                     self.delivered_tokens = open.answer.delivered_tokens();
                     return Step::Token(serde_json::from_slice(&payload).unwrap_or_default());
@@ -203,6 +212,7 @@
                 Ok(FrameEvent::Head { .. }) => continue,
                 Ok(FrameEvent::Whole) => {
                     self.attempts.finished(&open.send);
+                    self.record_end(Outcome::Ran);
                     return Step::End;
                 }
                 Ok(FrameEvent::Failed {
@@ -215,15 +225,38 @@
             };
             self.attempts.finished(&open.send);
             if !self.attempts.may_retry().await {
+                self.record_end(error.outcome);
                 return Step::Failed(error);
             }
             match self.open().await {
-                Ok(resumed) => *open = resumed,
-                Err(error) => return Step::Failed(error),
+                Ok(resumed) => {
+                    event!(StreamResumed, "request_id={}", self.call.request_id);
+                    *open = resumed;
+                }
+                Err(error) => {
+                    self.record_end(error.outcome);
+                    return Step::Failed(error);
+                }
             }
         }
     }
 
+    /// Records the first token of the whole answer, not that of a resumed stream.
+    fn record_first_token(&self) {
+        if self.delivered_tokens == 0 {
+            let elapsed = self.arrived.elapsed();
+            let metrics = &self.state.metrics;
+            metrics.record_first_token(&self.call.service, self.call.urgency, elapsed);
+        }
+    }
+
+    /// Records the end of the whole answer.
+    fn record_end(&self, outcome: Outcome) {
+        let elapsed = self.arrived.elapsed();
+        let metrics = &self.state.metrics;
+        metrics.record_request(&self.call.organisation, outcome.as_str(), elapsed);
+    }
+
     async fn receive(&self, open: &mut OpenCall) -> Result<FrameEvent, CallerError> {
         tokio::time::timeout(self.attempts.time_left(), open.answer.next())
             .await
--- a/lib/src/endpoint_daemon.rs
+++ b/lib/src/endpoint_daemon.rs
@@ -13,6 +13,7 @@
 use crate::CallRegistrySettings;
 use crate::FairQueue;
 use crate::FairQueueSettings;
+use crate::Metrics;
 use crate::agent_channels::AgentChannels;
 use crate::agent_duty::AgentCommand;
 use crate::agent_duty::AgentDuty;
@@ -110,6 +111,8 @@
         serving: watch::channel(true).1,
         role_status: role_status(duty.clone(), &endpoint_settings.service),
     };
+    let metrics = Metrics::new();
+    metrics.serve(&endpoint_settings.metrics_address).await?;
     let state = AgentState {
         vm_name: settings.vm_name,
         service: endpoint_settings.service,
@@ -120,6 +123,7 @@
         duty,
         load,
         in_flight,
+        metrics,
         leaving,
         pulls,
         endpoint_up,
--- a/lib/src/entry_daemon.rs
+++ b/lib/src/entry_daemon.rs
@@ -22,6 +22,7 @@
 use volo_http::server::route::get;
 use volo_http::server::route::post;
 
+use crate::Metrics;
 use crate::agent_channels::AgentChannels;
 use crate::caller_error::CallerError;
 use crate::caller_server;
@@ -150,6 +151,8 @@
     follower.catch_up(plans.clone()).await;
     tokio::spawn(follower.run(plans));
     serve.send_replace(true);
+    let metrics = Metrics::new();
+    metrics.serve(&entry.metrics_address).await?;
     let listener = listen("entry.caller_address", &entry.caller_address).await?;
     announce("callers", &listener);
     let state = Arc::new(EntryState {
@@ -159,6 +162,7 @@
         config,
         routing,
         in_flight: in_flight.clone(),
+        metrics,
     });
     let (close, closing) = watch::channel(false);
     tokio::spawn(drain(draining, lifetime, in_flight, close));
--- a/lib/src/entry_server.rs
+++ b/lib/src/entry_server.rs
@@ -15,6 +15,7 @@
 use volo_http::body::Body;
 use volo_http::request::Request;
 
+use crate::Metrics;
 use crate::agent_channels::AgentChannels;
 use crate::attempts::Attempts;
 use crate::caller_error::CallerError;
@@ -39,6 +40,7 @@
     pub(crate) config: SharedConfig,
     pub(crate) routing: Duty<RoutingCommand>,
     pub(crate) in_flight: InFlight,
+    pub(crate) metrics: Metrics,
 }
 
 /// A request whose caller is known.
--- /dev/null
+++ b/lib/src/metrics.rs
@@ -0,0 +1,172 @@
+//! Measurements that operators scrape.
+
+use std::time::Duration;
+
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry_sdk::metrics::Instrument;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use opentelemetry_sdk::metrics::Stream;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+use tokio::sync::watch;
+use volo_http::body::Body;
+use volo_http::server::route::Router;
+use volo_http::server::route::get;
+
+use crate::caller_server;
+use crate::caller_server::CallerLimits;
+use crate::daemon_error::DaemonError;
+use crate::listener::announce;
+use crate::listener::listen;
+
+const SCOPE: &str = "pomeloramp";
+/// Series of one histogram; more organisations than these share one series.
+const MAX_SERIES: usize = 4096;
+const BUCKETS_MS: [f64; 12] = [
+    5.0, 20.0, 50.0, 77.0, 150.0, 300.0, 600.0, 970.0, 2000.0, 5000.0, 15_000.0, 60_000.0,
+];
+const MAX_SCRAPE_CONNECTIONS: usize = 8;
+const SCRAPE_HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Histograms of one process.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    registry: Registry,
+    /// Keeps the instruments reporting.
+    _provider: SdkMeterProvider,
+    request_ms: Histogram<f64>,
+    first_token_ms: Histogram<f64>,
+    queue_ms: Histogram<f64>,
+}
+
+impl Metrics {
+    /// Creates the instruments of a process.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the exporter rejects an empty registry, which it never does.
+    #[must_use]
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build()
+            .expect("an empty registry takes the exporter");
+        let provider = SdkMeterProvider::builder()
+            .with_reader(exporter)
+            .with_view(|_: &Instrument| {
+                Stream::builder()
+                    .with_cardinality_limit(MAX_SERIES)
+                    .build()
+                    .ok()
+            })
+            .build();
+        let meter = provider.meter(SCOPE);
+        let histogram = |name: &'static str, description: &'static str| {
+            meter
+                .f64_histogram(name)
+                .with_description(description)
+                .with_boundaries(BUCKETS_MS.to_vec())
+                .build()
+        };
+        Self {
+            registry,
+            request_ms: histogram(
+                "pomeloramp_request_ms",
+                "Time from a request's arrival to the end of its answer",
+            ),
+            first_token_ms: histogram(
+                "pomeloramp_first_token_ms",
+                "Time from a request's arrival to the first token of its answer",
+            ),
+            queue_ms: histogram(
+                "pomeloramp_queue_ms",
+                "Time that a call waited for a slot of its endpoint",
+            ),
+            _provider: provider,
+        }
+    }
+
+    /// Records the end of a request.
+    pub fn record_request(&self, organisation: &str, outcome: &str, elapsed: Duration) {
+        let labels = [
+            KeyValue::new("organisation", organisation.to_owned()),
+            KeyValue::new("outcome", outcome.to_owned()),
+        ];
+        self.request_ms.record(milliseconds(elapsed), &labels);
+    }
+
+    /// Records the first token of an answer.
+    pub fn record_first_token(&self, service: &str, urgency: u32, elapsed: Duration) {
+        let labels = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("urgency", i64::from(urgency)),
+        ];
+        self.first_token_ms.record(milliseconds(elapsed), &labels);
+    }
+
+    /// Records how long a call waited for a slot.
+    pub fn record_queue(&self, organisation: &str, elapsed: Duration) {
+        let labels = [KeyValue::new("organisation", organisation.to_owned())];
+        self.queue_ms.record(milliseconds(elapsed), &labels);
+    }
+
+    /// Returns every series in the text form of Prometheus.
+    #[must_use]
+    pub fn scrape(&self) -> String {
+        let families = self.registry.gather();
+        TextEncoder::new()
+            .encode_to_string(&families)
+            .unwrap_or_default()
+    }
+
+    /// Serves scrapes at `address` until the process ends; an empty address serves none.
+    pub(crate) async fn serve(&self, address: &str) -> Result<(), DaemonError> {
+        if address.is_empty() {
+            return Ok(());
+        }
+        let listener = listen("metrics_address", address).await?;
+        announce("metrics", &listener);
+        let metrics = self.clone();
+        let scrape = move || {
+            let answer = scrape_response(&metrics);
+            async move { answer }
+        };
+        let router = Router::new().route("/metrics", get(scrape));
+        let limits = CallerLimits {
+            header_timeout: SCRAPE_HEAD_TIMEOUT,
+            max_connections: MAX_SCRAPE_CONNECTIONS,
+        };
+        let (keep_open, closing) = watch::channel(false);
+        tokio::spawn(async move {
+            caller_server::serve(listener, router, limits, closing).await;
+            drop(keep_open);
+        });
+        Ok(())
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn scrape_response(metrics: &Metrics) -> Response<Body> {
+    let mut response = Response::new(Body::from(metrics.scrape()));
+    *response.status_mut() = StatusCode::OK;
+    let content_type = HeaderValue::from_static(prometheus::TEXT_FORMAT);
+    response.headers_mut().insert(CONTENT_TYPE, content_type);
+    response
+}
+
+fn milliseconds(elapsed: Duration) -> f64 {
+    elapsed.as_secs_f64() * 1e3
+}
--- a/lib/src/plain_call.rs
+++ b/lib/src/plain_call.rs
@@ -1,6 +1,7 @@
 //! Calls of plain services, repeatable or not.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http::HeaderMap;
@@ -25,6 +26,7 @@
 use crate::entry_server::EntryState;
 use crate::entry_server::no_endpoint;
 use crate::entry_server::respond;
+use crate::event;
 use crate::protos::control::CallRequest;
 use crate::protos::control::IdempotentCall;
 
@@ -52,6 +54,7 @@
     request: Request,
 ) -> Result<Response<Body>, CallerError> {
     let _guard = state.in_flight.enter();
+    let arrived = Instant::now();
     let headers = request.headers().clone();
     let authorised = state.authorise(&service, &headers)?;
     let body = state.read_body(request).await?;
@@ -69,11 +72,23 @@
         urgency: authorised.organisation.urgency,
         ..CallRequest::default()
     };
-    if authorised.service.template().repeatable {
+    let organisation = message.organisation.clone();
+    let result = if authorised.service.template().repeatable {
         run_repeatable(state, message).await
     } else {
         run_once(state, &headers, message).await
+    };
+    let outcome = match &result {
+        Ok(_) => Outcome::Ran,
+        Err(error) => error.outcome,
+    };
+    if outcome == Outcome::Unknown {
+        event!(OutcomeUnknown, "organisation={organisation}");
     }
+    state
+        .metrics
+        .record_request(&organisation, outcome.as_str(), arrived.elapsed());
+    result
 }
 
 /// Runs a call that may be sent again when an endpoint fails it.
