expert planner: pack a layer anew where the local search is stuck

Cause: the local search ends at a skew near 1.1 whatever the move weight, as adding a replica where another is given up needs several changes that are worse at first. A layer is now also packed anew, each set of replicas goes to the rank that holds most of it, and the plan takes that if it pays.

--- a/lib/src/expert_packing.rs
+++ b/lib/src/expert_packing.rs
@@ -56,3 +56,33 @@
     let rank = ranks.min_by(|a, b| rank_loads[*a].total_cmp(&rank_loads[*b]))?;
     free_slot(rank)
 }
+
+/// Packs a layer anew and gives each set of replicas to the rank that holds most of it already.
+pub(crate) fn repack_layer(current: &LayerLayout, expert_loads: &[f64]) -> LayerLayout {
+    let packed = pack_layer(expert_loads, current.rank_count(), current.slots_per_rank());
+    let ranks = 0..current.rank_count();
+    let mut pairs: Vec<(usize, usize, usize)> = Vec::new();
+    for set in ranks.clone() {
+        for rank in ranks.clone() {
+            let held = packed.slots()[packed.rank_slots(set)].iter().flatten();
+            let overlap = held.filter(|expert| current.holds(rank, **expert)).count();
+            pairs.push((overlap, set, rank));
+        }
+    }
+    pairs.sort_by_key(|(overlap, set, rank)| (std::cmp::Reverse(*overlap), *set, *rank));
+    let mut layout = LayerLayout::empty(current.rank_count(), current.slots_per_rank());
+    let mut is_placed = vec![false; current.rank_count()];
+    let mut is_taken = vec![false; current.rank_count()];
+    for (_, set, rank) in pairs {
+        if is_placed[set] || is_taken[rank] {
+            continue;
+        }
+        is_placed[set] = true;
+        is_taken[rank] = true;
+        let slots = packed.rank_slots(set).zip(layout.rank_slots(rank));
+        for (from, to) in slots {
+            layout.set(to, packed.slots()[from]);
+        }
+    }
+    layout
+}
--- a/lib/src/layer_search.rs
+++ b/lib/src/layer_search.rs
@@ -1,9 +1,12 @@
 //! Cheap improvements of one layer's layout.
 
 use crate::LayerLayout;
+use crate::expert_packing::repack_layer;
 use crate::layer_layout::skew_of;
 
 const MAX_STEPS: usize = 24;
+/// Skew from which on the layer is also packed anew, in case the local search is stuck.
+const REPACK_SKEW: f64 = 1.03;
 const MIN_IMPROVEMENT: f64 = 1e-6;
 
 /// One point of the trade of skew against moves: a layout, and what it costs to get there.
@@ -44,8 +47,26 @@
     expert_loads: &[f64],
     least_gain: f64,
 ) -> Vec<SearchPoint> {
-    let mut search = Search::new(layout.clone(), expert_loads);
-    let mut points = vec![search.point(layout)];
+    let mut points = Vec::new();
+    descend(layout, layout, expert_loads, least_gain, &mut points);
+    let skew = points.last().map_or(1.0, |point| point.skew);
+    if skew >= REPACK_SKEW {
+        let repacked = repack_layer(layout, expert_loads);
+        descend(&repacked, layout, expert_loads, least_gain, &mut points);
+    }
+    points
+}
+
+/// Adds the points from `start` on; their moves count from `origin`.
+fn descend(
+    start: &LayerLayout,
+    origin: &LayerLayout,
+    expert_loads: &[f64],
+    least_gain: f64,
+    points: &mut Vec<SearchPoint>,
+) {
+    let mut search = Search::new(start.clone(), expert_loads);
+    points.push(search.point(origin));
     for _ in 0..MAX_STEPS {
         if points
             .last()
@@ -57,9 +78,8 @@
             break;
         };
         search.apply(change);
-        points.push(search.point(layout));
+        points.push(search.point(origin));
     }
-    points
 }
 
 impl<'a> Search<'a> {
@@ -122,10 +142,13 @@
         if let Some(hottest) = ranks.clone().max_by(by_load) {
             for from in self.layout.rank_slots(hottest) {
                 self.relieve(from, &mut changes);
+                self.replace(from, &mut changes);
             }
         }
         if let Some(coldest) = ranks.min_by(by_load) {
-            self.fill(coldest, &mut changes);
+            for slot in self.layout.rank_slots(coldest) {
+                self.replace(slot, &mut changes);
+            }
         }
         changes
     }
@@ -157,16 +180,15 @@
         }
     }
 
-    /// Adds the changes that put one more expert on a rank, and those that only drop a replica.
-    fn fill(&self, rank: usize, changes: &mut Vec<Change>) {
-        for slot in self.layout.rank_slots(rank) {
-            let experts = 0..self.expert_loads.len();
-            changes.extend(experts.map(|expert| Change {
-                slot,
-                expert: Some(expert),
-                other: None,
-            }));
-        }
+    /// Adds the changes that put another expert, or none, into a slot.
+    fn replace(&self, slot: usize, changes: &mut Vec<Change>) {
+        let experts = (0..self.expert_loads.len()).map(Some);
+        let changed = experts.chain([None]).map(|expert| Change {
+            slot,
+            expert,
+            other: None,
+        });
+        changes.extend(changed);
     }
 
     /// Returns the improvement for each replica loaded, or nothing when the change is not allowed.
