load tracker: forecast the load for which a plan is made

Cause: a plan made for the smoothed load lags behind the drift by the smoothing and the interval until it is used. The trend between the smoothed load and a slower one carries it forward.

--- a/lib/examples/expert_balance.rs
+++ b/lib/examples/expert_balance.rs
@@ -180,8 +180,8 @@
                     drift_horizon_s: self.tracker.drift_horizon_s(),
                     available_bytes: pacer.available_bytes(now_ms),
                 };
-                let load = self.tracker.load()?;
-                let plan = planner.plan(&self.layout, load, limits)?;
+                let load = self.tracker.forecast(f64::from(INTERVAL_S))?;
+                let plan = planner.plan(&self.layout, &load, limits)?;
                 assert!(
                     pacer.take(plan.move_bytes, now_ms),
                     "a plan exceeds its limit"
--- a/lib/src/expert_load.rs
+++ b/lib/src/expert_load.rs
@@ -50,6 +50,17 @@
         shares.iter().sum::<f64>() / f64::from(count.max(1))
     }
 
+    /// Returns this load moved on by `weight` times its change since `earlier`.
+    pub(crate) fn extrapolated(&self, earlier: &Self, weight: f64) -> Self {
+        let pairs = self.layers.iter().zip(&earlier.layers);
+        let layers = pairs.map(|(now, then)| {
+            let values = now.iter().zip(then);
+            let values = values.map(|(now, then)| now + weight * (now - then));
+            values.collect()
+        });
+        Self::new(layers.collect())
+    }
+
     /// Moves every value towards `sample` by `weight`, from 0 (unchanged) to 1 (the sample).
     pub(crate) fn blend(&mut self, sample: &Self, weight: f64) {
         for (layer, sample) in self.layers.iter_mut().zip(&sample.layers) {
--- a/lib/src/load_tracker.rs
+++ b/lib/src/load_tracker.rs
@@ -43,6 +43,16 @@
         self.recent.as_ref()
     }
 
+    /// Returns the load to expect when the trend goes on for `lead_s` seconds after the last
+    /// sample, once there was a sample.
+    #[must_use]
+    pub fn forecast(&self, lead_s: f64) -> Option<ExpertLoad> {
+        let (recent, reference) = (self.recent.as_ref()?, self.reference.as_ref()?);
+        let lag_s = self.smoothing_s * (REFERENCE_FACTOR - 1.0);
+        let weight = (self.smoothing_s + lead_s) / lag_s;
+        Some(recent.extrapolated(reference, weight))
+    }
+
     /// Returns the seconds in which the load drifts so far that a plan no longer fits it.
     ///
     /// A load that drifts steadily lags behind in each smoothed load by its time constant, so
