--- a/lib/examples/expert_balance.rs
+++ b/lib/examples/expert_balance.rs
@@ -242,7 +242,7 @@
     let mut runs = [
         Run::new("static", Method::Static, &layout),
         Run::new("recompute", Method::Recompute, &layout),
-        Run::new("planner-skew", planner(1.0, 1.0, slots), &layout),
+        Run::new("planner-skew", planner(1.0, 0.3, slots), &layout),
         Run::new("planner-moves", planner(1.0, 20.0, slots), &layout),
     ];
     let mut bounds = Vec::new();
--- a/lib/src/load_tracker.rs
+++ b/lib/src/load_tracker.rs
@@ -5,6 +5,9 @@
 /// The share of the load that may move before a plan made for it has lost its worth.
 const STALE_SHARE: f64 = 0.10;
 
+/// The share of the load whose move between two samples counts as a jump.
+const JUMP_SHARE: f64 = 0.10;
+
 /// Smooths samples of expert load and estimates for how long a plan will fit.
 #[derive(Debug)]
 pub struct LoadTracker {
@@ -29,7 +32,17 @@
     }
 
     /// Takes in the load measured over the last `interval_s` seconds.
+    ///
+    /// A jump is no trend: the smoothed loads then begin anew.
     pub fn observe(&mut self, sample: &ExpertLoad, interval_s: f64) {
+        let jump = self
+            .recent
+            .as_ref()
+            .map(|recent| sample.moved_share(recent));
+        if jump.is_some_and(|share| share > JUMP_SHARE) {
+            self.recent = None;
+            self.reference = None;
+        }
         let recent = self.recent.get_or_insert_with(|| sample.clone());
         recent.blend(sample, blend_weight(interval_s, self.smoothing_s));
         let reference = self.reference.get_or_insert_with(|| sample.clone());
