--- a/lib/examples/expert_balance.rs
+++ b/lib/examples/expert_balance.rs
@@ -180,8 +180,8 @@
                     drift_horizon_s: self.tracker.drift_horizon_s(),
                     available_bytes: pacer.available_bytes(now_ms),
                 };
-                let load = self.tracker.load()?;
-                let plan = planner.plan(&self.layout, load, limits)?;
+                let load = self.tracker.forecast(f64::from(INTERVAL_S))?;
+                let plan = planner.plan(&self.layout, &load, limits)?;
                 assert!(
                     pacer.take(plan.move_bytes, now_ms),
                     "a plan exceeds its limit"
@@ -242,7 +242,7 @@
     let mut runs = [
         Run::new("static", Method::Static, &layout),
         Run::new("recompute", Method::Recompute, &layout),
-        Run::new("planner-skew", planner(1.0, 1.0, slots), &layout),
+        Run::new("planner-skew", planner(1.0, 0.3, slots), &layout),
         Run::new("planner-moves", planner(1.0, 20.0, slots), &layout),
     ];
     let mut bounds = Vec::new();
