router: assume other entries' sends, learn occupancy per service

Two causes were found. All entries saw the same few endpoints in time and sent everything there until the next report; an entry now assumes that each other entry has sent as much as it has itself since the report. And the duration of requests was learned per endpoint, so that with many endpoints the default stayed; it is now learned over all endpoints of the service, without the predicted queue and without requests that got no first token.

Five faults were planted and seen to fail: other entries' tokens or requests ignored, the queue counted as occupancy, requests without a first token learned, nothing learned. Two of them (queue counted, requests without a first token) passed at first; a focused test was added for each.

--- a/lib/examples/routing_comparison/run.rs
+++ b/lib/examples/routing_comparison/run.rs
@@ -149,7 +149,15 @@
         let zone_of = |number: usize| number % ZONES;
         let zones: Vec<usize> = (0..run.endpoints).map(zone_of).collect();
         let entries = (0..run.entries)
-            .map(|entry| RoutingEntry::new(run.policy, zone_of(entry), &zones, rng.random()))
+            .map(|entry| {
+                RoutingEntry::new(
+                    run.policy,
+                    u32::try_from(run.entries - 1).unwrap_or(0),
+                    zone_of(entry),
+                    &zones,
+                    rng.random(),
+                )
+            })
             .collect();
         let mut world = Self {
             run: run.clone(),
--- a/lib/src/endpoint_view.rs
+++ b/lib/src/endpoint_view.rs
@@ -2,14 +2,14 @@
 
 use crate::EndpointFlags;
 use crate::EndpointId;
-use crate::RouterSettings;
+use crate::fleet_model::FleetModel;
 use crate::protos::control::LoadReport;
 
 const US_PER_MS: u64 = 1_000;
 const US_PER_S: u64 = 1_000_000;
 
-/// Weight of one new sample in the mean duration of requests, as a divisor.
-const MEAN_DIVISOR: u64 = 8;
+/// Part of a request's duration at least that is not put down to the queue, as a divisor.
+const MAX_QUEUE_SHARE_DIVISOR: u64 = 4;
 
 /// What an entry knows of one endpoint: its last load report and this entry's own sends since.
 #[derive(Debug)]
@@ -26,7 +26,6 @@
     uncounted_tokens: u64,
     /// Requests that the last report counts but that have finished since.
     finished_since_report: u64,
-    mean_request_us: u64,
 }
 
 /// One request that this entry sent and that has not finished.
@@ -34,6 +33,8 @@
 struct OwnRequest {
     number: u64,
     sent_at_ms: u64,
+    /// Queue that was predicted when the request was sent.
+    queue_us: u64,
     prefill_tokens: u64,
     has_first_token: bool,
     is_counted: bool,
@@ -47,12 +48,7 @@
 }
 
 impl EndpointView {
-    pub(crate) fn new(
-        id: EndpointId,
-        name_hash: u64,
-        is_local: bool,
-        settings: &RouterSettings,
-    ) -> Self {
+    pub(crate) fn new(id: EndpointId, name_hash: u64, is_local: bool) -> Self {
         Self {
             id,
             name_hash,
@@ -63,7 +59,6 @@
             uncounted_requests: 0,
             uncounted_tokens: 0,
             finished_since_report: 0,
-            mean_request_us: settings.default_request_ms * US_PER_MS,
         }
     }
 
@@ -79,10 +74,17 @@
         self.recount();
     }
 
-    pub(crate) fn add_request(&mut self, number: u64, prefill_tokens: u64, now_ms: u64) {
+    pub(crate) fn add_request(
+        &mut self,
+        number: u64,
+        queue_us: u64,
+        prefill_tokens: u64,
+        now_ms: u64,
+    ) {
         self.own_requests.push(OwnRequest {
             number,
             sent_at_ms: now_ms,
+            queue_us,
             prefill_tokens,
             has_first_token: false,
             is_counted: false,
@@ -98,20 +100,21 @@
         self.recount();
     }
 
-    pub(crate) fn remove_request(&mut self, number: u64, now_ms: u64) {
-        let Some(position) = self.own_requests.iter().position(|r| r.number == number) else {
-            return;
-        };
+    /// Returns the time for which the request probably occupied a slot of the endpoint.
+    pub(crate) fn remove_request(&mut self, number: u64, now_ms: u64) -> Option<u64> {
+        let position = self.own_requests.iter().position(|r| r.number == number)?;
         let request = self.own_requests.remove(position);
         if request.is_counted {
             self.finished_since_report += 1;
         }
+        self.recount();
         let duration_us = now_ms
             .saturating_sub(request.sent_at_ms)
             .saturating_mul(US_PER_MS);
-        self.mean_request_us -= self.mean_request_us / MEAN_DIVISOR;
-        self.mean_request_us += duration_us / MEAN_DIVISOR;
-        self.recount();
+        let least_us = duration_us / MAX_QUEUE_SHARE_DIVISOR;
+        request
+            .has_first_token
+            .then(|| duration_us.saturating_sub(request.queue_us).max(least_us))
     }
 
     /// Requests running or queued, as far as this entry knows.
@@ -131,15 +134,16 @@
     pub(crate) fn predict(
         &self,
         prefill_tokens: u64,
-        settings: &RouterSettings,
+        fleet: &FleetModel,
         now_ms: u64,
     ) -> Prediction {
-        let speed_per_s = self.prefill_tokens_per_s(settings);
+        let speed_per_s = self.prefill_tokens_per_s(fleet);
         let reported_tokens = self.report.map_or(0, |report| report.queued_tokens);
-        let queued_tokens = reported_tokens.saturating_add(self.uncounted_tokens);
+        let queued_tokens =
+            reported_tokens.saturating_add(self.uncounted_tokens.saturating_mul(fleet.entry_count));
         let token_wait_us = time_us(queued_tokens, speed_per_s);
         let queue_us = token_wait_us
-            .max(self.slot_wait_us(settings))
+            .max(self.slot_wait_us(fleet))
             .max(self.oldest_wait_us(now_ms));
         Prediction {
             queue_us,
@@ -148,15 +152,17 @@
     }
 
     /// Time until enough running requests have finished for one more to start.
-    fn slot_wait_us(&self, settings: &RouterSettings) -> u64 {
+    fn slot_wait_us(&self, fleet: &FleetModel) -> u64 {
         let capacity = self
             .report
             .map(|report| report.capacity)
             .filter(|&capacity| capacity > 0)
-            .unwrap_or(settings.default_capacity);
+            .unwrap_or(fleet.default_capacity);
         let capacity = u64::from(capacity.max(1));
-        let ahead = (self.load_requests() + 1).saturating_sub(capacity);
-        ahead.saturating_mul(self.mean_request_us) / capacity
+        let counted_requests = self.load_requests() - self.uncounted_requests;
+        let uncounted_requests = self.uncounted_requests * fleet.entry_count;
+        let ahead = (counted_requests + uncounted_requests + 1).saturating_sub(capacity);
+        ahead.saturating_mul(fleet.mean_request_us) / capacity
     }
 
     /// Age of the oldest own request without a first token: a stalled endpoint shows by it.
@@ -171,11 +177,11 @@
             })
     }
 
-    fn prefill_tokens_per_s(&self, settings: &RouterSettings) -> u64 {
+    fn prefill_tokens_per_s(&self, fleet: &FleetModel) -> u64 {
         self.report
             .map(|report| report.prefill_tokens_per_s)
             .filter(|&speed_per_s| speed_per_s > 0)
-            .unwrap_or(settings.default_prefill_tokens_per_s)
+            .unwrap_or(fleet.default_prefill_tokens_per_s)
             .max(1)
     }
 
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -40,6 +40,7 @@
 mod entry_daemon;
 mod entry_server;
 mod events;
+mod fleet_model;
 mod frame_assembler;
 mod frame_error;
 mod frame_event;
--- a/lib/src/router.rs
+++ b/lib/src/router.rs
@@ -15,6 +15,7 @@
 use crate::RouterSettings;
 use crate::SendTicket;
 use crate::endpoint_view::EndpointView;
+use crate::fleet_model::FleetModel;
 use crate::protos::control::LoadReport;
 
 const US_PER_MS: u64 = 1_000;
@@ -27,6 +28,7 @@
 #[derive(Debug)]
 pub struct Router {
     settings: RouterSettings,
+    fleet: FleetModel,
     availability_zone: String,
     rng: SmallRng,
     endpoints: Vec<EndpointView>,
@@ -47,10 +49,10 @@
     is_late: bool,
     is_over_bound: bool,
     cost_us: u64,
-    /// Predicted time until the whole answer, and its parts before the first token.
+    /// Predicted time until the whole answer, its part spent in the queue, and the cost of prefill.
     answer_us: u64,
     queue_us: u64,
-    prefill_us: u64,
+    prefill_cost_us: u64,
     position: usize,
 }
 
@@ -59,6 +61,7 @@
     #[must_use]
     pub fn new(settings: RouterSettings, availability_zone: &str, rng: SmallRng) -> Self {
         Self {
+            fleet: FleetModel::new(&settings),
             settings,
             availability_zone: availability_zone.to_owned(),
             rng,
@@ -83,7 +86,7 @@
         let name_hash = xxh3_64(vm_name.as_bytes());
         self.positions.insert(id, self.endpoints.len());
         self.endpoints
-            .push(EndpointView::new(id, name_hash, is_local, &self.settings));
+            .push(EndpointView::new(id, name_hash, is_local));
         self.rebuild_lists();
         id
     }
@@ -108,6 +111,14 @@
         });
     }
 
+    /// Sets how many other entries send to the same endpoints.
+    ///
+    /// What they have sent since the last load report is not known, so each of them is assumed to
+    /// have sent as much as this entry.
+    pub fn set_other_entries(&mut self, count: u32) {
+        self.fleet.entry_count = 1 + u64::from(count);
+    }
+
     /// Sets which states keep work away from an endpoint.
     pub fn set_state(&mut self, id: EndpointId, flags: EndpointFlags) {
         let Some(&position) = self.positions.get(&id) else {
@@ -124,9 +135,14 @@
     pub fn mark_sent(&mut self, id: EndpointId, prefill_tokens: u64, now_ms: u64) -> SendTicket {
         let number = self.next_send;
         self.next_send += 1;
-        self.change(id, |endpoint| {
-            endpoint.add_request(number, prefill_tokens, now_ms);
-        });
+        if let Some(&position) = self.positions.get(&id) {
+            let queue_us = self.endpoints[position]
+                .predict(0, &self.fleet, now_ms)
+                .queue_us;
+            self.change(id, |endpoint| {
+                endpoint.add_request(number, queue_us, prefill_tokens, now_ms);
+            });
+        }
         SendTicket {
             endpoint: id,
             number,
@@ -142,9 +158,13 @@
 
     /// Notes that a request ended, however it ended.
     pub fn mark_finished(&mut self, ticket: SendTicket, now_ms: u64) {
+        let mut occupied_us = None;
         self.change(ticket.endpoint, |endpoint| {
-            endpoint.remove_request(ticket.number, now_ms);
+            occupied_us = endpoint.remove_request(ticket.number, now_ms);
         });
+        if let Some(occupied_us) = occupied_us {
+            self.fleet.note_request(occupied_us);
+        }
     }
 
     /// Number of endpoints in the table.
@@ -240,7 +260,8 @@
         let mut candidate = self.candidate(position, request, now_ms)?;
         let is_known = request.cached_tokens(self.endpoints[position].id) > 0;
         if !is_known {
-            let expected_us = percent_of(candidate.prefill_us, self.settings.home_cached_percent);
+            let expected_us =
+                percent_of(candidate.prefill_cost_us, self.settings.home_cached_percent);
             candidate.cost_us = candidate.cost_us.saturating_sub(expected_us);
         }
         Some(candidate)
@@ -253,12 +274,14 @@
             return None;
         }
         let prefill_tokens = request.prompt_tokens - request.cached_tokens(endpoint.id);
-        let prediction = endpoint.predict(prefill_tokens, &self.settings, now_ms);
+        let prediction = endpoint.predict(prefill_tokens, &self.fleet, now_ms);
         let queue_percent = self.settings.queue_percent(request.urgency);
         let queue_us = percent_of(prediction.queue_us, queue_percent);
         let prefill_us = prediction.prefill_us;
-        let first_token_us = queue_us.saturating_add(prefill_us);
-        let answer_us = first_token_us.saturating_add(us(request.expected_rest_ms));
+        let answer_us = queue_us
+            .saturating_add(prefill_us)
+            .saturating_add(us(request.expected_rest_ms));
+        let prefill_cost_us = percent_of(prefill_us, self.settings.prefill_cost_percent);
         let margin_us = if endpoint.is_local {
             0
         } else {
@@ -267,10 +290,12 @@
         Some(Candidate {
             is_late: answer_us > us(request.time_left_ms),
             is_over_bound: endpoint.load_requests() > self.load_bound_requests(),
-            cost_us: first_token_us.saturating_add(margin_us),
+            cost_us: queue_us
+                .saturating_add(prefill_cost_us)
+                .saturating_add(margin_us),
             answer_us,
             queue_us,
-            prefill_us,
+            prefill_cost_us,
             position,
         })
     }
--- a/lib/src/router_settings.rs
+++ b/lib/src/router_settings.rs
@@ -20,6 +20,9 @@
     /// Part of a prompt that its prefix's home is expected to hold when nothing is known, in percent.
     #[builder(default = 50)]
     pub home_cached_percent: u64,
+    /// Cost of prefill, in percent of its time: it delays later requests as well.
+    #[builder(default = 100)]
+    pub prefill_cost_percent: u64,
     /// Predicted gain below which a request stays in the local availability zone.
     #[builder(default = 50)]
     pub zone_margin_ms: u64,
@@ -35,7 +38,7 @@
     /// Requests run at once by an endpoint that has reported no capacity.
     #[builder(default = 16)]
     pub default_capacity: u32,
-    /// Duration of a request at an endpoint that has finished none.
+    /// Time for which a request occupies an endpoint's slot, until some have finished.
     #[builder(default = 1_000)]
     pub default_request_ms: u64,
     /// Queue that the least urgent request is taken to wait for, in percent of the whole.
--- a/lib/tests/test_router.rs
+++ b/lib/tests/test_router.rs
@@ -384,3 +384,121 @@
     router.update_load(home, &long_queue, 1_000);
     expect_that!(sent_to(&mut router, &request, 1_000), not(eq(home)));
 }
+
+#[googletest::test]
+fn other_entries_are_assumed_to_send_as_much() {
+    let mut router = router();
+    let endpoint = add(&mut router, "heredia");
+    router.update_load(endpoint, &report(0), 1_000);
+    router.mark_sent(endpoint, 2_000, 1_000);
+    let tight = RouteRequest::builder()
+        .prompt_tokens(1_000)
+        .time_left_ms(1_000)
+        .urgency(5)
+        .build();
+    expect_that!(
+        router.choose(&tight, 1_000),
+        eq(RouteChoice::Send(endpoint))
+    );
+    router.set_other_entries(7);
+    expect_that!(
+        router.choose(&tight, 1_000),
+        refused(RefusalCode::Overloaded)
+    );
+}
+
+#[googletest::test]
+fn occupancy_is_learned_over_all_endpoints_without_the_queue() {
+    let mut router = router();
+    let busy = add(&mut router, "heredia");
+    let idle = add(&mut router, "heredia");
+    for round in 0..200 {
+        let ticket = router.mark_sent(idle, 0, round * 10_000);
+        router.mark_first_token(ticket);
+        router.mark_finished(ticket, round * 10_000 + 4_000);
+    }
+    let now_ms = 3_000_000;
+    let full = LoadReport {
+        running_requests: 16,
+        queued_requests: 15,
+        ..report(0)
+    };
+    router.update_load(busy, &full, now_ms);
+    let exclude = [idle];
+    // Sixteen requests of 4 s each, of which 16 run at once, are ahead.
+    let request = |time_left_ms| {
+        RouteRequest::builder()
+            .time_left_ms(time_left_ms)
+            .urgency(5)
+            .exclude(&exclude)
+            .build()
+    };
+    expect_that!(
+        router.choose(&request(3_500), now_ms),
+        refused(RefusalCode::Overloaded)
+    );
+    expect_that!(
+        router.choose(&request(4_500), now_ms),
+        eq(RouteChoice::Send(busy))
+    );
+}
+
+#[googletest::test]
+fn time_in_the_queue_does_not_count_as_occupancy() {
+    let mut router = router();
+    let endpoint = add(&mut router, "heredia");
+    let full = LoadReport {
+        running_requests: 16,
+        queued_requests: 15,
+        ..report(0)
+    };
+    for round in 0..400 {
+        let now_ms = round * 10_000;
+        router.update_load(endpoint, &full, now_ms);
+        let ticket = router.mark_sent(endpoint, 0, now_ms);
+        router.mark_first_token(ticket);
+        // Half of it passes in the queue, in which sixteen requests are ahead.
+        router.mark_finished(ticket, now_ms + 4_000);
+    }
+    let now_ms = 5_000_000;
+    router.update_load(endpoint, &full, now_ms);
+    let request = |time_left_ms| {
+        RouteRequest::builder()
+            .time_left_ms(time_left_ms)
+            .urgency(5)
+            .build()
+    };
+    expect_that!(
+        router.choose(&request(1_500), now_ms),
+        refused(RefusalCode::Overloaded)
+    );
+    expect_that!(
+        router.choose(&request(2_500), now_ms),
+        eq(RouteChoice::Send(endpoint))
+    );
+}
+
+#[googletest::test]
+fn requests_without_a_first_token_teach_nothing() {
+    let mut router = router();
+    let endpoint = add(&mut router, "heredia");
+    for round in 0..200 {
+        let ticket = router.mark_sent(endpoint, 0, round * 100_000);
+        router.mark_finished(ticket, round * 100_000 + 50_000);
+    }
+    let now_ms = 30_000_000;
+    let full = LoadReport {
+        running_requests: 16,
+        queued_requests: 15,
+        ..report(0)
+    };
+    router.update_load(endpoint, &full, now_ms);
+    let request = RouteRequest::builder()
+        .time_left_ms(1_100)
+        .urgency(5)
+        .build();
+    expect_that!(
+        router.choose(&request, now_ms),
+        eq(RouteChoice::Send(endpoint))
+    );
+}
