router: weigh prefill threefold, trust homes more, sample fewer

Prefill that is not covered by the cache delays later requests as well, so it costs more than its own time; a home holds three quarters of a prompt that nothing is known of; and fewer sampled endpoints leave a request with its prefix more often.

--- a/lib/src/router_settings.rs
+++ b/lib/src/router_settings.rs
@@ -9,19 +9,19 @@
 #[derive(Debug, Clone, Builder)]
 pub struct RouterSettings {
     /// Endpoints of the local availability zone that are compared for one request.
-    #[builder(default = 3)]
+    #[builder(default = 2)]
     pub local_samples: usize,
     /// Endpoints of other availability zones that are compared for one request.
-    #[builder(default = 2)]
+    #[builder(default = 1)]
     pub remote_samples: usize,
     /// Endpoints with a cached prefix that are compared for one request.
     #[builder(default = 3)]
     pub cached_samples: usize,
     /// Part of a prompt that its prefix's home is expected to hold when nothing is known, in percent.
-    #[builder(default = 50)]
+    #[builder(default = 75)]
     pub home_cached_percent: u64,
     /// Cost of prefill, in percent of its time: it delays later requests as well.
-    #[builder(default = 100)]
+    #[builder(default = 300)]
     pub prefill_cost_percent: u64,
     /// Predicted gain below which a request stays in the local availability zone.
     #[builder(default = 50)]
