--- a/lib/examples/routing_comparison/main.rs
+++ b/lib/examples/routing_comparison/main.rs
@@ -24,11 +24,12 @@
     RoutePolicy::PrefixHash,
     RoutePolicy::Router,
 ];
-const SCENARIOS: [Scenario; 6] = [
+const SCENARIOS: [Scenario; 7] = [
     Scenario::Steady,
     Scenario::DriftingPrefixes,
     Scenario::OneSlow,
     Scenario::OneStalled,
+    Scenario::OneRefusing,
     Scenario::Rush,
     Scenario::Outage,
 ];
--- a/lib/examples/routing_comparison/run.rs
+++ b/lib/examples/routing_comparison/run.rs
@@ -96,6 +96,7 @@
     workload: RoutingWorkload,
     engines: Vec<FakeEngine>,
     is_down: bool,
+    refusing_endpoint: Option<usize>,
     cache_sequences: Vec<u64>,
     entries: Vec<RoutingEntry>,
     flights: Vec<Flight>,
@@ -169,6 +170,7 @@
             workload: RoutingWorkload::new(drift_interval_ms),
             engines: (0..run.endpoints).map(|_| FakeEngine::new()).collect(),
             is_down: false,
+            refusing_endpoint: None,
             cache_sequences: vec![0; run.endpoints],
             entries,
             flights: Vec::new(),
@@ -289,7 +291,7 @@
     }
 
     fn at_engine(&mut self, id: usize, endpoint: usize) {
-        if self.is_down {
+        if self.is_down || self.refusing_endpoint == Some(endpoint) {
             self.after(HOP_MS, Event::Failed(id, endpoint));
         } else {
             self.engines[endpoint].submit(self.flights[id].request.clone());
@@ -386,6 +388,7 @@
         match self.run.scenario {
             Scenario::OneSlow => self.engines[0].speed_percent = if is_start { 33 } else { 100 },
             Scenario::OneStalled => self.engines[0].speed_percent = if is_start { 0 } else { 100 },
+            Scenario::OneRefusing => self.refusing_endpoint = is_start.then_some(0),
             Scenario::Outage => {
                 self.is_down = is_start;
                 for endpoint in 0..self.engines.len() {
--- a/lib/examples/routing_comparison/scenario.rs
+++ b/lib/examples/routing_comparison/scenario.rs
@@ -24,6 +24,8 @@
     OneSlow,
     /// One endpoint makes no progress for 20 s, while its reports go on.
     OneStalled,
+    /// One endpoint refuses every request for 20 s, while its reports look idle.
+    OneRefusing,
     /// 1.3 times the capacity for 20 s.
     Rush,
     /// No endpoint answers for 5 s; all lose their caches.
