address_answer: tell each caller stable, spread entry addresses

Callers rank entries by rendezvous hashing over names, those of their own availability zone first and one of another zone last, so that all entries answer alike and the callers of a killed entry spread evenly. Leaving and suspected entries are left out while open ones are known; the list is empty only if no entry is known. Lifetimes are spread by caller, and short when no entry is open.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -3,6 +3,8 @@
 //! Decisions are plain state machines: events and the time go in, actions come out. Threads and
 //! sockets live in modules of their own and drive them.
 
+mod address_answer;
+mod address_request;
 mod agent_call;
 mod agent_channels;
 mod agent_server;
@@ -38,6 +40,7 @@
 mod endpoint_id;
 mod endpoint_view;
 mod entry_daemon;
+mod entry_record;
 mod entry_server;
 mod events;
 mod fleet_model;
@@ -79,6 +82,8 @@
 mod void_table;
 mod yaml_location;
 
+pub use address_answer::AddressAnswer;
+pub use address_request::AddressRequest;
 pub use arguments::ArgumentsError;
 pub use arguments::ProgramText;
 pub use arguments::USAGE_EXIT_CODE;
@@ -104,6 +109,7 @@
 pub use endpoint_flags::EndpointFlags;
 pub use endpoint_id::EndpointId;
 pub use entry_daemon::run_entry;
+pub use entry_record::EntryRecord;
 pub use events::Event;
 pub use events::log_event;
 pub use frame_assembler::FrameAssembler;
