--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,6 +4,8 @@
 //! sockets live in modules of their own and drive them.
 
 mod admission;
+mod address_answer;
+mod address_request;
 mod agent_call;
 mod agent_channels;
 mod agent_duty;
@@ -50,6 +52,7 @@
 mod endpoint_subset;
 mod endpoint_view;
 mod entry_daemon;
+mod entry_record;
 mod entry_server;
 mod events;
 mod expert_layout;
@@ -59,6 +62,7 @@
 mod fair_queue;
 mod fair_queue_settings;
 mod fleet_view;
+mod fleet_model;
 mod frame_assembler;
 mod frame_error;
 mod frame_event;
@@ -147,6 +151,8 @@
 mod yaml_location;
 
 pub use admission::Admission;
+pub use address_answer::AddressAnswer;
+pub use address_request::AddressRequest;
 pub use arguments::ArgumentsError;
 pub use arguments::ProgramText;
 pub use arguments::USAGE_EXIT_CODE;
@@ -179,6 +185,7 @@
 pub use endpoint_id::EndpointId;
 pub use endpoint_subset::EndpointSubset;
 pub use entry_daemon::run_entry;
+pub use entry_record::EntryRecord;
 pub use events::Event;
 pub use events::log_event;
 pub use expert_layout::ExpertLayout;
