pomelorampctl: check and render template files offline

Operators could not judge a document before they publish it. check reads a file with the validation that every process uses and shows the place of each problem; render shows what the template yields for one organisation, with its share in percent. Exit codes 0, 1 and 2 as documented.

--- a/cli/src/ctl_error.rs
+++ b/cli/src/ctl_error.rs
@@ -1,6 +1,8 @@
 //! Why a command failed.
 
+use std::io;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use pomeloramp_lib::ArgumentsError;
 use snafu::Snafu;
@@ -15,6 +17,21 @@
     Arguments { source: ArgumentsError },
     #[snafu(display("at least one --peer is needed"))]
     NoPeer,
+    #[snafu(display("a FILE is needed"))]
+    NoFile,
+    #[snafu(display("an --organisation is needed"))]
+    NoOrganisationGiven,
+    #[snafu(display("{}: {source}", path.display()))]
+    Read { path: PathBuf, source: io::Error },
+    #[snafu(display(
+        "organisation {organisation:?} does not exist in {}, which has {known}",
+        path.display()
+    ))]
+    NoOrganisation {
+        organisation: String,
+        path: PathBuf,
+        known: String,
+    },
     #[snafu(display("connect to {peer}: {}", root_cause(source)))]
     Connect {
         peer: SocketAddr,
@@ -38,7 +55,12 @@
     /// Returns the exit code that the error ends the command with.
     pub(crate) fn exit(&self) -> Exit {
         match self {
-            Self::Arguments { .. } | Self::NoPeer => Exit::Usage,
+            Self::Arguments { .. }
+            | Self::NoPeer
+            | Self::NoFile
+            | Self::NoOrganisationGiven
+            | Self::Read { .. }
+            | Self::NoOrganisation { .. } => Exit::Usage,
             Self::Connect { .. } | Self::Status { .. } => Exit::Unreachable,
         }
     }
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -9,6 +9,7 @@
 mod peer_query;
 mod report;
 mod table;
+mod template_file;
 
 use std::io::Write;
 use std::process::ExitCode;
@@ -30,6 +31,8 @@
 Usage: pomelorampctl COMMAND [ARGUMENTS]
 
 Commands:
+  check       check a template file, with the place of each problem
+  render      what a template yields for one organisation
   status      processes with role, revision in force and requests in flight
   members     what each process knows of the others
   revisions   documents in force and refused documents, per process
@@ -67,6 +70,8 @@
 async fn run(mut arguments: Arguments) -> Result<Report, CtlError> {
     let command = arguments.subcommand().map_err(CtlError::from_pico)?;
     match command.as_deref() {
+        Some("check") => commands::check::run(arguments),
+        Some("render") => commands::render::run(arguments),
         Some("status") => commands::status::run(arguments).await,
         Some("members") => commands::members::run(arguments).await,
         Some("revisions") => commands::revisions::run(arguments).await,
--- a/cli/src/peer_options.rs
+++ b/cli/src/peer_options.rs
@@ -30,11 +30,7 @@
             .opt_value_from_str("--timeout-ms")
             .map_err(CtlError::from_pico)?
             .unwrap_or(DEFAULT_TIMEOUT_MS);
-        let format = if arguments.contains("--json") {
-            OutputFormat::Json
-        } else {
-            OutputFormat::Table
-        };
+        let format = OutputFormat::parse(&mut arguments);
         text.refuse_rest(arguments)?;
         if peers.is_empty() {
             return Err(CtlError::NoPeer);
--- a/cli/src/report.rs
+++ b/cli/src/report.rs
@@ -1,5 +1,6 @@
 //! What a command prints and ends with.
 
+use pico_args::Arguments;
 use serde::Serialize;
 
 use crate::ctl_error::CtlError;
@@ -23,6 +24,17 @@
     Json,
 }
 
+impl OutputFormat {
+    /// Takes `--json` from the arguments.
+    pub(crate) fn parse(arguments: &mut Arguments) -> Self {
+        if arguments.contains("--json") {
+            Self::Json
+        } else {
+            Self::Table
+        }
+    }
+}
+
 impl Report {
     /// Creates a report of a command that succeeded.
     pub(crate) fn success(text: String) -> Self {
@@ -62,7 +74,8 @@
     }
 }
 
-fn json_text(value: &(impl Serialize + ?Sized)) -> String {
+/// Returns `value` in JSON, ended by a line break.
+pub(crate) fn json_text(value: &(impl Serialize + ?Sized)) -> String {
     let mut text = serde_json::to_string_pretty(value).expect("rows serialise");
     text.push('\n');
     text
--- a/cli/tests/test_arguments.rs
+++ b/cli/tests/test_arguments.rs
@@ -5,7 +5,9 @@
 
 use googletest::prelude::*;
 
-const COMMANDS: [&str; 6] = [
+const COMMANDS: [&str; 8] = [
+    "check",
+    "render",
     "status",
     "members",
     "revisions",
@@ -80,4 +82,6 @@
         complaint(&["status", "--peer", "localhost:1"]),
         contains_substring("localhost:1")
     );
+    expect_that!(complaint(&["check"]), contains_substring("FILE"));
+    expect_that!(complaint(&["render"]), contains_substring("FILE"));
 }
--- a/lib/src/arguments.rs
+++ b/lib/src/arguments.rs
@@ -72,9 +72,14 @@
         let Some(left_over) = arguments.finish().into_iter().next() else {
             return Ok(());
         };
-        let argument = left_over.to_string_lossy().into_owned();
-        let hint = nearest(flag_name(&argument), &self.flags()).map(str::to_owned);
-        UnknownArgumentSnafu { argument, hint }.fail()
+        Err(self.unknown_argument(&left_over.to_string_lossy()))
+    }
+
+    /// Returns the refusal of `argument`, with a hint at the nearest known flag.
+    #[must_use]
+    pub fn unknown_argument(&self, argument: &str) -> ArgumentsError {
+        let hint = nearest(flag_name(argument), &self.flags()).map(str::to_owned);
+        UnknownArgumentSnafu { argument, hint }.build()
     }
 
     /// Returns the flags that the help names.
