--- a/cli/tests/test_template_commands.rs
+++ b/cli/tests/test_template_commands.rs
@@ -90,7 +90,11 @@
     let unknown = TEMPLATE.replace("  horizon_s", "  horizon");
     let output = run("check", &unknown, &["--json"]);
     expect_that!(output.status.code(), some(eq(1)));
-    expect_that!(json(&output)[0]["line"], eq(8));
+    let problem = &json(&output)[0];
+    expect_that!(problem["line"], eq(8));
+    let message = problem["message"].as_str().unwrap();
+    expect_that!(message, starts_with("rebalance: unknown field `horizon`"));
+    expect_that!(message, not(contains_substring("at line")));
 }
 
 #[googletest::test]
--- a/lib/src/settings_check.rs
+++ b/lib/src/settings_check.rs
@@ -11,6 +11,7 @@
 use crate::settings_ranges::range_of;
 use crate::settings_ranges::text_rule;
 use crate::yaml_location::line_of;
+use crate::yaml_location::message_of;
 
 const HEARTBEATS_BEFORE_SUSPICION: u64 = 2;
 
@@ -70,7 +71,7 @@
         Err(error) => Err(SettingsError::from(SettingsProblem {
             path: String::new(),
             line: error.location().map(|location| location.line()),
-            reason: error.to_string(),
+            reason: message_of(&error),
         })),
     }
 }
--- a/lib/src/template_check.rs
+++ b/lib/src/template_check.rs
@@ -9,6 +9,7 @@
 use crate::protos::template::OrganisationParameters;
 use crate::protos::template::RebalanceParameters;
 use crate::protos::template::ServiceTemplate;
+use crate::yaml_location::message_of;
 
 const MAX_TEMPLATE_BYTES: usize = 1024 * 1024;
 const MAX_NAME_BYTES: usize = 64;
@@ -68,7 +69,7 @@
     TemplateProblem {
         location: YamlLocation::of_error(error).unwrap_or(YamlLocation::START),
         path: String::new(),
-        message: error.to_string(),
+        message: message_of(error),
     }
 }
 
--- a/lib/src/yaml_location.rs
+++ b/lib/src/yaml_location.rs
@@ -49,6 +49,15 @@
     }
 }
 
+/// Returns the message of a parser error without its location, which is shown apart.
+pub(crate) fn message_of(error: &serde_norway::Error) -> String {
+    let message = error.to_string();
+    match YamlLocation::of_error(error) {
+        Some(location) => message.replacen(&format!(" at {location}"), "", 1),
+        None => message,
+    }
+}
+
 /// Returns the line, counted from 1, of the value at `path`.
 ///
 /// A step of the path is a key of a mapping or the position of an item in a sequence.
--- a/lib/tests/test_settings_check.rs
+++ b/lib/tests/test_settings_check.rs
@@ -163,6 +163,7 @@
     let found = problems(DaemonRole::Entry, "role: entry\nvm_name: [\n");
     expect_that!(found.len(), eq(1));
     expect_that!(found[0].line, some(ge(2)));
+    expect_that!(found[0].reason, not(contains_substring("at line")));
     let twice = problems(DaemonRole::Entry, "role: entry\nrole: entry\n");
     expect_that!(twice[0].reason, contains_substring("duplicate"));
 }
