quarantine, endpoint_runs: refuse content that crashes endpoints

A crash makes every content that ran there a suspect; a suspect runs alone; a crash while it runs alone refuses it until the entry expires, and a run alone that ends well lets it go. Content that merely shared a batch is never refused, however many crashes it was present at. Entries merge by the larger of each field (crashes, crashes cleared, refused, expiry), so gossip may be late, doubled or reordered; a margin per hop keeps entries that are passed around from living for ever. QuarantineEntry gains two fields for that.

--- a/cli/tests/test_peer_commands.rs
+++ b/cli/tests/test_peer_commands.rs
@@ -84,6 +84,7 @@
             fingerprint: u64::MAX,
             crashes: 2,
             expires_in_ms: used_ms,
+            ..QuarantineEntry::default()
         }],
         idle_times: vec![IdleTime {
             organisation: "cartago".to_owned(),
--- a/lib/src/protos/pomeloramp.control.rs
+++ b/lib/src/protos/pomeloramp.control.rs
@@ -233,7 +233,7 @@
     #[prost(bool, tag = "9")]
     pub starting: bool,
 }
-/// Content that crashed endpoints.
+/// Content that ran on an endpoint when it crashed.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct QuarantineEntry {
     #[prost(uint64, tag = "1")]
@@ -243,6 +243,12 @@
     /// Milliseconds until the entry is forgotten.
     #[prost(uint64, tag = "3")]
     pub expires_in_ms: u64,
+    /// Crashes up to which a later run of the content alone showed it harmless.
+    #[prost(uint32, tag = "4")]
+    pub cleared_crashes: u32,
+    /// True when the content is refused.
+    #[prost(bool, tag = "5")]
+    pub quarantined: bool,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct StatusRequest {}
--- /dev/null
+++ b/lib/src/quarantine.rs
@@ -0,0 +1,209 @@
+//! Content that crashed endpoints.
+
+use std::collections::HashMap;
+
+use crate::ContentFingerprint;
+use crate::ContentStanding;
+use crate::QuarantineSettings;
+use crate::protos::control::QuarantineEntry;
+
+/// What one process knows of content that ran on endpoints when they crashed.
+///
+/// A crash makes every content that ran there a suspect. Only a crash of an endpoint on which a
+/// suspect ran alone quarantines it, so content that merely shared a batch is never refused. A run
+/// alone that ends well clears a suspect.
+///
+/// For each content the process keeps the count of crashes, the count up to which it was cleared,
+/// whether it is quarantined, and when all this expires. Entries of peers are merged by taking the
+/// larger of each, so order, repetition and detours of messages do not matter.
+#[derive(Debug)]
+pub struct Quarantine {
+    settings: QuarantineSettings,
+    entries: HashMap<ContentFingerprint, Entry>,
+    version: u64,
+}
+
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+struct Entry {
+    crashes: u32,
+    cleared_crashes: u32,
+    quarantined: bool,
+    expires_ms: u64,
+    /// Version of the quarantine at which the entry last changed.
+    version: u64,
+}
+
+impl Entry {
+    fn standing(&self) -> ContentStanding {
+        if self.quarantined {
+            ContentStanding::Quarantined
+        } else if self.crashes > self.cleared_crashes {
+            ContentStanding::Suspect
+        } else {
+            ContentStanding::Clear
+        }
+    }
+
+    /// Order in which entries are dropped when there are too many.
+    fn worth(&self) -> (ContentStanding, u64) {
+        (self.standing(), self.expires_ms)
+    }
+}
+
+impl Quarantine {
+    /// Makes an empty quarantine.
+    #[must_use]
+    pub fn new(settings: QuarantineSettings) -> Self {
+        Self {
+            settings,
+            entries: HashMap::new(),
+            version: 0,
+        }
+    }
+
+    /// Returns what is held against a content.
+    #[must_use]
+    pub fn standing(&self, content: ContentFingerprint, now_ms: u64) -> ContentStanding {
+        self.entry(content, now_ms).standing()
+    }
+
+    /// Notes that an endpoint crashed on which exactly these contents ran.
+    ///
+    /// Must not be called for an endpoint that was shut down on purpose.
+    pub fn crashed(&mut self, contents: &[ContentFingerprint], now_ms: u64) {
+        let alone = match contents {
+            [first, rest @ ..] => rest.iter().all(|content| content == first),
+            [] => return,
+        };
+        let mut contents = contents.to_vec();
+        contents.sort_unstable();
+        contents.dedup();
+        for content in contents {
+            let mut entry = self.entry(content, now_ms);
+            let suspected = entry.standing() == ContentStanding::Suspect;
+            entry.quarantined |= alone && suspected;
+            entry.crashes += 1;
+            let lifetime_ms = if entry.quarantined {
+                self.settings.quarantine_ms
+            } else {
+                self.settings.suspicion_ms
+            };
+            entry.expires_ms = entry.expires_ms.max(now_ms + lifetime_ms);
+            self.store(content, entry, now_ms);
+        }
+    }
+
+    /// Notes that a suspect ran alone and ended well.
+    pub fn ran_well_alone(&mut self, content: ContentFingerprint, now_ms: u64) {
+        let mut entry = self.entry(content, now_ms);
+        if entry.standing() == ContentStanding::Suspect {
+            entry.cleared_crashes = entry.crashes;
+            self.store(content, entry, now_ms);
+        }
+    }
+
+    /// Merges entries of a peer; the order and number of merges do not matter.
+    pub fn merge(&mut self, entries: &[QuarantineEntry], now_ms: u64) {
+        for told in entries {
+            let margin_ms = self.settings.relay_margin_ms;
+            let remaining_ms = told.expires_in_ms.min(self.longest_lifetime_ms());
+            let remaining_ms = remaining_ms.saturating_sub(margin_ms);
+            if remaining_ms == 0 {
+                continue;
+            }
+            let content = ContentFingerprint(told.fingerprint);
+            let mut entry = self.entry(content, now_ms);
+            entry.crashes = entry.crashes.max(told.crashes);
+            entry.cleared_crashes = entry.cleared_crashes.max(told.cleared_crashes);
+            entry.quarantined |= told.quarantined;
+            entry.expires_ms = entry.expires_ms.max(now_ms.saturating_add(remaining_ms));
+            self.store(content, entry, now_ms);
+        }
+    }
+
+    /// Returns the version, which rises with every change worth telling peers.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns the entries that changed after `version`, for a peer that was told all up to it.
+    #[must_use]
+    pub fn changed_since(&self, version: u64, now_ms: u64) -> Vec<QuarantineEntry> {
+        self.messages(now_ms, |entry| entry.version > version)
+    }
+
+    /// Returns the refused contents, for operators.
+    #[must_use]
+    pub fn quarantined(&self, now_ms: u64) -> Vec<QuarantineEntry> {
+        self.messages(now_ms, |entry| entry.quarantined)
+    }
+
+    /// Forgets expired entries.
+    pub fn expire(&mut self, now_ms: u64) {
+        self.entries.retain(|_, entry| entry.expires_ms > now_ms);
+    }
+
+    /// Returns how many contents are remembered.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether no content is remembered.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    fn entry(&self, content: ContentFingerprint, now_ms: u64) -> Entry {
+        let entry = self.entries.get(&content);
+        let live = entry.filter(|entry| entry.expires_ms > now_ms);
+        live.copied().unwrap_or_default()
+    }
+
+    fn longest_lifetime_ms(&self) -> u64 {
+        let settings = &self.settings;
+        settings.quarantine_ms.max(settings.suspicion_ms)
+    }
+
+    /// Stores an entry; its version rises unless only its time changed.
+    fn store(&mut self, content: ContentFingerprint, mut entry: Entry, now_ms: u64) {
+        let before = self.entry(content, now_ms);
+        let facts = |entry: &Entry| (entry.crashes, entry.cleared_crashes, entry.quarantined);
+        if facts(&before) != facts(&entry) {
+            self.version += 1;
+            entry.version = self.version;
+        }
+        self.entries.insert(content, entry);
+        if self.entries.len() > self.settings.max_entries {
+            self.drop_least();
+        }
+    }
+
+    fn drop_least(&mut self) {
+        let least = self
+            .entries
+            .iter()
+            .min_by_key(|(content, entry)| (entry.worth(), **content));
+        if let Some(content) = least.map(|(content, _)| *content) {
+            self.entries.remove(&content);
+        }
+    }
+
+    fn messages<F: Fn(&Entry) -> bool>(&self, now_ms: u64, wanted: F) -> Vec<QuarantineEntry> {
+        let live = |entry: &Entry| entry.expires_ms > now_ms && wanted(entry);
+        let entries = self.entries.iter().filter(|(_, entry)| live(entry));
+        let mut messages: Vec<_> = entries
+            .map(|(content, entry)| QuarantineEntry {
+                fingerprint: content.0,
+                crashes: entry.crashes,
+                expires_in_ms: entry.expires_ms - now_ms,
+                cleared_crashes: entry.cleared_crashes,
+                quarantined: entry.quarantined,
+            })
+            .collect();
+        messages.sort_unstable_by_key(|entry| entry.fingerprint);
+        messages
+    }
+}
--- /dev/null
+++ b/lib/tests/test_quarantine.rs
@@ -0,0 +1,553 @@
+//! Fuzzes the quarantine: content that crashes endpoints is refused, bystanders never are.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+
+use googletest::prelude::*;
+use pomeloramp_lib::ContentFingerprint;
+use pomeloramp_lib::ContentStanding;
+use pomeloramp_lib::EndpointRuns;
+use pomeloramp_lib::Quarantine;
+use pomeloramp_lib::QuarantineSettings;
+use pomeloramp_lib::RequestNumber;
+use pomeloramp_lib::StartPermit;
+use pomeloramp_lib::protos::control::QuarantineEntry;
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest_state_machine::ReferenceStateMachine;
+use proptest_state_machine::StateMachineTest;
+use proptest_state_machine::prop_state_machine;
+
+const AGENTS: usize = 3;
+const CONTENTS: u64 = 6;
+/// Contents below this one crash every endpoint that runs them.
+const FIRST_HARMLESS: u64 = 2;
+const SUSPICION_MS: u64 = 5_000;
+const QUARANTINE_MS: u64 = 20_000;
+const MARGIN_MS: u64 = 50;
+
+fn quarantine(max_entries: usize) -> Quarantine {
+    let settings = QuarantineSettings::builder()
+        .max_entries(max_entries)
+        .suspicion_ms(SUSPICION_MS)
+        .quarantine_ms(QUARANTINE_MS)
+        .relay_margin_ms(MARGIN_MS)
+        .build();
+    Quarantine::new(settings)
+}
+
+fn crashes_endpoints(content: ContentFingerprint) -> bool {
+    content.0 < FIRST_HARMLESS
+}
+
+#[derive(Debug, Clone)]
+enum Transition {
+    Submit {
+        agent: usize,
+        content: u64,
+    },
+    /// A running request goes on: harmless content ends well, other content crashes the endpoint.
+    Step {
+        agent: usize,
+        index: usize,
+    },
+    /// The endpoint fails for a reason of its own.
+    Fail {
+        agent: usize,
+    },
+    GiveUp {
+        agent: usize,
+        index: usize,
+    },
+    Gossip {
+        from: usize,
+        to: usize,
+    },
+    Deliver {
+        index: usize,
+        keep: bool,
+    },
+    Lose {
+        index: usize,
+    },
+    Restart {
+        agent: usize,
+    },
+    Advance {
+        elapsed_ms: u64,
+    },
+}
+
+/// Whether endpoints fail by themselves, and whether gossip is instant.
+#[derive(Debug, Clone)]
+struct Scenario {
+    fails: bool,
+    instant_gossip: bool,
+}
+
+impl ReferenceStateMachine for Scenario {
+    type State = Self;
+    type Transition = Transition;
+
+    fn init_state() -> BoxedStrategy<Self> {
+        prop_oneof![
+            Just((false, false)),
+            Just((true, false)),
+            Just((false, true))
+        ]
+        .prop_map(|(fails, instant_gossip)| Self {
+            fails,
+            instant_gossip,
+        })
+        .boxed()
+    }
+
+    fn transitions(scenario: &Self) -> BoxedStrategy<Transition> {
+        let agent = 0..AGENTS;
+        let index = 0..16_usize;
+        let pair = (agent.clone(), index.clone());
+        let ordinary = prop_oneof![
+            8 => (agent.clone(), 0..CONTENTS)
+                .prop_map(|(agent, content)| Transition::Submit { agent, content }),
+            8 => pair.clone().prop_map(|(agent, index)| Transition::Step { agent, index }),
+            1 => pair.prop_map(|(agent, index)| Transition::GiveUp { agent, index }),
+            4 => (agent.clone(), agent.clone())
+                .prop_map(|(from, to)| Transition::Gossip { from, to }),
+            4 => (index.clone(), any::<bool>())
+                .prop_map(|(index, keep)| Transition::Deliver { index, keep }),
+        ];
+        let restart = agent
+            .clone()
+            .prop_map(|agent| Transition::Restart { agent });
+        let late = prop_oneof![
+            2 => index.prop_map(|index| Transition::Lose { index }),
+            1 => restart,
+            4 => (1..3_000_u64).prop_map(|elapsed_ms| Transition::Advance { elapsed_ms }),
+        ];
+        let fail = agent.prop_map(|agent| Transition::Fail { agent });
+        match (scenario.instant_gossip, scenario.fails) {
+            (true, _) => ordinary.boxed(),
+            (false, false) => prop_oneof![8 => ordinary, 1 => late].boxed(),
+            (false, true) => prop_oneof![8 => ordinary, 1 => late, 1 => fail].boxed(),
+        }
+    }
+
+    fn apply(state: Self, _: &Transition) -> Self {
+        state
+    }
+}
+
+struct Agent {
+    run: u64,
+    quarantine: Quarantine,
+    runs: EndpointRuns,
+    running: BTreeMap<RequestNumber, ContentFingerprint>,
+    waiting: Vec<(RequestNumber, ContentFingerprint)>,
+}
+
+impl Agent {
+    fn new(run: u64) -> Self {
+        Self {
+            run,
+            quarantine: quarantine(64),
+            runs: EndpointRuns::new(),
+            running: BTreeMap::new(),
+            waiting: Vec::new(),
+        }
+    }
+
+    /// Starts what may start, in the order of arrival.
+    fn start_waiting(&mut self, now_ms: u64) {
+        let waiting = std::mem::take(&mut self.waiting);
+        for (number, content) in waiting {
+            let standing = self.quarantine.standing(content, now_ms);
+            match self.runs.try_start(number, content, standing) {
+                StartPermit::Started => {
+                    assert_ne!(standing, ContentStanding::Quarantined);
+                    self.running.insert(number, content);
+                }
+                StartPermit::Wait => self.waiting.push((number, content)),
+                StartPermit::Refused => assert_eq!(standing, ContentStanding::Quarantined),
+            }
+        }
+    }
+
+    fn crash(&mut self, now_ms: u64) {
+        let mut crashed = self.runs.crashed();
+        crashed.sort_unstable();
+        let mut running: Vec<_> = std::mem::take(&mut self.running).into_values().collect();
+        running.sort_unstable();
+        assert_eq!(crashed, running);
+        self.quarantine.crashed(&crashed, now_ms);
+    }
+
+    fn holds(&self, content: ContentFingerprint) -> bool {
+        let waits = self.waiting.iter().any(|(_, waiting)| *waiting == content);
+        waits || self.running.values().any(|running| *running == content)
+    }
+}
+
+struct Gossip {
+    from: (usize, u64),
+    to: (usize, u64),
+    version: u64,
+    entries: Vec<QuarantineEntry>,
+}
+
+struct Fleet {
+    scenario: Scenario,
+    now_ms: u64,
+    numbers: u64,
+    runs: u64,
+    agents: Vec<Agent>,
+    messages: Vec<Gossip>,
+    /// Version of the first run that the second has heard.
+    heard: HashMap<(u64, u64), u64>,
+    crashes: HashMap<ContentFingerprint, u32>,
+    /// Harmless contents that ran alone when an endpoint failed by itself.
+    unlucky: BTreeSet<ContentFingerprint>,
+}
+
+impl Fleet {
+    fn submit(&mut self, agent: usize, content: u64) {
+        let content = ContentFingerprint(content);
+        let in_flight = self.agents.iter().any(|agent| agent.holds(content));
+        if crashes_endpoints(content) && in_flight {
+            return;
+        }
+        self.numbers += 1;
+        let number = RequestNumber(self.numbers);
+        self.agents[agent].waiting.push((number, content));
+    }
+
+    fn step(&mut self, agent: usize, index: usize) {
+        let now_ms = self.now_ms;
+        let agent = &mut self.agents[agent];
+        let running = agent.running.iter().nth(index % agent.running.len().max(1));
+        let Some((number, content)) = running.map(|(number, content)| (*number, *content)) else {
+            return;
+        };
+        if crashes_endpoints(content) {
+            *self.crashes.entry(content).or_default() += 1;
+            agent.crash(now_ms);
+            return;
+        }
+        agent.running.remove(&number);
+        if let Some(alone) = agent.runs.ended(number) {
+            assert_eq!(alone, content);
+            assert!(agent.running.is_empty(), "{content:?} did not run alone");
+            agent.quarantine.ran_well_alone(content, now_ms);
+        }
+    }
+
+    fn fail(&mut self, agent: usize) {
+        let now_ms = self.now_ms;
+        let agent = &mut self.agents[agent];
+        let contents: BTreeSet<_> = agent.running.values().copied().collect();
+        if contents.len() == 1 {
+            self.unlucky.extend(contents);
+        }
+        agent.crash(now_ms);
+    }
+
+    fn gossip(&mut self, from: usize, to: usize) {
+        let (sender, receiver) = (&self.agents[from], &self.agents[to]);
+        let heard = self.heard.get(&(sender.run, receiver.run));
+        let heard = heard.copied().unwrap_or(0);
+        self.messages.push(Gossip {
+            from: (from, sender.run),
+            to: (to, receiver.run),
+            version: sender.quarantine.version(),
+            entries: sender.quarantine.changed_since(heard, self.now_ms),
+        });
+    }
+
+    fn deliver(&mut self, index: usize, keep: bool) {
+        if self.messages.is_empty() {
+            return;
+        }
+        let index = index % self.messages.len();
+        let message = &self.messages[index];
+        let agent = &mut self.agents[message.to.0];
+        if agent.run == message.to.1 {
+            agent.quarantine.merge(&message.entries, self.now_ms);
+            let heard = self
+                .heard
+                .entry((message.from.1, message.to.1))
+                .or_default();
+            *heard = (*heard).max(message.version);
+        }
+        if !keep {
+            self.messages.swap_remove(index);
+        }
+    }
+
+    fn gossip_to_all(&mut self) {
+        for from in 0..AGENTS {
+            for to in 0..AGENTS {
+                self.gossip(from, to);
+                self.deliver(self.messages.len() - 1, false);
+            }
+        }
+    }
+
+    fn check(&self) {
+        for agent in &self.agents {
+            for entry in agent.quarantine.quarantined(self.now_ms) {
+                let content = ContentFingerprint(entry.fingerprint);
+                let guilty = crashes_endpoints(content) || self.unlucky.contains(&content);
+                assert!(guilty, "harmless {content:?} is quarantined");
+            }
+        }
+        if self.scenario.instant_gossip {
+            let most = self.crashes.values().max().copied().unwrap_or(0);
+            assert!(most <= 2, "one content crashed {most} endpoints");
+        }
+    }
+}
+
+impl StateMachineTest for Fleet {
+    type SystemUnderTest = Self;
+    type Reference = Scenario;
+
+    fn init_test(scenario: &Scenario) -> Self {
+        Self {
+            scenario: scenario.clone(),
+            now_ms: 0,
+            numbers: 0,
+            runs: AGENTS as u64,
+            agents: (0..AGENTS as u64).map(Agent::new).collect(),
+            messages: Vec::new(),
+            heard: HashMap::new(),
+            crashes: HashMap::new(),
+            unlucky: BTreeSet::new(),
+        }
+    }
+
+    fn apply(mut fleet: Self, _: &Scenario, transition: Transition) -> Self {
+        match transition {
+            Transition::Submit { agent, content } => fleet.submit(agent, content),
+            Transition::Step { agent, index } => fleet.step(agent, index),
+            Transition::Fail { agent } => fleet.fail(agent),
+            Transition::GiveUp { agent, index } => {
+                let agent = &mut fleet.agents[agent];
+                if !agent.waiting.is_empty() {
+                    let (number, _) = agent.waiting.remove(index % agent.waiting.len());
+                    agent.runs.withdraw(number);
+                }
+            }
+            Transition::Gossip { from, to } => fleet.gossip(from, to),
+            Transition::Deliver { index, keep } => fleet.deliver(index, keep),
+            Transition::Lose { index } => {
+                if !fleet.messages.is_empty() {
+                    let index = index % fleet.messages.len();
+                    fleet.messages.swap_remove(index);
+                }
+            }
+            Transition::Restart { agent } => {
+                fleet.runs += 1;
+                fleet.agents[agent] = Agent::new(fleet.runs);
+            }
+            Transition::Advance { elapsed_ms } => {
+                fleet.now_ms += elapsed_ms;
+                for agent in &mut fleet.agents {
+                    agent.quarantine.expire(fleet.now_ms);
+                }
+            }
+        }
+        if fleet.scenario.instant_gossip {
+            fleet.gossip_to_all();
+        }
+        for agent in &mut fleet.agents {
+            agent.start_waiting(fleet.now_ms);
+        }
+        fleet
+    }
+
+    fn check_invariants(fleet: &Self, _: &Scenario) {
+        fleet.check();
+    }
+
+    /// Every request that waits gets its turn or is refused.
+    fn teardown(mut fleet: Self, _: Scenario) {
+        for agent in 0..AGENTS {
+            while !fleet.agents[agent].running.is_empty() {
+                fleet.step(agent, 0);
+                fleet.agents[agent].start_waiting(fleet.now_ms);
+            }
+            assert!(
+                fleet.agents[agent].waiting.is_empty(),
+                "a request waits for ever"
+            );
+        }
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(Config { cases: 600, ..Config::default() })]
+
+    #[test]
+    fn crashing_content_is_refused_and_bystanders_are_not(sequential 1..120 => Fleet);
+}
+
+fn entries() -> impl Strategy<Value = Vec<QuarantineEntry>> {
+    let entry = (0..4_u64, 0..3_u32, 0..3_u32, any::<bool>(), 0..30_000_u64);
+    let entry = entry.prop_map(
+        |(fingerprint, crashes, cleared, quarantined, expires_in_ms)| QuarantineEntry {
+            fingerprint,
+            crashes,
+            cleared_crashes: cleared.min(crashes),
+            quarantined,
+            expires_in_ms,
+        },
+    );
+    prop::collection::vec(entry, 0..6)
+}
+
+proptest! {
+    #[test]
+    fn merging_is_commutative_idempotent_and_monotone(
+        first in entries(),
+        second in entries(),
+        third in entries(),
+    ) {
+        let merged = |parts: &[&[QuarantineEntry]]| {
+            let mut quarantine = quarantine(64);
+            for part in parts {
+                quarantine.merge(part, 0);
+            }
+            quarantine.changed_since(0, 0)
+        };
+        let straight = merged(&[&first, &second, &third]);
+        prop_assert_eq!(&merged(&[&third, &second, &first]), &straight);
+        prop_assert_eq!(&merged(&[&second, &first, &third, &first, &second]), &straight);
+        let refused = |entries: &[QuarantineEntry]| -> BTreeSet<u64> {
+            let quarantined = entries.iter().filter(|entry| entry.quarantined);
+            quarantined.map(|entry| entry.fingerprint).collect()
+        };
+        let before = refused(&merged(&[&first]));
+        prop_assert!(before.is_subset(&refused(&straight)));
+    }
+}
+
+#[googletest::test]
+fn the_second_crash_refuses_and_a_run_alone_lets_go() {
+    let [guilty, bystander] = [0, 9].map(ContentFingerprint);
+    let mut quarantine = quarantine(8);
+    quarantine.crashed(&[guilty, bystander], 0);
+    for content in [guilty, bystander] {
+        let standing = quarantine.standing(content, 0);
+        expect_that!(standing, eq(ContentStanding::Suspect));
+    }
+    quarantine.ran_well_alone(bystander, 1);
+    quarantine.crashed(&[guilty], 1);
+    expect_that!(
+        quarantine.standing(bystander, 1),
+        eq(ContentStanding::Clear)
+    );
+    expect_that!(
+        quarantine.standing(guilty, 1),
+        eq(ContentStanding::Quarantined)
+    );
+    quarantine.crashed(&[bystander], 2);
+    expect_that!(
+        quarantine.standing(bystander, 2),
+        eq(ContentStanding::Suspect)
+    );
+    let expired_ms = 1 + QUARANTINE_MS;
+    expect_that!(
+        quarantine.standing(guilty, expired_ms),
+        eq(ContentStanding::Clear)
+    );
+}
+
+#[googletest::test]
+fn the_endpoint_empties_for_a_suspect_and_fills_again_after_it() {
+    let [first, suspect, later] = [1, 2, 3].map(RequestNumber);
+    let content = ContentFingerprint(5);
+    let mut runs = EndpointRuns::new();
+    let started = StartPermit::Started;
+    expect_that!(
+        runs.try_start(first, content, ContentStanding::Clear),
+        eq(started)
+    );
+    expect_that!(
+        runs.try_start(suspect, content, ContentStanding::Suspect),
+        eq(StartPermit::Wait)
+    );
+    expect_that!(
+        runs.try_start(later, content, ContentStanding::Clear),
+        eq(StartPermit::Wait)
+    );
+    expect_that!(runs.ended(first), none());
+    expect_that!(
+        runs.try_start(later, content, ContentStanding::Clear),
+        eq(StartPermit::Wait)
+    );
+    expect_that!(
+        runs.try_start(suspect, content, ContentStanding::Suspect),
+        eq(started)
+    );
+    expect_that!(
+        runs.try_start(later, content, ContentStanding::Clear),
+        eq(StartPermit::Wait)
+    );
+    expect_that!(runs.ended(suspect), some(eq(content)));
+    expect_that!(
+        runs.try_start(later, content, ContentStanding::Clear),
+        eq(started)
+    );
+}
+
+#[googletest::test]
+fn entries_that_are_passed_around_expire() {
+    const DELAY_MS: u64 = 40;
+    let content = ContentFingerprint(1);
+    let mut processes = [quarantine(8), quarantine(8), quarantine(8)];
+    processes[0].crashed(&[content], 0);
+    processes[0].crashed(&[content], 0);
+    let quarantined = ContentStanding::Quarantined;
+    expect_that!(processes[0].standing(content, 0), eq(quarantined));
+    let mut now_ms = 0;
+    let mut carrier = 0;
+    while now_ms < QUARANTINE_MS {
+        let told = processes[carrier].changed_since(0, now_ms);
+        now_ms += DELAY_MS;
+        carrier = (carrier + 1) % processes.len();
+        processes[carrier].merge(&told, now_ms);
+    }
+    for process in &processes {
+        expect_that!(
+            process.standing(content, now_ms),
+            eq(ContentStanding::Clear)
+        );
+    }
+}
+
+#[googletest::test]
+fn memory_is_bounded_and_refusals_are_forgotten_last() {
+    let guilty = ContentFingerprint(1_000);
+    let mut quarantine = quarantine(8);
+    quarantine.crashed(&[guilty], 0);
+    quarantine.crashed(&[guilty], 0);
+    let crowd: Vec<_> = (0..100).map(ContentFingerprint).collect();
+    quarantine.crashed(&crowd, 1);
+    expect_that!(quarantine.len(), eq(8));
+    expect_that!(
+        quarantine.standing(guilty, 1),
+        eq(ContentStanding::Quarantined)
+    );
+}
+
+#[googletest::test]
+fn a_fingerprint_names_the_content_and_not_its_sender_or_layout() {
+    let of = |body: &str| ContentFingerprint::of("draft", body.as_bytes());
+    let content = of(r#"{"prompt": "spring", "user": "a", "request_id": "1"}"#);
+    let resent = of(r#"{"request_id":"2","user":"b","prompt":"spring"}"#);
+    expect_that!(resent, eq(content));
+    expect_that!(of(r#"{"prompt": "coil"}"#), not(eq(content)));
+    expect_that!(of("spring"), not(eq(of("coil"))));
+    let elsewhere = ContentFingerprint::of("other", br#"{"prompt":"spring"}"#);
+    expect_that!(elsewhere, not(eq(content)));
+}
