plain_call: no fresh placement beside a refusal that is for good

A key used with another body was refused with a fresh placement, which invites the caller to begin anew under the same key, possibly at another home. A refusal without Retry-After carries no placement any more.

Seen to fail first: a_key_with_another_body_is_refused of test_commits_under_failure with "the key must not begin anew".

--- a/lib/src/plain_call.rs
+++ b/lib/src/plain_call.rs
@@ -156,7 +156,8 @@
 
 /// Adds a fresh placement to an error after which the call may begin anew.
 async fn with_placement(state: &EntryState, service: &str, error: CallerError) -> CallerError {
-    if error.outcome != Outcome::NotRun {
+    let may_begin_anew = error.outcome == Outcome::NotRun && error.retry_after_ms > 0;
+    if !may_begin_anew {
         return error;
     }
     let placement = fresh_placement(state, service).await.ok();
--- a/lib/tests/test_commits_under_failure.rs
+++ b/lib/tests/test_commits_under_failure.rs
@@ -173,6 +173,7 @@
     let other = caller().commit(entry(&fleet, 1), "key", &placement, 2, "{\"wire_mm\":5}");
     expect_that!(first.outcome, eq("ran"));
     expect_that!(other.code(), eq("key-reused"));
+    expect_that!(other.placement, none(), "the key must not begin anew");
     expect_that!(executions(&fleet, "key"), eq(1));
 }
 
