--- a/lib/src/router_settings.rs
+++ b/lib/src/router_settings.rs
@@ -9,17 +9,20 @@
 #[derive(Debug, Clone, Builder)]
 pub struct RouterSettings {
     /// Endpoints of the local availability zone that are compared for one request.
-    #[builder(default = 3)]
+    #[builder(default = 2)]
     pub local_samples: usize,
     /// Endpoints of other availability zones that are compared for one request.
-    #[builder(default = 2)]
+    #[builder(default = 1)]
     pub remote_samples: usize,
     /// Endpoints with a cached prefix that are compared for one request.
     #[builder(default = 3)]
     pub cached_samples: usize,
     /// Part of a prompt that its prefix's home is expected to hold when nothing is known, in percent.
-    #[builder(default = 50)]
+    #[builder(default = 75)]
     pub home_cached_percent: u64,
+    /// Cost of prefill, in percent of its time: it delays later requests as well.
+    #[builder(default = 300)]
+    pub prefill_cost_percent: u64,
     /// Predicted gain below which a request stays in the local availability zone.
     #[builder(default = 50)]
     pub zone_margin_ms: u64,
@@ -35,7 +38,7 @@
     /// Requests run at once by an endpoint that has reported no capacity.
     #[builder(default = 16)]
     pub default_capacity: u32,
-    /// Duration of a request at an endpoint that has finished none.
+    /// Time for which a request occupies an endpoint's slot, until some have finished.
     #[builder(default = 1_000)]
     pub default_request_ms: u64,
     /// Queue that the least urgent request is taken to wait for, in percent of the whole.
