--- a/lib/src/entry_daemon.rs
+++ b/lib/src/entry_daemon.rs
@@ -11,9 +11,11 @@
 use http::header::CONTENT_TYPE;
 use serde_json::Value;
 use serde_json::json;
+use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
+use tonic::transport::Server;
 use volo_http::body::Body;
 use volo_http::request::Request;
 use volo_http::server::extract::Query;
@@ -74,16 +76,7 @@
     let config = SharedConfig::default();
     let config_duty = config_duty::spawn(Arc::clone(&config), |_| {});
     let channels = AgentChannels::new(&control);
-    let routing_settings = RoutingSettings::builder()
-        .vm_name(settings.vm_name.clone())
-        .availability_zone(settings.availability_zone.clone())
-        .heartbeat_interval_ms(control.heartbeat_interval_ms)
-        .suspect_after_ms(control.suspect_after_ms)
-        .readers_per_zone(control.config_readers_per_zone as usize)
-        .endpoints_per_service(entry.endpoints_per_service as usize)
-        .retry_percent(entry.retry_budget_percent)
-        .build();
-    let routing = routing_duty::spawn(clock, routing_settings);
+    let routing = routing_duty::spawn(clock, routing_settings(&settings));
     let peer_listener = listen("peer_address", &settings.peer_address).await?;
     announce("peers", &peer_listener);
 
@@ -140,14 +133,7 @@
         serving,
         role_status: role_status(routing.clone()),
     };
-    let peer_server = PeerServer {
-        state: Arc::new(peer_state),
-    };
-    tokio::spawn(
-        tonic::transport::Server::builder()
-            .add_service(PeerService::new(peer_server))
-            .serve_with_incoming(peers(peer_listener)),
-    );
+    serve_peers(peer_state, peer_listener);
     follower.catch_up(plans.clone()).await;
     tokio::spawn(follower.run(plans));
     serve.send_replace(true);
@@ -170,6 +156,31 @@
     Ok(())
 }
 
+fn routing_settings(settings: &DaemonSettings) -> RoutingSettings {
+    let control = settings.control.unwrap_or_default();
+    let entry = settings.entry.clone().unwrap_or_default();
+    RoutingSettings::builder()
+        .vm_name(settings.vm_name.clone())
+        .availability_zone(settings.availability_zone.clone())
+        .heartbeat_interval_ms(control.heartbeat_interval_ms)
+        .suspect_after_ms(control.suspect_after_ms)
+        .readers_per_zone(control.config_readers_per_zone as usize)
+        .endpoints_per_service(entry.endpoints_per_service as usize)
+        .retry_percent(entry.retry_budget_percent)
+        .build()
+}
+
+/// Serves other processes and operators until the process ends.
+fn serve_peers(state: PeerState, listener: TcpListener) {
+    let server = PeerServer {
+        state: Arc::new(state),
+    };
+    let serving = Server::builder()
+        .add_service(PeerService::new(server))
+        .serve_with_incoming(peers(listener));
+    tokio::spawn(serving);
+}
+
 /// Takes over what an agent holds that this entry lacks.
 async fn pull_from_agents(source: ConfigSource, mut pulls: mpsc::Receiver<String>) {
     while let Some(peer) = pulls.recv().await {
