--- a/lib/src/load_tracker.rs
+++ b/lib/src/load_tracker.rs
@@ -5,6 +5,9 @@
 /// The share of the load that may move before a plan made for it has lost its worth.
 const STALE_SHARE: f64 = 0.10;
 
+/// The share of the load whose move between two samples counts as a jump.
+const JUMP_SHARE: f64 = 0.10;
+
 /// Smooths samples of expert load and estimates for how long a plan will fit.
 #[derive(Debug)]
 pub struct LoadTracker {
@@ -29,7 +32,17 @@
     }
 
     /// Takes in the load measured over the last `interval_s` seconds.
+    ///
+    /// A jump is no trend: the smoothed loads then begin anew.
     pub fn observe(&mut self, sample: &ExpertLoad, interval_s: f64) {
+        let jump = self
+            .recent
+            .as_ref()
+            .map(|recent| sample.moved_share(recent));
+        if jump.is_some_and(|share| share > JUMP_SHARE) {
+            self.recent = None;
+            self.reference = None;
+        }
         let recent = self.recent.get_or_insert_with(|| sample.clone());
         recent.blend(sample, blend_weight(interval_s, self.smoothing_s));
         let reference = self.reference.get_or_insert_with(|| sample.clone());
@@ -43,6 +56,16 @@
         self.recent.as_ref()
     }
 
+    /// Returns the load to expect when the trend goes on for `lead_s` seconds after the last
+    /// sample, once there was a sample.
+    #[must_use]
+    pub fn forecast(&self, lead_s: f64) -> Option<ExpertLoad> {
+        let (recent, reference) = (self.recent.as_ref()?, self.reference.as_ref()?);
+        let lag_s = self.smoothing_s * (REFERENCE_FACTOR - 1.0);
+        let weight = (self.smoothing_s + lead_s) / lag_s;
+        Some(recent.extrapolated(reference, weight))
+    }
+
     /// Returns the seconds in which the load drifts so far that a plan no longer fits it.
     ///
     /// A load that drifts steadily lags behind in each smoothed load by its time constant, so
