--- a/lib/src/fleet_view.rs
+++ b/lib/src/fleet_view.rs
@@ -4,7 +4,6 @@
 use std::collections::HashMap;
 
 use crate::EndpointFlags;
-use crate::EndpointSubset;
 use crate::Incarnation;
 use crate::ListedVm;
 use crate::MemberState;
@@ -15,6 +14,7 @@
 use crate::ReaderElectionSettings;
 use crate::RefusalCode;
 use crate::RouteChoice;
+use crate::SubsetMemo;
 use crate::WordEffect;
 use crate::control_plan::ControlPlan;
 use crate::control_plan::HeartbeatTarget;
@@ -47,6 +47,7 @@
     services: BTreeMap<String, ServiceRoutes>,
     /// Endpoints in touch with this entry, by service.
     subsets: BTreeMap<String, Vec<String>>,
+    subset_memo: SubsetMemo,
     states: BTreeMap<String, MemberState>,
 }
 
@@ -63,6 +64,7 @@
             .availability_zone(settings.availability_zone.clone())
             .readers_per_zone(settings.readers_per_zone)
             .build();
+        let subset_memo = SubsetMemo::new(settings.vm_name.clone(), settings.endpoints_per_service);
         Self {
             membership: Membership::new(membership),
             election: ReaderElection::new(election, rand::random(), now_ms),
@@ -72,6 +74,7 @@
             avoided_until_ms: HashMap::new(),
             services: BTreeMap::new(),
             subsets: BTreeMap::new(),
+            subset_memo,
             states: BTreeMap::new(),
         }
     }
@@ -268,11 +271,7 @@
         self.subsets.clear();
         for (service, vms) in &by_service {
             let names: Vec<&str> = vms.iter().map(|vm| vm.vm_name.as_str()).collect();
-            let subset = EndpointSubset {
-                service,
-                size: self.settings.endpoints_per_service,
-            };
-            let chosen = subset.choose(&self.settings.vm_name, &entries, &names);
+            let chosen = self.subset_memo.choose(service, &entries, &names).to_vec();
             let routes = self.services.entry(service.clone()).or_insert_with(|| {
                 let settings = &self.settings;
                 ServiceRoutes::new(&settings.availability_zone, settings.retry_percent, now_ms)
@@ -285,6 +284,8 @@
         }
         self.services
             .retain(|service, _| by_service.contains_key(service));
+        self.subset_memo
+            .retain(|service| by_service.contains_key(service));
         self.states.clear();
         self.refresh_states(now_ms);
     }
