quarantine: refuse content that crashes endpoints, fleet-wide and at once

test_crashing_requests failed first, twice: the probe after a broken connection found the dying process's listener still open (4 and 5 of 5 engines lost, code endpoint-lost), and an entry sent the content on before the second agent's verdict reached it (4 lost, code endpoint-crashed). Now the probe asks for 150 ms, and the final frame of a crashed call carries what the agent holds against the content.

--- a/lib/src/agent_duty.rs
+++ b/lib/src/agent_duty.rs
@@ -1,6 +1,7 @@
 //! The duty of an agent that admits calls, queues them and records how they ended.
 
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,7 +14,9 @@
 use crate::CallKey;
 use crate::CallRegistry;
 use crate::Clock;
+use crate::ContentFingerprint;
 use crate::Dispatch;
+use crate::EndpointRuns;
 use crate::FairQueue;
 use crate::IdleAccount;
 use crate::IdleLedger;
@@ -21,11 +24,14 @@
 use crate::Refusal;
 use crate::RefusalCode;
 use crate::RequestNumber;
+use crate::StartPermit;
 use crate::StoredAnswer;
 use crate::duty::Duty;
 use crate::duty::Wake;
+use crate::event;
 use crate::protos::control::LoadReport;
 use crate::protos::template::OrganisationParameters;
+use crate::shared_quarantine::SharedQuarantine;
 
 const RING_CAPACITY: usize = 4096;
 const TICK: Duration = Duration::from_millis(20);
@@ -43,6 +49,8 @@
     pub(crate) queued_tokens: u64,
     /// The entry's configuration is newer than this agent's.
     pub(crate) is_config_behind: bool,
+    /// Names the content, whoever sends it.
+    pub(crate) content: ContentFingerprint,
     pub(crate) reply: oneshot::Sender<Verdict>,
 }
 
@@ -78,6 +86,12 @@
     Admit(CallAdmission),
     /// A call that was told to run has ended.
     Ended { number: RequestNumber, end: CallEnd },
+    /// A call that was told to run has ended because the endpoint is gone.
+    Crashed {
+        number: RequestNumber,
+        /// Hears when the crash has been noted against the content.
+        noted: oneshot::Sender<()>,
+    },
     /// Parameters of the organisations come into force.
     SetParameters(Vec<OrganisationParameters>),
     /// New calls are refused from now on.
@@ -95,6 +109,8 @@
     organisation: String,
     attempt: Option<CallAttempt>,
     queued_tokens: u64,
+    content: ContentFingerprint,
+    deadline_ms: u64,
     /// Present until the call is told to run or refused.
     reply: Option<oneshot::Sender<Verdict>>,
     started_ms: u64,
@@ -111,6 +127,10 @@
     registry: CallRegistry,
     queue: FairQueue,
     ledger: IdleLedger,
+    runs: EndpointRuns,
+    /// Calls with a slot that wait for an empty endpoint.
+    held: VecDeque<RequestNumber>,
+    quarantine: SharedQuarantine,
     load: SharedLoad,
     capacity: u32,
     is_draining: bool,
@@ -128,8 +148,12 @@
         queue: FairQueue,
         capacity: u32,
         load: SharedLoad,
+        quarantine: SharedQuarantine,
     ) -> Self {
         Self {
+            runs: EndpointRuns::new(),
+            held: VecDeque::new(),
+            quarantine,
             ledger: IdleLedger::new(capacity, clock.now_ms()),
             clock,
             registry,
@@ -151,7 +175,10 @@
             let now_ms = self.clock.now_ms();
             match wake {
                 Wake::Command(command) => self.handle(command, now_ms),
-                Wake::Tick => self.registry.expire(now_ms),
+                Wake::Tick => {
+                    self.registry.expire(now_ms);
+                    self.quarantine.expire();
+                }
             }
             self.dispatch(now_ms);
             self.publish_load();
@@ -162,6 +189,11 @@
         match command {
             AgentCommand::Admit(admission) => self.admit(admission, now_ms),
             AgentCommand::Ended { number, end } => self.ended(number, end, now_ms),
+            AgentCommand::Crashed { number, noted } => {
+                self.note_crash(number);
+                self.ended(number, CallEnd::Lost, now_ms);
+                let _ = noted.send(());
+            }
             AgentCommand::SetParameters(parameters) => {
                 self.queue.set_parameters(&parameters, now_ms);
                 self.ledger.set_parameters(&parameters, now_ms);
@@ -235,6 +267,8 @@
             organisation: admission.organisation,
             attempt: admission.attempt,
             queued_tokens: admission.queued_tokens,
+            content: admission.content,
+            deadline_ms: now_ms.saturating_add(admission.time_left_ms),
             reply: Some(admission.reply),
             started_ms: now_ms,
         };
@@ -256,8 +290,44 @@
         }
     }
 
-    /// Tells a call to run, unless its caller is gone.
+    /// Starts a call that has a slot, unless its content is suspected and others run.
     fn start(&mut self, number: RequestNumber, now_ms: u64) {
+        let Some(pending) = self.pending.get(&number) else {
+            return;
+        };
+        let content = pending.content;
+        let standing = self.quarantine.standing(content);
+        match self.runs.try_start(number, content, standing) {
+            StartPermit::Started => self.tell_to_run(number, now_ms),
+            StartPermit::Wait => self.held.push_back(number),
+            StartPermit::Refused => {
+                self.queue.finish(number, now_ms);
+                self.give_up(number, RefusalCode::Quarantined, 0, now_ms);
+            }
+        }
+    }
+
+    /// Tries again to start the calls that wait for an empty endpoint.
+    fn start_held(&mut self, now_ms: u64) {
+        for number in std::mem::take(&mut self.held) {
+            let deadline_ms = self.pending.get(&number).map_or(0, |held| held.deadline_ms);
+            if deadline_ms > now_ms {
+                self.start(number, now_ms);
+                continue;
+            }
+            self.runs.withdraw(number);
+            self.queue.finish(number, now_ms);
+            self.give_up(
+                number,
+                RefusalCode::DeadlineUnreachable,
+                REFUSED_RETRY_MS,
+                now_ms,
+            );
+        }
+    }
+
+    /// Tells a call to run, unless its caller is gone.
+    fn tell_to_run(&mut self, number: RequestNumber, now_ms: u64) {
         let Some(pending) = self.pending.get_mut(&number) else {
             return;
         };
@@ -295,6 +365,7 @@
 
     fn ended(&mut self, number: RequestNumber, end: CallEnd, now_ms: u64) {
         self.queue.finish(number, now_ms);
+        self.settle_content(number, &end);
         let Some(pending) = self.pending.remove(&number) else {
             return;
         };
@@ -316,6 +387,25 @@
         self.settle_attached(pending.attempt.as_ref(), now_ms);
     }
 
+    /// Notes a crash against all content that ran; every call that ran reports it.
+    fn note_crash(&mut self, number: RequestNumber) {
+        if self.runs.is_running(number) {
+            event!(EndpointCrashed);
+            let contents = self.runs.crashed();
+            self.quarantine.crashed(&contents);
+        }
+    }
+
+    /// Notes what the end of a call says of its content.
+    fn settle_content(&mut self, number: RequestNumber, end: &CallEnd) {
+        let alone = self.runs.ended(number);
+        if let Some(content) = alone
+            && matches!(end, CallEnd::Answered(_) | CallEnd::Streamed)
+        {
+            self.quarantine.ran_well_alone(content);
+        }
+    }
+
     /// Decides again on the sends that waited for the end of a call.
     fn settle_attached(&mut self, ended: Option<&CallAttempt>, now_ms: u64) {
         let Some(sends) = ended.and_then(|ended| self.attached.remove(&ended.call)) else {
@@ -335,6 +425,7 @@
     }
 
     fn dispatch(&mut self, now_ms: u64) {
+        self.start_held(now_ms);
         for dispatch in self.queue.next(now_ms) {
             match dispatch {
                 Dispatch::Start(started) => self.start(started.number, now_ms),
--- a/lib/src/agent_server.rs
+++ b/lib/src/agent_server.rs
@@ -20,6 +20,7 @@
 use crate::CallAttempt;
 use crate::CallKey;
 use crate::Clock;
+use crate::ContentFingerprint;
 use crate::FrameWriter;
 use crate::Incarnation;
 use crate::Metrics;
@@ -45,6 +46,8 @@
 use crate::protos::control::HeartbeatReply;
 use crate::protos::control::HeartbeatRequest;
 use crate::protos::control::agent_server::Agent;
+use crate::quarantine_push::RecentPeers;
+use crate::shared_quarantine::SharedQuarantine;
 
 const FRAME_RING_CAPACITY: usize = 32;
 const RING_RETRY_DELAY: Duration = Duration::from_millis(1);
@@ -70,6 +73,8 @@
     pub(crate) load: SharedLoad,
     pub(crate) in_flight: InFlight,
     pub(crate) metrics: Metrics,
+    pub(crate) quarantine: SharedQuarantine,
+    pub(crate) recent_peers: RecentPeers,
     /// Turns true when the agent takes no new work.
     pub(crate) leaving: watch::Sender<bool>,
     /// Addresses of peers that hold a newer configuration.
@@ -97,6 +102,8 @@
     ) -> Result<Response<HeartbeatReply>, Status> {
         let state = &self.state;
         let heartbeat = request.into_inner();
+        state.quarantine.merge(&heartbeat.quarantined);
+        state.recent_peers.note(&heartbeat.from_address);
         if heartbeat.listed_leaving && !*state.leaving.borrow() {
             state.leaving.send_replace(true);
         }
@@ -114,7 +121,7 @@
             load: Some(**state.load.load()),
             service: state.service.clone(),
             endpoint_up: *state.endpoint_up.borrow(),
-            quarantined: Vec::new(),
+            quarantined: state.quarantine.entries(),
             config_digest: view.digest,
         }))
     }
@@ -125,6 +132,7 @@
     ) -> Result<Response<Self::CallStream>, Status> {
         let (sender, receiver) = mpsc::channel(FRAME_RING_CAPACITY);
         let call = request.into_inner();
+        self.state.quarantine.merge(&call.quarantined);
         let run = CallRun {
             writer: FrameWriter::new(&call.request_id),
             state: Arc::clone(&self.state),
@@ -183,6 +191,7 @@
             time_left_ms: self.call.deadline_ms,
             queued_tokens: self.call.body.len() as u64 / BYTES_PER_TOKEN,
             is_config_behind,
+            content: ContentFingerprint(self.call.fingerprint),
             reply,
         };
         self.state.duty.submit(AgentCommand::Admit(admission))?;
@@ -284,6 +293,10 @@
                 self.refuse(&refusal).await;
             }
             EndpointError::Lost { .. } => {
+                if self.state.endpoint.has_crashed().await {
+                    self.fail_crashed(number, &message).await;
+                    return;
+                }
                 self.end(number, CallEnd::Lost).await;
                 let refusal = Refusal::unknown_for_good(RefusalCode::EndpointLost);
                 let frame = self.writer.refuse(&refusal, &message);
@@ -300,6 +313,18 @@
         }
     }
 
+    /// Answers a call under which the endpoint crashed with what is now held against its content.
+    async fn fail_crashed(self, number: RequestNumber, message: &str) {
+        let (noted, is_noted) = oneshot::channel();
+        self.report(AgentCommand::Crashed { number, noted }).await;
+        let _ = is_noted.await;
+        let content = ContentFingerprint(self.call.fingerprint);
+        let quarantined = self.state.quarantine.entry_of(content);
+        let refusal = Refusal::unknown_for_good(RefusalCode::EndpointCrashed);
+        let frame = self.writer.crashed(&refusal, message, quarantined);
+        let _ = self.sender.send(Ok(frame)).await;
+    }
+
     async fn send_answer(mut self, answer: &StoredAnswer) {
         let head = self.writer.head(answer.status, &answer.content_type);
         let data = self.writer.data(answer.body.to_vec(), 0);
@@ -325,9 +350,12 @@
         let _ = self.sender.send(Ok(frame)).await;
     }
 
-    /// Reports the end of a call; waits for room in the ring, since an end must not be lost.
     async fn end(&self, number: RequestNumber, end: CallEnd) {
-        let mut command = AgentCommand::Ended { number, end };
+        self.report(AgentCommand::Ended { number, end }).await;
+    }
+
+    /// Reports the end of a call; waits for room in the ring, since an end must not be lost.
+    async fn report(&self, mut command: AgentCommand) {
         while let Err(returned) = self.state.duty.submit_or_return(command) {
             command = returned;
             tokio::time::sleep(RING_RETRY_DELAY).await;
--- a/lib/src/completion.rs
+++ b/lib/src/completion.rs
@@ -18,6 +18,7 @@
 use volo_http::body::Body;
 use volo_http::request::Request;
 
+use crate::ContentFingerprint;
 use crate::FrameEvent;
 use crate::RefusalCode;
 use crate::agent_call::AgentCall;
@@ -107,12 +108,14 @@
         "prompt": completion.prompt,
         "max_tokens": completion.max_tokens,
     });
+    let body = body.to_string().into_bytes();
     CallRequest {
         request_id: format!("{:016x}", rand::random::<u64>()),
+        fingerprint: ContentFingerprint::of(&completion.model, &body).0,
         organisation: authorised.organisation.organisation.clone(),
         service: completion.model.clone(),
         call: "completions".to_owned(),
-        body: body.to_string().into_bytes(),
+        body,
         content_type: "application/json".to_owned(),
         deadline_ms: state.deadline_ms(&authorised.service),
         config_revision: state.config.load().revision,
@@ -148,6 +151,8 @@
     /// Sends the call, to another endpoint when one does not begin its answer.
     async fn open(&mut self) -> Result<OpenCall, CallerError> {
         loop {
+            let content = ContentFingerprint(self.call.fingerprint);
+            self.state.check_content(content)?;
             let send = self.attempts.choose().await?;
             let error = match self.begin(&send).await {
                 Ok(answer) => {
@@ -170,6 +175,7 @@
     async fn begin(&self, send: &RoutedSend) -> Result<AgentCall, CallerError> {
         let mut call = self.call.clone();
         call.resume_after_token = self.delivered_tokens;
+        self.state.add_suspicion(&mut call);
         let time_left = self.attempts.time_left();
         call.deadline_ms = u64::try_from(time_left.as_millis()).unwrap_or(u64::MAX);
         let opening = async {
@@ -182,12 +188,16 @@
                     code,
                     message,
                     retry_after_ms,
-                } => Err(CallerError::from_agent(
-                    outcome,
-                    &code,
-                    message,
-                    retry_after_ms,
-                )),
+                    quarantined,
+                } => {
+                    self.state.quarantine.merge(&quarantined);
+                    Err(CallerError::from_agent(
+                        outcome,
+                        &code,
+                        message,
+                        retry_after_ms,
+                    ))
+                }
                 FrameEvent::Head { .. } | FrameEvent::Data { .. } | FrameEvent::Whole => Ok(answer),
             }
         };
@@ -220,7 +230,11 @@
                     code,
                     message,
                     retry_after_ms,
-                }) => CallerError::from_agent(outcome, &code, message, retry_after_ms),
+                    quarantined,
+                }) => {
+                    self.state.quarantine.merge(&quarantined);
+                    CallerError::from_agent(outcome, &code, message, retry_after_ms)
+                }
                 Err(error) => error,
             };
             self.attempts.finished(&open.send);
--- a/lib/src/config_source.rs
+++ b/lib/src/config_source.rs
@@ -18,6 +18,7 @@
 use crate::protos::control::ExchangeReply;
 use crate::protos::control::ExchangeRequest;
 use crate::protos::control::peer_client::PeerClient;
+use crate::shared_quarantine::SharedQuarantine;
 
 const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(1);
 const RING_RETRY_DELAY: Duration = Duration::from_millis(5);
@@ -39,6 +40,7 @@
     pub(crate) channels: AgentChannels,
     pub(crate) config: SharedConfig,
     pub(crate) duty: Duty<ConfigCommand>,
+    pub(crate) quarantine: SharedQuarantine,
 }
 
 impl ConfigSource {
@@ -74,9 +76,11 @@
             from_vm: self.vm_name.clone(),
             config_revision: view.revision,
             config_digest: view.digest,
+            quarantined: self.quarantine.entries(),
             ..ExchangeRequest::default()
         };
         let answer = self.send(peer, greeting.clone()).await?;
+        self.quarantine.merge(&answer.quarantined);
         if answer.config_digest == view.digest {
             return Ok(answer);
         }
--- a/lib/src/control_loop.rs
+++ b/lib/src/control_loop.rs
@@ -19,7 +19,9 @@
 use crate::protos::control::HeartbeatReply;
 use crate::protos::control::HeartbeatRequest;
 use crate::protos::control::agent_client::AgentClient;
+use crate::quarantine_push::RecentPeers;
 use crate::routing_duty::RoutingCommand;
+use crate::shared_quarantine::SharedQuarantine;
 
 const PLAN_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -36,6 +38,8 @@
     pub(crate) vm_list_interval: Duration,
     /// Hears the address of an agent that holds a configuration unlike this entry's.
     pub(crate) config_pulls: mpsc::Sender<String>,
+    pub(crate) quarantine: SharedQuarantine,
+    pub(crate) recent_peers: RecentPeers,
 }
 
 impl ControlLoop {
@@ -57,6 +61,9 @@
                 _ = plan_ticks.tick() => {
                     if let Some(plan) = self.plan().await {
                         self.send_heartbeats(&plan.heartbeats);
+                        for peer in &plan.peers {
+                            self.recent_peers.note(&peer.peer_address);
+                        }
                         plans.send_replace(Some(plan));
                     }
                 }
@@ -78,7 +85,7 @@
                 config_revision: view.revision,
                 from_address: self.peer_address.clone(),
                 listed_leaving: target.is_listed_leaving,
-                quarantined: Vec::new(),
+                quarantined: self.quarantine.entries(),
                 config_digest: view.digest,
             };
             let exchange = HeartbeatExchange {
@@ -87,6 +94,8 @@
                 config_revision: view.revision,
                 routing: self.routing.clone(),
                 config_pulls: self.config_pulls.clone(),
+                quarantine: self.quarantine.clone(),
+                recent_peers: self.recent_peers.clone(),
             };
             let channels = self.channels.clone();
             tokio::spawn(exchange.run(channels, heartbeat, self.heartbeat_timeout));
@@ -117,6 +126,8 @@
     config_revision: u64,
     routing: Duty<RoutingCommand>,
     config_pulls: mpsc::Sender<String>,
+    quarantine: SharedQuarantine,
+    recent_peers: RecentPeers,
 }
 
 impl HeartbeatExchange {
@@ -134,6 +145,8 @@
     }
 
     fn heard(self, reply: HeartbeatReply) {
+        self.quarantine.merge(&reply.quarantined);
+        self.recent_peers.note(&self.target.peer_address);
         if reply.config_revision > self.config_revision {
             // A pull that is already under way fetches this revision as well.
             let _ = self.config_pulls.try_send(self.target.peer_address);
--- a/lib/src/endpoint_client.rs
+++ b/lib/src/endpoint_client.rs
@@ -1,5 +1,6 @@
 //! Calls from an agent to the endpoint beside it.
 
+use std::io::ErrorKind;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,6 +14,7 @@
 use hyper::body::Incoming;
 use pomeloramp_proc_macros::value;
 use snafu::Snafu;
+use tokio::net::TcpStream;
 
 use crate::http_client;
 use crate::http_client::HttpError;
@@ -21,6 +23,8 @@
 const END_MARKER: &[u8] = b"[DONE]";
 const EVENT_END: &[u8] = b"\n\n";
 const EVENT_PREFIX: &[u8] = b"data: ";
+const CRASH_PROBES: usize = 6;
+const CRASH_PROBE_INTERVAL: Duration = Duration::from_millis(25);
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
 /// A whole answer of an endpoint.
@@ -160,6 +164,28 @@
         Ok(body.to_bytes())
     }
 
+    /// Tells whether nobody listens at the endpoint's address any more.
+    ///
+    /// The connections of a process that dies break a moment before its listener closes, so the
+    /// answer takes up to 150 ms for an endpoint that lives.
+    pub(crate) async fn has_crashed(&self) -> bool {
+        for _ in 0..CRASH_PROBES {
+            if self.refuses_connections().await {
+                return true;
+            }
+            tokio::time::sleep(CRASH_PROBE_INTERVAL).await;
+        }
+        false
+    }
+
+    async fn refuses_connections(&self) -> bool {
+        let connecting = TcpStream::connect(&self.address);
+        match tokio::time::timeout(self.connect_timeout, connecting).await {
+            Ok(Err(error)) => error.kind() == ErrorKind::ConnectionRefused,
+            Ok(Ok(_)) | Err(_) => false,
+        }
+    }
+
     /// Returns the error for an endpoint that accepted a call and stays silent.
     pub(crate) fn silent(&self, limit: Duration) -> EndpointError {
         self.lost(&format!("no answer within {} ms", limit.as_millis()))
--- a/lib/src/endpoint_daemon.rs
+++ b/lib/src/endpoint_daemon.rs
@@ -45,6 +45,9 @@
 use crate::protos::control::peer_server::PeerServer as PeerService;
 use crate::protos::settings::DaemonSettings;
 use crate::protos::settings::EndpointSettings;
+use crate::quarantine_push;
+use crate::quarantine_push::RecentPeers;
+use crate::shared_quarantine::SharedQuarantine;
 use crate::shutdown;
 
 const MEAN_ANSWER_BYTES: u64 = 4096;
@@ -67,7 +70,25 @@
     let clock = Clock::start();
     let incarnation = Incarnation::random();
     let load = SharedLoad::default();
-    let duty = agent_duty(clock, incarnation, &endpoint_settings, Arc::clone(&load));
+    let quarantine = SharedQuarantine::new(clock);
+    let registry = call_registry(incarnation, &endpoint_settings);
+    let duty = AgentDuty::new(
+        clock,
+        registry,
+        fair_queue(&endpoint_settings),
+        endpoint_settings.capacity,
+        Arc::clone(&load),
+        quarantine.clone(),
+    )
+    .spawn();
+    let channels = AgentChannels::new(&control);
+    let recent_peers = RecentPeers::default();
+    tokio::spawn(quarantine_push::run(
+        settings.vm_name.clone(),
+        quarantine.clone(),
+        channels.clone(),
+        recent_peers.clone(),
+    ));
 
     let config = SharedConfig::default();
     let config_duty = config_duty::spawn(
@@ -79,9 +100,10 @@
     let source = ConfigSource {
         vm_name: settings.vm_name.clone(),
         platform,
-        channels: AgentChannels::new(&control),
+        channels,
         config: Arc::clone(&config),
         duty: config_duty.clone(),
+        quarantine: quarantine.clone(),
     };
     tokio::spawn(follow_configuration(source, pull_requests));
 
@@ -108,6 +130,7 @@
         in_flight: in_flight.clone(),
         config_duty,
         reached: ServiceReached::new(clock),
+        quarantine: quarantine.clone(),
         serving: watch::channel(true).1,
         role_status: role_status(duty.clone(), &endpoint_settings.service),
     };
@@ -124,6 +147,8 @@
         load,
         in_flight,
         metrics,
+        quarantine,
+        recent_peers,
         leaving,
         pulls,
         endpoint_up,
@@ -147,13 +172,7 @@
         })
 }
 
-/// Starts the duty that admits calls.
-fn agent_duty(
-    clock: Clock,
-    incarnation: Incarnation,
-    settings: &EndpointSettings,
-    load: SharedLoad,
-) -> Duty<AgentCommand> {
+fn call_registry(incarnation: Incarnation, settings: &EndpointSettings) -> CallRegistry {
     let max_records = settings.max_call_records as usize;
     let registry_settings = CallRegistrySettings::builder()
         .max_records(max_records)
@@ -164,18 +183,15 @@
         .max_digests(max_records * DIGESTS_PER_RECORD)
         .retry_after_ms(RETRY_AFTER_MS)
         .build();
+    CallRegistry::new(registry_settings, incarnation)
+}
+
+fn fair_queue(settings: &EndpointSettings) -> FairQueue {
     let queue_settings = FairQueueSettings::builder()
         .capacity(settings.capacity)
         .max_queued_requests(settings.max_queued_requests)
         .build();
-    AgentDuty::new(
-        clock,
-        CallRegistry::new(registry_settings, incarnation),
-        FairQueue::new(queue_settings),
-        settings.capacity,
-        load,
-    )
-    .spawn()
+    FairQueue::new(queue_settings)
 }
 
 /// Returns what puts the parameters of the agent's own service in force.
--- a/lib/src/endpoint_runs.rs
+++ b/lib/src/endpoint_runs.rs
@@ -87,6 +87,12 @@
         self.running.drain().map(|(_, content)| content).collect()
     }
 
+    /// Returns whether the request has started and neither ended nor crashed.
+    #[must_use]
+    pub fn is_running(&self, number: RequestNumber) -> bool {
+        self.running.contains_key(&number)
+    }
+
     /// Returns how many requests run.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/lib/src/entry_daemon.rs
+++ b/lib/src/entry_daemon.rs
@@ -24,6 +24,9 @@
 use volo_http::server::route::get;
 use volo_http::server::route::post;
 
+use crate::AddressAnswer;
+use crate::AddressRequest;
+use crate::EntryRecord;
 use crate::Metrics;
 use crate::agent_channels::AgentChannels;
 use crate::caller_error::CallerError;
@@ -42,6 +45,7 @@
 use crate::entry_server::EntryState;
 use crate::entry_server::overloaded;
 use crate::entry_server::respond;
+use crate::fleet_view::ListedEntry;
 use crate::in_flight::InFlight;
 use crate::incarnation::Incarnation;
 use crate::listener::announce;
@@ -55,9 +59,12 @@
 use crate::platform_client::PlatformClient;
 use crate::protos::control::peer_server::PeerServer as PeerService;
 use crate::protos::settings::DaemonSettings;
+use crate::quarantine_push;
+use crate::quarantine_push::RecentPeers;
 use crate::routing_duty;
 use crate::routing_duty::RoutingCommand;
 use crate::routing_settings::RoutingSettings;
+use crate::shared_quarantine::SharedQuarantine;
 use crate::shutdown;
 
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -76,6 +83,7 @@
     let config = SharedConfig::default();
     let config_duty = config_duty::spawn(Arc::clone(&config), |_| {});
     let channels = AgentChannels::new(&control);
+    let quarantine = SharedQuarantine::new(clock);
     let routing = routing_duty::spawn(clock, routing_settings(&settings));
     let peer_listener = listen("peer_address", &settings.peer_address).await?;
     announce("peers", &peer_listener);
@@ -86,7 +94,15 @@
         channels: channels.clone(),
         config: Arc::clone(&config),
         duty: config_duty.clone(),
+        quarantine: quarantine.clone(),
     };
+    let recent_peers = RecentPeers::default();
+    tokio::spawn(quarantine_push::run(
+        settings.vm_name.clone(),
+        quarantine.clone(),
+        channels.clone(),
+        recent_peers.clone(),
+    ));
     let (config_pulls, pull_requests) = mpsc::channel(1);
     let control_loop = ControlLoop {
         vm_name: settings.vm_name.clone(),
@@ -99,6 +115,8 @@
         heartbeat_timeout: Duration::from_millis(control.heartbeat_interval_ms) * 2,
         vm_list_interval: Duration::from_millis(control.vm_list_interval_ms),
         config_pulls,
+        quarantine: quarantine.clone(),
+        recent_peers,
     };
     let (plan_sender, plans) = watch::channel(None);
     tokio::spawn(control_loop.run(plan_sender));
@@ -130,6 +148,7 @@
         in_flight: in_flight.clone(),
         config_duty,
         reached,
+        quarantine: quarantine.clone(),
         serving,
         role_status: role_status(routing.clone()),
     };
@@ -149,6 +168,7 @@
         routing,
         in_flight: in_flight.clone(),
         metrics,
+        quarantine,
     });
     let (close, closing) = watch::channel(false);
     tokio::spawn(drain(draining, lifetime, in_flight, close));
@@ -273,19 +293,16 @@
         .submit(RoutingCommand::Entries { reply })
         .map_err(|_| overloaded())?;
     let entries = answer.await.map_err(|_| overloaded())?;
-    let listed: Vec<_> = entries
-        .iter()
-        .filter(|entry| !entry.is_leaving && !entry.is_suspected)
-        .map(|entry| {
-            json!({
-                "address": entry.record.caller_address,
-                "availability_zone": entry.record.availability_zone,
-            })
-        })
-        .collect();
+    let records: Vec<EntryRecord> = entries.iter().map(ListedEntry::as_record).collect();
+    let request = AddressRequest::builder()
+        .caller(query.get("caller").map_or("", String::as_str))
+        .maybe_availability_zone(query.get("availability_zone").map(String::as_str))
+        .max_lifetime_ms(state.settings.address_lifetime_ms)
+        .build();
+    let answer = AddressAnswer::choose(&records, &request);
     let mut body = json!({
-        "addresses": listed,
-        "lifetime_ms": state.settings.address_lifetime_ms,
+        "addresses": answer.addresses,
+        "lifetime_ms": answer.lifetime_ms,
     });
     if let Some(service) = query.get("service") {
         body["placement"] = plain_call::fresh_placement(state, service).await?.into();
--- a/lib/src/entry_server.rs
+++ b/lib/src/entry_server.rs
@@ -15,7 +15,10 @@
 use volo_http::body::Body;
 use volo_http::request::Request;
 
+use crate::ContentFingerprint;
+use crate::ContentStanding;
 use crate::Metrics;
+use crate::RefusalCode;
 use crate::agent_channels::AgentChannels;
 use crate::attempts::Attempts;
 use crate::caller_error::CallerError;
@@ -29,6 +32,7 @@
 use crate::protos::template::OrganisationParameters;
 use crate::route_query::RouteQuery;
 use crate::routing_duty::RoutingCommand;
+use crate::shared_quarantine::SharedQuarantine;
 
 const OVERLOAD_RETRY_MS: u64 = 1000;
 
@@ -41,6 +45,7 @@
     pub(crate) routing: Duty<RoutingCommand>,
     pub(crate) in_flight: InFlight,
     pub(crate) metrics: Metrics,
+    pub(crate) quarantine: SharedQuarantine,
 }
 
 /// A request whose caller is known.
@@ -123,6 +128,25 @@
         Attempts::new(self.routing.clone(), query)
     }
 
+    /// Refuses content that crashed endpoints, for good and at once.
+    pub(crate) fn check_content(&self, content: ContentFingerprint) -> Result<(), CallerError> {
+        if self.quarantine.standing(content) != ContentStanding::Quarantined {
+            return Ok(());
+        }
+        Err(CallerError::not_run(
+            StatusCode::UNPROCESSABLE_ENTITY,
+            RefusalCode::Quarantined.as_str(),
+            "content crashed endpoints before; sending it again does not help",
+        ))
+    }
+
+    /// Adds what this entry holds against the content of a call.
+    pub(crate) fn add_suspicion(&self, call: &mut CallRequest) {
+        call.quarantined = self
+            .quarantine
+            .entry_of(ContentFingerprint(call.fingerprint));
+    }
+
     /// Returns the deadline of a request of `service`, in milliseconds from its arrival.
     pub(crate) fn deadline_ms(&self, service: &ServiceView) -> u64 {
         match service.template().deadline_ms {
--- a/lib/src/fleet_view.rs
+++ b/lib/src/fleet_view.rs
@@ -5,6 +5,7 @@
 
 use crate::EndpointFlags;
 use crate::EndpointSubset;
+use crate::EntryRecord;
 use crate::Incarnation;
 use crate::ListedVm;
 use crate::MemberState;
@@ -356,6 +357,19 @@
     pub(crate) is_suspected: bool,
 }
 
+impl ListedEntry {
+    /// Borrows what the choice of addresses needs.
+    pub(crate) fn as_record(&self) -> EntryRecord<'_> {
+        EntryRecord {
+            vm_name: &self.record.vm_name,
+            caller_address: &self.record.caller_address,
+            availability_zone: &self.record.availability_zone,
+            leaving: self.is_leaving,
+            suspected: self.is_suspected,
+        }
+    }
+}
+
 fn listed_vm(record: &VmRecord) -> ListedVm {
     ListedVm {
         vm_name: record.vm_name.clone(),
--- a/lib/src/frame_assembler.rs
+++ b/lib/src/frame_assembler.rs
@@ -214,6 +214,7 @@
             code: end.code,
             message: end.message,
             retry_after_ms: end.retry_after_ms,
+            quarantined: end.quarantined,
         })
     }
 }
--- a/lib/src/frame_event.rs
+++ b/lib/src/frame_event.rs
@@ -3,6 +3,7 @@
 use pomeloramp_proc_macros::value;
 
 use crate::Outcome;
+use crate::protos::control::QuarantineEntry;
 
 /// What an accepted frame means to the entry.
 #[value]
@@ -33,5 +34,7 @@
         message: String,
         /// Advised delay in milliseconds, zero when sending again cannot help.
         retry_after_ms: u64,
+        /// What the agent holds against the content after a crash.
+        quarantined: Vec<QuarantineEntry>,
     },
 }
--- a/lib/src/frame_writer.rs
+++ b/lib/src/frame_writer.rs
@@ -87,6 +87,27 @@
             retry_after_ms,
             data_frames: self.data_frames,
             digest: self.digest.digest(),
+            quarantined: Vec::new(),
+        };
+        self.frame(Frame::Final(end))
+    }
+
+    /// Ends the answer of a call under which the endpoint crashed.
+    #[must_use]
+    pub fn crashed(
+        mut self,
+        refusal: &Refusal,
+        message: &str,
+        quarantined: Vec<control::QuarantineEntry>,
+    ) -> control::CallFrame {
+        let end = control::FinalFrame {
+            outcome: control::Outcome::from(refusal.outcome).into(),
+            code: refusal.code.as_str().to_owned(),
+            message: message.to_owned(),
+            data_frames: self.data_frames,
+            digest: self.digest.digest(),
+            quarantined,
+            ..control::FinalFrame::default()
         };
         self.frame(Frame::Final(end))
     }
--- a/lib/src/peer_server.rs
+++ b/lib/src/peer_server.rs
@@ -24,6 +24,7 @@
 use crate::protos::control::StatusReply;
 use crate::protos::control::StatusRequest;
 use crate::protos::control::peer_server::Peer;
+use crate::shared_quarantine::SharedQuarantine;
 
 /// State shared by the handlers.
 pub(crate) struct PeerState {
@@ -35,6 +36,7 @@
     pub(crate) in_flight: InFlight,
     pub(crate) config_duty: Duty<ConfigCommand>,
     pub(crate) reached: ServiceReached,
+    pub(crate) quarantine: SharedQuarantine,
     /// Turns true once the process serves.
     pub(crate) serving: watch::Receiver<bool>,
     /// Asks the role's own duty for its part of the status.
@@ -71,7 +73,9 @@
         request: Request<ExchangeRequest>,
     ) -> Result<Response<ExchangeReply>, Status> {
         let state = &self.state;
-        let newer = newer_values(&state.config_duty, request.into_inner())
+        let exchange = request.into_inner();
+        state.quarantine.merge(&exchange.quarantined);
+        let newer = newer_values(&state.config_duty, exchange)
             .await
             .map_err(|error| Status::unavailable(error.to_string()))?;
         let view = state.config.load();
@@ -81,7 +85,7 @@
             config_revision: view.revision,
             config_digest: view.digest,
             newer,
-            quarantined: Vec::new(),
+            quarantined: state.quarantine.entries(),
             leaving: *state.draining.borrow(),
             service_reached_ago_ms: state.reached.ago_ms(),
             starting: !*state.serving.borrow(),
@@ -103,7 +107,7 @@
             config_revision: state.config.load().revision,
             in_flight_requests: u32::try_from(state.in_flight.count()).unwrap_or(u32::MAX),
             members: role_status.members,
-            quarantined: Vec::new(),
+            quarantined: state.quarantine.quarantined(),
             idle_times: role_status.idle_times,
             refused_documents: documents.refused,
             documents: documents.in_force,
--- a/lib/src/plain_call.rs
+++ b/lib/src/plain_call.rs
@@ -14,6 +14,7 @@
 
 use crate::AttemptNumber;
 use crate::AttemptPolicy;
+use crate::ContentFingerprint;
 use crate::FrameEvent;
 use crate::Outcome;
 use crate::Placement;
@@ -61,6 +62,7 @@
     let message = CallRequest {
         request_id: format!("{:016x}", rand::random::<u64>()),
         organisation: authorised.organisation.organisation.clone(),
+        fingerprint: ContentFingerprint::of(&service, &body).0,
         service,
         call,
         body: body.to_vec(),
@@ -72,6 +74,7 @@
         urgency: authorised.organisation.urgency,
         ..CallRequest::default()
     };
+    state.check_content(ContentFingerprint(message.fingerprint))?;
     let organisation = message.organisation.clone();
     let result = if authorised.service.template().repeatable {
         run_repeatable(state, message).await
@@ -98,8 +101,11 @@
 ) -> Result<Response<Body>, CallerError> {
     let mut attempts = state.attempts(&call, Bytes::new());
     loop {
+        state.check_content(ContentFingerprint(call.fingerprint))?;
         let chosen = attempts.choose().await?;
-        let result = receive(state, &chosen.peer_address, call.clone()).await;
+        let mut message = call.clone();
+        state.add_suspicion(&mut message);
+        let result = receive(state, &chosen.peer_address, message).await;
         attempts.finished(&chosen);
         let error = match result {
             Ok(Received::Whole(response)) => return Ok(response),
@@ -231,7 +237,9 @@
                 code,
                 message,
                 retry_after_ms,
+                quarantined,
             } => {
+                state.quarantine.merge(&quarantined);
                 let error = CallerError::from_agent(outcome, &code, message, retry_after_ms);
                 return Ok(Received::Failed(error));
             }
--- a/lib/src/protos/pomeloramp.control.rs
+++ b/lib/src/protos/pomeloramp.control.rs
@@ -80,7 +80,7 @@
     #[prost(uint64, tag = "4")]
     pub stamp_ms: u64,
 }
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct CallRequest {
     #[prost(string, tag = "1")]
     pub request_id: ::prost::alloc::string::String,
@@ -110,6 +110,9 @@
     /// Digest of the content, which names it after it crashed an endpoint.
     #[prost(uint64, tag = "12")]
     pub fingerprint: u64,
+    /// What the entry holds against the content.
+    #[prost(message, repeated, tag = "13")]
+    pub quarantined: ::prost::alloc::vec::Vec<QuarantineEntry>,
 }
 /// What the agent needs to run a call at most once.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -123,7 +126,7 @@
     #[prost(uint32, tag = "4")]
     pub attempt: u32,
 }
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct CallFrame {
     #[prost(string, tag = "1")]
     pub request_id: ::prost::alloc::string::String,
@@ -134,7 +137,7 @@
 }
 /// Nested message and enum types in `CallFrame`.
 pub mod call_frame {
-    #[derive(Clone, PartialEq, Eq, Hash, ::prost::Oneof)]
+    #[derive(Clone, PartialEq, ::prost::Oneof)]
     pub enum Frame {
         #[prost(message, tag = "3")]
         Head(super::HeadFrame),
@@ -159,7 +162,7 @@
     #[prost(uint32, tag = "2")]
     pub tokens: u32,
 }
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct FinalFrame {
     #[prost(enumeration = "Outcome", tag = "1")]
     pub outcome: i32,
@@ -175,6 +178,9 @@
     pub data_frames: u64,
     #[prost(uint64, tag = "6")]
     pub digest: u64,
+    /// What the agent holds against the content after a crash.
+    #[prost(message, repeated, tag = "7")]
+    pub quarantined: ::prost::alloc::vec::Vec<QuarantineEntry>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ConfigValue {
--- a/lib/src/refusal_code.rs
+++ b/lib/src/refusal_code.rs
@@ -25,6 +25,8 @@
     RecordsFull,
     /// The endpoint's answer was lost after the request had reached it.
     EndpointLost,
+    /// The endpoint crashed while the request ran there.
+    EndpointCrashed,
     /// The endpoint could not be reached.
     EndpointUnreachable,
     /// The queue of the endpoint is full.
@@ -66,6 +68,7 @@
             Self::CallVoided => "call-voided",
             Self::RecordsFull => "records-full",
             Self::EndpointLost => "endpoint-lost",
+            Self::EndpointCrashed => "endpoint-crashed",
             Self::EndpointUnreachable => "endpoint-unreachable",
             Self::QueueFull => "queue-full",
             Self::OrganisationLimit => "organisation-limit",
--- /dev/null
+++ b/lib/src/shared_quarantine.rs
@@ -0,0 +1,124 @@
+//! The quarantine of one process, shared between its duties.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use tokio::sync::watch;
+
+use crate::ContentFingerprint;
+use crate::ContentStanding;
+use crate::Quarantine;
+use crate::QuarantineSettings;
+use crate::clock::Clock;
+use crate::event;
+use crate::protos::control::QuarantineEntry;
+
+const MAX_ENTRIES: usize = 4096;
+const SUSPICION_MS: u64 = 600_000;
+const QUARANTINE_MS: u64 = 3_600_000;
+const RELAY_MARGIN_MS: u64 = 5_000;
+/// Entries that one message carries at most.
+const MAX_TOLD_ENTRIES: usize = 32;
+
+/// The quarantine of one process; every change of it is announced.
+#[derive(Debug, Clone)]
+pub(crate) struct SharedQuarantine {
+    clock: Clock,
+    quarantine: Arc<Mutex<Quarantine>>,
+    version: watch::Sender<u64>,
+}
+
+impl SharedQuarantine {
+    /// Creates an empty quarantine.
+    pub(crate) fn new(clock: Clock) -> Self {
+        let settings = QuarantineSettings::builder()
+            .max_entries(MAX_ENTRIES)
+            .suspicion_ms(SUSPICION_MS)
+            .quarantine_ms(QUARANTINE_MS)
+            .relay_margin_ms(RELAY_MARGIN_MS)
+            .build();
+        Self {
+            clock,
+            quarantine: Arc::new(Mutex::new(Quarantine::new(settings))),
+            version: watch::channel(0).0,
+        }
+    }
+
+    /// Returns what is held against a content.
+    pub(crate) fn standing(&self, content: ContentFingerprint) -> ContentStanding {
+        self.lock().standing(content, self.clock.now_ms())
+    }
+
+    /// Notes that an endpoint crashed on which exactly these contents ran.
+    pub(crate) fn crashed(&self, contents: &[ContentFingerprint]) {
+        self.change(|quarantine, now_ms| quarantine.crashed(contents, now_ms));
+        for content in contents {
+            if self.standing(*content) == ContentStanding::Quarantined {
+                event!(ContentQuarantined, "fingerprint={:016x}", content.0);
+            }
+        }
+    }
+
+    /// Notes that a suspect ran alone and ended well.
+    pub(crate) fn ran_well_alone(&self, content: ContentFingerprint) {
+        self.change(|quarantine, now_ms| quarantine.ran_well_alone(content, now_ms));
+    }
+
+    /// Takes what a peer holds.
+    pub(crate) fn merge(&self, entries: &[QuarantineEntry]) {
+        if !entries.is_empty() {
+            self.change(|quarantine, now_ms| quarantine.merge(entries, now_ms));
+        }
+    }
+
+    /// Returns the latest entries for a peer.
+    pub(crate) fn entries(&self) -> Vec<QuarantineEntry> {
+        let mut entries = self.lock().changed_since(0, self.clock.now_ms());
+        entries.truncate(MAX_TOLD_ENTRIES);
+        entries
+    }
+
+    /// Returns what is held against one content, for the agent that is to run it.
+    pub(crate) fn entry_of(&self, content: ContentFingerprint) -> Vec<QuarantineEntry> {
+        let entries = self.lock().changed_since(0, self.clock.now_ms());
+        let is_content = |entry: &QuarantineEntry| entry.fingerprint == content.0;
+        entries.into_iter().filter(is_content).collect()
+    }
+
+    /// Returns the refused contents, for operators.
+    pub(crate) fn quarantined(&self) -> Vec<QuarantineEntry> {
+        self.lock().quarantined(self.clock.now_ms())
+    }
+
+    /// Forgets what has expired.
+    pub(crate) fn expire(&self) {
+        let now_ms = self.clock.now_ms();
+        self.lock().expire(now_ms);
+    }
+
+    /// Returns a receiver that hears of each change.
+    pub(crate) fn changes(&self) -> watch::Receiver<u64> {
+        self.version.subscribe()
+    }
+
+    fn change(&self, change: impl FnOnce(&mut Quarantine, u64)) {
+        let now_ms = self.clock.now_ms();
+        let mut quarantine = self.lock();
+        change(&mut quarantine, now_ms);
+        let version = quarantine.version();
+        drop(quarantine);
+        self.version.send_if_modified(|known| {
+            let is_modified = *known < version;
+            *known = version.max(*known);
+            is_modified
+        });
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Quarantine> {
+        self.quarantine
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/lib/tests/test_frame_assembler.rs
+++ b/lib/tests/test_frame_assembler.rs
@@ -205,6 +205,7 @@
         outcome: Outcome::NotRun,
         code: "queue-full".to_owned(),
         message: "queue of vm-1 is full".to_owned(),
+        quarantined: Vec::new(),
         retry_after_ms: 7,
     };
     expect_that!(event, ok(eq(&expected)));
