--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -3,9 +3,9 @@
 //! Decisions are plain state machines: events and the time go in, actions come out. Threads and
 //! sockets live in modules of their own and drive them.
 
-mod admission;
 mod address_answer;
 mod address_request;
+mod admission;
 mod agent_call;
 mod agent_channels;
 mod agent_duty;
@@ -64,8 +64,8 @@
 mod expert_planner;
 mod fair_queue;
 mod fair_queue_settings;
-mod fleet_view;
 mod fleet_model;
+mod fleet_view;
 mod frame_assembler;
 mod frame_error;
 mod frame_event;
@@ -155,9 +155,9 @@
 mod word_effect;
 mod yaml_location;
 
-pub use admission::Admission;
 pub use address_answer::AddressAnswer;
 pub use address_request::AddressRequest;
+pub use admission::Admission;
 pub use arguments::ArgumentsError;
 pub use arguments::ProgramText;
 pub use arguments::USAGE_EXIT_CODE;
