--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -153,6 +153,7 @@
 mod void_table;
 mod weight_pacer;
 mod word_effect;
+mod work_estimate;
 mod yaml_location;
 
 pub use address_answer::AddressAnswer;
