--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod fleet;
 pub mod http;
 mod map_group;
+mod map_message;
 pub mod process;
 pub mod relay;
 mod routing_workload;
--- a/lib/testutils/src/map_group.rs
+++ b/lib/testutils/src/map_group.rs
@@ -16,40 +16,12 @@
 use pomeloramp_lib::protos::control::MapStateRequest;
 
 use crate::FakeRankEngine;
+use crate::map_message::Message;
+use crate::map_message::Origin;
 
 const MAX_VIOLATIONS: usize = 3;
 const TICK_MS: u64 = 60;
 
-/// Who asked an agent.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Origin {
-    Coordinator { slot: usize, nonce: u32 },
-    Peer { rank: usize, incarnation: u64 },
-}
-
-#[derive(Debug, Clone)]
-enum Message {
-    Request {
-        origin: Origin,
-        send: MapSend,
-    },
-    Reply {
-        origin: Origin,
-        call: u64,
-        rank: usize,
-        reply: MapReply,
-    },
-}
-
-impl Message {
-    fn ends(&self) -> (Origin, usize) {
-        match self {
-            Self::Request { origin, send } => (*origin, send.rank),
-            Self::Reply { origin, rank, .. } => (*origin, *rank),
-        }
-    }
-}
-
 #[derive(Debug)]
 struct Agent {
     incarnation: u64,
