router: assume others' sends by how full the endpoint was

One own send to a nearly idle endpoint counted as a send by every entry. With a capacity of four and eight entries, one plain call in flight was reckoned as eight, so light traffic with short deadlines could be refused. Now others' sends are assumed in proportion to the endpoint's fullness by its last report: the herd that this guards against comes about only when most endpoints are full.

The entry sets the number of entries that share an endpoint from the sizes of its subset.

Four planted faults were seen to fail: not by fullness, others ignored, their requests ignored, their tokens ignored.

--- a/lib/src/endpoint_view.rs
+++ b/lib/src/endpoint_view.rs
@@ -119,10 +119,7 @@
 
     /// Requests running or queued, as far as this entry knows.
     pub(crate) fn load_requests(&self) -> u64 {
-        let reported = self.report.map_or(0, |report| {
-            u64::from(report.running_requests) + u64::from(report.queued_requests)
-        });
-        reported.saturating_sub(self.finished_since_report) + self.uncounted_requests
+        self.counted_requests() + self.uncounted_requests
     }
 
     /// Requests that this entry sent and that have not finished.
@@ -139,8 +136,10 @@
     ) -> Prediction {
         let speed_per_s = self.prefill_tokens_per_s(fleet);
         let reported_tokens = self.report.map_or(0, |report| report.queued_tokens);
-        let queued_tokens =
-            reported_tokens.saturating_add(self.uncounted_tokens.saturating_mul(fleet.entry_count));
+        let others_tokens = self.assumed_of_others(self.uncounted_tokens, fleet);
+        let queued_tokens = reported_tokens
+            .saturating_add(self.uncounted_tokens)
+            .saturating_add(others_tokens);
         let token_wait_us = time_us(queued_tokens, speed_per_s);
         let queue_us = token_wait_us
             .max(self.slot_wait_us(fleet))
@@ -153,16 +152,39 @@
 
     /// Time until enough running requests have finished for one more to start.
     fn slot_wait_us(&self, fleet: &FleetModel) -> u64 {
+        let capacity = self.capacity(fleet);
+        let others_requests = self.assumed_of_others(self.uncounted_requests, fleet);
+        let ahead = (self.load_requests() + others_requests + 1).saturating_sub(capacity);
+        ahead.saturating_mul(fleet.mean_request_us) / capacity
+    }
+
+    /// What other entries have probably sent since the last report, by what this entry sent.
+    ///
+    /// The fuller the endpoint was by that report, the more of it is assumed: entries that find
+    /// most endpoints full send to the same few others, while one send to an idle endpoint tells
+    /// nothing of what others do.
+    fn assumed_of_others(&self, own: u64, fleet: &FleetModel) -> u64 {
+        let capacity = self.capacity(fleet);
+        let occupied = self.counted_requests().min(capacity);
+        let other_entries = fleet.entry_count - 1;
+        own.saturating_mul(other_entries).saturating_mul(occupied) / capacity
+    }
+
+    /// Requests that the last report counts and that have not finished since.
+    fn counted_requests(&self) -> u64 {
+        let reported = self.report.map_or(0, |report| {
+            u64::from(report.running_requests) + u64::from(report.queued_requests)
+        });
+        reported.saturating_sub(self.finished_since_report)
+    }
+
+    fn capacity(&self, fleet: &FleetModel) -> u64 {
         let capacity = self
             .report
             .map(|report| report.capacity)
             .filter(|&capacity| capacity > 0)
             .unwrap_or(fleet.default_capacity);
-        let capacity = u64::from(capacity.max(1));
-        let counted_requests = self.load_requests() - self.uncounted_requests;
-        let uncounted_requests = self.uncounted_requests * fleet.entry_count;
-        let ahead = (counted_requests + uncounted_requests + 1).saturating_sub(capacity);
-        ahead.saturating_mul(fleet.mean_request_us) / capacity
+        u64::from(capacity.max(1))
     }
 
     /// Age of the oldest own request without a first token: a stalled endpoint shows by it.
--- a/lib/src/fleet_view.rs
+++ b/lib/src/fleet_view.rs
@@ -278,6 +278,7 @@
                 ServiceRoutes::new(&settings.availability_zone, settings.retry_percent, now_ms)
             });
             routes.retain(|vm_name| chosen.iter().any(|name| name == vm_name));
+            routes.set_other_entries(other_entries(entries.len(), chosen.len(), names.len()));
             for vm in vms.iter().filter(|vm| chosen.contains(&vm.vm_name)) {
                 routes.put(&vm.vm_name, &vm.availability_zone, &vm.peer_address);
             }
@@ -383,3 +384,9 @@
         quarantining: false,
     }
 }
+
+/// Entries beside this one that send to the same endpoint, on average.
+fn other_entries(entries: usize, subset: usize, endpoints: usize) -> u32 {
+    let sharing = entries * subset / endpoints.max(1);
+    u32::try_from(sharing.saturating_sub(1)).unwrap_or(u32::MAX)
+}
--- a/lib/src/router.rs
+++ b/lib/src/router.rs
@@ -113,8 +113,8 @@
 
     /// Sets how many other entries send to the same endpoints.
     ///
-    /// What they have sent since the last load report is not known, so each of them is assumed to
-    /// have sent as much as this entry.
+    /// What they have sent since the last load report is not known. The fuller an endpoint was by
+    /// that report, the more each of them is assumed to have sent as much there as this entry.
     pub fn set_other_entries(&mut self, count: u32) {
         self.fleet.entry_count = 1 + u64::from(count);
     }
--- a/lib/src/service_routes.rs
+++ b/lib/src/service_routes.rs
@@ -106,6 +106,11 @@
         }
     }
 
+    /// Sets how many other entries send to the same endpoints.
+    pub(crate) fn set_other_entries(&mut self, count: u32) {
+        self.router.set_other_entries(count);
+    }
+
     /// Sets what keeps work away from an endpoint.
     pub(crate) fn set_state(&mut self, vm_name: &str, flags: EndpointFlags) {
         if let Some(&id) = self.ids.get(vm_name) {
