events: log what the catalogue lists, and list only what is logged

Twenty-eight events were listed and never logged. Thirteen are logged now: those of the callers' side, of agents' states, of the readers' election and of retries. Twelve, of parts that are not wired, are gone until they are. EntryStarted, EndpointCrashed and ContentQuarantined are still to be logged.

--- a/lib/src/agent_call.rs
+++ b/lib/src/agent_call.rs
@@ -9,6 +9,7 @@
 use crate::FrameEvent;
 use crate::agent_channels::AgentChannels;
 use crate::agent_channels::is_connect_failure;
+use crate::event;
 use crate::protos::control::CallFrame;
 use crate::protos::control::CallRequest;
 use crate::protos::control::agent_client::AgentClient;
@@ -67,10 +68,10 @@
     /// Returns the next part of the answer.
     pub(crate) async fn next(&mut self) -> Result<FrameEvent, AgentCallError> {
         match self.frames.next().await {
-            Some(Ok(frame)) => self
-                .assembler
-                .accept(frame)
-                .map_err(|error| self.lost(&error.to_string())),
+            Some(Ok(frame)) => self.assembler.accept(frame).map_err(|error| {
+                event!(AnswerDamaged, "peer={}: {error}", self.peer);
+                self.lost(&error.to_string())
+            }),
             Some(Err(status)) => Err(self.lost(status.message())),
             None => Err(self.lost("stream ended without its final frame")),
         }
--- a/lib/src/attempts.rs
+++ b/lib/src/attempts.rs
@@ -10,6 +10,7 @@
 use crate::caller_error::CallerError;
 use crate::duty::Duty;
 use crate::entry_server::overloaded;
+use crate::event;
 use crate::route_query::RouteQuery;
 use crate::routing_duty::RoutingCommand;
 use crate::service_routes::RoutedSend;
@@ -65,7 +66,14 @@
             service: self.query.service.clone(),
             reply,
         };
-        self.routing.submit(command).is_ok() && answer.await.unwrap_or(false)
+        let allowed = self.routing.submit(command).is_ok() && answer.await.unwrap_or(false);
+        let service = &self.query.service;
+        if allowed {
+            event!(RequestRetried, "service={service}");
+        } else {
+            event!(RetryBudgetSpent, "service={service}");
+        }
+        allowed
     }
 
     /// Notes the first token of an answer.
--- a/lib/src/caller_server.rs
+++ b/lib/src/caller_server.rs
@@ -27,6 +27,7 @@
 use volo_http::context::ServerContext;
 use volo_http::server::route::Router;
 
+use crate::event;
 use crate::socket_options;
 
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -49,7 +50,17 @@
 ) {
     let router = Arc::new(router);
     let permits = Arc::new(Semaphore::new(limits.max_connections));
+    let mut was_full = false;
     loop {
+        let is_full = permits.available_permits() == 0;
+        if is_full && !was_full {
+            event!(
+                ConnectionsFull,
+                "max_connections={}",
+                limits.max_connections
+            );
+        }
+        was_full = is_full;
         let permit = tokio::select! {
             permit = Arc::clone(&permits).acquire_owned() => permit.expect("semaphore stays open"),
             () = closed(&mut closing) => break,
@@ -101,8 +112,10 @@
             connection.await
         }
     };
-    if let Err(error) = result {
-        log::debug!("connection of caller {peer}: {error}");
+    match result {
+        Ok(()) => {}
+        Err(error) if error.is_timeout() => event!(HeadTimedOut, "peer={peer}"),
+        Err(error) => log::debug!("connection of caller {peer}: {error}"),
     }
 }
 
--- a/lib/src/config_follower.rs
+++ b/lib/src/config_follower.rs
@@ -88,6 +88,11 @@
             };
             is_reader.send_if_modified(|current| {
                 let is_modified = *current != plan.is_reader;
+                if is_modified && plan.is_reader {
+                    event!(ConfigReaderStarted);
+                } else if is_modified {
+                    event!(ConfigReaderStopped);
+                }
                 *current = plan.is_reader;
                 is_modified
             });
--- a/lib/src/endpoint_daemon.rs
+++ b/lib/src/endpoint_daemon.rs
@@ -158,6 +158,7 @@
     };
     let listener = listen("peer_address", &settings.peer_address).await?;
     announce("peers", &listener);
+    event!(AgentStarted, "peer_address={}", settings.peer_address);
     let peer_server = PeerServer {
         state: Arc::new(peer_state),
     };
--- a/lib/src/entry_server.rs
+++ b/lib/src/entry_server.rs
@@ -25,6 +25,7 @@
 use crate::config_duty::SharedConfig;
 use crate::config_view::ServiceView;
 use crate::duty::Duty;
+use crate::event;
 use crate::in_flight::InFlight;
 use crate::protos::control::CallRequest;
 use crate::protos::control::PlacementHome;
@@ -69,6 +70,7 @@
         let organisation = bearer(headers)
             .and_then(|credential| view.organisation(credential))
             .ok_or_else(|| {
+                event!(CredentialRefused, "service={service}");
                 let message = format!("credential is not declared for service \"{service}\"");
                 CallerError::not_run(StatusCode::UNAUTHORIZED, "credential-unknown", message)
             })?;
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -63,32 +63,24 @@
     DrainStarted = 5 Info "drain started",
     DrainFinished = 6 Info "drain finished",
     StoppedAtOnce = 7 Warn "stopped with requests in flight",
-    ThreadEnded = 8 Error "a thread ended before the process was told to stop",
 
     ConfigAccepted = 101 Info "document accepted",
     ConfigRefused = 102 Warn "document refused",
     ConfigServiceFailed = 103 Warn "reading the configuration service failed",
-    ConfigServiceRecovered = 104 Info "the configuration service answers again",
-    ConfigServiceStale = 105 Warn "the configuration service is behind the revision in force",
     ConfigReaderStarted = 106 Info "this process reads the configuration service",
     ConfigReaderStopped = 107 Info "this process leaves reading to its peers",
 
     VmListFailed = 201 Warn "reading the VM list failed",
-    VmListRecovered = 202 Info "the VM list answers again",
-    AgentFound = 203 Info "agent found",
+    AgentFound = 203 Info "agent found, or found restarted",
     AgentSuspected = 204 Warn "agent suspected",
     AgentRecovered = 205 Info "agent answers again",
-    AgentRestarted = 206 Info "agent has another incarnation",
     AgentLeaving = 207 Info "agent is leaving",
-    AgentForgotten = 208 Info "agent is gone from the VM list",
-    ConnectionReplaced = 209 Warn "silent connection replaced",
 
     OutcomeUnknown = 301 Warn "outcome of a request is unknown",
     RequestRetried = 302 Debug "request retried elsewhere",
     StreamResumed = 303 Info "stream resumed at another endpoint",
     AnswerDamaged = 304 Warn "frames of an answer failed their check",
     PlacementRefused = 305 Warn "placement refused",
-    CallRecordsFull = 306 Warn "no room for the record of a call",
     ConnectionsFull = 307 Warn "connection limit reached",
     HeadTimedOut = 308 Debug "caller did not send a request head in time",
     CredentialRefused = 309 Info "credential refused",
@@ -98,11 +90,6 @@
     EndpointDown = 402 Warn "endpoint does not answer",
     EndpointCrashed = 403 Error "endpoint broke off requests",
     ContentQuarantined = 404 Warn "content quarantined",
-
-    MapPrepared = 501 Info "expert map prepared",
-    MapCommitted = 502 Info "expert map committed",
-    MapAborted = 503 Warn "expert map aborted",
-    MapUndecided = 504 Warn "ranks wait for the decision on an expert map",
 }
 
 impl fmt::Display for Event {
--- a/lib/src/fleet_view.rs
+++ b/lib/src/fleet_view.rs
@@ -299,9 +299,7 @@
         if former == Some(state) {
             return;
         }
-        if state == MemberState::Suspected {
-            event!(AgentSuspected, "vm_name={vm_name}");
-        }
+        log_change(vm_name, former, state);
         let service = self.service_of(vm_name);
         if let Some(routes) = self.services.get_mut(&service) {
             routes.set_state(vm_name, flags_of(state));
@@ -404,3 +402,15 @@
     let sharing = entries * subset / endpoints.max(1);
     u32::try_from(sharing.saturating_sub(1)).unwrap_or(u32::MAX)
 }
+
+/// Logs what an operator may want to know of an agent's new state.
+fn log_change(vm_name: &str, former: Option<MemberState>, state: MemberState) {
+    match (former, state) {
+        (_, MemberState::Suspected) => event!(AgentSuspected, "vm_name={vm_name}"),
+        (_, MemberState::Leaving) => event!(AgentLeaving, "vm_name={vm_name}"),
+        (Some(MemberState::Suspected), MemberState::Alive) => {
+            event!(AgentRecovered, "vm_name={vm_name}");
+        }
+        _ => {}
+    }
+}
--- a/lib/src/plain_call.rs
+++ b/lib/src/plain_call.rs
@@ -146,6 +146,7 @@
     let placement = match Placement::decode(encoded, state.peer_key.as_bytes(), &service) {
         Ok(placement) => placement,
         Err(error) => {
+            event!(PlacementRefused, "service={service}: {error}");
             let refusal = policy.refuse_unwritten(RefusalCode::PlacementInvalid);
             let error = CallerError::refused(&refusal, error.to_string());
             return Err(with_placement(state, &service, error).await);
--- a/lib/src/shutdown.rs
+++ b/lib/src/shutdown.rs
@@ -6,6 +6,8 @@
 use tokio::signal::unix::signal;
 use tokio::sync::watch;
 
+use crate::event;
+
 const INTERRUPTED_EXIT_CODE: i32 = 130;
 
 /// Returns a receiver that turns true when the process is to drain.
@@ -30,6 +32,7 @@
                 _ = hangup.recv() => continue,
             }
             if interrupts >= 2 {
+                event!(StoppedAtOnce);
                 process::exit(INTERRUPTED_EXIT_CODE);
             }
             if sender.send(true).is_err() {
