fleet_view: log a change of an agent's state once

Each read of the VM list cleared the known states, so that a suspected agent was logged as suspected once a second. States are kept now and given to the routes again after each read. Seen in a run by hand: an agent paused for 4 s gave one E0204 a second before, one E0204 and one E0205 after.

--- a/lib/src/fleet_view.rs
+++ b/lib/src/fleet_view.rs
@@ -287,8 +287,13 @@
         }
         self.services
             .retain(|service, _| by_service.contains_key(service));
-        self.states.clear();
+        let membership = &self.membership;
+        self.states
+            .retain(|vm_name, _| membership.member(vm_name).is_some());
         self.refresh_states(now_ms);
+        for (vm_name, state) in self.states.clone() {
+            self.set_route_state(&vm_name, state);
+        }
     }
 
     fn refresh_state(&mut self, vm_name: &str, now_ms: u64) {
@@ -300,6 +305,10 @@
             return;
         }
         log_change(vm_name, former, state);
+        self.set_route_state(vm_name, state);
+    }
+
+    fn set_route_state(&mut self, vm_name: &str, state: MemberState) {
         let service = self.service_of(vm_name);
         if let Some(routes) = self.services.get_mut(&service) {
             routes.set_state(vm_name, flags_of(state));
