--- a/lib/src/fleet_view.rs
+++ b/lib/src/fleet_view.rs
@@ -287,8 +287,13 @@
         }
         self.services
             .retain(|service, _| by_service.contains_key(service));
-        self.states.clear();
+        let membership = &self.membership;
+        self.states
+            .retain(|vm_name, _| membership.member(vm_name).is_some());
         self.refresh_states(now_ms);
+        for (vm_name, state) in self.states.clone() {
+            self.set_route_state(&vm_name, state);
+        }
     }
 
     fn refresh_state(&mut self, vm_name: &str, now_ms: u64) {
@@ -299,9 +304,11 @@
         if former == Some(state) {
             return;
         }
-        if state == MemberState::Suspected {
-            event!(AgentSuspected, "vm_name={vm_name}");
-        }
+        log_change(vm_name, former, state);
+        self.set_route_state(vm_name, state);
+    }
+
+    fn set_route_state(&mut self, vm_name: &str, state: MemberState) {
         let service = self.service_of(vm_name);
         if let Some(routes) = self.services.get_mut(&service) {
             routes.set_state(vm_name, flags_of(state));
@@ -404,3 +411,15 @@
     let sharing = entries * subset / endpoints.max(1);
     u32::try_from(sharing.saturating_sub(1)).unwrap_or(u32::MAX)
 }
+
+/// Logs what an operator may want to know of an agent's new state.
+fn log_change(vm_name: &str, former: Option<MemberState>, state: MemberState) {
+    match (former, state) {
+        (_, MemberState::Suspected) => event!(AgentSuspected, "vm_name={vm_name}"),
+        (_, MemberState::Leaving) => event!(AgentLeaving, "vm_name={vm_name}"),
+        (Some(MemberState::Suspected), MemberState::Alive) => {
+            event!(AgentRecovered, "vm_name={vm_name}");
+        }
+        _ => {}
+    }
+}
