--- a/lib/src/fleet_view.rs
+++ b/lib/src/fleet_view.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 
 use crate::EndpointFlags;
+use crate::EntryRecord;
 use crate::Incarnation;
 use crate::ListedVm;
 use crate::MemberState;
@@ -277,6 +278,7 @@
                 ServiceRoutes::new(&settings.availability_zone, settings.retry_percent, now_ms)
             });
             routes.retain(|vm_name| chosen.iter().any(|name| name == vm_name));
+            routes.set_other_entries(other_entries(entries.len(), chosen.len(), names.len()));
             for vm in vms.iter().filter(|vm| chosen.contains(&vm.vm_name)) {
                 routes.put(&vm.vm_name, &vm.availability_zone, &vm.peer_address);
             }
@@ -286,8 +288,13 @@
             .retain(|service, _| by_service.contains_key(service));
         self.subset_memo
             .retain(|service| by_service.contains_key(service));
-        self.states.clear();
+        let membership = &self.membership;
+        self.states
+            .retain(|vm_name, _| membership.member(vm_name).is_some());
         self.refresh_states(now_ms);
+        for (vm_name, state) in self.states.clone() {
+            self.set_route_state(&vm_name, state);
+        }
     }
 
     fn refresh_state(&mut self, vm_name: &str, now_ms: u64) {
@@ -298,9 +305,11 @@
         if former == Some(state) {
             return;
         }
-        if state == MemberState::Suspected {
-            event!(AgentSuspected, "vm_name={vm_name}");
-        }
+        log_change(vm_name, former, state);
+        self.set_route_state(vm_name, state);
+    }
+
+    fn set_route_state(&mut self, vm_name: &str, state: MemberState) {
         let service = self.service_of(vm_name);
         if let Some(routes) = self.services.get_mut(&service) {
             routes.set_state(vm_name, flags_of(state));
@@ -357,6 +366,19 @@
     pub(crate) is_suspected: bool,
 }
 
+impl ListedEntry {
+    /// Borrows what the choice of addresses needs.
+    pub(crate) fn as_record(&self) -> EntryRecord<'_> {
+        EntryRecord {
+            vm_name: &self.record.vm_name,
+            caller_address: &self.record.caller_address,
+            availability_zone: &self.record.availability_zone,
+            leaving: self.is_leaving,
+            suspected: self.is_suspected,
+        }
+    }
+}
+
 fn listed_vm(record: &VmRecord) -> ListedVm {
     ListedVm {
         vm_name: record.vm_name.clone(),
@@ -384,3 +406,21 @@
         quarantining: false,
     }
 }
+
+/// Entries beside this one that send to the same endpoint, on average.
+fn other_entries(entries: usize, subset: usize, endpoints: usize) -> u32 {
+    let sharing = entries * subset / endpoints.max(1);
+    u32::try_from(sharing.saturating_sub(1)).unwrap_or(u32::MAX)
+}
+
+/// Logs what an operator may want to know of an agent's new state.
+fn log_change(vm_name: &str, former: Option<MemberState>, state: MemberState) {
+    match (former, state) {
+        (_, MemberState::Suspected) => event!(AgentSuspected, "vm_name={vm_name}"),
+        (_, MemberState::Leaving) => event!(AgentLeaving, "vm_name={vm_name}"),
+        (Some(MemberState::Suspected), MemberState::Alive) => {
+            event!(AgentRecovered, "vm_name={vm_name}");
+        }
+        _ => {}
+    }
+}
