--- a/lib/src/config_follower.rs
+++ b/lib/src/config_follower.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use rand::seq::IndexedRandom;
+use rand::seq::IteratorRandom;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
@@ -110,28 +111,37 @@
         let Some(plan) = known.ok().and_then(|plan| plan.clone()) else {
             return;
         };
-        let peers: Vec<&PeerTarget> = plan
-            .peers
-            .sample(&mut rand::rng(), CATCH_UP_PEERS)
-            .collect();
-        for peer in &peers {
-            start.asked(&peer.vm_name);
-        }
+        let mut asked: Vec<PeerTarget> = Vec::new();
+        let mut plan = plan;
         while start.decide(self.clock.now_ms()) == StartDecision::Wait {
-            if self.source.read(0, Duration::ZERO).await.is_ok() {
-                self.note_reached(0);
-                start.service_answered();
-            }
-            let exchanges = peers.iter().map(|peer| self.ask_at_start(peer));
-            for (peer, answer) in peers.iter().zip(futures::future::join_all(exchanges).await) {
-                match answer {
-                    Ok(answer) if answer.starting => start.peer_absent(&peer.vm_name),
-                    Ok(_) => start.peer_answered(&peer.vm_name),
-                    Err(ExchangeError::Absent) => start.peer_absent(&peer.vm_name),
-                    Err(ExchangeError::Silent) => {}
-                }
+            let fresh = plan.peers.iter().filter(|peer| !asked.contains(peer));
+            let drawn = fresh.cloned().sample(&mut rand::rng(), CATCH_UP_PEERS);
+            for peer in &drawn {
+                start.asked(&peer.vm_name);
             }
+            asked.extend(drawn);
+            self.ask_all_at_start(&asked, &mut start).await;
             tokio::time::sleep(CATCH_UP_INTERVAL).await;
+            if let Some(latest) = plans.borrow().clone() {
+                plan = latest;
+            }
+        }
+    }
+
+    /// Asks the service and the drawn peers once more what they hold.
+    async fn ask_all_at_start(&self, peers: &[PeerTarget], start: &mut ConfigStart) {
+        if self.source.read(0, Duration::ZERO).await.is_ok() {
+            self.note_reached(0);
+            start.service_answered();
+        }
+        let exchanges = peers.iter().map(|peer| self.ask_at_start(peer));
+        for (peer, answer) in peers.iter().zip(futures::future::join_all(exchanges).await) {
+            match answer {
+                Ok(answer) if answer.starting => start.peer_absent(&peer.vm_name),
+                Ok(_) => start.peer_answered(&peer.vm_name),
+                Err(ExchangeError::Absent) => start.peer_absent(&peer.vm_name),
+                Err(ExchangeError::Silent) => {}
+            }
         }
     }
 
