--- a/lib/src/endpoint_daemon.rs
+++ b/lib/src/endpoint_daemon.rs
@@ -153,12 +153,22 @@
         pulls,
         endpoint_up,
     };
+    serve(&settings.peer_address, state, peer_state, closing).await
+}
+
+/// Serves entries and peers at `peer_address` until `closing` turns true.
+async fn serve(
+    peer_address: &str,
+    state: AgentState,
+    peer_state: PeerState,
+    closing: watch::Receiver<bool>,
+) -> Result<(), DaemonError> {
+    let listener = listen("peer_address", peer_address).await?;
+    announce("peers", &listener);
+    event!(AgentStarted, "peer_address={peer_address}");
     let server = AgentServer {
         state: Arc::new(state),
     };
-    let listener = listen("peer_address", &settings.peer_address).await?;
-    announce("peers", &listener);
-    event!(AgentStarted, "peer_address={}", settings.peer_address);
     let peer_server = PeerServer {
         state: Arc::new(peer_state),
     };
@@ -168,7 +178,7 @@
         .serve_with_incoming_shutdown(peers(listener), closed(closing))
         .await
         .map_err(|source| DaemonError::Serve {
-            address: settings.peer_address,
+            address: peer_address.to_owned(),
             source: Box::new(source),
         })
 }
--- a/lib/src/entry_daemon.rs
+++ b/lib/src/entry_daemon.rs
@@ -45,6 +45,7 @@
 use crate::entry_server::EntryState;
 use crate::entry_server::overloaded;
 use crate::entry_server::respond;
+use crate::event;
 use crate::fleet_view::ListedEntry;
 use crate::in_flight::InFlight;
 use crate::incarnation::Incarnation;
@@ -160,6 +161,7 @@
     metrics.serve(&entry.metrics_address).await?;
     let listener = listen("entry.caller_address", &entry.caller_address).await?;
     announce("callers", &listener);
+    event!(EntryStarted, "caller_address={}", entry.caller_address);
     let state = Arc::new(EntryState {
         settings: entry,
         peer_key: settings.peer_key,
