--- /dev/null
+++ b/lib/testutils/src/compound.rs
@@ -0,0 +1,344 @@
+//! Drawn pairs of faults over a whole fleet, with callers whose histories are checked.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use serde_json::json;
+
+use crate::caller::Caller;
+use crate::caller::whole_draft;
+use crate::fleet::COMMIT_SERVICE;
+use crate::fleet::DRAFT_SERVICE;
+use crate::fleet::Fleet;
+use crate::fleet::FleetPlan;
+use crate::fleet::ORGANISATIONS;
+
+const CALLERS: u64 = 6;
+const KEYS_PER_CALLER: u64 = 12;
+const MAX_SENDS: u32 = 8;
+const CALLER_TIMEOUT: Duration = Duration::from_secs(3);
+const RESEND_DELAY: Duration = Duration::from_millis(100);
+const FAULT_PAUSE: Duration = Duration::from_millis(700);
+const BODY: &str = "{\"wire_mm\":4}";
+
+/// Sizes of one run.
+#[derive(Debug, Clone, Copy)]
+pub struct CompoundPlan {
+    /// Seed of the faults and of the callers' choices.
+    pub seed: u64,
+    /// Number of entries.
+    pub entries: usize,
+    /// Number of model engines.
+    pub engines: usize,
+    /// Number of plain endpoints.
+    pub plain_endpoints: usize,
+    /// Pairs of faults, one after the other.
+    pub rounds: usize,
+}
+
+/// A fault that a run may draw.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    KillEntry,
+    FreezeEntry,
+    RestartAgent,
+    FreezeAgent,
+    RestartEngine,
+    ConfigurationDown,
+    ConfigurationStale,
+    ListDown,
+    NewEntry,
+    NewEndpoint,
+    PublishTemplate,
+}
+
+const FAULTS: [Fault; 11] = [
+    Fault::KillEntry,
+    Fault::FreezeEntry,
+    Fault::RestartAgent,
+    Fault::FreezeAgent,
+    Fault::RestartEngine,
+    Fault::ConfigurationDown,
+    Fault::ConfigurationStale,
+    Fault::ListDown,
+    Fault::NewEntry,
+    Fault::NewEndpoint,
+    Fault::PublishTemplate,
+];
+
+/// What a caller knows of one commit at the end.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct CommitHistory {
+    key: String,
+    /// Outcome of the last answer; empty when none came.
+    last_outcome: String,
+    heard: Vec<String>,
+}
+
+/// What a run found.
+#[derive(Debug, Default)]
+pub struct CompoundReport {
+    /// Faults in the order in which they were caused.
+    pub trace: Vec<String>,
+    /// Violated guarantees; empty for a good run.
+    pub violations: Vec<String>,
+    /// Commits whose last word was `ran`, `not-run`, `unknown` or none.
+    pub ran: usize,
+    /// Commits that were last told that they had not run.
+    pub not_run: usize,
+    /// Commits whose fate their caller does not know.
+    pub unknown: usize,
+    /// Drafts that were answered whole.
+    pub whole_drafts: usize,
+    /// Drafts that were cut or refused, told as such.
+    pub failed_drafts: usize,
+}
+
+/// Runs a fleet under drawn pairs of faults and checks what its callers heard.
+#[must_use]
+pub fn run(plan: CompoundPlan) -> CompoundReport {
+    let mut rng = SmallRng::seed_from_u64(plan.seed);
+    let fleet_plan = FleetPlan::builder()
+        .entries(plan.entries)
+        .engines(plan.engines)
+        .plain_endpoints(plan.plain_endpoints)
+        .engine_flags(flags(&["--token-interval-ms", "10"]))
+        .plain_flags(flags(&["--work-ms", "30"]))
+        .build();
+    let mut fleet = Fleet::start(fleet_plan);
+    let addresses: Vec<String> = fleet
+        .entries
+        .iter()
+        .map(|entry| entry.caller_address.clone())
+        .collect();
+    let reference = draft_reference(&addresses[0]);
+    let stop = Arc::new(AtomicBool::new(false));
+    let commits: Vec<_> = (0..CALLERS)
+        .map(|number| {
+            let addresses = addresses.clone();
+            let seed = plan.seed.wrapping_mul(CALLERS).wrapping_add(number);
+            thread::spawn(move || commit_repeatedly(seed, number, &addresses))
+        })
+        .collect();
+    let drafts = {
+        let addresses = addresses.clone();
+        let stop = Arc::clone(&stop);
+        let reference = reference.clone();
+        thread::spawn(move || draft_repeatedly(&addresses, &reference, &stop))
+    };
+
+    let mut report = CompoundReport::default();
+    for _ in 0..plan.rounds {
+        let pair: Vec<Fault> = FAULTS.sample(&mut rng, 2).copied().collect();
+        let undone: Vec<_> = pair
+            .iter()
+            .map(|fault| cause(*fault, &mut fleet, &mut rng, &mut report))
+            .collect();
+        thread::sleep(FAULT_PAUSE);
+        undone.into_iter().for_each(|undo| undo(&fleet));
+    }
+    let histories: Vec<CommitHistory> = commits
+        .into_iter()
+        .flat_map(|caller| caller.join().expect("a caller thread ends normally"))
+        .collect();
+    stop.store(true, Ordering::Release);
+    let draft_counts = drafts.join().expect("the draft thread ends normally");
+    report.whole_drafts = draft_counts.whole;
+    report.failed_drafts = draft_counts.failed;
+    report.violations.extend(draft_counts.violations);
+    check_commits(&fleet, &histories, &mut report);
+    check_recovery(&fleet, &reference, &mut report);
+    report
+}
+
+type Undo = Box<dyn FnOnce(&Fleet)>;
+
+fn cause(fault: Fault, fleet: &mut Fleet, rng: &mut SmallRng, report: &mut CompoundReport) -> Undo {
+    let entry = rng.random_range(0..fleet.entries.len());
+    let endpoint = rng.random_range(0..fleet.endpoints.len());
+    report
+        .trace
+        .push(format!("{fault:?} entry={entry} endpoint={endpoint}"));
+    match fault {
+        Fault::KillEntry if fleet.entries.len() > 1 => fleet.entries[entry].daemon.kill(),
+        Fault::KillEntry => {}
+        Fault::FreezeEntry => {
+            fleet.entries[entry].daemon.pause();
+            return Box::new(move |fleet| fleet.entries[entry].daemon.resume());
+        }
+        Fault::RestartAgent => fleet.restart_agent(endpoint),
+        Fault::FreezeAgent => {
+            fleet.endpoints[endpoint].agent.pause();
+            return Box::new(move |fleet| fleet.endpoints[endpoint].agent.resume());
+        }
+        Fault::RestartEngine => {
+            if fleet.endpoints[endpoint].service == DRAFT_SERVICE {
+                fleet.restart_endpoint_process(endpoint);
+            }
+        }
+        Fault::ConfigurationDown => return platform_fault(fleet, "config", "down"),
+        Fault::ConfigurationStale => return platform_fault(fleet, "config", "stale"),
+        Fault::ListDown => return platform_fault(fleet, "vm_list", "down"),
+        Fault::NewEntry => {
+            fleet.add_entry();
+            fleet.publish_vms();
+        }
+        Fault::NewEndpoint => {
+            fleet.add_endpoint(COMMIT_SERVICE);
+            fleet.publish_vms();
+        }
+        Fault::PublishTemplate => {
+            let deadline_ms = rng.random_range(8_000..10_000);
+            let text = crate::fleet::template(COMMIT_SERVICE, "plain", false)
+                .replace("10000", &format!("{deadline_ms}"));
+            fleet.publish_template(COMMIT_SERVICE, &text);
+        }
+    }
+    Box::new(|_| {})
+}
+
+fn platform_fault(fleet: &Fleet, name: &'static str, value: &str) -> Undo {
+    fleet.set_platform_faults(&json!({ name: value }));
+    Box::new(move |fleet| fleet.set_platform_faults(&json!({ name: "none" })))
+}
+
+/// Sends each commit until its fate is known or the sends are used up.
+fn commit_repeatedly(seed: u64, number: u64, addresses: &[String]) -> Vec<CommitHistory> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let caller = Caller::new(ORGANISATIONS[0], CALLER_TIMEOUT);
+    (0..KEYS_PER_CALLER)
+        .map(|index| {
+            commit_one(
+                &caller,
+                &format!("key-{number}-{index}"),
+                addresses,
+                &mut rng,
+            )
+        })
+        .collect()
+}
+
+fn commit_one(
+    caller: &Caller,
+    key: &str,
+    addresses: &[String],
+    rng: &mut SmallRng,
+) -> CommitHistory {
+    let mut history = CommitHistory {
+        key: key.to_owned(),
+        last_outcome: "not-run".to_owned(),
+        heard: Vec::new(),
+    };
+    let mut placement: Option<String> = None;
+    let mut attempt = 1;
+    for _ in 0..MAX_SENDS {
+        let entry = addresses.choose(rng).expect("a fleet has entries");
+        let Some(bound) = placement.clone().or_else(|| caller.placement(entry)) else {
+            thread::sleep(RESEND_DELAY);
+            continue;
+        };
+        placement = Some(bound.clone());
+        let heard = caller.commit(entry, key, &bound, attempt, BODY);
+        history.last_outcome.clone_from(&heard.outcome);
+        history
+            .heard
+            .push(format!("{} {}", heard.outcome, heard.code()));
+        match heard.outcome.as_str() {
+            "ran" => break,
+            "not-run" => {
+                placement = heard.placement;
+                attempt = 1;
+            }
+            _ => attempt += 1,
+        }
+        thread::sleep(RESEND_DELAY);
+    }
+    history
+}
+
+/// Counts of one caller of drafts.
+#[derive(Debug, Default)]
+struct DraftCounts {
+    whole: usize,
+    failed: usize,
+    violations: Vec<String>,
+}
+
+fn draft_reference(entry: &str) -> String {
+    let draft = Caller::new(ORGANISATIONS[1], CALLER_TIMEOUT).draft(entry, "hook", 20, true);
+    whole_draft(&draft.body).expect("a draft is whole before any fault")
+}
+
+fn draft_repeatedly(addresses: &[String], reference: &str, stop: &AtomicBool) -> DraftCounts {
+    let caller = Caller::new(ORGANISATIONS[1], CALLER_TIMEOUT);
+    let mut counts = DraftCounts::default();
+    for entry in addresses.iter().cycle() {
+        if stop.load(Ordering::Acquire) {
+            break;
+        }
+        let draft = caller.draft(entry, "hook", 20, true);
+        match whole_draft(&draft.body) {
+            Some(text) if text == reference => counts.whole += 1,
+            Some(text) => counts
+                .violations
+                .push(format!("draft is not its own: {text}")),
+            None => counts.failed += 1,
+        }
+    }
+    counts
+}
+
+fn check_commits(fleet: &Fleet, histories: &[CommitHistory], report: &mut CompoundReport) {
+    let executions = fleet.executions();
+    for history in histories {
+        let name = format!("{}/{}", ORGANISATIONS[0], history.key);
+        let count = executions.get(&name).copied().unwrap_or(0);
+        let is_allowed = match history.last_outcome.as_str() {
+            "ran" => count == 1,
+            "not-run" => count == 0,
+            _ => count <= 1,
+        };
+        match history.last_outcome.as_str() {
+            "ran" => report.ran += 1,
+            "not-run" => report.not_run += 1,
+            _ => report.unknown += 1,
+        }
+        if !is_allowed {
+            let key = &history.key;
+            let heard = &history.heard;
+            report.violations.push(format!(
+                "commit {key} ran {count} times, its caller heard {heard:?}"
+            ));
+        }
+    }
+}
+
+/// After the faults, each entry that runs serves both services again.
+fn check_recovery(fleet: &Fleet, reference: &str, report: &mut CompoundReport) {
+    let caller = Caller::new(ORGANISATIONS[0], CALLER_TIMEOUT);
+    for entry in &fleet.entries {
+        let address = &entry.caller_address;
+        if crate::http::try_get(&format!("http://{address}/v1/endpoints?service=x")).is_none() {
+            continue;
+        }
+        let name = &entry.vm_name;
+        Fleet::wait_for("an entry serves again after the faults", || {
+            let draft = caller.draft(address, "hook", 20, true);
+            let placement = caller.placement(address).unwrap_or_default();
+            let commit = caller.commit(address, &format!("recovery-{name}"), &placement, 1, BODY);
+            whole_draft(&draft.body).as_deref() == Some(reference) && commit.outcome == "ran"
+        });
+    }
+    report.trace.push("recovered".to_owned());
+}
+
+fn flags(texts: &[&str]) -> Vec<String> {
+    texts.iter().map(|text| (*text).to_owned()).collect()
+}
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -1,6 +1,7 @@
 //! Test support shared by pomeloramp's test files.
 
 pub mod caller;
+pub mod compound;
 mod fake_engine;
 mod fake_rank_engine;
 pub mod fleet;
