--- a/lib/tests/test_events.rs
+++ b/lib/tests/test_events.rs
@@ -1,5 +1,8 @@
 //! Tests of the numbered events and their catalogue.
 
+use std::fs;
+use std::path::Path;
+
 use googletest::prelude::*;
 use pomeloramp_lib::Event;
 
@@ -44,3 +47,26 @@
     }
     expect_that!(Event::EntryStarted.to_string(), eq("E0001"));
 }
+
+/// Returns the Rust sources of a directory, one after another.
+fn sources(directory: &str) -> String {
+    let directory = Path::new(env!("CARGO_MANIFEST_DIR")).join(directory);
+    fs::read_dir(directory)
+        .unwrap()
+        .map(|entry| entry.unwrap().path())
+        .filter(|path| path.extension().is_some_and(|extension| extension == "rs"))
+        .map(|path| fs::read_to_string(path).unwrap())
+        .collect()
+}
+
+#[googletest::test]
+fn every_event_is_logged_somewhere() {
+    let text = sources("src") + &sources("../daemon/src");
+    let packed: String = text.split_whitespace().collect();
+    for event in Event::ALL {
+        let is_logged = [",", ")"]
+            .iter()
+            .any(|end| packed.contains(&format!("event!({}{end}", event.name())));
+        expect_true!(is_logged, "{}", event.name());
+    }
+}
