--- a/lib/testutils/src/compound.rs
+++ b/lib/testutils/src/compound.rs
@@ -102,6 +102,10 @@
 }
 
 /// Runs a fleet under drawn pairs of faults and checks what its callers heard.
+///
+/// # Panics
+///
+/// Panics when the fleet does not start, or does not serve again after the faults.
 #[must_use]
 pub fn run(plan: CompoundPlan) -> CompoundReport {
     let mut rng = SmallRng::seed_from_u64(plan.seed);
