tests: make five process tests fail with their mechanism off

Each mechanism was switched off in turn. Five faults passed unseen: - of_resend without effect: AttemptPolicy alone covers a dead home. New entries are now asked at once: 3 of 3 not configured. - check_template accepting everything: the test asked only whether a template is there, which held. It now asks for the revisions: 4 in force, not 3. - entry drain without the addresses' lifetime: a stream in flight held the entry open. An idle entry now shows it: no draft, not 2 tokens. - agent that exits at once: streams were resumed at the other agent. All agents are now told to stop: no whole draft for 4 of 4 streams.

The drain's own wait for requests in flight can't be told apart from the wait for open connections; with both off a stream of 40 tokens is cut.

--- a/lib/tests/test_commits_under_failure.rs
+++ b/lib/tests/test_commits_under_failure.rs
@@ -10,12 +10,14 @@
 use pomeloramp_testutils::fleet::Fleet;
 use pomeloramp_testutils::fleet::FleetPlan;
 use pomeloramp_testutils::fleet::ORGANISATIONS;
+use pomeloramp_testutils::fleet::template;
 use pomeloramp_testutils::http;
 use serde_json::json;
 
 const TIMEOUT: Duration = Duration::from_secs(10);
 const SHORT_TIMEOUT: Duration = Duration::from_millis(800);
 const BODY: &str = "{\"wire_mm\":4}";
+const SHA256_HEX_DIGITS: usize = 64;
 
 fn plan(plain_endpoints: usize, work_ms: u64) -> FleetPlan {
     FleetPlan::builder()
@@ -148,6 +150,34 @@
     expect_that!(second.outcome, eq("unknown"));
 }
 
+#[googletest::test]
+fn a_resend_that_its_entry_refuses_is_not_told_that_it_was_not_run() {
+    let fleet = Fleet::start(plan(1, 20));
+    let placement = placement(&fleet, 0);
+    let first = caller().commit(entry(&fleet, 0), "key", &placement, 1, BODY);
+    expect_that!(first.outcome, eq("ran"));
+    fleet.publish_template(COMMIT_SERVICE, &template_without_first_credential());
+    let mut second = first;
+    Fleet::wait_for("the credential is withdrawn", || {
+        second = caller().commit(entry(&fleet, 1), "key", &placement, 2, BODY);
+        second.outcome != "ran"
+    });
+    expect_that!(second.code(), eq("credential-unknown"));
+    expect_that!(second.outcome, eq("unknown"));
+    expect_that!(second.placement, none(), "the key must not begin anew");
+    let unsent = caller().commit(entry(&fleet, 1), "unsent", &placement, 1, BODY);
+    expect_that!(unsent.outcome, eq("not-run"));
+}
+
+/// Returns the template of the commit service with another credential for the first organisation.
+fn template_without_first_credential() -> String {
+    let text = template(COMMIT_SERVICE, "plain", false);
+    let field = "credential_sha256: ";
+    let digest_at = text.find(field).expect("a credential") + field.len();
+    let digest_end = digest_at + SHA256_HEX_DIGITS;
+    text.replace(&text[digest_at..digest_end], &"0".repeat(SHA256_HEX_DIGITS))
+}
+
 #[googletest::test]
 fn a_lost_answer_is_unknown_for_good() {
     let fleet = Fleet::start(plan(1, 20));
--- a/lib/tests/test_configuration_in_force.rs
+++ b/lib/tests/test_configuration_in_force.rs
@@ -11,9 +11,12 @@
 use pomeloramp_testutils::fleet::template;
 use pomeloramp_testutils::http;
 use pomeloramp_testutils::status::revisions;
+use pomeloramp_testutils::status::run;
+use serde_json::Value;
 use serde_json::json;
 
 const IN_FORCE_WITHIN: Duration = Duration::from_secs(4);
+const NEW_ENTRIES: usize = 3;
 
 fn plan(entries: usize) -> FleetPlan {
     FleetPlan::builder().entries(entries).engines(1).build()
@@ -59,12 +62,30 @@
     fleet.publish_vms();
     expect_that!(stale_revision, lt(revision));
     wait_until_in_force(&fleet, revision);
+    expect_that!(is_configured(&fleet, newborn), some(eq(true)));
+}
+
+#[googletest::test]
+fn a_new_entry_answers_its_first_caller_with_the_configuration_of_its_peers() {
+    let mut fleet = Fleet::start(plan(3));
+    let revision = publish(&fleet, 9_000);
+    wait_until_in_force(&fleet, revision);
+    fleet.set_platform_faults(&json!({ "config": "down" }));
+    for _ in 0..NEW_ENTRIES {
+        let newborn = fleet.add_entry();
+        expect_that!(is_configured(&fleet, newborn), some(eq(true)));
+        let vm_name = &fleet.entries[newborn].vm_name;
+        expect_that!(revisions(&fleet).get(vm_name), some(ge(&revision)));
+    }
+}
+
+/// Returns whether an entry says that it has the template of the commit service.
+fn is_configured(fleet: &Fleet, entry: usize) -> Option<bool> {
     let url = format!(
         "http://{}/v1/endpoints?service={COMMIT_SERVICE}",
-        fleet.entries[newborn].caller_address
+        fleet.entries[entry].caller_address
     );
-    let answer = http::try_get(&url).expect("the new entry answers");
-    expect_that!(answer["configured"].as_bool(), some(eq(true)));
+    http::try_get(&url)?["configured"].as_bool()
 }
 
 #[googletest::test]
@@ -84,6 +105,22 @@
         let answer = http::try_get(&url).expect("the entry answers");
         expect_that!(answer["configured"].as_bool(), some(eq(true)));
     }
+    let rows = run(&fleet, "revisions");
+    for vm_name in revisions(&fleet).keys() {
+        let in_force = draft_revision(&rows, vm_name, "in force");
+        let refused = draft_revision(&rows, vm_name, "refused");
+        expect_that!(in_force, some(eq(revision)), "{vm_name}");
+        expect_that!(refused, some(gt(revision)), "{vm_name}");
+    }
+}
+
+/// Returns the revision of the draft service's document that a process lists in a state.
+fn draft_revision(rows: &[Value], vm_name: &str, state: &str) -> Option<u64> {
+    let key = format!("services/{DRAFT_SERVICE}");
+    let is_listed = |row: &&Value| {
+        row["vm_name"] == vm_name && row["document"] == key.as_str() && row["state"] == state
+    };
+    rows.iter().find(is_listed)?["revision"].as_u64()
 }
 
 /// Publishes a valid change of another document, whose revision marks the time before it.
--- a/lib/tests/test_graceful_shutdown.rs
+++ b/lib/tests/test_graceful_shutdown.rs
@@ -17,6 +17,7 @@
 const TIMEOUT: Duration = Duration::from_secs(20);
 const STREAM_TOKENS: u32 = 40;
 const SETTLED_WITHIN: Duration = Duration::from_secs(3);
+const WITHIN_ADDRESS_LIFETIME: Duration = Duration::from_millis(500);
 
 fn plan() -> FleetPlan {
     FleetPlan::builder()
@@ -63,6 +64,17 @@
     expect_that!(fleet.entries[0].daemon.wait(TIMEOUT), some(eq(true)));
 }
 
+#[googletest::test]
+fn an_idle_entry_that_is_told_to_stop_serves_old_addresses() {
+    let mut fleet = Fleet::start(plan());
+    let entry = fleet.entries[0].caller_address.clone();
+    fleet.entries[0].daemon.terminate();
+    thread::sleep(WITHIN_ADDRESS_LIFETIME);
+    let late = caller().draft(&entry, "late caller", 2, true);
+    expect_that!(tokens_of(&late), some(eq(2)));
+    expect_that!(fleet.entries[0].daemon.wait(TIMEOUT), some(eq(true)));
+}
+
 #[googletest::test]
 fn agents_that_are_told_to_stop_finish_their_streams() {
     let mut fleet = Fleet::start(plan());
@@ -77,6 +89,21 @@
     expect_that!(fleet.endpoints[0].agent.wait(TIMEOUT), some(eq(true)));
 }
 
+#[googletest::test]
+fn all_agents_that_are_told_to_stop_finish_their_streams_without_another_to_resume_them() {
+    let mut fleet = Fleet::start(plan());
+    let entry = fleet.entries[0].caller_address.clone();
+    let drafts: Vec<_> = (0..4).map(|_| draft_in_background(&entry)).collect();
+    Fleet::wait_for("the streams have begun", || running(&fleet) >= 4);
+    for endpoint in &mut fleet.endpoints {
+        endpoint.agent.terminate();
+    }
+    for draft in drafts {
+        let draft = draft.join().expect("no panic");
+        expect_that!(tokens_of(&draft), some(eq(STREAM_TOKENS as usize)));
+    }
+}
+
 #[googletest::test]
 fn an_endpoint_that_leaves_gets_no_new_work_although_the_list_lags() {
     let fleet = Fleet::start(plan());
