entry: refuse requests through the interface of another kind

An agent took any call named "completions" for a model's, and a call's name went into the path at the endpoint unchecked. Completions now have a name that no plain call can have, kinds are checked before anything is sent, and names are letters, digits, '-' and '_'. The prefix index keeps 50,000 blocks a service: at its default, 22 services would have taken 744 MB of the 256.

--- a/lib/src/agent_server.rs
+++ b/lib/src/agent_server.rs
@@ -33,6 +33,7 @@
 use crate::agent_duty::CallEnd;
 use crate::agent_duty::SharedLoad;
 use crate::agent_duty::Verdict;
+use crate::completion::COMPLETIONS_CALL;
 use crate::config_duty::SharedConfig;
 use crate::duty::Duty;
 use crate::duty::DutyError;
@@ -57,7 +58,6 @@
 const CONFIGURATION_WAIT: Duration = Duration::from_secs(1);
 const CONFIGURATION_POLL_INTERVAL: Duration = Duration::from_millis(10);
 const BYTES_PER_TOKEN: u64 = 4;
-const COMPLETIONS: &str = "completions";
 const ENDPOINT_ERROR: &str = "endpoint-error";
 const ANSWER_GONE: &str = "answer-no-longer-held";
 
@@ -163,7 +163,9 @@
             metrics.record_queue(&self.call.organisation, arrived.elapsed());
         }
         match admitted {
-            Ok(Verdict::Run(number)) if self.call.call == COMPLETIONS => self.stream(number).await,
+            Ok(Verdict::Run(number)) if self.call.call == COMPLETIONS_CALL => {
+                self.stream(number).await
+            }
             Ok(Verdict::Run(number)) => self.answer(number).await,
             Ok(Verdict::Replay(answer)) => self.send_answer(&answer).await,
             Ok(Verdict::AnswerGone) => self.answer_gone().await,
--- a/lib/src/completion.rs
+++ b/lib/src/completion.rs
@@ -35,6 +35,9 @@
 use crate::protos::control::CallRequest;
 use crate::service_routes::RoutedSend;
 
+/// Names a completion towards agents; the slash keeps it apart from the calls of plain services.
+pub(crate) const COMPLETIONS_CALL: &str = "/v1/completions";
+const MODEL_KIND: &str = "model";
 const EVENT_RING_CAPACITY: usize = 32;
 const RETRY_AFTER_MS: u64 = 500;
 
@@ -65,6 +68,7 @@
     let body = state.read_body(request).await?;
     let completion = parse(&body)?;
     let authorised = state.authorise(&completion.model, &headers)?;
+    EntryState::check_kind(&authorised.service, MODEL_KIND)?;
     let call = call_request(&state, &completion, &authorised);
     let attempts = state.attempts(&call, Bytes::from(completion.prompt));
     let mut relay = Relay {
@@ -114,7 +118,7 @@
         fingerprint: ContentFingerprint::of(&completion.model, &body).0,
         organisation: authorised.organisation.organisation.clone(),
         service: completion.model.clone(),
-        call: "completions".to_owned(),
+        call: COMPLETIONS_CALL.to_owned(),
         body,
         content_type: "application/json".to_owned(),
         deadline_ms: state.deadline_ms(&authorised.service),
--- a/lib/src/entry_server.rs
+++ b/lib/src/entry_server.rs
@@ -80,6 +80,23 @@
         })
     }
 
+    /// Refuses a request that reached a service through the interface of another kind.
+    pub(crate) fn check_kind(service: &ServiceView, kind: &str) -> Result<(), CallerError> {
+        let template = service.template();
+        if template.kind == kind {
+            return Ok(());
+        }
+        let message = format!(
+            "service \"{}\" is of kind \"{}\", not \"{kind}\"",
+            template.service, template.kind
+        );
+        Err(CallerError::not_run(
+            StatusCode::BAD_REQUEST,
+            "request-malformed",
+            message,
+        ))
+    }
+
     /// Reads a request's body, up to the limit of the settings.
     pub(crate) async fn read_body(&self, request: Request) -> Result<Bytes, CallerError> {
         let limit_bytes = usize::try_from(self.settings.max_body_bytes).unwrap_or(usize::MAX);
--- a/lib/src/plain_call.rs
+++ b/lib/src/plain_call.rs
@@ -33,6 +33,8 @@
 
 const KEY_HEADER: &str = "idempotency-key";
 const ATTEMPT_HEADER: &str = "pomeloramp-attempt";
+const PLAIN_KIND: &str = "plain";
+const MAX_CALL_NAME_BYTES: usize = 64;
 const MAX_KEY_BYTES: usize = 256;
 const RETRY_AFTER_MS: u64 = 500;
 
@@ -58,6 +60,8 @@
     let arrived = Instant::now();
     let headers = request.headers().clone();
     let authorised = state.authorise(&service, &headers)?;
+    EntryState::check_kind(&authorised.service, PLAIN_KIND)?;
+    check_call_name(&call)?;
     let body = state.read_body(request).await?;
     let message = CallRequest {
         request_id: format!("{:016x}", rand::random::<u64>()),
@@ -267,6 +271,17 @@
     Ok(key)
 }
 
+/// Refuses a call name that could lead elsewhere at the endpoint.
+fn check_call_name(call: &str) -> Result<(), CallerError> {
+    let is_allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_".contains(&byte);
+    if call.is_empty() || call.len() > MAX_CALL_NAME_BYTES || !call.bytes().all(is_allowed) {
+        return Err(malformed(format!(
+            "call {call:?} is not 1 to {MAX_CALL_NAME_BYTES} letters, digits, '-' or '_'"
+        )));
+    }
+    Ok(())
+}
+
 fn malformed(message: impl Into<String>) -> CallerError {
     CallerError::not_run(StatusCode::BAD_REQUEST, "request-malformed", message)
 }
--- a/lib/src/service_routes.rs
+++ b/lib/src/service_routes.rs
@@ -21,6 +21,8 @@
 
 const BLOCK_BYTES: usize = 256;
 const BLOCK_TOKENS: u64 = 64;
+/// Blocks remembered for one service, so that 22 services stay within an entry's memory.
+const MAX_TOTAL_BLOCKS: usize = 50_000;
 const MAX_BLOCKS: usize = 256;
 const MAX_CACHED_PREFIXES: usize = 16;
 const BYTES_PER_TOKEN: u64 = 4;
@@ -57,6 +59,7 @@
         let rng = SmallRng::seed_from_u64(rand::random());
         let prefix_settings = PrefixIndexSettings::builder()
             .block_tokens(BLOCK_TOKENS)
+            .max_total_blocks(MAX_TOTAL_BLOCKS)
             .build();
         Self {
             router: Router::new(RouterSettings::builder().build(), availability_zone, rng),
--- a/lib/tests/test_whole_path.rs
+++ b/lib/tests/test_whole_path.rs
@@ -8,6 +8,8 @@
 use pomeloramp_testutils::fleet::Fleet;
 use pomeloramp_testutils::fleet::FleetPlan;
 use pomeloramp_testutils::fleet::ORGANISATIONS;
+use pomeloramp_testutils::fleet::credential;
+use pomeloramp_testutils::http;
 
 const TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -30,3 +32,32 @@
         some(eq(&1))
     );
 }
+
+#[googletest::test]
+fn a_request_through_the_interface_of_another_kind_never_reaches_an_endpoint() {
+    let fleet = Fleet::start(FleetPlan::builder().entries(1).build());
+    let entry = &fleet.entries[0].caller_address;
+    let url = |path: &str| format!("http://{entry}{path}");
+    for (path, body) in [
+        (
+            "/v1/completions",
+            "{\"model\":\"order-commit\",\"prompt\":\"x\"}",
+        ),
+        ("/v1/services/quote-draft/commit", "{}"),
+        ("/v1/services/order-commit/..%2Fadmin", "{}"),
+    ] {
+        let mut response = http::agent(TIMEOUT)
+            .post(url(path))
+            .header(
+                "authorization",
+                format!("Bearer {}", credential(ORGANISATIONS[0])),
+            )
+            .header("pomeloramp-attempt", "1")
+            .send(body)
+            .expect("the entry answers");
+        let text = response.body_mut().read_to_string().unwrap_or_default();
+        expect_that!(response.status().as_u16(), eq(400), "{path}: {text}");
+        expect_that!(text, contains_substring("\"not-run\""), "{path}");
+    }
+    expect_that!(fleet.executions(), is_empty());
+}
