--- a/cli/src/commands/members.rs
+++ b/cli/src/commands/members.rs
@@ -3,11 +3,11 @@
 use pico_args::Arguments;
 use pomeloramp_lib::ProgramText;
 use pomeloramp_lib::protos::control::MemberStatus;
+use pomeloramp_lib::protos::control::StatusReply;
 use pomeloramp_proc_macros::document;
 
 use crate::ctl_error::CtlError;
-use crate::peer_options::PeerOptions;
-use crate::peer_query::ask_peers;
+use crate::peer_report::report_peers;
 use crate::report::Report;
 use crate::table::Table;
 
@@ -42,26 +42,18 @@
 }
 
 /// Runs the command.
-pub(crate) async fn run(mut arguments: Arguments) -> Result<Report, CtlError> {
-    if let Some(text) = TEXT.answer(&mut arguments) {
-        return Ok(Report::success(text));
-    }
-    let options = PeerOptions::parse(arguments, &TEXT)?;
-    let answers = ask_peers(&options).await;
-    let rows: Vec<MemberRow> = answers
-        .statuses
+pub(crate) async fn run(arguments: Arguments) -> Result<Report, CtlError> {
+    report_peers(arguments, &TEXT, rows_of, table).await
+}
+
+fn rows_of(statuses: &[StatusReply]) -> Vec<MemberRow> {
+    statuses
         .iter()
         .flat_map(|status| {
             let members = status.members.iter();
             members.map(|member| MemberRow::new(&status.vm_name, member))
         })
-        .collect();
-    Ok(Report::of_rows(
-        options.format,
-        &rows,
-        table,
-        &answers.failures,
-    ))
+        .collect()
 }
 
 impl MemberRow {
--- a/cli/src/commands/quarantine.rs
+++ b/cli/src/commands/quarantine.rs
@@ -8,8 +8,7 @@
 use pomeloramp_proc_macros::document;
 
 use crate::ctl_error::CtlError;
-use crate::peer_options::PeerOptions;
-use crate::peer_query::ask_peers;
+use crate::peer_report::report_peers;
 use crate::report::Report;
 use crate::table::Table;
 
@@ -45,19 +44,8 @@
 }
 
 /// Runs the command.
-pub(crate) async fn run(mut arguments: Arguments) -> Result<Report, CtlError> {
-    if let Some(text) = TEXT.answer(&mut arguments) {
-        return Ok(Report::success(text));
-    }
-    let options = PeerOptions::parse(arguments, &TEXT)?;
-    let answers = ask_peers(&options).await;
-    let rows = merged(&answers.statuses);
-    Ok(Report::of_rows(
-        options.format,
-        &rows,
-        table,
-        &answers.failures,
-    ))
+pub(crate) async fn run(arguments: Arguments) -> Result<Report, CtlError> {
+    report_peers(arguments, &TEXT, merged, table).await
 }
 
 fn merged(statuses: &[StatusReply]) -> Vec<QuarantineRow> {
--- a/cli/src/commands/revisions.rs
+++ b/cli/src/commands/revisions.rs
@@ -6,8 +6,7 @@
 use pomeloramp_proc_macros::document;
 
 use crate::ctl_error::CtlError;
-use crate::peer_options::PeerOptions;
-use crate::peer_query::ask_peers;
+use crate::peer_report::report_peers;
 use crate::report::Report;
 use crate::table::Table;
 
@@ -46,22 +45,15 @@
 }
 
 /// Runs the command.
-pub(crate) async fn run(mut arguments: Arguments) -> Result<Report, CtlError> {
-    if let Some(text) = TEXT.answer(&mut arguments) {
-        return Ok(Report::success(text));
-    }
-    let options = PeerOptions::parse(arguments, &TEXT)?;
-    let answers = ask_peers(&options).await;
-    let rows: Vec<RevisionRow> = answers.statuses.iter().flat_map(rows_of).collect();
-    Ok(Report::of_rows(
-        options.format,
-        &rows,
-        table,
-        &answers.failures,
-    ))
+pub(crate) async fn run(arguments: Arguments) -> Result<Report, CtlError> {
+    report_peers(arguments, &TEXT, rows_of, table).await
+}
+
+fn rows_of(statuses: &[StatusReply]) -> Vec<RevisionRow> {
+    statuses.iter().flat_map(rows_of_process).collect()
 }
 
-fn rows_of(status: &StatusReply) -> Vec<RevisionRow> {
+fn rows_of_process(status: &StatusReply) -> Vec<RevisionRow> {
     let in_force = status
         .documents
         .iter()
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -7,6 +7,7 @@
 mod exit;
 mod peer_options;
 mod peer_query;
+mod peer_report;
 mod report;
 mod table;
 mod template_file;
--- a/lib/src/agent_duty.rs
+++ b/lib/src/agent_duty.rs
@@ -18,19 +18,20 @@
 use crate::Dispatch;
 use crate::EndpointRuns;
 use crate::FairQueue;
-use crate::IdleAccount;
 use crate::IdleLedger;
 use crate::QueuedRequest;
 use crate::Refusal;
 use crate::RefusalCode;
 use crate::RequestNumber;
 use crate::StartPermit;
-use crate::StoredAnswer;
+use crate::agent_command::AgentCommand;
+use crate::agent_command::CallAdmission;
+use crate::agent_command::CallEnd;
+use crate::agent_command::Verdict;
 use crate::duty::Duty;
 use crate::duty::Wake;
 use crate::event;
 use crate::protos::control::LoadReport;
-use crate::protos::template::OrganisationParameters;
 use crate::shared_quarantine::SharedQuarantine;
 
 const RING_CAPACITY: usize = 4096;
@@ -40,68 +41,6 @@
 const INITIAL_RUN_MS: u64 = 100;
 const REFUSED_RETRY_MS: u64 = 200;
 
-/// A call that asks to run.
-pub(crate) struct CallAdmission {
-    pub(crate) organisation: String,
-    /// Set for a call that may not be repeated.
-    pub(crate) attempt: Option<CallAttempt>,
-    pub(crate) time_left_ms: u64,
-    pub(crate) queued_tokens: u64,
-    /// The entry's configuration is newer than this agent's.
-    pub(crate) is_config_behind: bool,
-    /// Names the content, whoever sends it.
-    pub(crate) content: ContentFingerprint,
-    pub(crate) reply: oneshot::Sender<Verdict>,
-}
-
-/// What an agent does with a call.
-#[derive(Debug)]
-pub(crate) enum Verdict {
-    /// Send the call to the endpoint now, and report its end under this number.
-    Run(RequestNumber),
-    /// The call ran; this is its answer.
-    Replay(StoredAnswer),
-    /// The call ran, and its answer is no longer held.
-    AnswerGone,
-    /// The call does not run for this send.
-    Refused(Refusal),
-}
-
-/// How a call that was sent to the endpoint ended.
-#[derive(Debug)]
-pub(crate) enum CallEnd {
-    /// The whole answer came; it is kept for resends of a call that may not be repeated.
-    Answered(StoredAnswer),
-    /// The answer was streamed to its end.
-    Streamed,
-    /// No byte reached the endpoint.
-    NotStarted,
-    /// The answer was lost.
-    Lost,
-}
-
-/// What the duty is told or asked.
-pub(crate) enum AgentCommand {
-    /// A call asks to run.
-    Admit(CallAdmission),
-    /// A call that was told to run has ended.
-    Ended { number: RequestNumber, end: CallEnd },
-    /// A call that was told to run has ended because the endpoint is gone.
-    Crashed {
-        number: RequestNumber,
-        /// Hears when the crash has been noted against the content.
-        noted: oneshot::Sender<()>,
-    },
-    /// Parameters of the organisations come into force.
-    SetParameters(Vec<OrganisationParameters>),
-    /// New calls are refused from now on.
-    Drain,
-    /// An operator asks where the endpoint's capacity went.
-    IdleTimes {
-        reply: oneshot::Sender<Vec<IdleAccount>>,
-    },
-}
-
 /// Load as the agent itself knows it, for heartbeats.
 pub(crate) type SharedLoad = Arc<ArcSwap<LoadReport>>;
 
--- a/lib/src/agent_server.rs
+++ b/lib/src/agent_server.rs
@@ -28,11 +28,11 @@
 use crate::RefusalCode;
 use crate::RequestNumber;
 use crate::StoredAnswer;
-use crate::agent_duty::AgentCommand;
-use crate::agent_duty::CallAdmission;
-use crate::agent_duty::CallEnd;
+use crate::agent_command::AgentCommand;
+use crate::agent_command::CallAdmission;
+use crate::agent_command::CallEnd;
+use crate::agent_command::Verdict;
 use crate::agent_duty::SharedLoad;
-use crate::agent_duty::Verdict;
 use crate::completion::COMPLETIONS_CALL;
 use crate::config_duty::SharedConfig;
 use crate::duty::Duty;
@@ -164,7 +164,7 @@
         }
         match admitted {
             Ok(Verdict::Run(number)) if self.call.call == COMPLETIONS_CALL => {
-                self.stream(number).await
+                self.stream(number).await;
             }
             Ok(Verdict::Run(number)) => self.answer(number).await,
             Ok(Verdict::Replay(answer)) => self.send_answer(&answer).await,
--- a/lib/src/endpoint_daemon.rs
+++ b/lib/src/endpoint_daemon.rs
@@ -15,7 +15,7 @@
 use crate::FairQueueSettings;
 use crate::Metrics;
 use crate::agent_channels::AgentChannels;
-use crate::agent_duty::AgentCommand;
+use crate::agent_command::AgentCommand;
 use crate::agent_duty::AgentDuty;
 use crate::agent_duty::SharedLoad;
 use crate::agent_server::AgentServer;
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -8,6 +8,7 @@
 mod admission;
 mod agent_call;
 mod agent_channels;
+mod agent_command;
 mod agent_duty;
 mod agent_server;
 mod arguments;
--- a/lib/tests/test_commits_under_failure.rs
+++ b/lib/tests/test_commits_under_failure.rs
@@ -10,7 +10,7 @@
 use pomeloramp_testutils::fleet::Fleet;
 use pomeloramp_testutils::fleet::FleetPlan;
 use pomeloramp_testutils::fleet::ORGANISATIONS;
-use pomeloramp_testutils::fleet::template;
+use pomeloramp_testutils::fleet_text::template;
 use pomeloramp_testutils::http;
 use serde_json::json;
 
--- a/lib/tests/test_configuration_in_force.rs
+++ b/lib/tests/test_configuration_in_force.rs
@@ -8,7 +8,7 @@
 use pomeloramp_testutils::fleet::DRAFT_SERVICE;
 use pomeloramp_testutils::fleet::Fleet;
 use pomeloramp_testutils::fleet::FleetPlan;
-use pomeloramp_testutils::fleet::template;
+use pomeloramp_testutils::fleet_text::template;
 use pomeloramp_testutils::http;
 use pomeloramp_testutils::status::revisions;
 use pomeloramp_testutils::status::run;
--- a/lib/tests/test_whole_path.rs
+++ b/lib/tests/test_whole_path.rs
@@ -8,7 +8,7 @@
 use pomeloramp_testutils::fleet::Fleet;
 use pomeloramp_testutils::fleet::FleetPlan;
 use pomeloramp_testutils::fleet::ORGANISATIONS;
-use pomeloramp_testutils::fleet::credential;
+use pomeloramp_testutils::fleet_text::credential;
 use pomeloramp_testutils::http;
 
 const TIMEOUT: Duration = Duration::from_secs(10);
--- a/lib/testutils/src/caller.rs
+++ b/lib/testutils/src/caller.rs
@@ -7,7 +7,7 @@
 
 use crate::fleet::COMMIT_SERVICE;
 use crate::fleet::DRAFT_SERVICE;
-use crate::fleet::credential;
+use crate::fleet_text::credential;
 use crate::http;
 
 /// What a caller heard.
--- a/lib/testutils/src/compound.rs
+++ b/lib/testutils/src/compound.rs
@@ -207,7 +207,7 @@
         }
         Fault::PublishTemplate => {
             let deadline_ms = rng.random_range(8_000..10_000);
-            let text = crate::fleet::template(COMMIT_SERVICE, "plain", false)
+            let text = crate::fleet_text::template(COMMIT_SERVICE, "plain", false)
                 .replace("10000", &format!("{deadline_ms}"));
             fleet.publish_template(COMMIT_SERVICE, &text);
         }
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -5,6 +5,7 @@
 mod fake_engine;
 mod fake_rank_engine;
 pub mod fleet;
+pub mod fleet_text;
 pub mod http;
 mod map_group;
 mod map_message;
--- a/standins/src/bin/path_benchmark.rs
+++ b/standins/src/bin/path_benchmark.rs
@@ -13,7 +13,7 @@
 use pomeloramp_testutils::fleet::Fleet;
 use pomeloramp_testutils::fleet::FleetPlan;
 use pomeloramp_testutils::fleet::ORGANISATIONS;
-use pomeloramp_testutils::fleet::credential;
+use pomeloramp_testutils::fleet_text::credential;
 use pomeloramp_testutils::process_cost::processor_s;
 use pomeloramp_testutils::process_cost::resident_bytes;
 use ureq::Agent;
