configuration: a test that an old revision served again never comes into force

The stand-in could freeze its state but not go back, so no test over processes saw a lower revision. It can now serve the state before its latest publication.

--- a/lib/tests/test_configuration_in_force.rs
+++ b/lib/tests/test_configuration_in_force.rs
@@ -10,11 +10,13 @@
 use pomeloramp_testutils::fleet::FleetPlan;
 use pomeloramp_testutils::fleet_text::template;
 use pomeloramp_testutils::http;
+use pomeloramp_testutils::status;
 use pomeloramp_testutils::status::revisions;
 use pomeloramp_testutils::status::run;
 use serde_json::Value;
 use serde_json::json;
 
+const OLD_STATE_WATCHED: Duration = Duration::from_secs(2);
 const IN_FORCE_WITHIN: Duration = Duration::from_secs(4);
 const NEW_ENTRIES: usize = 3;
 
@@ -79,6 +81,30 @@
     }
 }
 
+#[googletest::test]
+fn an_old_revision_that_the_service_serves_again_never_comes_into_force() {
+    let mut fleet = Fleet::start(plan(3));
+    let revision = publish(&fleet, 9_000);
+    wait_until_in_force(&fleet, revision);
+    fleet.set_platform_faults(&json!({ "config": "previous" }));
+    for _ in 0..NEW_ENTRIES {
+        let newborn = fleet.add_entry();
+        let vm_name = fleet.entries[newborn].vm_name.clone();
+        expect_that!(revisions(&fleet).get(&vm_name), some(ge(&revision)));
+    }
+    fleet.publish_vms();
+    fleet.restart_agent(0);
+    wait_until_in_force(&fleet, revision);
+    let watched_until = Instant::now() + OLD_STATE_WATCHED;
+    while Instant::now() < watched_until {
+        for row in status::run(&fleet, "revisions") {
+            if row["document"] == "services/quote-draft" {
+                expect_that!(row["revision"].as_u64(), some(ge(revision)), "{row}");
+            }
+        }
+    }
+}
+
 /// Returns whether an entry says that it has the template of the commit service.
 fn is_configured(fleet: &Fleet, entry: usize) -> Option<bool> {
     let url = format!(
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -48,6 +48,8 @@
 #[derive(Debug)]
 struct PlatformState {
     config: ConfigStore,
+    /// State before the latest publication.
+    previous_config: ConfigStore,
     stale_config: Option<ConfigStore>,
     config_fault: ServiceFault,
     vm_list: VmList,
@@ -105,6 +107,7 @@
     fn new(options: &PlatformOptions) -> Self {
         let state = PlatformState {
             config: ConfigStore::default(),
+            previous_config: ConfigStore::default(),
             stale_config: None,
             config_fault: ServiceFault::None,
             vm_list: VmList::new(options.vm_list_lag),
@@ -182,7 +185,11 @@
             return Err(Refusal::new(StatusCode::BAD_REQUEST, reason));
         };
         let key = uri.path().strip_prefix(ADMIN_CONFIG_PREFIX);
-        let revision = self.lock().config.put(key.unwrap_or_default(), text);
+        let revision = {
+            let mut state = self.lock();
+            state.previous_config = state.config.clone();
+            state.config.put(key.unwrap_or_default(), text)
+        };
         self.changed.notify_waiters();
         Ok(ok_json(&json!({ "revision": revision })))
     }
@@ -223,7 +230,11 @@
         }
         if let Some(fault) = faults.config {
             self.config_fault = fault;
-            self.stale_config = (fault == ServiceFault::Stale).then(|| self.config.clone());
+            self.stale_config = match fault {
+                ServiceFault::Stale => Some(self.config.clone()),
+                ServiceFault::Previous => Some(self.previous_config.clone()),
+                ServiceFault::None | ServiceFault::Down | ServiceFault::Slow => None,
+            };
         }
         if let Some(fault) = faults.vm_list {
             self.vm_list_fault = fault;
@@ -235,7 +246,7 @@
 
 async fn apply_fault(fault: ServiceFault, slow: Duration) -> Result<(), Refusal> {
     match fault {
-        ServiceFault::None | ServiceFault::Stale => Ok(()),
+        ServiceFault::None | ServiceFault::Stale | ServiceFault::Previous => Ok(()),
         ServiceFault::Down => Err(Refusal::new(
             StatusCode::SERVICE_UNAVAILABLE,
             "the service is down",
--- a/standins/src/platform_faults.rs
+++ b/standins/src/platform_faults.rs
@@ -14,6 +14,8 @@
     Down,
     /// Reads see the state of the moment at which the fault was set.
     Stale,
+    /// Reads of the configuration see the state before its latest publication.
+    Previous,
     /// Every call waits before it is answered.
     Slow,
 }
