--- a/lib/src/completion.rs
+++ b/lib/src/completion.rs
@@ -187,21 +187,7 @@
                 .await
                 .map_err(|error| error_of(&error))?;
             match answer.next().await.map_err(|error| error_of(&error))? {
-                FrameEvent::Failed {
-                    outcome,
-                    code,
-                    message,
-                    retry_after_ms,
-                    quarantined,
-                } => {
-                    self.state.quarantine.merge(&quarantined);
-                    Err(CallerError::from_agent(
-                        outcome,
-                        &code,
-                        message,
-                        retry_after_ms,
-                    ))
-                }
+                FrameEvent::Failed(failure) => Err(self.state.agent_failure(failure)),
                 FrameEvent::Head { .. } | FrameEvent::Data { .. } | FrameEvent::Whole => Ok(answer),
             }
         };
@@ -229,16 +215,7 @@
                     self.record_end(Outcome::Ran);
                     return Step::End;
                 }
-                Ok(FrameEvent::Failed {
-                    outcome,
-                    code,
-                    message,
-                    retry_after_ms,
-                    quarantined,
-                }) => {
-                    self.state.quarantine.merge(&quarantined);
-                    CallerError::from_agent(outcome, &code, message, retry_after_ms)
-                }
+                Ok(FrameEvent::Failed(failure)) => self.state.agent_failure(failure),
                 Err(error) => error,
             };
             self.attempts.finished(&open.send);
--- a/lib/src/entry_server.rs
+++ b/lib/src/entry_server.rs
@@ -15,6 +15,7 @@
 use volo_http::body::Body;
 use volo_http::request::Request;
 
+use crate::CallFailure;
 use crate::ContentFingerprint;
 use crate::ContentStanding;
 use crate::Metrics;
@@ -166,6 +167,17 @@
             .entry_of(ContentFingerprint(call.fingerprint));
     }
 
+    /// Takes what an agent said when it ended a call without a whole answer.
+    pub(crate) fn agent_failure(&self, failure: CallFailure) -> CallerError {
+        self.quarantine.merge(&failure.quarantined);
+        CallerError::from_agent(
+            failure.outcome,
+            &failure.code,
+            failure.message,
+            failure.retry_after_ms,
+        )
+    }
+
     /// Returns the deadline of a request of `service`, in milliseconds from its arrival.
     pub(crate) fn deadline_ms(&self, service: &ServiceView) -> u64 {
         match service.template().deadline_ms {
--- a/lib/src/frame_assembler.rs
+++ b/lib/src/frame_assembler.rs
@@ -3,6 +3,7 @@
 use snafu::ensure;
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::CallFailure;
 use crate::FrameEvent;
 use crate::frame_error::CrossedSnafu;
 use crate::frame_error::CutSnafu;
@@ -209,13 +210,13 @@
         if whole {
             return Ok(FrameEvent::Whole);
         }
-        Ok(FrameEvent::Failed {
+        Ok(FrameEvent::Failed(CallFailure {
             outcome: end.outcome().into(),
             code: end.code,
             message: end.message,
             retry_after_ms: end.retry_after_ms,
             quarantined: end.quarantined,
-        })
+        }))
     }
 }
 
--- a/lib/src/frame_event.rs
+++ b/lib/src/frame_event.rs
@@ -2,8 +2,7 @@
 
 use pomeloramp_proc_macros::value;
 
-use crate::Outcome;
-use crate::protos::control::QuarantineEntry;
+use crate::CallFailure;
 
 /// What an accepted frame means to the entry.
 #[value]
@@ -25,16 +24,5 @@
     /// The answer is whole.
     Whole,
     /// The agent ended the call without a whole answer.
-    Failed {
-        /// What became of the call.
-        outcome: Outcome,
-        /// Stable error code.
-        code: String,
-        /// Text for the caller.
-        message: String,
-        /// Advised delay in milliseconds, zero when sending again cannot help.
-        retry_after_ms: u64,
-        /// What the agent holds against the content after a crash.
-        quarantined: Vec<QuarantineEntry>,
-    },
+    Failed(CallFailure),
 }
--- a/lib/src/plain_call.rs
+++ b/lib/src/plain_call.rs
@@ -237,16 +237,8 @@
                 response.headers_mut().insert(OUTCOME_HEADER, outcome);
                 return Ok(Received::Whole(response));
             }
-            FrameEvent::Failed {
-                outcome,
-                code,
-                message,
-                retry_after_ms,
-                quarantined,
-            } => {
-                state.quarantine.merge(&quarantined);
-                let error = CallerError::from_agent(outcome, &code, message, retry_after_ms);
-                return Ok(Received::Failed(error));
+            FrameEvent::Failed(failure) => {
+                return Ok(Received::Failed(state.agent_failure(failure)));
             }
         }
     }
--- a/lib/tests/test_frame_assembler.rs
+++ b/lib/tests/test_frame_assembler.rs
@@ -1,6 +1,7 @@
 //! Fuzzes frames on their way from agent to entry.
 
 use googletest::prelude::*;
+use pomeloramp_lib::CallFailure;
 use pomeloramp_lib::FrameAssembler;
 use pomeloramp_lib::FrameError;
 use pomeloramp_lib::FrameEvent;
@@ -201,13 +202,13 @@
     let refusal = Refusal::not_run(RefusalCode::QueueFull, 7);
     let frame = FrameWriter::new(REQUEST).refuse(&refusal, "queue of vm-1 is full");
     let event = FrameAssembler::new(REQUEST).accept(frame);
-    let expected = FrameEvent::Failed {
+    let expected = FrameEvent::Failed(CallFailure {
         outcome: Outcome::NotRun,
         code: "queue-full".to_owned(),
         message: "queue of vm-1 is full".to_owned(),
         quarantined: Vec::new(),
         retry_after_ms: 7,
-    };
+    });
     expect_that!(event, ok(eq(&expected)));
     let mut writer = FrameWriter::new(REQUEST);
     let head = writer.head(200, "text/plain");
@@ -216,6 +217,6 @@
     expect_that!(assembler.accept(head), ok(anything()));
     expect_that!(
         assembler.accept(end),
-        ok(matches_pattern!(FrameEvent::Failed { .. }))
+        ok(matches_pattern!(FrameEvent::Failed(_)))
     );
 }
