read-through: rank readers once, look up one content, add a deadline once

ReaderElection now returns the readers, and is_reader asks the same ranking. - Each request copied and sorted the whole quarantine to find the entry of its own content; the quarantine now looks it up. - agent_duty added the deadline of an offered call twice.

--- a/lib/src/agent_duty.rs
+++ b/lib/src/agent_duty.rs
@@ -196,10 +196,11 @@
     fn offer(&mut self, admission: CallAdmission, now_ms: u64) {
         let number = RequestNumber(self.next_number);
         self.next_number += 1;
+        let deadline_ms = now_ms.saturating_add(admission.time_left_ms);
         let request = QueuedRequest {
             number,
             organisation: admission.organisation.clone(),
-            deadline_ms: now_ms.saturating_add(admission.time_left_ms),
+            deadline_ms,
             expected_run_ms: self.mean_run_ms.min(admission.time_left_ms),
         };
         let pending = PendingCall {
@@ -207,7 +208,7 @@
             attempt: admission.attempt,
             queued_tokens: admission.queued_tokens,
             content: admission.content,
-            deadline_ms: now_ms.saturating_add(admission.time_left_ms),
+            deadline_ms,
             reply: Some(admission.reply),
             started_ms: now_ms,
         };
--- a/lib/src/fleet_view.rs
+++ b/lib/src/fleet_view.rs
@@ -175,15 +175,16 @@
             .filter(|vm| vm.availability_zone == self.settings.availability_zone)
             .collect();
         let zone_names: Vec<&str> = zone_peers.iter().map(|vm| vm.vm_name.as_str()).collect();
+        let elected = self.election.readers(&zone_names);
         let readers = zone_peers
             .iter()
-            .filter(|vm| self.is_zone_reader(&vm.vm_name, &zone_names))
+            .filter(|vm| elected.contains(&vm.vm_name.as_str()))
             .map(|vm| peer_target(vm))
             .collect();
         ControlPlan {
             has_list: self.has_list,
             heartbeats,
-            is_reader: self.election.is_reader(&zone_names),
+            is_reader: elected.contains(&self.settings.vm_name.as_str()),
             readers,
             peers: peers.into_iter().map(peer_target).collect(),
         }
@@ -348,22 +349,6 @@
         let until_ms = self.avoided_until_ms.get(vm_name).copied().unwrap_or(0);
         until_ms > now_ms
     }
-
-    /// Tells whether another entry of the availability zone is one of its readers.
-    fn is_zone_reader(&self, vm_name: &str, zone_names: &[&str]) -> bool {
-        let settings = ReaderElectionSettings::builder()
-            .vm_name(vm_name.to_owned())
-            .availability_zone(self.settings.availability_zone.clone())
-            .readers_per_zone(self.settings.readers_per_zone)
-            .build();
-        let others: Vec<&str> = zone_names
-            .iter()
-            .copied()
-            .chain([self.settings.vm_name.as_str()])
-            .filter(|name| *name != vm_name)
-            .collect();
-        ReaderElection::new(settings, 0, 0).is_reader(&others)
-    }
 }
 
 /// An entry of the platform's list.
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -133,6 +133,13 @@
         self.messages(now_ms, |entry| entry.version > version)
     }
 
+    /// Returns what is remembered of one content, for the agent that is to run it.
+    #[must_use]
+    pub fn entry_of(&self, content: ContentFingerprint, now_ms: u64) -> Option<QuarantineEntry> {
+        let entry = self.entries.get(&content)?;
+        (entry.expires_ms > now_ms).then(|| message(content, entry, now_ms))
+    }
+
     /// Returns the refused contents, for operators.
     #[must_use]
     pub fn quarantined(&self, now_ms: u64) -> Vec<QuarantineEntry> {
@@ -195,15 +202,19 @@
         let live = |entry: &Entry| entry.expires_ms > now_ms && wanted(entry);
         let entries = self.entries.iter().filter(|(_, entry)| live(entry));
         let mut messages: Vec<_> = entries
-            .map(|(content, entry)| QuarantineEntry {
-                fingerprint: content.0,
-                crashes: entry.crashes,
-                expires_in_ms: entry.expires_ms - now_ms,
-                cleared_crashes: entry.cleared_crashes,
-                quarantined: entry.quarantined,
-            })
+            .map(|(content, entry)| message(*content, entry, now_ms))
             .collect();
         messages.sort_unstable_by_key(|entry| entry.fingerprint);
         messages
     }
 }
+
+fn message(content: ContentFingerprint, entry: &Entry, now_ms: u64) -> QuarantineEntry {
+    QuarantineEntry {
+        fingerprint: content.0,
+        crashes: entry.crashes,
+        expires_in_ms: entry.expires_ms - now_ms,
+        cleared_crashes: entry.cleared_crashes,
+        quarantined: entry.quarantined,
+    }
+}
--- a/lib/src/reader_election.rs
+++ b/lib/src/reader_election.rs
@@ -1,5 +1,7 @@
 //! Which processes read the configuration service.
 
+use std::cmp::Reverse;
+
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::ReaderElectionSettings;
@@ -48,12 +50,19 @@
     /// holds for alive; its own name need not be among them.
     #[must_use]
     pub fn is_reader(&self, live_vms: &[&str]) -> bool {
-        let own_weight = self.weight(&self.settings.vm_name);
-        let own_rank = (own_weight, self.settings.vm_name.as_str());
-        let ahead = live_vms
-            .iter()
-            .filter(|vm| (self.weight(vm), **vm) > own_rank);
-        ahead.count() < self.settings.readers_per_zone
+        self.readers(live_vms)
+            .contains(&self.settings.vm_name.as_str())
+    }
+
+    /// Returns the readers of the availability zone among the same VMs and this process.
+    #[must_use]
+    pub fn readers<'a>(&'a self, live_vms: &[&'a str]) -> Vec<&'a str> {
+        let mut ranked: Vec<&str> = live_vms.to_vec();
+        ranked.push(&self.settings.vm_name);
+        ranked.sort_by_cached_key(|vm| Reverse((self.weight(vm), *vm)));
+        ranked.dedup();
+        ranked.truncate(self.settings.readers_per_zone);
+        ranked
     }
 
     /// Takes note that a reader, or this process itself, reached the service at `reached_ms`.
--- a/lib/src/shared_quarantine.rs
+++ b/lib/src/shared_quarantine.rs
@@ -82,9 +82,8 @@
 
     /// Returns what is held against one content, for the agent that is to run it.
     pub(crate) fn entry_of(&self, content: ContentFingerprint) -> Vec<QuarantineEntry> {
-        let entries = self.lock().changed_since(0, self.clock.now_ms());
-        let is_content = |entry: &QuarantineEntry| entry.fingerprint == content.0;
-        entries.into_iter().filter(is_content).collect()
+        let entry = self.lock().entry_of(content, self.clock.now_ms());
+        entry.into_iter().collect()
     }
 
     /// Returns the refused contents, for operators.
