reports: a command that draws the comparison runs as plots

Cause: the comparison runs printed tables only, and each lived in an example, so nothing else could use their rows.

The runs are now modules of a crate, pomeloramp-reports; its examples print the same tables as before, and its command draws the same rows with plotters (SVG backend only, no C libraries). The account of idle time now also runs beside the shared endpoint, for the split of its capacity.

Faults planted and seen: only the first series drawn -> 2 tests fail; loads without the seed -> balance_rows_are_the_same_twice fails; the error of making the directory dropped -> a_directory_that_cannot_be_made_is_named fails.

--- a/lib/examples/control_cost/fleet.rs
+++ b/reports/src/control_fleet.rs
@@ -13,7 +13,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use crate::wire;
+use crate::control_wire;
 
 const SERVERS_PER_10_DAEMONS: usize = 33;
 const ZONES: usize = 13;
@@ -120,10 +120,10 @@
 
 /// Encodes and decodes both messages of one heartbeat and lets the view take the answer.
 fn exchange(view: &mut Membership, vm_name: &str, now_ms: u64, salt: u64) {
-    let request = wire::heartbeat_request().encode_to_vec();
+    let request = control_wire::heartbeat_request().encode_to_vec();
     let request = pomeloramp_lib::protos::control::HeartbeatRequest::decode(&request[..]);
     let revision = request.map_or(0, |request| request.config_revision);
-    let mut reply = wire::heartbeat_reply(salt % 64);
+    let mut reply = control_wire::heartbeat_reply(salt % 64);
     vm_name.clone_into(&mut reply.vm_name);
     let reply = reply.encode_to_vec();
     let Ok(reply) = pomeloramp_lib::protos::control::HeartbeatReply::decode(&reply[..]) else {
--- a/lib/examples/control_cost/wire.rs
+++ b/reports/src/control_wire.rs
@@ -44,15 +44,18 @@
 const IDLE_TIME: Duration = Duration::from_secs(10);
 
 /// What one call costs.
-pub(crate) struct RpcCost {
-    pub(crate) request_bytes: usize,
-    pub(crate) reply_bytes: usize,
+#[derive(Debug, Clone)]
+pub struct RpcCost {
+    /// Encoded size of the request.
+    pub request_bytes: usize,
+    /// Encoded size of the reply.
+    pub reply_bytes: usize,
     /// Bytes of HTTP/2 from the caller to the server.
-    pub(crate) sent_bytes: u64,
+    pub sent_bytes: u64,
     /// Bytes of HTTP/2 from the server to the caller.
-    pub(crate) received_bytes: u64,
+    pub received_bytes: u64,
     /// Processor time of both ends together.
-    pub(crate) cpu_ns: u64,
+    pub cpu_ns: u64,
 }
 
 pub(crate) fn heartbeat_request() -> HeartbeatRequest {
@@ -151,7 +154,13 @@
     }
 }
 
-pub(crate) fn heartbeat_cost() -> RpcCost {
+/// Returns what one heartbeat costs, over loopback.
+///
+/// # Panics
+///
+/// Panics if loopback connections fail.
+#[must_use]
+pub fn heartbeat_cost() -> RpcCost {
     let measured = measure(async |channel| {
         let mut client = AgentClient::new(channel);
         for _ in 0..CALLS {
@@ -168,7 +177,13 @@
     }
 }
 
-pub(crate) fn exchange_cost(keys: usize) -> RpcCost {
+/// Returns what one exchange with a peer costs that names so many keys, over loopback.
+///
+/// # Panics
+///
+/// Panics if loopback connections fail.
+#[must_use]
+pub fn exchange_cost(keys: usize) -> RpcCost {
     let measured = measure(async |channel| {
         let mut client = PeerClient::new(channel);
         for _ in 0..CALLS {
@@ -186,7 +201,12 @@
 }
 
 /// Returns the bytes a second, in both directions, of a connection that is only probed.
-pub(crate) fn idle_bytes_per_s(probe_interval: Duration) -> u64 {
+///
+/// # Panics
+///
+/// Panics if loopback connections fail.
+#[must_use]
+pub fn idle_bytes_per_s(probe_interval: Duration) -> u64 {
     let runtime = Runtime::new().expect("a runtime");
     runtime.block_on(async {
         let server = start_server().await;
--- /dev/null
+++ b/reports/src/lib.rs
@@ -0,0 +1,88 @@
+//! Comparison runs of pomeloramp's policies, and their plots.
+//!
+//! The rows of a run come from here; the examples print them as tables, the report draws them.
+
+mod balance_comparison;
+mod balance_method;
+mod balance_plots;
+mod balance_series;
+mod bar_chart;
+mod chart_frame;
+mod control_fleet;
+mod control_plots;
+mod control_row;
+mod control_wire;
+mod cpu_time;
+mod drifting_load;
+mod figures;
+mod line_chart;
+mod organisation_cost;
+mod page;
+mod plot;
+mod report_directory;
+mod report_error;
+mod report_settings;
+mod request_record;
+mod routing_entry;
+mod routing_plots;
+mod routing_row;
+mod routing_run;
+mod routing_scenario;
+mod section;
+mod shared_endpoint;
+mod sharing_plots;
+mod sharing_row;
+
+pub use balance_comparison::BalanceComparison;
+pub use balance_comparison::BalanceResult;
+pub use balance_plots::balance_plots;
+pub use balance_series::BalanceSeries;
+pub use bar_chart::BarArrangement;
+pub use bar_chart::BarChart;
+pub use bar_chart::BarSeries;
+pub use bar_chart::Limit;
+pub use chart_frame::Scale;
+pub use control_plots::control_plots;
+pub use control_plots::organisation_plots;
+pub use control_row::ControlRow;
+pub use control_row::EndpointChoice;
+pub use control_row::SERVICES;
+pub use control_row::control_rows;
+pub use control_wire::RpcCost;
+pub use control_wire::exchange_cost;
+pub use control_wire::heartbeat_cost;
+pub use control_wire::idle_bytes_per_s;
+pub use drifting_load::Drift;
+pub use line_chart::LineChart;
+pub use line_chart::LineKind;
+pub use line_chart::LineSeriesData;
+pub use organisation_cost::OrganisationBytes;
+pub use organisation_cost::OrganisationTimes;
+pub use organisation_cost::REQUESTS;
+pub use organisation_cost::organisation_bytes;
+pub use organisation_cost::organisation_times;
+pub use page::page;
+pub use plot::Plot;
+pub use report_directory::ReportDirectory;
+pub use report_error::ReportError;
+pub use report_settings::ReportSettings;
+pub use routing_plots::routing_plots;
+pub use routing_row::RoutingRow;
+pub use routing_row::routing_rows;
+pub use routing_scenario::RoutePolicy;
+pub use routing_scenario::Scenario;
+pub use section::MakeSection;
+pub use section::SECTIONS;
+pub use section::Section;
+pub use shared_endpoint::Discipline;
+pub use sharing_plots::NamedSharing;
+pub use sharing_plots::idle_plots;
+pub use sharing_plots::sharing_plots;
+pub use sharing_row::CAPACITY;
+pub use sharing_row::ORGANISATIONS;
+pub use sharing_row::SharingLoad;
+pub use sharing_row::SharingResult;
+pub use sharing_row::SharingRow;
+
+/// Seed of the runs that name none.
+pub const DEFAULT_SEED: u64 = 20_261_203;
--- a/lib/examples/organisation_cost.rs
+++ b/reports/src/organisation_cost.rs
@@ -1,9 +1,6 @@
-//! Prints what one more organisation costs an agent in time and memory.
-//!
-//! Run with `cargo run --release -p pomeloramp-lib --example organisation_cost -- SEED`.
+//! What one more organisation costs an agent in time and memory.
 
 use std::collections::VecDeque;
-use std::env;
 use std::fs;
 use std::hint::black_box;
 use std::time::Instant;
@@ -21,50 +18,79 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-const DEFAULT_SEED: u64 = 20_261_203;
-const ORGANISATIONS: [usize; 3] = [10, 400, 3_800];
+/// Numbers of organisations that are measured.
+pub const ORGANISATION_COUNTS: [usize; 3] = [10, 400, 3_800];
 const CAPACITY: u32 = 16;
 const MAX_QUEUED_REQUESTS: u32 = 1_000;
-const REQUESTS: u64 = 300_000;
+/// Requests of each measurement of time.
+pub const REQUESTS: u64 = 300_000;
 const RUN_MS: u64 = 100;
 const DEADLINE_MS: u64 = 600_000;
 const PAGE_BYTES: u64 = 4_096;
 /// Organisations whose state is built to read its size from the process's resident memory.
 const ORGANISATIONS_HELD: usize = 200_000;
 
-fn main() {
-    let seed = env::args().nth(1).and_then(|seed| seed.parse().ok());
-    let seed = seed.unwrap_or(DEFAULT_SEED);
-    println!("seed {seed}, {REQUESTS} requests, capacity {CAPACITY}");
-    print_times(seed);
-    print_bytes();
+/// Time that one agent spends, on the machine of the run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OrganisationTimes {
+    /// Number of organisations.
+    pub organisations: usize,
+    /// Time of the fair queue for a request.
+    pub queue_ns_per_request: u128,
+    /// Time of the account of idle time for a request.
+    pub ledger_ns_per_request: u128,
+    /// Time to put the parameters of all organisations in force again, in both.
+    pub set_parameters_us: u128,
 }
 
-fn print_times(seed: u64) {
-    println!("organisations  queue_ns_per_request  ledger_ns_per_request  set_parameters_us");
-    for count in ORGANISATIONS {
+/// Memory of one agent for each organisation.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OrganisationBytes {
+    /// Number of organisations.
+    pub organisations: usize,
+    /// Bytes of the parameters.
+    pub parameters_bytes_each: u64,
+    /// Bytes of the fair queue.
+    pub queue_bytes_each: u64,
+    /// Bytes of the account of idle time.
+    pub ledger_bytes_each: u64,
+}
+
+/// Measures the time against the number of organisations.
+#[must_use]
+pub fn organisation_times(seed: u64) -> Vec<OrganisationTimes> {
+    let times = ORGANISATION_COUNTS.map(|count| {
         let declared = parameters(count);
-        let queue_ns = queue_ns_per_request(&declared, seed);
-        let ledger_ns = ledger_ns_per_request(&declared, seed);
-        let change_us = set_parameters_us(&declared);
-        println!("{count:13}  {queue_ns:20}  {ledger_ns:21}  {change_us:17}");
-    }
+        OrganisationTimes {
+            organisations: count,
+            queue_ns_per_request: queue_ns_per_request(&declared, seed),
+            ledger_ns_per_request: ledger_ns_per_request(&declared, seed),
+            set_parameters_us: set_parameters_us(&declared),
+        }
+    });
+    times.into()
 }
 
-/// Keeps all that it builds until the end, so that no measurement reuses another's memory.
-fn print_bytes() {
-    println!("organisations  parameters_bytes_each  queue_bytes_each  ledger_bytes_each");
+/// Measures the memory against the number of organisations, by the growth of the process.
+///
+/// Keeps all that it builds until the end, so that no measurement reuses another's memory. What
+/// the process freed before is reused all the same, so measure this first.
+#[must_use]
+pub fn organisation_bytes() -> Vec<OrganisationBytes> {
     let mut parameters_held = Vec::new();
     let mut queues_held = Vec::new();
     let mut ledgers_held = Vec::new();
-    for count in ORGANISATIONS {
+    let bytes = ORGANISATION_COUNTS.map(|count| {
         let declared = parameters(count);
-        let parameters_bytes = bytes_each(count, &mut parameters_held, || parameters(count));
-        let queue_bytes = bytes_each(count, &mut queues_held, || queue(&declared));
-        let ledger_bytes = bytes_each(count, &mut ledgers_held, || ledger(&declared));
-        println!("{count:13}  {parameters_bytes:21}  {queue_bytes:16}  {ledger_bytes:17}");
-    }
+        OrganisationBytes {
+            organisations: count,
+            parameters_bytes_each: bytes_each(count, &mut parameters_held, || parameters(count)),
+            queue_bytes_each: bytes_each(count, &mut queues_held, || queue(&declared)),
+            ledger_bytes_each: bytes_each(count, &mut ledgers_held, || ledger(&declared)),
+        }
+    });
     black_box((parameters_held, queues_held, ledgers_held));
+    bytes.into()
 }
 
 fn parameters(count: usize) -> Vec<OrganisationParameters> {
--- a/lib/examples/routing_comparison/entry.rs
+++ b/reports/src/routing_entry.rs
@@ -19,7 +19,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use crate::scenario::RoutePolicy;
+use crate::routing_scenario::RoutePolicy;
 use pomeloramp_testutils::EngineRequest;
 use pomeloramp_testutils::FakeEngine;
 
@@ -30,7 +30,7 @@
 const RETRY_FLOOR_INTERVAL_MS: u64 = 1_000;
 
 /// One entry of a routing run.
-pub struct RoutingEntry {
+pub(crate) struct RoutingEntry {
     policy: RoutePolicy,
     rng: SmallRng,
     router: Router,
@@ -48,7 +48,7 @@
 }
 
 impl RoutingEntry {
-    pub fn new(
+    pub(crate) fn new(
         policy: RoutePolicy,
         other_entries: u32,
         zone: usize,
@@ -83,16 +83,16 @@
         }
     }
 
-    pub fn note_request(&mut self) {
+    pub(crate) fn note_request(&mut self) {
         self.budget.note_request();
     }
 
-    pub fn try_retry(&mut self, now_ms: u64) -> bool {
+    pub(crate) fn try_retry(&mut self, now_ms: u64) -> bool {
         self.policy != RoutePolicy::Router || self.budget.try_retry(now_ms)
     }
 
     /// Selects an endpoint, or tells after how many milliseconds to come back.
-    pub fn choose(
+    pub(crate) fn choose(
         &mut self,
         request: &EngineRequest,
         chain: &PrefixChain,
@@ -155,7 +155,7 @@
         }
     }
 
-    pub fn take_report(&mut self, endpoint: usize, report: &LoadReport, now_ms: u64) {
+    pub(crate) fn take_report(&mut self, endpoint: usize, report: &LoadReport, now_ms: u64) {
         self.known[endpoint] = KnownEndpoint {
             reported_at_ms: now_ms,
             requests: report.running_requests + report.queued_requests,
@@ -163,17 +163,17 @@
         self.router.update_load(id_of(endpoint), report, now_ms);
     }
 
-    pub fn take_cache_event(&mut self, endpoint: usize, event: &CacheEvent) {
+    pub(crate) fn take_cache_event(&mut self, endpoint: usize, event: &CacheEvent) {
         self.index.note_event(id_of(endpoint), event);
     }
 
-    pub fn note_first_token(&mut self, id: usize, _endpoint: usize, _now_ms: u64) {
+    pub(crate) fn note_first_token(&mut self, id: usize, _endpoint: usize, _now_ms: u64) {
         if let Some(&ticket) = self.tickets.get(&id) {
             self.router.mark_first_token(ticket);
         }
     }
 
-    pub fn note_end(&mut self, id: usize, endpoint: usize, now_ms: u64) {
+    pub(crate) fn note_end(&mut self, id: usize, endpoint: usize, now_ms: u64) {
         let known = &mut self.known[endpoint];
         known.requests = known.requests.saturating_sub(1);
         if let Some(ticket) = self.tickets.remove(&id) {
--- a/lib/examples/routing_comparison/run.rs
+++ b/reports/src/routing_run.rs
@@ -12,10 +12,10 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use crate::entry::RoutingEntry;
 use crate::request_record::RequestRecord;
-use crate::scenario::RoutePolicy;
-use crate::scenario::Scenario;
+use crate::routing_entry::RoutingEntry;
+use crate::routing_scenario::RoutePolicy;
+use crate::routing_scenario::Scenario;
 use pomeloramp_testutils::EngineEvent;
 use pomeloramp_testutils::EngineRequest;
 use pomeloramp_testutils::FakeEngine;
@@ -35,7 +35,7 @@
 /// Start of the scenario's fault or rush.
 const EVENT_START_MS: u64 = 40_000;
 /// Requests that arrive from here to the end of the arrivals are measured.
-pub const WARM_UP_MS: u64 = 20_000;
+const WARM_UP_MS: u64 = 20_000;
 const ARRIVALS_END_MS: u64 = 90_000;
 const RUN_END_MS: u64 = 110_000;
 
--- /dev/null
+++ b/reports/src/routing_scenario.rs
@@ -0,0 +1,81 @@
+//! What is compared, and under which conditions.
+
+/// How entries select endpoints.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RoutePolicy {
+    /// Any endpoint that is not suspected.
+    Random,
+    /// The fewest requests by the last report and own sends since.
+    LeastRequests,
+    /// The rendezvous hash of the first block alone.
+    PrefixHash,
+    /// The router, the prefix index and the retry budget.
+    Router,
+}
+
+/// What happens in a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Scenario {
+    /// Seven tenths of the capacity, nothing fails.
+    Steady,
+    /// The popularity of prefixes moves on by a family every half second.
+    DriftingPrefixes,
+    /// One endpoint runs at a third of its speed.
+    OneSlow,
+    /// One endpoint makes no progress for 20 s, while its reports go on.
+    OneStalled,
+    /// One endpoint refuses every request for 20 s, while its reports look idle.
+    OneRefusing,
+    /// 1.3 times the capacity for 20 s.
+    Rush,
+    /// No endpoint answers for 5 s; all lose their caches.
+    Outage,
+}
+
+impl RoutePolicy {
+    /// Every policy, ours last.
+    pub const ALL: [Self; 4] = [
+        Self::Random,
+        Self::LeastRequests,
+        Self::PrefixHash,
+        Self::Router,
+    ];
+
+    /// Returns the name that plots show.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Random => "random",
+            Self::LeastRequests => "least requests",
+            Self::PrefixHash => "prefix hash",
+            Self::Router => "router",
+        }
+    }
+}
+
+impl Scenario {
+    /// Every scenario.
+    pub const ALL: [Self; 7] = [
+        Self::Steady,
+        Self::DriftingPrefixes,
+        Self::OneSlow,
+        Self::OneStalled,
+        Self::OneRefusing,
+        Self::Rush,
+        Self::Outage,
+    ];
+
+    /// Returns the name that plots show.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Steady => "steady",
+            Self::DriftingPrefixes => "drifting prefixes",
+            Self::OneSlow => "one slow",
+            Self::OneStalled => "one stalled",
+            Self::OneRefusing => "one refusing",
+            Self::Rush => "rush at 1.3 x",
+            Self::Outage => "outage of 5 s",
+        }
+    }
+}
--- a/lib/examples/sharing_comparison/endpoint.rs
+++ b/reports/src/shared_endpoint.rs
@@ -8,6 +8,8 @@
 use pomeloramp_lib::Dispatch;
 use pomeloramp_lib::FairQueue;
 use pomeloramp_lib::FairQueueSettings;
+use pomeloramp_lib::IdleAccount;
+use pomeloramp_lib::IdleLedger;
 use pomeloramp_lib::QueuedRequest;
 use pomeloramp_lib::RequestNumber;
 use pomeloramp_lib::protos::template::OrganisationParameters;
@@ -18,7 +20,7 @@
 
 /// How waiting requests are ordered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Discipline {
+pub enum Discipline {
     /// In the order of their arrival, whosever they are.
     OneLine,
     /// By the fair queue.
@@ -26,7 +28,12 @@
 }
 
 impl Discipline {
-    pub(crate) fn name(self) -> &'static str {
+    /// Every discipline, ours last.
+    pub const ALL: [Self; 2] = [Self::OneLine, Self::Fair];
+
+    /// Returns the name that tables and plots show.
+    #[must_use]
+    pub fn name(self) -> &'static str {
         match self {
             Self::OneLine => "one line",
             Self::Fair => "fair queue",
@@ -41,10 +48,11 @@
 }
 
 /// A stand-in endpoint that records how long each request waited.
-pub(crate) struct Endpoint {
+pub(crate) struct SharedEndpoint {
     discipline: Discipline,
     capacity: usize,
     queue: FairQueue,
+    ledger: IdleLedger,
     line: VecDeque<RequestNumber>,
     now_ms: u64,
     requests: Vec<Sent>,
@@ -58,7 +66,7 @@
     format!("organisation-{organisation}")
 }
 
-impl Endpoint {
+impl SharedEndpoint {
     pub(crate) fn new(
         discipline: Discipline,
         capacity: u32,
@@ -70,10 +78,13 @@
             .build();
         let mut queue = FairQueue::new(settings);
         queue.set_parameters(parameters, 0);
+        let mut ledger = IdleLedger::new(capacity, 0);
+        ledger.set_parameters(parameters, 0);
         Self {
             discipline,
             capacity: capacity as usize,
             queue,
+            ledger,
             line: VecDeque::new(),
             now_ms: 0,
             requests: Vec::new(),
@@ -96,6 +107,12 @@
             .count()
     }
 
+    /// Returns who used whose capacity until the present.
+    pub(crate) fn accounts(&mut self) -> Vec<IdleAccount> {
+        self.ledger.advance(self.now_ms);
+        self.ledger.accounts().to_vec()
+    }
+
     pub(crate) fn advance(&mut self, now_ms: u64) {
         self.now_ms = now_ms;
         while let Some((end_ms, number)) = self.ends.first().copied() {
@@ -103,6 +120,8 @@
                 break;
             }
             self.ends.remove(&(end_ms, number));
+            let organisation = self.request(number).organisation;
+            self.ledger.observe_finish(&name(organisation), now_ms);
             if self.discipline == Discipline::Fair {
                 self.queue.finish(number, now_ms);
             }
@@ -186,6 +205,8 @@
         let wait_ms = self.now_ms - request.offered_ms;
         self.waits_ms.push((organisation, wait_ms));
         self.ends.insert((self.now_ms + run_ms, number));
+        let now_ms = self.now_ms;
+        self.ledger.observe_start(&name(organisation), now_ms);
     }
 
     fn request(&self, number: RequestNumber) -> &Sent {
