expert balance: prune the search where moves can't pay, look up what it computed

A layout whose moves cost more than all the skew there is can't be in a plan, so the search ends there and such a layer is not packed on. Touched ranks and their penalties are looked up in place of searched and computed anew.

--- a/lib/src/layer_search.rs
+++ b/lib/src/layer_search.rs
@@ -25,6 +25,23 @@
     other: Option<(usize, Option<usize>)>,
 }
 
+/// Where further search is of no use.
+#[derive(Debug, Clone, Copy)]
+struct SearchLimits {
+    /// Skew that each move has to win.
+    least_gain: f64,
+    /// Moves that pay only when they win all the skew there is.
+    most_moves: f64,
+}
+
+impl SearchLimits {
+    /// Returns whether no layout with more moves than this one can pay.
+    fn end(self, point: &SearchPoint) -> bool {
+        let moves = f64::from(u32::try_from(point.moves).unwrap_or(u32::MAX));
+        point.skew - 1.0 <= self.least_gain || moves >= self.most_moves
+    }
+}
+
 struct Search<'a> {
     expert_loads: &'a [f64],
     layout: LayerLayout,
@@ -32,9 +49,12 @@
     /// The slots that hold each expert.
     holders: Vec<Vec<usize>>,
     rank_loads: Vec<f64>,
+    /// The penalty of each rank's load.
+    penalties: Vec<f64>,
     mean: f64,
     /// Change of load of the ranks in `touched`, zero for all others.
     deltas: Vec<f64>,
+    is_touched: Vec<bool>,
     touched: Vec<usize>,
 }
 
@@ -48,38 +68,40 @@
     least_gain: f64,
 ) -> Vec<SearchPoint> {
     let mut points = Vec::new();
-    descend(layout, layout, expert_loads, least_gain, &mut points);
+    let limits = SearchLimits {
+        least_gain,
+        most_moves: (layout.skew(expert_loads) - 1.0) / least_gain,
+    };
+    let search = |start| Search::new(start, expert_loads);
+    descend(search(layout.clone()), layout, limits, &mut points);
     let skew = points.last().map_or(1.0, |point| point.skew);
     if skew >= REPACK_SKEW {
         let repacked = repack_layer(layout, expert_loads);
-        descend(&repacked, layout, expert_loads, least_gain, &mut points);
+        descend(search(repacked), layout, limits, &mut points);
     }
     points
 }
 
-/// Adds the points from `start` on; their moves count from `origin`.
+/// Adds the points from the start of `search` on; their moves count from `origin`.
 fn descend(
-    start: &LayerLayout,
+    mut search: Search,
     origin: &LayerLayout,
-    expert_loads: &[f64],
-    least_gain: f64,
+    limits: SearchLimits,
     points: &mut Vec<SearchPoint>,
 ) {
-    let mut search = Search::new(start.clone(), expert_loads);
-    points.push(search.point(origin));
+    let mut point = search.point(origin);
     for _ in 0..MAX_STEPS {
-        if points
-            .last()
-            .is_some_and(|point| point.skew - 1.0 <= least_gain)
-        {
+        if limits.end(&point) {
             break;
         }
+        points.push(point);
         let Some(change) = search.best_change() else {
-            break;
+            return;
         };
         search.apply(change);
-        points.push(search.point(origin));
+        point = search.point(origin);
     }
+    points.push(point);
 }
 
 impl<'a> Search<'a> {
@@ -90,8 +112,10 @@
             counts: Vec::new(),
             holders: Vec::new(),
             rank_loads: Vec::new(),
+            penalties: Vec::new(),
             mean: total / f64::from(rank_count),
             deltas: vec![0.0; layout.rank_count()],
+            is_touched: vec![false; layout.rank_count()],
             touched: Vec::new(),
             expert_loads,
             layout,
@@ -104,6 +128,8 @@
     fn index(&mut self) {
         self.counts = self.layout.replica_counts(self.expert_loads.len());
         self.rank_loads = self.layout.rank_loads(self.expert_loads);
+        let rank_loads = self.rank_loads.iter();
+        self.penalties = rank_loads.map(|load| self.penalty(*load)).collect();
         self.holders = vec![Vec::new(); self.expert_loads.len()];
         for (slot, expert) in self.layout.slots().iter().enumerate() {
             if let Some(expert) = expert {
@@ -243,10 +269,11 @@
             self.add_load(self.layout.rank_of(*slot), gained - lost);
         }
         let mut fall = 0.0;
-        for rank in std::mem::take(&mut self.touched) {
+        while let Some(rank) = self.touched.pop() {
+            self.is_touched[rank] = false;
             let load = self.rank_loads[rank];
             let delta = std::mem::take(&mut self.deltas[rank]);
-            fall += self.penalty(load) - self.penalty(load + delta);
+            fall += self.penalties[rank] - self.penalty(load + delta);
         }
         fall
     }
@@ -262,7 +289,8 @@
     }
 
     fn add_load(&mut self, rank: usize, delta: f64) {
-        if !self.touched.contains(&rank) {
+        if !self.is_touched[rank] {
+            self.is_touched[rank] = true;
             self.touched.push(rank);
         }
         self.deltas[rank] += delta;
