standins: tests of the engine wait for its state, not for time

The test polled for the urgent request and then read that the patient one had not run yet; on a slow machine the urgent request, one token long, had ended between the two reads, so the next had begun. Order of the queue was right: ruled out by the engine's own record of first executions, which the test now compares whole. Two further tests leaned on the timeout of a caller to make it give up, and two on a lag of one second.

With the queue ordered by arrival alone the test fails (running, patient, urgent).

--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -126,7 +126,10 @@
         )
         .route(
             "/admin/executions",
-            get(async move || ok_json(&json!({ "by_request": for_executions.executions.all() }))),
+            get(async move || {
+                let executions = &for_executions.executions;
+                ok_json(&json!({ "by_request": executions.all(), "order": executions.order() }))
+            }),
         )
 }
 
--- a/standins/tests/test_engine.rs
+++ b/standins/tests/test_engine.rs
@@ -1,5 +1,7 @@
 //! Tests of the engine stand-in.
 
+use std::io::Write;
+use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -49,6 +51,17 @@
     response.body_mut().read_to_string().ok()
 }
 
+/// Opens a connection, sends the request of a completion and leaves its answer unread.
+fn begin(base: &str, request: &Value) -> TcpStream {
+    let address = base.trim_start_matches("http://");
+    let body = request.to_string();
+    let length = body.len();
+    let head = format!("POST /v1/completions HTTP/1.1\r\nhost: {address}\r\n");
+    let mut caller = TcpStream::connect(address).expect("the engine listens");
+    write!(caller, "{head}content-length: {length}\r\n\r\n{body}").expect("the request is sent");
+    caller
+}
+
 fn wait_for(mut condition: impl FnMut() -> bool) -> bool {
     let until = Instant::now() + TIMEOUT;
     while !condition() {
@@ -80,8 +93,9 @@
 fn a_gone_caller_cancels_its_generation() {
     let engine = Engine::start(&["--token-interval-ms", "5", "--report-lag-ms", "0"]);
     let endless = json!({"prompt": "p", "max_tokens": 100_000, "request_id": "r"});
-    let cut = complete(&engine.base, &endless, Duration::from_millis(200));
-    expect_that!(cut, none());
+    let caller = begin(&engine.base, &endless);
+    expect_true!(wait_for(|| engine.get("/load")["running"] == 1));
+    drop(caller);
     expect_true!(wait_for(|| engine.get("/load")["running"] == 0));
     expect_that!(engine.get("/admin/executions")["by_request"]["r"], eq(1));
 }
@@ -90,20 +104,20 @@
 fn a_gone_caller_leaves_the_queue() {
     let flags = ["--capacity", "1", "--report-lag-ms", "0"];
     let engine = Engine::start(&flags);
-    let base = engine.base.clone();
     let endless = json!({"prompt": "p", "max_tokens": 100_000, "request_id": "running"});
-    let running = thread::spawn(move || complete(&base, &endless, Duration::from_secs(1)));
+    let running = begin(&engine.base, &endless);
     expect_true!(wait_for(|| engine.get("/load")["running"] == 1));
-    let queued = json!({"prompt": "p", "request_id": "queued"});
-    expect_that!(
-        complete(&engine.base, &queued, Duration::from_millis(200)),
-        none()
+    let queued = begin(
+        &engine.base,
+        &json!({"prompt": "p", "request_id": "queued"}),
     );
+    expect_true!(wait_for(|| engine.get("/load")["queued"] == 1));
+    drop(queued);
     expect_true!(wait_for(|| engine.get("/load")["queued"] == 0));
-    expect_that!(running.join().unwrap(), none());
+    drop(running);
     expect_true!(wait_for(|| engine.get("/load")["running"] == 0));
     let executions = engine.get("/admin/executions");
-    expect_that!(executions, eq(&json!({"by_request": {"running": 1}})));
+    expect_that!(executions["by_request"], eq(&json!({"running": 1})));
 }
 
 #[googletest::test]
@@ -112,46 +126,47 @@
         "--capacity",
         "1",
         "--token-interval-ms",
-        "20",
+        "1",
         "--report-lag-ms",
         "0",
     ]);
-    let requests = [("running", 0, 20), ("patient", 1, 20), ("urgent", 9, 1)];
+    let endless = json!({"prompt": "p", "max_tokens": 100_000, "request_id": "running"});
+    let running = begin(&engine.base, &endless);
+    expect_true!(wait_for(|| engine.get("/load")["running"] == 1));
     let mut callers = Vec::new();
-    for (queued, (name, priority, max_tokens)) in requests.into_iter().enumerate() {
+    for (earlier, (name, priority)) in [("patient", 1), ("urgent", 9)].into_iter().enumerate() {
         let request = json!({
             "prompt": name,
             "request_id": name,
             "priority": priority,
-            "max_tokens": max_tokens,
+            "max_tokens": 1,
         });
         let base = engine.base.clone();
         callers.push(thread::spawn(move || complete(&base, &request, TIMEOUT)));
-        let load = |engine: &Engine| {
-            let load = engine.get("/load");
-            load["running"].as_u64().unwrap() + load["queued"].as_u64().unwrap()
-        };
-        expect_true!(wait_for(|| load(&engine) == queued as u64 + 1));
+        expect_true!(wait_for(
+            || engine.get("/load")["queued"] == earlier as u64 + 1
+        ));
     }
-    let urgent_ran = || engine.get("/admin/executions")["by_request"]["urgent"] == 1;
-    expect_true!(wait_for(urgent_ran));
-    let patient = &engine.get("/admin/executions")["by_request"]["patient"];
-    expect_that!(patient, eq(&Value::Null));
+    drop(running);
     for caller in callers {
         expect_that!(caller.join().unwrap(), some(ends_with(END_MARKER)));
     }
+    let executions = engine.get("/admin/executions");
+    expect_that!(
+        executions["order"],
+        eq(&json!(["running", "urgent", "patient"]))
+    );
 }
 
 #[googletest::test]
 fn load_reports_lag() {
-    let engine = Engine::start(&["--token-interval-ms", "20", "--report-lag-ms", "1000"]);
-    let base = engine.base.clone();
-    let caller = thread::spawn(move || complete(&base, &json!({"max_tokens": 80}), TIMEOUT));
+    let engine = Engine::start(&["--token-interval-ms", "20", "--report-lag-ms", "4000"]);
+    let caller = begin(&engine.base, &json!({"max_tokens": 100_000}));
     let ran = || engine.get("/admin/executions")["by_request"][""] == 1;
     expect_true!(wait_for(ran));
     expect_that!(engine.get("/load")["running"], eq(0));
     expect_true!(wait_for(|| engine.get("/load")["running"] == 1));
-    expect_that!(caller.join().unwrap(), some(ends_with(END_MARKER)));
+    drop(caller);
 }
 
 #[googletest::test]
@@ -192,7 +207,7 @@
 
 #[googletest::test]
 fn cache_events_are_late() {
-    let engine = Engine::start(&["--cache-event-lag-ms", "1000", "--token-interval-ms", "1"]);
+    let engine = Engine::start(&["--cache-event-lag-ms", "4000", "--token-interval-ms", "1"]);
     let request = json!({"prompt": "a".repeat(64), "max_tokens": 1});
     expect_that!(engine.complete(&request), some(anything()));
     expect_that!(engine.get("/cache-events")["events"], eq(&json!([])));
