quarantine: tell peers every change until they acknowledge it

Cause: a message between processes carried the first 32 entries by fingerprint, every time. With more than 32 contents remembered the others were never told, and each message cost the bytes of all 32 although nothing was new.

Ruled out: all entries in each message, newest first with a moving window, a digest over all (see docs/design/quarantine.md). Now each change has a version and is told, oldest first, until the peer's acknowledgement of it came back.

The new fuzz test failed first: with changes cut by fingerprint; with every message from the start; with progress kept over a peer's restart; with versions taken that leave a gap; and, a fault of the first draft, with no message from a restarted process that had nothing to tell, so that its peers never began anew. A directed test failed with acknowledgements of a former process taken. All pass after (600 histories), as do test_quarantine, test_crashing_requests and test_configuration_in_force.

Before: entries beyond the 32nd never told; 32 entries in every heartbeat. After: 100 contents in 4 messages, then none.

--- a/lib/examples/control_cost/wire.rs
+++ b/lib/examples/control_cost/wire.rs
@@ -61,7 +61,7 @@
         config_revision: 1_234_567,
         from_address: "10.0.1.42:7000".to_owned(),
         listed_leaving: false,
-        quarantined: Vec::new(),
+        quarantine_news: None,
         config_digest: u64::MAX / 5,
     }
 }
@@ -82,7 +82,7 @@
         }),
         service: "quote-draft".to_owned(),
         endpoint_up: true,
-        quarantined: Vec::new(),
+        quarantine_news: None,
         config_digest: u64::MAX / 5,
     }
 }
@@ -97,7 +97,7 @@
                 revision: 1_234_567,
             })
             .collect(),
-        quarantined: Vec::new(),
+        quarantine_news: None,
         config_digest: u64::MAX / 5,
         asks_for_values: keys > 0,
     }
@@ -109,7 +109,7 @@
         incarnation: u64::MAX / 3,
         config_revision: 1_234_567,
         newer: Vec::new(),
-        quarantined: Vec::new(),
+        quarantine_news: None,
         leaving: false,
         config_digest: u64::MAX / 5,
         service_reached_ago_ms: Some(20),
--- a/lib/src/agent_server.rs
+++ b/lib/src/agent_server.rs
@@ -102,7 +102,11 @@
     ) -> Result<Response<HeartbeatReply>, Status> {
         let state = &self.state;
         let heartbeat = request.into_inner();
-        state.quarantine.merge(&heartbeat.quarantined);
+        let from_vm = &heartbeat.from_vm;
+        state
+            .quarantine
+            .take(from_vm, heartbeat.quarantine_news.as_ref());
+        let quarantine_news = state.quarantine.news_for(from_vm);
         state.recent_peers.note(&heartbeat.from_address);
         if heartbeat.listed_leaving && !*state.leaving.borrow() {
             state.leaving.send_replace(true);
@@ -121,7 +125,7 @@
             load: Some(**state.load.load()),
             service: state.service.clone(),
             endpoint_up: *state.endpoint_up.borrow(),
-            quarantined: state.quarantine.entries(),
+            quarantine_news,
             config_digest: view.digest,
         }))
     }
--- a/lib/src/config_source.rs
+++ b/lib/src/config_source.rs
@@ -76,11 +76,11 @@
             from_vm: self.vm_name.clone(),
             config_revision: view.revision,
             config_digest: view.digest,
-            quarantined: self.quarantine.entries(),
+            quarantine_news: self.quarantine.news_for(peer),
             ..ExchangeRequest::default()
         };
         let answer = self.send(peer, greeting.clone()).await?;
-        self.quarantine.merge(&answer.quarantined);
+        self.quarantine.take(peer, answer.quarantine_news.as_ref());
         if answer.config_digest == view.digest {
             return Ok(answer);
         }
--- a/lib/src/control_loop.rs
+++ b/lib/src/control_loop.rs
@@ -85,7 +85,7 @@
                 config_revision: view.revision,
                 from_address: self.peer_address.clone(),
                 listed_leaving: target.is_listed_leaving,
-                quarantined: self.quarantine.entries(),
+                quarantine_news: self.quarantine.news_for(&target.peer_address),
                 config_digest: view.digest,
             };
             let exchange = HeartbeatExchange {
@@ -145,7 +145,8 @@
     }
 
     fn heard(self, reply: HeartbeatReply) {
-        self.quarantine.merge(&reply.quarantined);
+        let news = reply.quarantine_news.as_ref();
+        self.quarantine.take(&self.target.peer_address, news);
         self.recent_peers.note(&self.target.peer_address);
         if reply.config_revision > self.config_revision {
             // A pull that is already under way fetches this revision as well.
--- a/lib/src/endpoint_daemon.rs
+++ b/lib/src/endpoint_daemon.rs
@@ -46,7 +46,6 @@
 use crate::protos::settings::DaemonSettings;
 use crate::protos::settings::EndpointSettings;
 use crate::quarantine_push;
-use crate::quarantine_push::RecentPeers;
 use crate::shared_quarantine::SharedQuarantine;
 use crate::shutdown;
 
@@ -82,13 +81,7 @@
     )
     .spawn();
     let channels = AgentChannels::new(&control);
-    let recent_peers = RecentPeers::default();
-    tokio::spawn(quarantine_push::run(
-        settings.vm_name.clone(),
-        quarantine.clone(),
-        channels.clone(),
-        recent_peers.clone(),
-    ));
+    let recent_peers = quarantine_push::spawn(&settings.vm_name, &quarantine, &channels);
 
     let config = SharedConfig::default();
     let config_duty = config_duty::spawn(
--- a/lib/src/entry_daemon.rs
+++ b/lib/src/entry_daemon.rs
@@ -61,7 +61,6 @@
 use crate::protos::control::peer_server::PeerServer as PeerService;
 use crate::protos::settings::DaemonSettings;
 use crate::quarantine_push;
-use crate::quarantine_push::RecentPeers;
 use crate::routing_duty;
 use crate::routing_duty::RoutingCommand;
 use crate::routing_settings::RoutingSettings;
@@ -97,13 +96,7 @@
         duty: config_duty.clone(),
         quarantine: quarantine.clone(),
     };
-    let recent_peers = RecentPeers::default();
-    tokio::spawn(quarantine_push::run(
-        settings.vm_name.clone(),
-        quarantine.clone(),
-        channels.clone(),
-        recent_peers.clone(),
-    ));
+    let recent_peers = quarantine_push::spawn(&settings.vm_name, &quarantine, &channels);
     let (config_pulls, pull_requests) = mpsc::channel(1);
     let control_loop = ControlLoop {
         vm_name: settings.vm_name.clone(),
--- a/lib/src/peer_server.rs
+++ b/lib/src/peer_server.rs
@@ -74,7 +74,10 @@
     ) -> Result<Response<ExchangeReply>, Status> {
         let state = &self.state;
         let exchange = request.into_inner();
-        state.quarantine.merge(&exchange.quarantined);
+        let from_vm = exchange.from_vm.clone();
+        state
+            .quarantine
+            .take(&from_vm, exchange.quarantine_news.as_ref());
         let newer = newer_values(&state.config_duty, exchange)
             .await
             .map_err(|error| Status::unavailable(error.to_string()))?;
@@ -85,7 +88,7 @@
             config_revision: view.revision,
             config_digest: view.digest,
             newer,
-            quarantined: state.quarantine.entries(),
+            quarantine_news: state.quarantine.news_for(&from_vm),
             leaving: *state.draining.borrow(),
             service_reached_ago_ms: state.reached.ago_ms(),
             starting: !*state.serving.borrow(),
--- a/lib/src/protos/pomeloramp.control.rs
+++ b/lib/src/protos/pomeloramp.control.rs
@@ -11,8 +11,8 @@
     /// The platform's list marks the agent's VM as leaving.
     #[prost(bool, tag = "4")]
     pub listed_leaving: bool,
-    #[prost(message, repeated, tag = "5")]
-    pub quarantined: ::prost::alloc::vec::Vec<QuarantineEntry>,
+    #[prost(message, optional, tag = "7")]
+    pub quarantine_news: ::core::option::Option<QuarantineNews>,
     #[prost(uint64, tag = "6")]
     pub config_digest: u64,
 }
@@ -35,8 +35,8 @@
     pub service: ::prost::alloc::string::String,
     #[prost(bool, tag = "8")]
     pub endpoint_up: bool,
-    #[prost(message, repeated, tag = "9")]
-    pub quarantined: ::prost::alloc::vec::Vec<QuarantineEntry>,
+    #[prost(message, optional, tag = "11")]
+    pub quarantine_news: ::core::option::Option<QuarantineNews>,
     #[prost(uint64, tag = "10")]
     pub config_digest: u64,
 }
@@ -212,8 +212,8 @@
     pub config_digest: u64,
     #[prost(bool, tag = "6")]
     pub asks_for_values: bool,
-    #[prost(message, repeated, tag = "4")]
-    pub quarantined: ::prost::alloc::vec::Vec<QuarantineEntry>,
+    #[prost(message, optional, tag = "7")]
+    pub quarantine_news: ::core::option::Option<QuarantineNews>,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ExchangeReply {
@@ -225,8 +225,8 @@
     pub config_revision: u64,
     #[prost(message, repeated, tag = "4")]
     pub newer: ::prost::alloc::vec::Vec<ConfigValue>,
-    #[prost(message, repeated, tag = "5")]
-    pub quarantined: ::prost::alloc::vec::Vec<QuarantineEntry>,
+    #[prost(message, optional, tag = "10")]
+    pub quarantine_news: ::core::option::Option<QuarantineNews>,
     #[prost(bool, tag = "6")]
     pub leaving: bool,
     #[prost(uint64, tag = "7")]
@@ -256,6 +256,26 @@
     #[prost(bool, tag = "5")]
     pub quarantined: bool,
 }
+/// Changes of the sender's quarantine that the receiver did not acknowledge yet.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct QuarantineNews {
+    /// Names the sender's quarantine; drawn anew at each start.
+    #[prost(fixed32, tag = "1")]
+    pub source: u32,
+    /// The entries hold all changes after this version of the sender's quarantine.
+    #[prost(uint64, tag = "2")]
+    pub since_version: u64,
+    /// The last version that the entries hold.
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
+    #[prost(message, repeated, tag = "4")]
+    pub entries: ::prost::alloc::vec::Vec<QuarantineEntry>,
+    /// Acknowledges the receiver's quarantine of this name up to a version.
+    #[prost(fixed32, tag = "5")]
+    pub acknowledged_source: u32,
+    #[prost(uint64, tag = "6")]
+    pub acknowledged_version: u64,
+}
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct StatusRequest {}
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -127,10 +127,31 @@
         self.version
     }
 
-    /// Returns the entries that changed after `version`, for a peer that was told all up to it.
+    /// Returns the first `max_entries` changes after `version`, and the version they lead up to.
+    ///
+    /// Whoever takes them and knows all up to `version` then knows all up to the version returned.
     #[must_use]
-    pub fn changed_since(&self, version: u64, now_ms: u64) -> Vec<QuarantineEntry> {
-        self.messages(now_ms, |entry| entry.version > version)
+    pub fn changes_after(
+        &self,
+        version: u64,
+        max_entries: usize,
+        now_ms: u64,
+    ) -> (Vec<QuarantineEntry>, u64) {
+        if version >= self.version {
+            return (Vec::new(), self.version);
+        }
+        let is_news = |entry: &Entry| entry.expires_ms > now_ms && entry.version > version;
+        let news = self.entries.iter().filter(|(_, entry)| is_news(entry));
+        let mut news: Vec<_> = news.collect();
+        news.sort_unstable_by_key(|(_, entry)| entry.version);
+        let is_cut = news.len() > max_entries;
+        news.truncate(max_entries);
+        let last = news.last().map(|(_, entry)| entry.version);
+        let messages = news
+            .into_iter()
+            .map(|(content, entry)| message(*content, entry, now_ms));
+        let version = last.filter(|_| is_cut).unwrap_or(self.version);
+        (messages.collect(), version)
     }
 
     /// Returns what is remembered of one content, for the agent that is to run it.
@@ -140,10 +161,16 @@
         (entry.expires_ms > now_ms).then(|| message(content, entry, now_ms))
     }
 
-    /// Returns the refused contents, for operators.
+    /// Returns the refused contents, by fingerprint, for operators.
     #[must_use]
     pub fn quarantined(&self, now_ms: u64) -> Vec<QuarantineEntry> {
-        self.messages(now_ms, |entry| entry.quarantined)
+        let is_refused = |entry: &Entry| entry.expires_ms > now_ms && entry.quarantined;
+        let refused = self.entries.iter().filter(|(_, entry)| is_refused(entry));
+        let mut messages: Vec<_> = refused
+            .map(|(content, entry)| message(*content, entry, now_ms))
+            .collect();
+        messages.sort_unstable_by_key(|entry| entry.fingerprint);
+        messages
     }
 
     /// Forgets expired entries.
@@ -197,16 +224,6 @@
             self.entries.remove(&content);
         }
     }
-
-    fn messages<F: Fn(&Entry) -> bool>(&self, now_ms: u64, wanted: F) -> Vec<QuarantineEntry> {
-        let live = |entry: &Entry| entry.expires_ms > now_ms && wanted(entry);
-        let entries = self.entries.iter().filter(|(_, entry)| live(entry));
-        let mut messages: Vec<_> = entries
-            .map(|(content, entry)| message(*content, entry, now_ms))
-            .collect();
-        messages.sort_unstable_by_key(|entry| entry.fingerprint);
-        messages
-    }
 }
 
 fn message(content: ContentFingerprint, entry: &Entry, now_ms: u64) -> QuarantineEntry {
--- a/lib/src/quarantine_push.rs
+++ b/lib/src/quarantine_push.rs
@@ -17,6 +17,8 @@
 
 const PUSH_TIMEOUT: Duration = Duration::from_secs(1);
 const PEERS_OF_ONE_PUSH: usize = 16;
+/// Messages to one peer after one change, at most.
+const MESSAGES_OF_ONE_PUSH: usize = 128;
 const PEER_REMEMBERED: Duration = Duration::from_mins(1);
 
 /// Addresses of the peers that were heard lately.
@@ -40,36 +42,71 @@
     }
 }
 
+/// Starts a task that pushes each change of the quarantine to the peers noted in what it returns.
+pub(crate) fn spawn(
+    vm_name: &str,
+    quarantine: &SharedQuarantine,
+    channels: &AgentChannels,
+) -> RecentPeers {
+    let peers = RecentPeers::default();
+    let push = QuarantinePush {
+        vm_name: vm_name.to_owned(),
+        quarantine: quarantine.clone(),
+        channels: channels.clone(),
+        peers: peers.clone(),
+    };
+    tokio::spawn(push.run());
+    peers
+}
+
 /// Pushes each change of the quarantine to some peers, which push it on.
-pub(crate) async fn run(
+#[derive(Debug)]
+struct QuarantinePush {
     vm_name: String,
     quarantine: SharedQuarantine,
     channels: AgentChannels,
     peers: RecentPeers,
-) {
-    let mut changes = quarantine.changes();
-    while changes.changed().await.is_ok() {
-        changes.borrow_and_update();
+}
+
+impl QuarantinePush {
+    /// Pushes until the quarantine is gone.
+    async fn run(self) {
+        let mut changes = self.quarantine.changes();
+        while changes.changed().await.is_ok() {
+            changes.borrow_and_update();
+            let peers = self.peers.draw(PEERS_OF_ONE_PUSH);
+            let pushes = peers.iter().map(|peer| self.push_all(peer));
+            futures::future::join_all(pushes).await;
+        }
+    }
+
+    /// Pushes to one peer until it has acknowledged every change or does not answer.
+    async fn push_all(&self, peer: &str) {
+        for _ in 0..MESSAGES_OF_ONE_PUSH {
+            if !self.quarantine.has_news_for(peer) {
+                return;
+            }
+            if self.push(peer).await.is_none() {
+                log::debug!("push to {peer} was not answered");
+                return;
+            }
+        }
+    }
+
+    async fn push(&self, peer: &str) -> Option<()> {
         let exchange = ExchangeRequest {
-            from_vm: vm_name.clone(),
-            quarantined: quarantine.entries(),
+            from_vm: self.vm_name.clone(),
+            quarantine_news: self.quarantine.news_for(peer),
             ..ExchangeRequest::default()
         };
-        let pushes = peers
-            .draw(PEERS_OF_ONE_PUSH)
-            .into_iter()
-            .map(|peer| push(channels.clone(), peer, exchange.clone()));
-        futures::future::join_all(pushes).await;
-    }
-}
-
-async fn push(channels: AgentChannels, peer: String, exchange: ExchangeRequest) {
-    let Ok(channel) = channels.get(&peer) else {
-        return;
-    };
-    let mut client = PeerClient::new(channel);
-    let answer = tokio::time::timeout(PUSH_TIMEOUT, client.exchange(Request::new(exchange))).await;
-    if !matches!(answer, Ok(Ok(_))) {
-        log::debug!("push to {peer} was not answered");
+        let mut client = PeerClient::new(self.channels.get(peer).ok()?);
+        let answer = client.exchange(Request::new(exchange));
+        let answer = tokio::time::timeout(PUSH_TIMEOUT, answer)
+            .await
+            .ok()?
+            .ok()?;
+        let news = answer.into_inner().quarantine_news;
+        self.quarantine.take(peer, news.as_ref());
+        Some(())
     }
 }
--- a/lib/src/shared_quarantine.rs
+++ b/lib/src/shared_quarantine.rs
@@ -10,10 +10,12 @@
 use crate::ContentFingerprint;
 use crate::ContentStanding;
 use crate::Quarantine;
+use crate::QuarantineRelay;
 use crate::QuarantineSettings;
 use crate::clock::Clock;
 use crate::event;
 use crate::protos::control::QuarantineEntry;
+use crate::protos::control::QuarantineNews;
 
 const MAX_ENTRIES: usize = 4096;
 const SUSPICION_MS: u64 = 600_000;
@@ -26,7 +28,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct SharedQuarantine {
     clock: Clock,
-    quarantine: Arc<Mutex<Quarantine>>,
+    relay: Arc<Mutex<QuarantineRelay>>,
     version: watch::Sender<u64>,
 }
 
@@ -39,9 +41,11 @@
             .quarantine_ms(QUARANTINE_MS)
             .relay_margin_ms(RELAY_MARGIN_MS)
             .build();
+        let quarantine = Quarantine::new(settings);
+        let relay = QuarantineRelay::new(quarantine, rand::random(), MAX_TOLD_ENTRIES);
         Self {
             clock,
-            quarantine: Arc::new(Mutex::new(Quarantine::new(settings))),
+            relay: Arc::new(Mutex::new(relay)),
             version: watch::channel(0).0,
         }
     }
@@ -53,7 +57,7 @@
 
     /// Notes that an endpoint crashed on which exactly these contents ran.
     pub(crate) fn crashed(&self, contents: &[ContentFingerprint]) {
-        self.change(|quarantine, now_ms| quarantine.crashed(contents, now_ms));
+        self.change(|relay, now_ms| relay.crashed(contents, now_ms));
         for content in contents {
             if self.standing(*content) == ContentStanding::Quarantined {
                 event!(ContentQuarantined, "fingerprint={:016x}", content.0);
@@ -63,32 +67,45 @@
 
     /// Notes that a suspect ran alone and ended well.
     pub(crate) fn ran_well_alone(&self, content: ContentFingerprint) {
-        self.change(|quarantine, now_ms| quarantine.ran_well_alone(content, now_ms));
+        self.change(|relay, now_ms| relay.ran_well_alone(content, now_ms));
     }
 
-    /// Takes what a peer holds.
+    /// Takes what the carrier of a request or an answer holds against its content.
     pub(crate) fn merge(&self, entries: &[QuarantineEntry]) {
         if !entries.is_empty() {
-            self.change(|quarantine, now_ms| quarantine.merge(entries, now_ms));
+            self.change(|relay, now_ms| relay.merge(entries, now_ms));
         }
     }
 
-    /// Returns the latest entries for a peer.
-    pub(crate) fn entries(&self) -> Vec<QuarantineEntry> {
-        let mut entries = self.lock().changed_since(0, self.clock.now_ms());
-        entries.truncate(MAX_TOLD_ENTRIES);
-        entries
+    /// Takes a message of `peer`, which is named by its address or its VM.
+    pub(crate) fn take(&self, peer: &str, news: Option<&QuarantineNews>) {
+        if let Some(news) = news {
+            self.change(|relay, now_ms| relay.take(peer, news, now_ms));
+        }
+    }
+
+    /// Returns the next message to `peer`, if there is one.
+    pub(crate) fn news_for(&self, peer: &str) -> Option<QuarantineNews> {
+        self.lock().news_for(peer, self.clock.now_ms())
+    }
+
+    /// Returns whether `peer` did not acknowledge every change yet.
+    pub(crate) fn has_news_for(&self, peer: &str) -> bool {
+        self.lock().has_news_for(peer)
     }
 
     /// Returns what is held against one content, for the agent that is to run it.
     pub(crate) fn entry_of(&self, content: ContentFingerprint) -> Vec<QuarantineEntry> {
-        let entry = self.lock().entry_of(content, self.clock.now_ms());
+        let entry = self
+            .lock()
+            .quarantine()
+            .entry_of(content, self.clock.now_ms());
         entry.into_iter().collect()
     }
 
     /// Returns the refused contents, for operators.
     pub(crate) fn quarantined(&self) -> Vec<QuarantineEntry> {
-        self.lock().quarantined(self.clock.now_ms())
+        self.lock().quarantine().quarantined(self.clock.now_ms())
     }
 
     /// Forgets what has expired.
@@ -102,12 +119,12 @@
         self.version.subscribe()
     }
 
-    fn change(&self, change: impl FnOnce(&mut Quarantine, u64)) {
+    fn change(&self, change: impl FnOnce(&mut QuarantineRelay, u64)) {
         let now_ms = self.clock.now_ms();
-        let mut quarantine = self.lock();
-        change(&mut quarantine, now_ms);
-        let version = quarantine.version();
-        drop(quarantine);
+        let mut relay = self.lock();
+        change(&mut relay, now_ms);
+        let version = relay.quarantine().version();
+        drop(relay);
         self.version.send_if_modified(|known| {
             let is_modified = *known < version;
             *known = version.max(*known);
@@ -115,9 +132,7 @@
         });
     }
 
-    fn lock(&self) -> MutexGuard<'_, Quarantine> {
-        self.quarantine
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, QuarantineRelay> {
+        self.relay.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/lib/tests/test_quarantine.rs
+++ b/lib/tests/test_quarantine.rs
@@ -259,7 +259,10 @@
             from: (from, sender.run),
             to: (to, receiver.run),
             version: sender.quarantine.version(),
-            entries: sender.quarantine.changed_since(heard, self.now_ms),
+            entries: sender
+                .quarantine
+                .changes_after(heard, usize::MAX, self.now_ms)
+                .0,
         });
     }
 
@@ -417,7 +420,9 @@
             for part in parts {
                 quarantine.merge(part, 0);
             }
-            quarantine.changed_since(0, 0)
+            let mut entries = quarantine.changes_after(0, usize::MAX, 0).0;
+            entries.sort_unstable_by_key(|entry| entry.fingerprint);
+            entries
         };
         let straight = merged(&[&first, &second, &third]);
         prop_assert_eq!(&merged(&[&third, &second, &first]), &straight);
@@ -512,7 +517,7 @@
     let mut now_ms = 0;
     let mut carrier = 0;
     while now_ms < QUARANTINE_MS {
-        let told = processes[carrier].changed_since(0, now_ms);
+        let told = processes[carrier].changes_after(0, usize::MAX, now_ms).0;
         now_ms += DELAY_MS;
         carrier = (carrier + 1) % processes.len();
         processes[carrier].merge(&told, now_ms);
