idle time: operators see what was borrowed and to whom time was lent

Cause: the ledger splits every slot-millisecond into used, lent (by pair) and idle, but the message to operators carried neither borrowers nor borrowed time, and no metric showed any of it.

--- a/cli/src/commands/idle.rs
+++ b/cli/src/commands/idle.rs
@@ -1,4 +1,4 @@
-//! Shows used, lent and idle time per organisation.
+//! Shows used, lent, idle and borrowed time per organisation.
 
 use std::collections::BTreeMap;
 
@@ -17,7 +17,8 @@
     name: "pomelorampctl idle",
     version: env!("CARGO_PKG_VERSION"),
     help: "\
-Shows used, lent and idle time per organisation, summed over all peers given.
+Shows used, lent, idle and borrowed time per organisation, summed over all peers given. With --json,
+each borrower's time is shown as well.
 
 Usage: pomelorampctl idle --peer IP:PORT... [--organisation NAME] [--timeout-ms MS] [--json]
 
@@ -46,6 +47,10 @@
     lent_ms: u64,
     /// Its share, used by nobody.
     idle_ms: u64,
+    /// Others' shares, used by it.
+    borrowed_ms: u64,
+    /// To whom the lent time went.
+    lent_to_ms: BTreeMap<String, u64>,
 }
 
 /// Runs the command.
@@ -80,6 +85,11 @@
         row.used_ms += time.used_ms;
         row.lent_ms += time.lent_ms;
         row.idle_ms += time.idle_ms;
+        row.borrowed_ms += time.borrowed_ms;
+        for share in &time.lent_to {
+            let lent_ms = row.lent_to_ms.entry(share.borrower.clone()).or_default();
+            *lent_ms += share.lent_ms;
+        }
     }
     by_owner
         .into_iter()
@@ -99,6 +109,8 @@
         "USED MS",
         "LENT MS",
         "IDLE MS",
+        "BORROWED MS",
+        "LENT MOST TO",
     ]);
     for row in rows {
         table.push([
@@ -108,7 +120,15 @@
             row.used_ms.to_string(),
             row.lent_ms.to_string(),
             row.idle_ms.to_string(),
+            row.borrowed_ms.to_string(),
+            largest_borrower(row),
         ]);
     }
     table
 }
+
+/// Names the organisation to which most was lent, or nobody.
+fn largest_borrower(row: &IdleRow) -> String {
+    let largest = row.lent_to_ms.iter().max_by_key(|(_, lent_ms)| **lent_ms);
+    largest.map_or_else(|| "-".to_owned(), |(borrower, _)| borrower.clone())
+}
--- a/cli/tests/test_peer_commands.rs
+++ b/cli/tests/test_peer_commands.rs
@@ -11,6 +11,7 @@
 use pomeloramp_lib::protos::control::ExchangeRequest;
 use pomeloramp_lib::protos::control::IdleTime;
 use pomeloramp_lib::protos::control::KeyRevision;
+use pomeloramp_lib::protos::control::LentShare;
 use pomeloramp_lib::protos::control::MemberStatus;
 use pomeloramp_lib::protos::control::QuarantineEntry;
 use pomeloramp_lib::protos::control::RefusedDocument;
@@ -92,6 +93,11 @@
             used_ms,
             lent_ms: 5,
             idle_ms: 1,
+            borrowed_ms: 2,
+            lent_to: vec![LentShare {
+                borrower: "akagera".to_owned(),
+                lent_ms: 4,
+            }],
         }],
         refused_documents: vec![RefusedDocument {
             key: "services/b".to_owned(),
@@ -153,6 +159,8 @@
             "used_ms": 40,
             "lent_ms": 10,
             "idle_ms": 2,
+            "borrowed_ms": 4,
+            "lent_to_ms": {"akagera": 8},
         }]))
     );
     let first = first.to_string();
--- a/lib/src/agent_command.rs
+++ b/lib/src/agent_command.rs
@@ -4,10 +4,10 @@
 
 use crate::CallAttempt;
 use crate::ContentFingerprint;
-use crate::IdleAccount;
 use crate::Refusal;
 use crate::RequestNumber;
 use crate::StoredAnswer;
+use crate::protos::control::IdleTime;
 use crate::protos::template::OrganisationParameters;
 
 /// A call that asks to run.
@@ -68,6 +68,7 @@
     Drain,
     /// An operator asks where the endpoint's capacity went.
     IdleTimes {
-        reply: oneshot::Sender<Vec<IdleAccount>>,
+        service: String,
+        reply: oneshot::Sender<Vec<IdleTime>>,
     },
 }
--- a/lib/src/agent_duty.rs
+++ b/lib/src/agent_duty.rs
@@ -31,6 +31,7 @@
 use crate::duty::Duty;
 use crate::duty::Wake;
 use crate::event;
+use crate::idle_report;
 use crate::protos::control::LoadReport;
 use crate::shared_quarantine::SharedQuarantine;
 
@@ -141,9 +142,9 @@
                 self.is_draining = true;
                 self.queue.drain();
             }
-            AgentCommand::IdleTimes { reply } => {
+            AgentCommand::IdleTimes { service, reply } => {
                 self.ledger.advance(now_ms);
-                let _ = reply.send(self.ledger.accounts().to_vec());
+                let _ = reply.send(idle_report(&self.ledger, &service));
             }
         }
     }
--- a/lib/src/endpoint_daemon.rs
+++ b/lib/src/endpoint_daemon.rs
@@ -54,6 +54,7 @@
 const DIGESTS_PER_RECORD: usize = 10;
 const RETRY_AFTER_MS: u64 = 500;
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+const IDLE_TIME_INTERVAL: Duration = Duration::from_secs(5);
 /// Time in which heartbeats tell every entry that the agent is leaving.
 const LEAVING_NOTICE: Duration = Duration::from_secs(3);
 
@@ -129,6 +130,11 @@
     };
     let metrics = Metrics::new();
     metrics.serve(&endpoint_settings.metrics_address).await?;
+    tokio::spawn(measure_idle_times(
+        duty.clone(),
+        endpoint_settings.service.clone(),
+        metrics.clone(),
+    ));
     let state = AgentState {
         vm_name: settings.vm_name,
         service: endpoint_settings.service,
@@ -257,29 +263,31 @@
         let duty = duty.clone();
         let service = service.clone();
         Box::pin(async move {
-            let (reply, accounts) = oneshot::channel();
-            if let Err(error) = duty.submit(AgentCommand::IdleTimes { reply }) {
-                log::warn!("status: {error}");
-            }
-            let accounts = accounts.await.unwrap_or_default();
-            let idle_times = accounts
-                .into_iter()
-                .map(|account| IdleTime {
-                    organisation: account.organisation,
-                    service: service.clone(),
-                    used_ms: account.used_ms,
-                    lent_ms: account.lent_ms,
-                    idle_ms: account.idle_ms,
-                })
-                .collect();
             RoleStatus {
                 members: Vec::new(),
-                idle_times,
+                idle_times: idle_times(&duty, service).await,
             }
         })
     })
 }
 
+/// Asks the agent's duty where the endpoint's capacity went; nothing when it is overloaded.
+async fn idle_times(duty: &Duty<AgentCommand>, service: String) -> Vec<IdleTime> {
+    let (reply, times) = oneshot::channel();
+    if let Err(error) = duty.submit(AgentCommand::IdleTimes { service, reply }) {
+        log::warn!("idle times: {error}");
+    }
+    times.await.unwrap_or_default()
+}
+
+/// Keeps the measurements of idle time up to date until the process ends.
+async fn measure_idle_times(duty: Duty<AgentCommand>, service: String, metrics: Metrics) {
+    loop {
+        metrics.record_idle_times(&idle_times(&duty, service.clone()).await);
+        tokio::time::sleep(IDLE_TIME_INTERVAL).await;
+    }
+}
+
 /// Lets entries learn that the agent is leaving, and closes the server when no call is left.
 async fn drain(
     mut draining: watch::Receiver<bool>,
--- /dev/null
+++ b/lib/src/idle_report.rs
@@ -0,0 +1,40 @@
+//! Idle time of one endpoint, as operators are told.
+
+use std::collections::HashMap;
+
+use crate::IdleLedger;
+use crate::protos::control::IdleTime;
+use crate::protos::control::LentShare;
+
+/// Returns the capacity time of every organisation, with the borrowers by falling time.
+#[must_use]
+pub fn idle_report(ledger: &IdleLedger, service: &str) -> Vec<IdleTime> {
+    let mut lent_to: HashMap<&str, Vec<LentShare>> = HashMap::new();
+    for lent in ledger.lent_times() {
+        lent_to.entry(lent.owner).or_default().push(LentShare {
+            borrower: lent.borrower.to_owned(),
+            lent_ms: lent.lent_ms,
+        });
+    }
+    let accounts = ledger.accounts().iter();
+    accounts
+        .map(|account| IdleTime {
+            organisation: account.organisation.clone(),
+            service: service.to_owned(),
+            used_ms: account.used_ms,
+            lent_ms: account.lent_ms,
+            idle_ms: account.idle_ms,
+            borrowed_ms: account.borrowed_ms,
+            lent_to: by_falling_time(lent_to.remove(account.organisation.as_str())),
+        })
+        .collect()
+}
+
+fn by_falling_time(shares: Option<Vec<LentShare>>) -> Vec<LentShare> {
+    let mut shares = shares.unwrap_or_default();
+    shares.sort_unstable_by(|a, b| {
+        let by_time = b.lent_ms.cmp(&a.lent_ms);
+        by_time.then_with(|| a.borrower.cmp(&b.borrower))
+    });
+    shares
+}
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -7,6 +7,7 @@
 use http::StatusCode;
 use http::header::CONTENT_TYPE;
 use opentelemetry::KeyValue;
+use opentelemetry::metrics::Gauge;
 use opentelemetry::metrics::Histogram;
 use opentelemetry::metrics::MeterProvider;
 use opentelemetry_sdk::metrics::Instrument;
@@ -24,6 +25,7 @@
 use crate::daemon_error::DaemonError;
 use crate::listener::announce;
 use crate::listener::listen;
+use crate::protos::control::IdleTime;
 
 const SCOPE: &str = "pomeloramp";
 /// Series of one histogram; more organisations than these share one series.
@@ -34,7 +36,7 @@
 const MAX_SCRAPE_CONNECTIONS: usize = 8;
 const SCRAPE_HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Histograms of one process.
+/// Histograms and gauges of one process.
 #[derive(Debug, Clone)]
 pub struct Metrics {
     registry: Registry,
@@ -43,6 +45,10 @@
     request_ms: Histogram<f64>,
     first_token_ms: Histogram<f64>,
     queue_ms: Histogram<f64>,
+    used_ms: Gauge<u64>,
+    lent_ms: Gauge<u64>,
+    idle_ms: Gauge<u64>,
+    borrowed_ms: Gauge<u64>,
 }
 
 impl Metrics {
@@ -76,8 +82,27 @@
                 .with_boundaries(BUCKETS_MS.to_vec())
                 .build()
         };
+        let gauge = |name: &'static str, description: &'static str| {
+            meter.u64_gauge(name).with_description(description).build()
+        };
         Self {
             registry,
+            used_ms: gauge(
+                "pomeloramp_used_ms",
+                "Capacity time of an organisation's share that it used itself",
+            ),
+            lent_ms: gauge(
+                "pomeloramp_lent_ms",
+                "Capacity time of an organisation's share that others used",
+            ),
+            idle_ms: gauge(
+                "pomeloramp_idle_ms",
+                "Capacity time of an organisation's share that nobody used",
+            ),
+            borrowed_ms: gauge(
+                "pomeloramp_borrowed_ms",
+                "Capacity time of others' shares that an organisation used",
+            ),
             request_ms: histogram(
                 "pomeloramp_request_ms",
                 "Time from a request's arrival to the end of its answer",
@@ -118,6 +143,20 @@
         self.queue_ms.record(milliseconds(elapsed), &labels);
     }
 
+    /// Records the capacity time of organisations, each since the process started.
+    pub fn record_idle_times(&self, idle_times: &[IdleTime]) {
+        for time in idle_times {
+            let labels = [
+                KeyValue::new("organisation", time.organisation.clone()),
+                KeyValue::new("service", time.service.clone()),
+            ];
+            self.used_ms.record(time.used_ms, &labels);
+            self.lent_ms.record(time.lent_ms, &labels);
+            self.idle_ms.record(time.idle_ms, &labels);
+            self.borrowed_ms.record(time.borrowed_ms, &labels);
+        }
+    }
+
     /// Returns every series in the text form of Prometheus.
     #[must_use]
     pub fn scrape(&self) -> String {
--- a/lib/src/protos/pomeloramp.control.rs
+++ b/lib/src/protos/pomeloramp.control.rs
@@ -317,18 +317,37 @@
     pub config_revision: u64,
 }
 /// Capacity-time of one organisation at one endpoint.
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+/// Capacity time of one organisation at one endpoint; one slot gives one second a second.
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct IdleTime {
+    /// Empty for capacity of which nobody declares a share.
     #[prost(string, tag = "1")]
     pub organisation: ::prost::alloc::string::String,
     #[prost(string, tag = "2")]
     pub service: ::prost::alloc::string::String,
+    /// Its share, used by itself.
     #[prost(uint64, tag = "3")]
     pub used_ms: u64,
+    /// Its share, used by others.
     #[prost(uint64, tag = "4")]
     pub lent_ms: u64,
+    /// Its share, used by nobody.
     #[prost(uint64, tag = "5")]
     pub idle_ms: u64,
+    /// Others' shares, used by it.
+    #[prost(uint64, tag = "6")]
+    pub borrowed_ms: u64,
+    /// To whom the lent time went; what is missing from `lent_ms` went to organisations too many to
+    /// tell apart.
+    #[prost(message, repeated, tag = "7")]
+    pub lent_to: ::prost::alloc::vec::Vec<LentShare>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct LentShare {
+    #[prost(string, tag = "1")]
+    pub borrower: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub lent_ms: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct RefusedDocument {
--- a/lib/tests/test_idle_ledger.rs
+++ b/lib/tests/test_idle_ledger.rs
@@ -3,6 +3,8 @@
 use googletest::prelude::*;
 use pomeloramp_lib::IdleAccount;
 use pomeloramp_lib::IdleLedger;
+use pomeloramp_lib::idle_report;
+use pomeloramp_lib::protos::control::IdleTime;
 use pomeloramp_lib::protos::template::OrganisationParameters;
 use proptest::prelude::ProptestConfig;
 use proptest::prelude::Strategy;
@@ -28,6 +30,11 @@
         .clone()
 }
 
+/// Returns all capacity time of an organisation's share.
+fn all_ms(time: &IdleTime) -> u64 {
+    time.used_ms + time.lent_ms + time.idle_ms
+}
+
 #[googletest::test]
 fn splits_capacity_into_used_lent_and_idle() {
     let mut ledger = IdleLedger::new(4, 0);
@@ -145,6 +152,10 @@
             assert_that!(sum(|account| account.used_ms) + lent_ms, eq(busy_ms));
             let told_ms: u64 = ledger.lent_times().map(|lent| lent.lent_ms).sum();
             assert_that!(told_ms + ledger.untold_lent_ms(), eq(lent_ms));
+            let report = idle_report(&ledger, "service");
+            assert_that!(report.iter().map(all_ms).sum::<u64>(), eq(expected_ms));
+            let shares = report.iter().flat_map(|time| &time.lent_to);
+            assert_that!(shares.map(|share| share.lent_ms).sum::<u64>(), eq(told_ms));
         }
     }
 
--- a/lib/tests/test_metrics.rs
+++ b/lib/tests/test_metrics.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use pomeloramp_lib::IdleLedger;
 use pomeloramp_lib::Metrics;
+use pomeloramp_lib::idle_report;
+use pomeloramp_lib::protos::template::OrganisationParameters;
 
 #[googletest::test]
 fn histograms_are_kept_for_each_organisation_and_class() {
@@ -33,3 +36,31 @@
     let is_count = |line: &&str| line.starts_with("pomeloramp_queue_ms_count{");
     expect_that!(text.lines().filter(is_count).count(), eq(3_800));
 }
+
+#[googletest::test]
+fn idle_time_is_shown_for_each_organisation() {
+    let metrics = Metrics::new();
+    let mut ledger = IdleLedger::new(2, 0);
+    ledger.set_parameters(&[parameters("desk"), parameters("floor")], 0);
+    ledger.observe_start("desk", 0);
+    ledger.observe_start("desk", 0);
+    ledger.advance(10);
+    metrics.record_idle_times(&idle_report(&ledger, "quote-draft"));
+    let text = metrics.scrape();
+    for series in [
+        "pomeloramp_used_ms{organisation=\"desk\",service=\"quote-draft\",otel_scope_name=\"pomeloramp\"} 10",
+        "pomeloramp_borrowed_ms{organisation=\"desk\",service=\"quote-draft\",otel_scope_name=\"pomeloramp\"} 10",
+        "pomeloramp_lent_ms{organisation=\"floor\",service=\"quote-draft\",otel_scope_name=\"pomeloramp\"} 10",
+        "pomeloramp_idle_ms{organisation=\"floor\",service=\"quote-draft\",otel_scope_name=\"pomeloramp\"} 0",
+    ] {
+        expect_that!(text, contains_substring(series));
+    }
+}
+
+fn parameters(name: &str) -> OrganisationParameters {
+    OrganisationParameters {
+        organisation: name.to_owned(),
+        share_weight: 1,
+        ..OrganisationParameters::default()
+    }
+}
