calls: one organisation takes only a part of an agent's record of calls

Cause: records of calls that may not be repeated are kept for the whole window and never evicted, so one organisation that commits fast filled the store and every other one heard records-full.

Ruled out: eviction (a record that is gone could run again) and a share that grows with the free room (one organisation alone would never use more than half, and no operator could tell the limit in advance).

--- a/lib/examples/call_record_cost.rs
+++ b/lib/examples/call_record_cost.rs
@@ -50,6 +50,8 @@
     };
     let settings = CallRegistrySettings::builder()
         .max_records(usize::MAX)
+        .max_records_per_organisation(usize::MAX)
+        .max_answer_bytes_per_organisation(u64::MAX)
         .max_voids(usize::MAX)
         .max_answer_bytes(u64::MAX)
         .answer_window_ms(window_ms)
--- a/lib/src/call_registry.rs
+++ b/lib/src/call_registry.rs
@@ -18,6 +18,7 @@
 use crate::call_record::CallState;
 use crate::digest_horizon::DigestHorizon;
 use crate::digest_horizon::PastCall;
+use crate::record_usage::RecordUsage;
 use crate::void_table::VoidTable;
 
 /// An agent's in-memory record of calls that may not be repeated.
@@ -41,6 +42,7 @@
     /// Ended calls in the order in which they ended, with the time.
     ended: VecDeque<(u64, CallKey)>,
     answer_bytes: u64,
+    usage: RecordUsage,
     voids: VoidTable,
     digests: DigestHorizon,
 }
@@ -57,6 +59,7 @@
             records: HashMap::new(),
             ended: VecDeque::new(),
             answer_bytes: 0,
+            usage: RecordUsage::default(),
         }
     }
 
@@ -102,11 +105,12 @@
     /// An answer that does not fit into the budget is not held: resends hear that the call ran.
     pub fn finish(&mut self, call: &CallKey, answer: StoredAnswer, now_ms: u64) -> bool {
         let answer_bytes = answer.len_bytes();
-        let held = self.answer_bytes + answer_bytes <= self.settings.max_answer_bytes;
+        let held = self.fits(call, answer_bytes);
         let state = CallState::Ran(held.then_some(answer));
         let ended = self.end(call, state, now_ms);
         if ended && held {
             self.answer_bytes += answer_bytes;
+            self.usage.add_answer(&call.organisation, answer_bytes);
         }
         ended && held
     }
@@ -129,6 +133,7 @@
         };
         self.voids.insert(call, stamp_ms);
         self.records.remove(call);
+        self.usage.remove(&call.organisation, 0);
     }
 
     /// Drops what the windows no longer need.
@@ -218,7 +223,7 @@
     }
 
     fn start(&mut self, attempt: &CallAttempt) -> CallDecision<'_> {
-        if self.is_full() {
+        if self.is_full_for(&attempt.call.organisation) {
             self.voids.insert(&attempt.call, attempt.stamp_ms);
             let code = RefusalCode::RecordsFull;
             return CallDecision::Refused(Refusal::not_run(code, self.settings.retry_after_ms));
@@ -230,6 +235,7 @@
             state: CallState::Running,
         };
         self.records.insert(attempt.call.clone(), record);
+        self.usage.add_record(&attempt.call.organisation);
         CallDecision::Run
     }
 
@@ -261,14 +267,30 @@
         let ran = record.state != CallState::Lost;
         self.digests
             .insert(call, record.body_digest, ran, record.stamp_ms, now_ms);
-        if let CallState::Ran(Some(answer)) = record.state {
-            self.answer_bytes -= answer.len_bytes();
-        }
+        let answer_bytes = match record.state {
+            CallState::Ran(Some(answer)) => answer.len_bytes(),
+            CallState::Ran(None) | CallState::Lost | CallState::Running => 0,
+        };
+        self.answer_bytes -= answer_bytes;
+        self.usage.remove(&call.organisation, answer_bytes);
+    }
+
+    /// Returns whether an organisation may not have a further record.
+    fn is_full_for(&self, organisation: &str) -> bool {
+        let settings = &self.settings;
+        let usage = &self.usage;
+        self.records.len() >= settings.max_records
+            || self.answer_bytes >= settings.max_answer_bytes
+            || usage.records(organisation) >= settings.max_records_per_organisation
+            || usage.answer_bytes(organisation) >= settings.max_answer_bytes_per_organisation
     }
 
-    fn is_full(&self) -> bool {
-        self.records.len() >= self.settings.max_records
-            || self.answer_bytes >= self.settings.max_answer_bytes
+    /// Returns whether an answer can be held beside the others.
+    fn fits(&self, call: &CallKey, answer_bytes: u64) -> bool {
+        let settings = &self.settings;
+        let own_bytes = self.usage.answer_bytes(&call.organisation) + answer_bytes;
+        self.answer_bytes + answer_bytes <= settings.max_answer_bytes
+            && own_bytes <= settings.max_answer_bytes_per_organisation
     }
 
     fn oldest_stamp_ms(&self, now_ms: u64) -> u64 {
--- a/lib/src/call_registry_settings.rs
+++ b/lib/src/call_registry_settings.rs
@@ -9,10 +9,14 @@
 pub struct CallRegistrySettings {
     /// Calls that are running or whose answers are held, at most.
     pub max_records: usize,
+    /// Calls of one organisation that are running or whose answers are held, at most.
+    pub max_records_per_organisation: usize,
     /// Voided calls that are remembered one by one.
     pub max_voids: usize,
     /// Bytes of all held answers, at most.
     pub max_answer_bytes: u64,
+    /// Bytes of one organisation's held answers, at most.
+    pub max_answer_bytes_per_organisation: u64,
     /// How long a placement is accepted, and how long an answer is held, in milliseconds.
     pub answer_window_ms: u64,
     /// How long a digest of a call is held after its answer, in milliseconds.
--- a/lib/src/endpoint_daemon.rs
+++ b/lib/src/endpoint_daemon.rs
@@ -184,10 +184,13 @@
 
 fn call_registry(incarnation: Incarnation, settings: &EndpointSettings) -> CallRegistry {
     let max_records = settings.max_call_records as usize;
+    let max_own_records = settings.max_call_records_per_organisation as usize;
     let registry_settings = CallRegistrySettings::builder()
         .max_records(max_records)
+        .max_records_per_organisation(max_own_records)
         .max_voids(max_records)
         .max_answer_bytes(max_records as u64 * MEAN_ANSWER_BYTES)
+        .max_answer_bytes_per_organisation(max_own_records as u64 * MEAN_ANSWER_BYTES)
         .answer_window_ms(settings.answer_window_ms)
         .digest_horizon_ms(settings.answer_window_ms.saturating_mul(DIGEST_WINDOWS))
         .max_digests(max_records * DIGESTS_PER_RECORD)
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -126,6 +126,7 @@
 mod reader_election;
 mod reader_election_settings;
 mod rebalance_plan;
+mod record_usage;
 mod refusal;
 mod refusal_code;
 mod rendezvous;
--- a/lib/src/protos/pomeloramp.settings.rs
+++ b/lib/src/protos/pomeloramp.settings.rs
@@ -109,4 +109,6 @@
     /// IP address and port on which metrics are scraped.
     #[prost(string, tag = "8")]
     pub metrics_address: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "9")]
+    pub max_call_records_per_organisation: u32,
 }
--- a/lib/src/settings_ranges.rs
+++ b/lib/src/settings_ranges.rs
@@ -15,7 +15,7 @@
     pub(crate) max: u64,
 }
 
-const NUMBER_RANGES: [NumberRange; 22] = [
+const NUMBER_RANGES: [NumberRange; 23] = [
     range("control.heartbeat_interval_ms", 50, MINUTE_MS),
     range("control.heartbeat_bytes_per_s", 100, 1_000_000_000),
     range("control.suspect_after_ms", 100, HOUR_MS),
@@ -37,6 +37,7 @@
     range("endpoint.max_queued_requests", 0, 100_000),
     range("endpoint.answer_window_ms", 1000, DAY_MS),
     range("endpoint.max_call_records", 1, 10_000_000),
+    range("endpoint.max_call_records_per_organisation", 1, 10_000_000),
     range("endpoint.max_answer_bytes", 1024, MAX_BODY_BYTES),
 ];
 
--- a/lib/tests/at_most_once/mod.rs
+++ b/lib/tests/at_most_once/mod.rs
@@ -189,8 +189,10 @@
         let incarnation = Incarnation(self.births);
         let settings = CallRegistrySettings::builder()
             .max_records(2)
+            .max_records_per_organisation(2)
             .max_voids(1)
             .max_answer_bytes(60)
+            .max_answer_bytes_per_organisation(60)
             .answer_window_ms(WINDOW_MS)
             .digest_horizon_ms(1_000 * WINDOW_MS)
             .max_digests(self.max_digests)
--- a/lib/tests/test_call_registry.rs
+++ b/lib/tests/test_call_registry.rs
@@ -34,8 +34,10 @@
 fn settings(max_digests: usize, digest_horizon_ms: u64) -> CallRegistrySettings {
     CallRegistrySettings::builder()
         .max_records(MAX_RECORDS)
+        .max_records_per_organisation(MAX_RECORDS)
         .max_voids(MAX_VOIDS)
         .max_answer_bytes(MAX_ANSWER_BYTES)
+        .max_answer_bytes_per_organisation(MAX_ANSWER_BYTES)
         .answer_window_ms(WINDOW_MS)
         .digest_horizon_ms(digest_horizon_ms)
         .max_digests(max_digests)
