standins: a group of ranks in lock-step with map orders for each rank

Each rank has its own paths, holds before the switch step of an undecided map, answers every order with its whole state, and checks or ignores fencing numbers. The group logs the map of each rank in each step, counts steps that were held, can be formed anew, and can deliver an order late.

--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for the platform and the endpoints, for tests and the local fleet.
 //!
-//! One process plays one program: the platform, a model engine or a plain service.
+//! One process plays one program: the platform, a model engine, a plain service or a
+//! group of ranks.
 
 mod cache_event;
 mod cache_event_log;
@@ -25,8 +26,14 @@
 mod platform_faults;
 mod platform_options;
 mod prefix_cache;
+mod rank_engine;
+mod rank_group;
+mod rank_group_options;
+mod rank_loads;
+mod rank_order;
 mod refusal;
 mod standin_error;
+mod step_log;
 mod token_text;
 mod vm_list;
 mod vm_record;
@@ -40,6 +47,7 @@
 use crate::engine_options::EngineOptions;
 use crate::plain_options::PlainOptions;
 use crate::platform_options::PlatformOptions;
+use crate::rank_group_options::RankGroupOptions;
 use crate::standin_error::ArgumentsSnafu;
 use crate::standin_error::StandinError;
 use crate::standin_error::UnknownProgramSnafu;
@@ -64,6 +72,7 @@
         Some("platform") => platform::serve(PlatformOptions::parse(arguments)?).await,
         Some("engine") => engine::serve(EngineOptions::parse(arguments)?).await,
         Some("plain") => plain::serve(PlainOptions::parse(arguments)?).await,
+        Some("rank-group") => rank_group::serve(RankGroupOptions::parse(arguments)?).await,
         other => UnknownProgramSnafu {
             program: other.unwrap_or_default(),
         }
--- a/standins/src/standin_error.rs
+++ b/standins/src/standin_error.rs
@@ -13,7 +13,9 @@
     Arguments { source: pico_args::Error },
     #[snafu(display("unknown argument {argument:?}"))]
     UnknownArgument { argument: String },
-    #[snafu(display("unknown program {program:?}, expected platform, engine or plain"))]
+    #[snafu(display(
+        "unknown program {program:?}, expected platform, engine, plain or rank-group"
+    ))]
     UnknownProgram { program: String },
     #[snafu(display("listening on {listen} failed: {source}"))]
     Listen {
