--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -5,12 +5,13 @@
 pub(crate) mod idle;
 pub(crate) mod members;
 pub(crate) mod quarantine;
+pub(crate) mod ranks;
 pub(crate) mod render;
 pub(crate) mod revisions;
 pub(crate) mod status;
 
 /// The names of all commands.
-pub(crate) const NAMES: [&str; 8] = [
+pub(crate) const NAMES: [&str; 9] = [
     "check",
     "render",
     "status",
@@ -19,4 +20,5 @@
     "draining",
     "quarantine",
     "idle",
+    "ranks",
 ];
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -40,6 +40,7 @@
   draining    processes that are leaving, with requests still in flight
   quarantine  content that is refused because it crashed endpoints
   idle        used, lent and idle time per organisation, over all peers given
+  ranks       ranks of groups with their expert maps and what they wait for
 
 Options:
   -h, --help     print this text, or that of a command
@@ -79,6 +80,7 @@
         Some("draining") => commands::draining::run(arguments).await,
         Some("quarantine") => commands::quarantine::run(arguments).await,
         Some("idle") => commands::idle::run(arguments).await,
+        Some("ranks") => commands::ranks::run(arguments).await,
         Some(other) => Err(unknown_command(other, &commands::NAMES).into()),
         None => run_without_command(arguments),
     }
--- a/cli/tests/test_peer_commands.rs
+++ b/cli/tests/test_peer_commands.rs
@@ -11,8 +11,10 @@
 use pomeloramp_lib::protos::control::ExchangeRequest;
 use pomeloramp_lib::protos::control::IdleTime;
 use pomeloramp_lib::protos::control::KeyRevision;
+use pomeloramp_lib::protos::control::MapStateReply;
 use pomeloramp_lib::protos::control::MemberStatus;
 use pomeloramp_lib::protos::control::QuarantineEntry;
+use pomeloramp_lib::protos::control::RankStatus;
 use pomeloramp_lib::protos::control::RefusedDocument;
 use pomeloramp_lib::protos::control::StatusReply;
 use pomeloramp_lib::protos::control::StatusRequest;
@@ -102,6 +104,21 @@
             key: "services/a".to_owned(),
             revision: 5,
         }],
+        rank: Some(RankStatus {
+            group: "drafts".to_owned(),
+            rank: 3,
+            engine_known: true,
+            map: Some(MapStateReply {
+                current_step: 41,
+                active_map_id: 0x1,
+                prepared_map_id: 0x2,
+                switch_step: 42,
+                held_ms: 1_500,
+                ..MapStateReply::default()
+            }),
+            waits_for: "the decision on map 0x2 before step 42; not heard: rank 1".to_owned(),
+            ..RankStatus::default()
+        }),
     }
 }
 
@@ -193,6 +210,11 @@
     expect_that!(revisions[0]["revision"], eq(5));
     expect_that!(revisions[1]["state"], eq("refused"));
     expect_that!(revisions[1]["reason"], eq("line 2: bad"));
+    let ranks = run_json("ranks", &[first]);
+    expect_that!(ranks[0]["undecided_map"], eq("0000000000000002"));
+    expect_that!(ranks[0]["held_ms"], eq(1_500));
+    let waits_for = ranks[0]["waits_for"].as_str().unwrap();
+    expect_that!(waits_for, ends_with("not heard: rank 1"));
 }
 
 #[googletest::test]
--- a/lib/src/endpoint_daemon.rs
+++ b/lib/src/endpoint_daemon.rs
@@ -43,10 +43,15 @@
 use crate::protos::control::IdleTime;
 use crate::protos::control::agent_server::AgentServer as AgentService;
 use crate::protos::control::peer_server::PeerServer as PeerService;
+use crate::protos::control::rank_group_server::RankGroupServer as RankGroupService;
 use crate::protos::settings::DaemonSettings;
 use crate::protos::settings::EndpointSettings;
 use crate::quarantine_push;
 use crate::quarantine_push::RecentPeers;
+use crate::rank_agent;
+use crate::rank_agent::RankAgent;
+use crate::rank_command::RankCommand;
+use crate::rank_server::RankServer;
 use crate::shared_quarantine::SharedQuarantine;
 use crate::shutdown;
 
@@ -71,10 +76,9 @@
     let incarnation = Incarnation::random();
     let load = SharedLoad::default();
     let quarantine = SharedQuarantine::new(clock);
-    let registry = call_registry(incarnation, &endpoint_settings);
     let duty = AgentDuty::new(
         clock,
-        registry,
+        call_registry(incarnation, &endpoint_settings),
         fair_queue(&endpoint_settings),
         endpoint_settings.capacity,
         Arc::clone(&load),
@@ -96,6 +100,18 @@
         parameters_setter(duty.clone(), &endpoint_settings.service),
     );
     let platform = PlatformClient::new(&settings.platform_address, connect_timeout);
+    let (close, closing) = watch::channel(false);
+    let rank = RankAgent::builder()
+        .clock(clock)
+        .incarnation(incarnation)
+        .endpoint_settings(&endpoint_settings)
+        .connect_timeout(connect_timeout)
+        .channels(channels.clone())
+        .platform(platform.clone())
+        .config(Arc::clone(&config))
+        .closing(closing.clone())
+        .build()
+        .start();
     let (pulls, pull_requests) = mpsc::channel(1);
     let source = ConfigSource {
         vm_name: settings.vm_name.clone(),
@@ -115,12 +131,7 @@
     let (up, endpoint_up) = watch::channel(false);
     tokio::spawn(endpoint_probe::run(endpoint.clone(), up));
     let in_flight = InFlight::default();
-    let draining = shutdown::listen();
-    let (leaving, left) = watch::channel(false);
-    tokio::spawn(forward(draining.clone(), leaving.clone()));
-    let (close, closing) = watch::channel(false);
-    tokio::spawn(stop_admitting(left, duty.clone()));
-    tokio::spawn(drain(draining.clone(), in_flight.clone(), close));
+    let leaving = follow_shutdown(&duty, &in_flight, close);
     let peer_state = PeerState {
         vm_name: settings.vm_name.clone(),
         role: "endpoint",
@@ -132,7 +143,11 @@
         reached: ServiceReached::new(clock),
         quarantine: quarantine.clone(),
         serving: watch::channel(true).1,
-        role_status: role_status(duty.clone(), &endpoint_settings.service),
+        role_status: role_status(
+            duty.clone(),
+            rank.as_ref().map(|rank| rank.duty.clone()),
+            &endpoint_settings.service,
+        ),
     };
     let metrics = Metrics::new();
     metrics.serve(&endpoint_settings.metrics_address).await?;
@@ -153,7 +168,7 @@
         pulls,
         endpoint_up,
     };
-    serve(&settings.peer_address, state, peer_state, closing).await
+    serve(&settings.peer_address, state, peer_state, rank, closing).await
 }
 
 /// Serves entries and peers at `peer_address` until `closing` turns true.
@@ -161,6 +176,7 @@
     peer_address: &str,
     state: AgentState,
     peer_state: PeerState,
+    rank: Option<RankServer>,
     closing: watch::Receiver<bool>,
 ) -> Result<(), DaemonError> {
     let listener = listen("peer_address", peer_address).await?;
@@ -175,6 +191,7 @@
     Server::builder()
         .add_service(AgentService::new(server))
         .add_service(PeerService::new(peer_server))
+        .add_optional_service(rank.map(RankGroupService::new))
         .serve_with_incoming_shutdown(peers(listener), closed(closing))
         .await
         .map_err(|source| DaemonError::Serve {
@@ -222,6 +239,20 @@
     }
 }
 
+/// Starts what follows the signals to stop, and returns what marks the agent as leaving.
+fn follow_shutdown(
+    duty: &Duty<AgentCommand>,
+    in_flight: &InFlight,
+    close: watch::Sender<bool>,
+) -> watch::Sender<bool> {
+    let draining = shutdown::listen();
+    let (leaving, left) = watch::channel(false);
+    tokio::spawn(forward(draining.clone(), leaving.clone()));
+    tokio::spawn(stop_admitting(left, duty.clone()));
+    tokio::spawn(drain(draining, in_flight.clone(), close));
+    leaving
+}
+
 /// Marks the agent as leaving when its process is told to stop.
 async fn forward(mut draining: watch::Receiver<bool>, leaving: watch::Sender<bool>) {
     if draining.wait_for(|draining| *draining).await.is_ok() {
@@ -254,14 +285,16 @@
     }
 }
 
-/// Returns what asks the agent's duty where the endpoint's capacity went.
+/// Returns what asks the agent's duties where the endpoint's capacity went and what the rank does.
 fn role_status(
     duty: Duty<AgentCommand>,
+    rank: Option<Duty<RankCommand>>,
     service: &str,
 ) -> Box<dyn Fn() -> BoxFuture<'static, RoleStatus> + Send + Sync> {
     let service = service.to_owned();
     Box::new(move || {
         let duty = duty.clone();
+        let rank = rank.clone();
         let service = service.clone();
         Box::pin(async move {
             let (reply, accounts) = oneshot::channel();
@@ -282,6 +315,7 @@
             RoleStatus {
                 members: Vec::new(),
                 idle_times,
+                rank: rank_agent::status(rank).await,
             }
         })
     })
--- a/lib/src/entry_daemon.rs
+++ b/lib/src/entry_daemon.rs
@@ -227,6 +227,7 @@
             RoleStatus {
                 members: members.await.unwrap_or_default(),
                 idle_times: Vec::new(),
+                rank: None,
             }
         })
     })
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -90,6 +90,16 @@
     EndpointDown = 402 Warn "endpoint does not answer",
     EndpointCrashed = 403 Error "endpoint broke off requests",
     ContentQuarantined = 404 Warn "content quarantined",
+
+    RankGroupFormed = 501 Info "rank group formed, or read after a start",
+    MapInUse = 502 Info "expert map in use",
+    RankHeld = 503 Warn "rank waits at the switch step of an expert map",
+    MapRecoveryStarted = 504 Warn "settling an undecided expert map",
+    RankEngineLost = 505 Warn "engine of the rank does not answer",
+    OrderFenced = 506 Warn "engine refused the fencing number of an order",
+    MapAborted = 507 Info "expert map aborted",
+    PlanEnded = 508 Info "plan for an expert map ended",
+    PlanFailed = 509 Warn "plan for an expert map failed",
 }
 
 impl fmt::Display for Event {
--- a/lib/src/expert_layout.rs
+++ b/lib/src/expert_layout.rs
@@ -1,5 +1,6 @@
 //! Where the replicas of all layers' experts are.
 
+use bon::bon;
 use pomeloramp_proc_macros::value;
 
 use crate::ExpertLoad;
@@ -13,7 +14,32 @@
     layers: Vec<LayerLayout>,
 }
 
+#[bon]
 impl ExpertLayout {
+    /// Restores the layout that the replicas of a map describe; `None` when they do not fit.
+    #[must_use]
+    #[builder]
+    pub fn new(
+        layer_count: usize,
+        rank_count: usize,
+        slots_per_rank: usize,
+        replicas: &[ExpertReplica],
+    ) -> Option<Self> {
+        let mut layers = vec![LayerLayout::empty(rank_count, slots_per_rank); layer_count];
+        for replica in replicas {
+            let (rank, expert) = (replica.rank as usize, replica.expert as usize);
+            let layer = layers.get_mut(replica.layer as usize)?;
+            if rank >= rank_count || layer.holds(rank, expert) {
+                return None;
+            }
+            let slot = layer
+                .rank_slots(rank)
+                .find(|slot| layer.slots()[*slot].is_none())?;
+            layer.set(slot, Some(expert));
+        }
+        Some(Self { layers })
+    }
+
     /// Computes a layout for a load from nothing: hot experts are replicated, and the replicas
     /// are packed by longest processing time.
     #[must_use]
--- a/lib/src/map_participant.rs
+++ b/lib/src/map_participant.rs
@@ -64,7 +64,7 @@
         match request {
             MapRequest::Prepare(request) => self.prepare(call, request),
             MapRequest::Decide(request) => self.decide(call, request),
-            MapRequest::State(request) => vec![self.state(call, *request)],
+            MapRequest::State(request) => vec![self.answer_state(call, *request)],
         }
     }
 
@@ -169,6 +169,17 @@
         self.memory.engine
     }
 
+    /// Returns what the rank answers to a question without a ballot.
+    #[must_use]
+    pub fn state(&self) -> MapStateReply {
+        let is_known = self.memory.engine.is_some();
+        self.memory.state_reply(if is_known {
+            MapRefusal::Unspecified
+        } else {
+            MapRefusal::NotReady
+        })
+    }
+
     fn prepare(&mut self, call: u64, request: &PrepareMapRequest) -> Vec<MapAction> {
         let refusal = self.check_prepare(request);
         if refusal != MapRefusal::Unspecified {
@@ -305,22 +316,20 @@
         call.map(|call| self.memory.decide_reply(call, refusal))
     }
 
-    fn state(&mut self, call: u64, request: MapStateRequest) -> MapAction {
-        let mut refusal = if self.memory.engine.is_none() {
-            MapRefusal::NotReady
-        } else {
-            MapRefusal::Unspecified
-        };
-        if request.ballot > 0 {
-            refusal = self.check_ballot(
+    fn answer_state(&mut self, call: u64, request: MapStateRequest) -> MapAction {
+        let state = if request.ballot > 0 {
+            let refusal = self.check_ballot(
                 request.group_incarnation,
                 request.agent_incarnation,
                 request.ballot,
             );
-        }
+            self.memory.state_reply(refusal)
+        } else {
+            self.state()
+        };
         MapAction::Reply {
             call,
-            reply: MapReply::State(self.memory.state_reply(refusal)),
+            reply: MapReply::State(state),
         }
     }
 
--- a/lib/src/peer_server.rs
+++ b/lib/src/peer_server.rs
@@ -21,6 +21,7 @@
 use crate::protos::control::ExchangeRequest;
 use crate::protos::control::IdleTime;
 use crate::protos::control::MemberStatus;
+use crate::protos::control::RankStatus;
 use crate::protos::control::StatusReply;
 use crate::protos::control::StatusRequest;
 use crate::protos::control::peer_server::Peer;
@@ -48,6 +49,7 @@
 pub(crate) struct RoleStatus {
     pub(crate) members: Vec<MemberStatus>,
     pub(crate) idle_times: Vec<IdleTime>,
+    pub(crate) rank: Option<RankStatus>,
 }
 
 impl PeerState {
@@ -111,6 +113,7 @@
             idle_times: role_status.idle_times,
             refused_documents: documents.refused,
             documents: documents.in_force,
+            rank: role_status.rank,
         }))
     }
 }
--- a/lib/src/platform_client.rs
+++ b/lib/src/platform_client.rs
@@ -16,6 +16,7 @@
 
 const MAX_ANSWER_BYTES: usize = 64 << 20;
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+const WEIGHTS_TIMEOUT: Duration = Duration::from_mins(2);
 
 /// Why the platform gave no usable answer.
 #[derive(Debug, Snafu)]
@@ -153,11 +154,30 @@
         self.get("/vms", ANSWER_TIMEOUT).await
     }
 
+    /// Reads the weights of one expert of one layer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform is down or too slow.
+    pub(crate) async fn weights(&self, layer: u32, expert: u32) -> Result<Bytes, PlatformError> {
+        let path = format!("/weights/{layer}-{expert}");
+        self.get_bytes(&path, WEIGHTS_TIMEOUT).await
+    }
+
     async fn get<T: DeserializeOwned>(
         &self,
         path: &str,
         timeout: Duration,
     ) -> Result<T, PlatformError> {
+        let body = self.get_bytes(path, timeout).await?;
+        serde_json::from_slice(&body).map_err(|error| PlatformError::Body {
+            peer: self.address.clone(),
+            path: path.to_owned(),
+            reason: error.to_string(),
+        })
+    }
+
+    async fn get_bytes(&self, path: &str, timeout: Duration) -> Result<Bytes, PlatformError> {
         tokio::time::timeout(timeout, self.get_unbounded(path))
             .await
             .map_err(|_| PlatformError::Timeout {
@@ -167,7 +187,7 @@
             })?
     }
 
-    async fn get_unbounded<T: DeserializeOwned>(&self, path: &str) -> Result<T, PlatformError> {
+    async fn get_unbounded(&self, path: &str) -> Result<Bytes, PlatformError> {
         let request = Request::get(path)
             .header(http::header::HOST, &self.address)
             .body(Full::new(Bytes::new()))
@@ -186,16 +206,14 @@
                 status: status.as_u16(),
             });
         }
-        let body_error = |reason: String| PlatformError::Body {
-            peer: self.address.clone(),
-            path: path.to_owned(),
-            reason,
-        };
         let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
             .collect()
             .await
-            .map_err(|error| body_error(error.to_string()))?
-            .to_bytes();
-        serde_json::from_slice(&body).map_err(|error| body_error(error.to_string()))
+            .map_err(|error| PlatformError::Body {
+                peer: self.address.clone(),
+                path: path.to_owned(),
+                reason: error.to_string(),
+            })?;
+        Ok(body.to_bytes())
     }
 }
--- a/lib/src/protos/pomeloramp.control.rs
+++ b/lib/src/protos/pomeloramp.control.rs
@@ -282,6 +282,30 @@
     pub refused_documents: ::prost::alloc::vec::Vec<RefusedDocument>,
     #[prost(message, repeated, tag = "11")]
     pub documents: ::prost::alloc::vec::Vec<KeyRevision>,
+    /// Present for an agent of a rank group.
+    #[prost(message, optional, tag = "12")]
+    pub rank: ::core::option::Option<RankStatus>,
+}
+/// What an agent knows of its rank and of the map that is being agreed on.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RankStatus {
+    #[prost(string, tag = "1")]
+    pub group: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "2")]
+    pub rank: u32,
+    /// False while the engine has not answered this run of the agent.
+    #[prost(bool, tag = "3")]
+    pub engine_known: bool,
+    #[prost(message, optional, tag = "4")]
+    pub map: ::core::option::Option<MapStateReply>,
+    /// Why the rank or its group waits; empty when it does not.
+    #[prost(string, tag = "5")]
+    pub waits_for: ::prost::alloc::string::String,
+    /// Runs of the planner that proposed a map, and how they ended.
+    #[prost(uint64, tag = "6")]
+    pub committed_plans: u64,
+    #[prost(uint64, tag = "7")]
+    pub aborted_plans: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct MemberStatus {
@@ -428,6 +452,39 @@
     #[prost(uint64, tag = "11")]
     pub held_ms: u64,
 }
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RankLoadRequest {}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RankLoadReply {
+    #[prost(uint64, tag = "1")]
+    pub group_incarnation: u64,
+    /// The map in use, with its replicas.
+    #[prost(message, optional, tag = "2")]
+    pub active: ::core::option::Option<ExpertMap>,
+    /// Layer by layer, the load of the experts on this rank.
+    #[prost(message, repeated, tag = "3")]
+    pub layers: ::prost::alloc::vec::Vec<LayerLoad>,
+    /// Experts of a layer that the rank has room for.
+    #[prost(uint32, tag = "4")]
+    pub slots_per_rank: u32,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct LayerLoad {
+    /// Tokens a second, by expert.
+    #[prost(double, repeated, tag = "1")]
+    pub tokens_per_s: ::prost::alloc::vec::Vec<f64>,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct LoadWeightsRequest {
+    #[prost(message, repeated, tag = "1")]
+    pub replicas: ::prost::alloc::vec::Vec<ExpertReplica>,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct LoadWeightsReply {
+    /// Bytes read from the weight store.
+    #[prost(uint64, tag = "1")]
+    pub loaded_bytes: u64,
+}
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
 pub enum Outcome {
@@ -1419,6 +1476,53 @@
                 .insert(GrpcMethod::new("pomeloramp.control.RankGroup", "MapState"));
             self.inner.unary(req, path, codec).await
         }
+        /// Reports the map that the rank's engine uses and its load.
+        pub async fn rank_load(
+            &mut self,
+            request: impl tonic::IntoRequest<super::RankLoadRequest>,
+        ) -> std::result::Result<tonic::Response<super::RankLoadReply>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/pomeloramp.control.RankGroup/RankLoad",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("pomeloramp.control.RankGroup", "RankLoad"));
+            self.inner.unary(req, path, codec).await
+        }
+        /// Loads weights that a map to be proposed needs on the rank.
+        pub async fn load_weights(
+            &mut self,
+            request: impl tonic::IntoRequest<super::LoadWeightsRequest>,
+        ) -> std::result::Result<
+            tonic::Response<super::LoadWeightsReply>,
+            tonic::Status,
+        > {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/pomeloramp.control.RankGroup/LoadWeights",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("pomeloramp.control.RankGroup", "LoadWeights"));
+            self.inner.unary(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -1446,6 +1550,19 @@
             &self,
             request: tonic::Request<super::MapStateRequest>,
         ) -> std::result::Result<tonic::Response<super::MapStateReply>, tonic::Status>;
+        /// Reports the map that the rank's engine uses and its load.
+        async fn rank_load(
+            &self,
+            request: tonic::Request<super::RankLoadRequest>,
+        ) -> std::result::Result<tonic::Response<super::RankLoadReply>, tonic::Status>;
+        /// Loads weights that a map to be proposed needs on the rank.
+        async fn load_weights(
+            &self,
+            request: tonic::Request<super::LoadWeightsRequest>,
+        ) -> std::result::Result<
+            tonic::Response<super::LoadWeightsReply>,
+            tonic::Status,
+        >;
     }
     /// Served by the agents of the ranks of one group.
     #[derive(Debug)]
@@ -1659,6 +1776,96 @@
                     };
                     Box::pin(fut)
                 }
+                "/pomeloramp.control.RankGroup/RankLoad" => {
+                    #[allow(non_camel_case_types)]
+                    struct RankLoadSvc<T: RankGroup>(pub Arc<T>);
+                    impl<
+                        T: RankGroup,
+                    > tonic::server::UnaryService<super::RankLoadRequest>
+                    for RankLoadSvc<T> {
+                        type Response = super::RankLoadReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::RankLoadRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as RankGroup>::rank_load(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = RankLoadSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
+                "/pomeloramp.control.RankGroup/LoadWeights" => {
+                    #[allow(non_camel_case_types)]
+                    struct LoadWeightsSvc<T: RankGroup>(pub Arc<T>);
+                    impl<
+                        T: RankGroup,
+                    > tonic::server::UnaryService<super::LoadWeightsRequest>
+                    for LoadWeightsSvc<T> {
+                        type Response = super::LoadWeightsReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::LoadWeightsRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as RankGroup>::load_weights(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = LoadWeightsSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => {
                     Box::pin(async move {
                         let mut response = http::Response::new(
--- a/lib/src/protos/pomeloramp.settings.rs
+++ b/lib/src/protos/pomeloramp.settings.rs
@@ -109,4 +109,39 @@
     /// IP address and port on which metrics are scraped.
     #[prost(string, tag = "8")]
     pub metrics_address: ::prost::alloc::string::String,
+    #[prost(message, optional, tag = "9")]
+    pub rank_group: ::core::option::Option<RankGroupSettings>,
+}
+/// The rank of an expert-parallel group that the endpoint is.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields, default)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RankGroupSettings {
+    /// Name of the group; empty for an endpoint that is no rank of a group.
+    #[prost(string, tag = "1")]
+    pub group: ::prost::alloc::string::String,
+    /// Counted from zero.
+    #[prost(uint32, tag = "2")]
+    pub rank: u32,
+    /// IP address and port of every rank's agent, in the order of the ranks.
+    #[prost(string, repeated, tag = "3")]
+    pub agent_addresses: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// IP address and port of the rank's engine, for orders about expert maps.
+    #[prost(string, tag = "4")]
+    pub engine_address: ::prost::alloc::string::String,
+    /// Path before those of the orders, such as "/ranks/3"; empty for none.
+    #[prost(string, tag = "5")]
+    pub engine_path: ::prost::alloc::string::String,
+    /// Steps between the furthest rank and the switch step of a proposed map.
+    #[prost(uint64, tag = "6")]
+    pub lead_steps: u64,
+    /// Time between two plans; zero for an agent that never plans.
+    #[prost(uint64, tag = "7")]
+    pub plan_interval_ms: u64,
+    /// The group's share of the weight store's rate.
+    #[prost(uint64, tag = "8")]
+    pub weight_share_bytes_per_s: u64,
+    /// Bytes of the weights of one expert of one layer.
+    #[prost(uint64, tag = "9")]
+    pub expert_bytes: u64,
 }
--- /dev/null
+++ b/lib/src/rank_agent.rs
@@ -0,0 +1,103 @@
+//! Puts together what an agent runs for the rank that its endpoint is.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+
+use crate::Clock;
+use crate::Incarnation;
+use crate::agent_channels::AgentChannels;
+use crate::config_duty::SharedConfig;
+use crate::duty::Duty;
+use crate::platform_client::PlatformClient;
+use crate::protos::control::RankStatus;
+use crate::protos::settings::EndpointSettings;
+use crate::rank_command::RankCommand;
+use crate::rank_duty::RankDuty;
+use crate::rank_duty::RankOutlets;
+use crate::rank_engine_client::RankEngineClient;
+use crate::rank_links;
+use crate::rank_links::RankPeers;
+use crate::rank_planner::RankPlanner;
+use crate::rank_server::RankServer;
+use crate::rank_weights::RankWeights;
+
+const MESSAGE_QUEUE_LENGTH: usize = 1024;
+/// One order is in flight at a time.
+const ORDER_QUEUE_LENGTH: usize = 1;
+
+/// What a rank's agent needs of the daemon that it is part of.
+#[derive(bon::Builder)]
+pub(crate) struct RankAgent<'a> {
+    clock: Clock,
+    incarnation: Incarnation,
+    endpoint_settings: &'a EndpointSettings,
+    connect_timeout: Duration,
+    channels: AgentChannels,
+    platform: PlatformClient,
+    config: SharedConfig,
+    /// Turns true when the agent closes.
+    closing: watch::Receiver<bool>,
+}
+
+impl RankAgent<'_> {
+    /// Starts the duty and its tasks; `None` for an endpoint that is no rank of a group.
+    pub(crate) fn start(self) -> Option<RankServer> {
+        let settings = self.endpoint_settings.rank_group.clone()?;
+        if settings.group.is_empty() {
+            return None;
+        }
+        let (orders, order_queue) = mpsc::channel(ORDER_QUEUE_LENGTH);
+        let (sends, send_queue) = mpsc::channel(MESSAGE_QUEUE_LENGTH);
+        let outlets = RankOutlets { orders, sends };
+        let duty = RankDuty::new(self.clock, self.incarnation, &settings, outlets).spawn();
+        let engine = RankEngineClient::new(&settings, self.connect_timeout);
+        let peers = RankPeers {
+            channels: self.channels,
+            group: settings.group.clone(),
+            sockets: Arc::new(settings.agent_addresses.clone()),
+            own_rank: settings.rank as usize,
+            duty: duty.clone(),
+        };
+        let address = peers.address(peers.own_rank);
+        tokio::spawn(rank_links::run_orders(
+            order_queue,
+            engine.clone(),
+            duty.clone(),
+            self.closing.clone(),
+        ));
+        tokio::spawn(rank_links::run_messages(
+            send_queue,
+            peers.clone(),
+            self.closing.clone(),
+        ));
+        let planner = RankPlanner {
+            clock: self.clock,
+            settings,
+            service: self.endpoint_settings.service.clone(),
+            config: self.config,
+            peers,
+        };
+        tokio::spawn(planner.run(self.closing));
+        Some(RankServer {
+            address,
+            duty,
+            weights: RankWeights {
+                engine,
+                platform: self.platform,
+            },
+        })
+    }
+}
+
+/// Asks the duty of a rank, if there is one, for what operators see.
+pub(crate) async fn status(duty: Option<Duty<RankCommand>>) -> Option<RankStatus> {
+    let (reply, status) = oneshot::channel();
+    if let Err(error) = duty?.submit(RankCommand::Status { reply }) {
+        log::warn!("status: {error}");
+    }
+    status.await.ok()
+}
--- /dev/null
+++ b/lib/src/rank_planner.rs
@@ -0,0 +1,306 @@
+//! Plans the expert map of a group: reads loads, loads weights and proposes the map.
+//!
+//! Every agent may run it. The agents of the lowest ranks leave it to each other, which spares
+//! work; two that plan at once do no harm.
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use futures::future::try_join_all;
+use snafu::OptionExt;
+use snafu::ResultExt;
+use snafu::Snafu;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tonic::Status;
+
+use crate::Clock;
+use crate::ExpertLayout;
+use crate::ExpertLoad;
+use crate::ExpertPlanner;
+use crate::LoadTracker;
+use crate::MapOutcome;
+use crate::MapRequest;
+use crate::PlanLimits;
+use crate::RebalancePlan;
+use crate::WeightPacer;
+use crate::config_duty::SharedConfig;
+use crate::event;
+use crate::protos::control::ExpertReplica;
+use crate::protos::control::LoadWeightsRequest;
+use crate::protos::control::MapStateRequest;
+use crate::protos::control::RankLoadReply;
+use crate::protos::control::RankLoadRequest;
+use crate::protos::settings::RankGroupSettings;
+use crate::protos::template::RebalanceParameters;
+use crate::rank_command::RankCommand;
+use crate::rank_links::RankPeers;
+
+const SMOOTHING_S: f64 = 60.0;
+/// Share of the weight store's rate that may be saved up.
+const BURST_S: u64 = 60;
+const PACE_INTERVAL: Duration = Duration::from_millis(20);
+const LOAD_TIMEOUT: Duration = Duration::from_secs(3);
+const WEIGHTS_TIMEOUT: Duration = Duration::from_mins(2);
+const PROPOSAL_TIMEOUT: Duration = Duration::from_mins(1);
+
+/// Why a round of the planner came to nothing.
+#[derive(Debug, Snafu)]
+pub(crate) enum PlanError {
+    /// A rank did not answer.
+    #[snafu(display("{step} of rank {rank}: {}", status.message()))]
+    Rank {
+        /// Step that failed.
+        step: &'static str,
+        /// The rank.
+        rank: usize,
+        /// What its agent or the connection said.
+        #[snafu(source(from(Status, Box::new)))]
+        status: Box<Status>,
+    },
+    /// The ranks report different maps, as they do while they change.
+    #[snafu(display("rank {rank} uses another map than rank 0"))]
+    MapsDiffer {
+        /// The rank.
+        rank: usize,
+    },
+    /// The map in use does not fit the ranks and their slots.
+    #[snafu(display("map {map_id:#x} does not fit {rank_count} ranks of {slots_per_rank} slots"))]
+    MapMisfits {
+        /// Id of the map.
+        map_id: u64,
+        /// Number of ranks.
+        rank_count: usize,
+        /// Experts of a layer that a rank has room for.
+        slots_per_rank: usize,
+    },
+    /// The search for a plan was cut off.
+    #[snafu(display("the search for a plan ended early"))]
+    SearchEnded,
+    /// The proposal was given up.
+    #[snafu(display("the proposal was given up, or another run was at work"))]
+    GivenUp,
+}
+
+/// What the planner needs of its agent.
+pub(crate) struct RankPlanner {
+    pub(crate) clock: Clock,
+    pub(crate) settings: RankGroupSettings,
+    pub(crate) service: String,
+    pub(crate) config: SharedConfig,
+    pub(crate) peers: RankPeers,
+}
+
+struct GroupLoad {
+    layout: ExpertLayout,
+    load: ExpertLoad,
+}
+
+impl RankPlanner {
+    /// Plans at a steady interval until the agent closes.
+    pub(crate) async fn run(self, mut closing: watch::Receiver<bool>) {
+        let interval = Duration::from_millis(self.settings.plan_interval_ms);
+        if interval.is_zero() {
+            return;
+        }
+        tokio::select! {
+            () = self.plan_for_ever(interval) => {}
+            _ = closing.wait_for(|closing| *closing) => {}
+        }
+    }
+
+    async fn plan_for_ever(&self, interval: Duration) {
+        let share_bytes_per_s = self.settings.weight_share_bytes_per_s;
+        let mut pacer = WeightPacer::builder()
+            .share_bytes_per_s(share_bytes_per_s)
+            .burst_bytes(share_bytes_per_s.saturating_mul(BURST_S))
+            .now_ms(self.clock.now_ms())
+            .build();
+        let mut tracker = LoadTracker::new(SMOOTHING_S);
+        let mut sampled = Instant::now();
+        loop {
+            tokio::time::sleep(interval).await;
+            if !self.is_first_live().await {
+                continue;
+            }
+            let since_sample = sampled.elapsed();
+            sampled = Instant::now();
+            if let Err(error) = self.round(&mut tracker, &mut pacer, since_sample).await {
+                event!(PlanFailed, "group={}: {error}", self.settings.group);
+            }
+        }
+    }
+
+    /// Tells whether no agent of a lower rank answers.
+    async fn is_first_live(&self) -> bool {
+        for rank in 0..self.peers.own_rank {
+            let request = MapRequest::State(MapStateRequest::default());
+            if self.peers.ask(rank, request).await.is_ok() {
+                return false;
+            }
+        }
+        true
+    }
+
+    async fn round(
+        &self,
+        tracker: &mut LoadTracker,
+        pacer: &mut WeightPacer,
+        since_sample: Duration,
+    ) -> Result<(), PlanError> {
+        let group = self.group_load().await?;
+        tracker.observe(&group.load, since_sample.as_secs_f64());
+        let interval_s = Duration::from_millis(self.settings.plan_interval_ms).as_secs_f64();
+        let load = tracker.forecast(interval_s).unwrap_or(group.load);
+        let limits = PlanLimits {
+            drift_horizon_s: tracker.drift_horizon_s(),
+            available_bytes: pacer.available_bytes(self.clock.now_ms()),
+        };
+        let layout = group.layout;
+        let Some(plan) = self.search(layout.clone(), load, limits).await? else {
+            return Ok(());
+        };
+        self.load_weights(&layout, &plan, pacer).await?;
+        let outcome = self.propose(&plan).await?;
+        event!(
+            PlanEnded,
+            "group={} moves={} skew_before={:.3} skew_after={:.3} {outcome:?}",
+            self.settings.group,
+            plan.moves,
+            plan.skew_before,
+            plan.skew_after
+        );
+        Ok(())
+    }
+
+    /// Reads the loads of all ranks, which must use one map.
+    async fn group_load(&self) -> Result<GroupLoad, PlanError> {
+        let ranks = 0..self.peers.rank_count();
+        let replies = try_join_all(ranks.map(|rank| self.rank_load(rank))).await?;
+        let is_same = |reply: &RankLoadReply| {
+            reply.active == replies[0].active
+                && reply.group_incarnation == replies[0].group_incarnation
+        };
+        if let Some(rank) = replies.iter().position(|reply| !is_same(reply)) {
+            return MapsDifferSnafu { rank }.fail();
+        }
+        let load = total_load(&replies);
+        let active = replies[0].active.clone().unwrap_or_default();
+        let slots_per_rank = replies[0].slots_per_rank as usize;
+        let rank_count = replies.len();
+        let layout = ExpertLayout::builder()
+            .layer_count(load.layers().len())
+            .rank_count(rank_count)
+            .slots_per_rank(slots_per_rank)
+            .replicas(&active.replicas)
+            .build()
+            .context(MapMisfitsSnafu {
+                map_id: active.map_id,
+                rank_count,
+                slots_per_rank,
+            })?;
+        Ok(GroupLoad { layout, load })
+    }
+
+    async fn rank_load(&self, rank: usize) -> Result<RankLoadReply, PlanError> {
+        let step = "read the load";
+        let mut client = self.peers.client(rank).context(RankSnafu { step, rank })?;
+        let mut request = self.peers.address(rank).request(RankLoadRequest {});
+        request.set_timeout(LOAD_TIMEOUT);
+        let reply = client.rank_load(request).await;
+        Ok(reply.context(RankSnafu { step, rank })?.into_inner())
+    }
+
+    /// Searches for a plan on a thread of its own, for it may take a second.
+    async fn search(
+        &self,
+        layout: ExpertLayout,
+        load: ExpertLoad,
+        limits: PlanLimits,
+    ) -> Result<Option<RebalancePlan>, PlanError> {
+        let planner = ExpertPlanner::builder()
+            .parameters(self.parameters())
+            .expert_bytes(self.settings.expert_bytes)
+            .share_bytes_per_s(self.settings.weight_share_bytes_per_s)
+            .build();
+        tokio::task::spawn_blocking(move || planner.plan(&layout, &load, limits))
+            .await
+            .ok()
+            .context(SearchEndedSnafu)
+    }
+
+    fn parameters(&self) -> RebalanceParameters {
+        let view = self.config.load();
+        let service = view.service(&self.service);
+        service
+            .and_then(|service| service.template().rebalance)
+            .unwrap_or_default()
+    }
+
+    /// Loads what the plan needs beyond the present layout, inside the group's share of the rate.
+    async fn load_weights(
+        &self,
+        layout: &ExpertLayout,
+        plan: &RebalancePlan,
+        pacer: &mut WeightPacer,
+    ) -> Result<(), PlanError> {
+        let present: HashSet<_> = layout.replicas().iter().map(place).collect();
+        for replica in plan.layout.replicas() {
+            if present.contains(&place(&replica)) {
+                continue;
+            }
+            while !pacer.take(self.settings.expert_bytes, self.clock.now_ms()) {
+                tokio::time::sleep(PACE_INTERVAL).await;
+            }
+            self.load_on_rank(replica).await?;
+        }
+        Ok(())
+    }
+
+    async fn load_on_rank(&self, replica: ExpertReplica) -> Result<(), PlanError> {
+        let step = "load weights";
+        let rank = replica.rank as usize;
+        let mut client = self.peers.client(rank).context(RankSnafu { step, rank })?;
+        let replicas = vec![replica];
+        let message = LoadWeightsRequest { replicas };
+        let mut request = self.peers.address(rank).request(message);
+        request.set_timeout(WEIGHTS_TIMEOUT);
+        let reply = client.load_weights(request).await;
+        reply.context(RankSnafu { step, rank })?;
+        Ok(())
+    }
+
+    async fn propose(&self, plan: &RebalancePlan) -> Result<MapOutcome, PlanError> {
+        let (ended, outcome) = oneshot::channel();
+        let replicas = plan.layout.replicas();
+        let proposal = RankCommand::Propose { replicas, ended };
+        self.peers
+            .duty
+            .submit(proposal)
+            .ok()
+            .context(GivenUpSnafu)?;
+        let outcome = tokio::time::timeout(PROPOSAL_TIMEOUT, outcome).await;
+        outcome.ok().and_then(Result::ok).context(GivenUpSnafu)
+    }
+}
+
+/// Adds up the loads of all ranks, expert by expert.
+fn total_load(replies: &[RankLoadReply]) -> ExpertLoad {
+    let mut layers: Vec<Vec<f64>> = Vec::new();
+    for reply in replies {
+        for (layer, load) in reply.layers.iter().enumerate() {
+            if layers.len() <= layer {
+                layers.push(vec![0.0; load.tokens_per_s.len()]);
+            }
+            for (total, tokens_per_s) in layers[layer].iter_mut().zip(&load.tokens_per_s) {
+                *total += tokens_per_s;
+            }
+        }
+    }
+    ExpertLoad::new(layers)
+}
+
+fn place(replica: &ExpertReplica) -> (u32, u32, u32) {
+    (replica.layer, replica.expert, replica.rank)
+}
--- /dev/null
+++ b/lib/src/rank_weights.rs
@@ -0,0 +1,85 @@
+//! Load and weights of one rank, between its engine and the platform's weight store.
+
+use snafu::ResultExt;
+use snafu::Snafu;
+
+use crate::platform_client::PlatformClient;
+use crate::platform_client::PlatformError;
+use crate::protos::control::ExpertMap;
+use crate::protos::control::ExpertReplica;
+use crate::protos::control::LayerLoad;
+use crate::protos::control::RankLoadReply;
+use crate::rank_engine_client::RankEngineClient;
+use crate::rank_engine_client::RankEngineError;
+
+/// Why weights or loads did not pass.
+#[derive(Debug, Snafu)]
+pub(crate) enum RankWeightsError {
+    /// The engine gave no answer.
+    #[snafu(display("{step}: {source}"))]
+    Engine {
+        /// Step that failed.
+        step: &'static str,
+        /// What failed.
+        source: RankEngineError,
+    },
+    /// The weight store gave no answer.
+    #[snafu(display("weights of expert {expert} of layer {layer}: {source}"))]
+    Store {
+        /// Layer of the expert.
+        layer: u32,
+        /// The expert.
+        expert: u32,
+        /// What failed.
+        source: PlatformError,
+    },
+}
+
+/// Reads the load of a rank and brings weights to its engine.
+#[derive(Debug, Clone)]
+pub(crate) struct RankWeights {
+    pub(crate) engine: RankEngineClient,
+    pub(crate) platform: PlatformClient,
+}
+
+impl RankWeights {
+    /// Reads the map in use and the load of its experts on the rank.
+    pub(crate) async fn load(&self) -> Result<RankLoadReply, RankWeightsError> {
+        let step = "read the map in use";
+        let active = self.engine.active_map().await;
+        let active = active.context(EngineSnafu { step })?;
+        let step = "read the load";
+        let load = self.engine.loads().await;
+        let load = load.context(EngineSnafu { step })?;
+        let layers = load.layers.into_iter();
+        Ok(RankLoadReply {
+            group_incarnation: active.group_incarnation,
+            active: Some(ExpertMap {
+                map_id: active.map_id,
+                replicas: active.replicas.iter().map(ExpertReplica::from).collect(),
+            }),
+            layers: layers
+                .map(|tokens_per_s| LayerLoad { tokens_per_s })
+                .collect(),
+            slots_per_rank: active.slots_per_rank,
+        })
+    }
+
+    /// Loads the weights of replicas one after another; returns the bytes read.
+    pub(crate) async fn load_weights(
+        &self,
+        replicas: &[ExpertReplica],
+    ) -> Result<u64, RankWeightsError> {
+        let mut loaded_bytes = 0;
+        for replica in replicas {
+            let (layer, expert) = (replica.layer, replica.expert);
+            let weights = self.platform.weights(layer, expert).await;
+            let weights = weights.context(StoreSnafu { layer, expert })?;
+            loaded_bytes += weights.len() as u64;
+            let step = "hand over weights";
+            let put = self.engine.put_weights(layer, expert, weights).await;
+            put.context(EngineSnafu { step })?;
+        }
+        Ok(loaded_bytes)
+    }
+}
--- a/lib/src/settings_check.rs
+++ b/lib/src/settings_check.rs
@@ -30,6 +30,7 @@
         checker.check_values("", &merged);
         checker.check_role(&merged);
         checker.check_suspicion(&merged);
+        checker.check_rank_group(&merged);
     }
     checker.finish()?;
     serde_norway::from_value(Value::Mapping(merged)).map_err(|error| {
@@ -120,12 +121,23 @@
             let path = join_path(prefix, &key_name(key));
             match value {
                 Value::Mapping(inner) => self.check_values(&path, inner),
+                Value::Sequence(items) => self.check_items(&path, items),
                 Value::String(text) => self.check_text(&path, text),
                 _ => self.check_number(&path, value),
             }
         }
     }
 
+    /// Checks the items of a list, which are texts that keep one rule.
+    fn check_items(&mut self, path: &str, items: &[Value]) {
+        for item in items {
+            match item {
+                Value::String(text) => self.check_text(path, text),
+                _ => self.add(path, "must be a list of texts".to_owned()),
+            }
+        }
+    }
+
     fn check_text(&mut self, path: &str, text: &str) {
         if let Some(reason) = text_rule(path).problem(text) {
             self.add(path, reason);
@@ -157,6 +169,31 @@
         }
     }
 
+    /// Checks what the settings of a rank group say of each other.
+    fn check_rank_group(&mut self, merged: &Mapping) {
+        let group = merged
+            .get("endpoint")
+            .and_then(|endpoint| endpoint.get("rank_group"));
+        let text = |key| group.and_then(|group| group.get(key)?.as_str());
+        if text("group").is_none_or(str::is_empty) {
+            return;
+        }
+        if text("engine_address").is_none_or(str::is_empty) {
+            let reason = "must be set for a rank of a group".to_owned();
+            self.add("endpoint.rank_group.engine_address", reason);
+        }
+        let addresses = group.and_then(|group| group.get("agent_addresses")?.as_sequence());
+        let rank_count = addresses.map_or(0, Vec::len) as u64;
+        let rank = group.and_then(|group| group.get("rank")?.as_u64());
+        if rank.is_none_or(|rank| rank >= rank_count) {
+            let reason = format!(
+                "must be less than the number of endpoint.rank_group.agent_addresses, which is \
+                 {rank_count}"
+            );
+            self.add("endpoint.rank_group.rank", reason);
+        }
+    }
+
     fn check_suspicion(&mut self, merged: &Mapping) {
         let control = merged.get("control");
         let number = |key| control.and_then(|control| control.get(key)?.as_u64());
@@ -222,7 +259,9 @@
 fn same_type(default: &Value, given: &Value) -> bool {
     matches!(
         (default, given),
-        (Value::String(_), Value::String(_)) | (Value::Number(_), Value::Number(_))
+        (Value::String(_), Value::String(_))
+            | (Value::Number(_), Value::Number(_))
+            | (Value::Sequence(_), Value::Sequence(_))
     )
 }
 
@@ -230,6 +269,7 @@
     match default {
         Value::Mapping(_) => "a mapping",
         Value::String(_) => "a text",
+        Value::Sequence(_) => "a list",
         _ => "a whole number",
     }
 }
--- a/lib/src/settings_ranges.rs
+++ b/lib/src/settings_ranges.rs
@@ -6,6 +6,9 @@
 const HOUR_MS: u64 = 60 * 60 * 1000;
 const MINUTE_MS: u64 = 60 * 1000;
 const MAX_BODY_BYTES: u64 = 64 << 20;
+const MAX_RANKS: u64 = 4096;
+const MAX_BYTES_PER_S: u64 = 1_000_000_000_000;
+const MAX_EXPERT_BYTES: u64 = 1 << 40;
 const MIN_PEER_KEY_BYTES: usize = 16;
 
 /// Smallest and largest value of a number.
@@ -15,7 +18,7 @@
     pub(crate) max: u64,
 }
 
-const NUMBER_RANGES: [NumberRange; 22] = [
+const NUMBER_RANGES: [NumberRange; 27] = [
     range("control.heartbeat_interval_ms", 50, MINUTE_MS),
     range("control.heartbeat_bytes_per_s", 100, 1_000_000_000),
     range("control.suspect_after_ms", 100, HOUR_MS),
@@ -38,6 +41,15 @@
     range("endpoint.answer_window_ms", 1000, DAY_MS),
     range("endpoint.max_call_records", 1, 10_000_000),
     range("endpoint.max_answer_bytes", 1024, MAX_BODY_BYTES),
+    range("endpoint.rank_group.rank", 0, MAX_RANKS - 1),
+    range("endpoint.rank_group.lead_steps", 2, 100_000),
+    range("endpoint.rank_group.plan_interval_ms", 0, HOUR_MS),
+    range(
+        "endpoint.rank_group.weight_share_bytes_per_s",
+        1,
+        MAX_BYTES_PER_S,
+    ),
+    range("endpoint.rank_group.expert_bytes", 1, MAX_EXPERT_BYTES),
 ];
 
 /// What a text must be.
@@ -49,6 +61,8 @@
     Address,
     /// An IP number and a port, or empty.
     OptionalAddress,
+    /// A path that begins with a slash and ends without one, or empty.
+    Path,
     /// A secret that is long enough.
     Secret,
     /// Checked elsewhere.
@@ -71,8 +85,12 @@
         "peer_address"
         | "platform_address"
         | "entry.caller_address"
-        | "endpoint.endpoint_address" => TextRule::Address,
-        "entry.metrics_address" | "endpoint.metrics_address" => TextRule::OptionalAddress,
+        | "endpoint.endpoint_address"
+        | "endpoint.rank_group.agent_addresses" => TextRule::Address,
+        "entry.metrics_address"
+        | "endpoint.metrics_address"
+        | "endpoint.rank_group.engine_address" => TextRule::OptionalAddress,
+        "endpoint.rank_group.engine_path" => TextRule::Path,
         "peer_key" => TextRule::Secret,
         _ => TextRule::Any,
     }
@@ -87,11 +105,18 @@
             Self::Address | Self::OptionalAddress => address_problem(text),
             Self::Secret => (text.len() < MIN_PEER_KEY_BYTES)
                 .then(|| format!("must have at least {MIN_PEER_KEY_BYTES} bytes")),
+            Self::Path => path_problem(text),
             Self::Any => None,
         }
     }
 }
 
+fn path_problem(text: &str) -> Option<String> {
+    let is_path = text.starts_with('/') && !text.ends_with('/');
+    let is_fine = text.is_empty() || is_path;
+    (!is_fine).then(|| format!("{text:?} does not begin with a slash and end without one"))
+}
+
 fn address_problem(text: &str) -> Option<String> {
     if text.is_empty() {
         return Some("must be set".to_owned());
--- a/lib/tests/test_settings_check.rs
+++ b/lib/tests/test_settings_check.rs
@@ -5,6 +5,8 @@
 use pomeloramp_lib::SettingsProblem;
 use pomeloramp_lib::load_settings;
 use pomeloramp_lib::settings_role;
+use serde_norway::Mapping;
+use serde_norway::Value;
 
 const ENTRY: &str = "\
 role: entry
@@ -178,27 +180,47 @@
     );
 }
 
+/// Returns the paths to all numbers of a mapping, each as its keys.
+fn number_paths(mapping: &Mapping) -> Vec<Vec<Value>> {
+    let mut paths = Vec::new();
+    for (key, value) in mapping {
+        if value.is_number() {
+            paths.push(vec![key.clone()]);
+        }
+        for mut path in value.as_mapping().map(number_paths).unwrap_or_default() {
+            path.insert(0, key.clone());
+            paths.push(path);
+        }
+    }
+    paths
+}
+
+/// Sets what a path leads to, with the mappings on the way.
+fn set(mapping: &mut Mapping, path: &[Value], value: Value) {
+    let [key, rest @ ..] = path else {
+        return;
+    };
+    if rest.is_empty() {
+        mapping.insert(key.clone(), value);
+        return;
+    }
+    let inner = mapping
+        .entry(key.clone())
+        .or_insert(Value::Mapping(Mapping::new()));
+    set(inner.as_mapping_mut().unwrap(), rest, value);
+}
+
 /// Numbers without a range would be the ones that nobody thought of.
 #[googletest::test]
 fn every_number_of_the_shipped_defaults_has_a_range() {
     for (role, base) in [(DaemonRole::Entry, ENTRY), (DaemonRole::Endpoint, ENDPOINT)] {
-        let mut section = "";
-        for line in role.default_settings().lines() {
-            if let Some(name) = line.strip_suffix(':') {
-                section = name;
-            }
-            let Some((key, number)) = line.trim().split_once(": ") else {
-                continue;
-            };
-            if line.starts_with('#') || number.parse::<u64>().is_err() {
-                continue;
-            }
-            let huge = format!("{section}:\n  {key}: {}\n", u64::MAX);
-            let text = if base.contains(&format!("\n{section}:")) {
-                base.replace(&format!("\n{section}:\n"), &format!("\n{huge}"))
-            } else {
-                format!("{base}{huge}")
-            };
+        let defaults: Mapping = serde_norway::from_str(role.default_settings()).unwrap();
+        let paths = number_paths(&defaults);
+        expect_that!(paths.len(), gt(10));
+        for path in paths {
+            let mut settings: Mapping = serde_norway::from_str(base).unwrap();
+            set(&mut settings, &path, Value::from(u64::MAX));
+            let text = serde_norway::to_string(&settings).unwrap();
             let found = problems(role, &text);
             expect_that!(
                 found,
@@ -206,8 +228,42 @@
                     SettingsProblem.reason,
                     contains_substring("is not between")
                 )),
-                "{section}.{key}"
+                "{path:?}"
             );
         }
     }
 }
+
+fn rank_group_problems(lines: &str) -> Vec<String> {
+    let text = format!("{ENDPOINT}  rank_group:\n    group: drafts\n{lines}");
+    problems(DaemonRole::Endpoint, &text)
+        .iter()
+        .map(ToString::to_string)
+        .collect()
+}
+
+#[googletest::test]
+fn a_rank_group_needs_an_engine_and_an_agent_for_every_rank() {
+    let whole = "    rank: 1\n    engine_address: 127.0.0.1:9001\n    agent_addresses:\n      \
+                 - 127.0.0.1:1\n      - 127.0.0.1:2\n";
+    expect_that!(rank_group_problems(whole), is_empty());
+    expect_that!(
+        rank_group_problems("    rank: 1\n    agent_addresses: [\"127.0.0.1:1\"]\n"),
+        elements_are![
+            contains_substring("endpoint.rank_group.rank: must be less than"),
+            contains_substring("engine_address: must be set for a rank of a group"),
+        ]
+    );
+    expect_that!(
+        rank_group_problems(&whole.replace("127.0.0.1:2", "agent-2")),
+        elements_are![contains_substring("is not an IP number and a port")]
+    );
+    expect_that!(
+        rank_group_problems(&whole.replace("- 127.0.0.1:2", "- 2")),
+        elements_are![contains_substring("must be a list of texts")]
+    );
+    expect_that!(
+        rank_group_problems(&format!("{whole}    engine_path: ranks/1/\n")),
+        elements_are![contains_substring("does not begin with a slash")]
+    );
+}
--- a/standins/src/rank_group.rs
+++ b/standins/src/rank_group.rs
@@ -177,13 +177,11 @@
             let reason = "the order was lost on its way";
             return Err(Refusal::new(StatusCode::GATEWAY_TIMEOUT, reason));
         }
-        match state.apply(rank, order, &self.options) {
-            Some(report) => Ok(ok_json(&report)),
-            None => {
-                let reason = "the order's fencing number is old";
-                Err(Refusal::new(StatusCode::CONFLICT, reason))
-            }
-        }
+        let report = state.apply(rank, order, &self.options).ok_or_else(|| {
+            let reason = "the order's fencing number is old";
+            Refusal::new(StatusCode::CONFLICT, reason)
+        })?;
+        Ok(ok_json(&report))
     }
 
     fn map(&self, uri: &Uri) -> Result<Response, Refusal> {
