tests: rank groups over processes

Four agents, the stand-in of their engines and coordinators whose messages the test sends or withholds. Agents are killed, frozen and replaced between prepare and commit, orders arrive late at engines that check fencing numbers and at such that do not, coordinators compete. Every step in the stand-in's log must show one map on all ranks.

--- /dev/null
+++ b/lib/tests/test_rank_groups.rs
@@ -0,0 +1,334 @@
+//! Agreement on expert maps over processes: agents of a rank group that die, freeze and are replaced.
+
+use std::thread;
+
+use googletest::prelude::*;
+use pomeloramp_lib::MapOutcome;
+use pomeloramp_lib::MapRequest;
+use pomeloramp_lib::MapSend;
+use pomeloramp_testutils::fleet::Fleet;
+use pomeloramp_testutils::rank_coordinator::RankCoordinator;
+use pomeloramp_testutils::rank_fleet::RankFleet;
+use pomeloramp_testutils::rank_fleet::RankPlan;
+use serde_json::Value;
+use serde_json::json;
+
+const RANKS: usize = 4;
+/// Steps ahead of a switch that is to come after every message.
+const FAR_STEPS: u64 = 150;
+const MAX_ATTEMPTS: usize = 20;
+/// Steps ahead of a switch that comes soon after the last of 12 messages that take a step each.
+const CLOSE_STEPS: u64 = 20;
+const CHANGES: usize = 6;
+
+fn start() -> RankFleet {
+    RankFleet::start(RankPlan::builder().build())
+}
+
+fn committed(map_id: u64) -> MapOutcome {
+    MapOutcome::Committed { map_id }
+}
+
+fn aborted(map_id: u64) -> MapOutcome {
+    MapOutcome::Aborted { map_id }
+}
+
+fn as_u32(count: usize) -> u32 {
+    u32::try_from(count).unwrap_or(u32::MAX)
+}
+
+fn map_id(coordinator: &RankCoordinator) -> u64 {
+    coordinator.map_id().expect("a map was proposed")
+}
+
+fn is_decision(send: &MapSend) -> bool {
+    matches!(send.request, MapRequest::Decide(_))
+}
+
+fn is_commit(send: &MapSend) -> bool {
+    matches!(&send.request, MapRequest::Decide(decision) if decision.commit)
+}
+
+fn is_prepare_beyond(send: &MapSend, ranks: usize) -> bool {
+    send.rank >= ranks && matches!(send.request, MapRequest::Prepare(_))
+}
+
+/// Returns a coordinator that was stopped when just the lowest `ranks` ranks had staged its map;
+/// where all have, it has found them to promise and withholds the commits.
+fn stopped_at(fleet: &RankFleet, shift: u32, lead_steps: u64, ranks: usize) -> RankCoordinator {
+    for _ in 0..MAX_ATTEMPTS {
+        let mut coordinator = fleet.propose(shift, lead_steps);
+        let is_sent = |send: &MapSend| !is_decision(send) && !is_prepare_beyond(send, ranks);
+        coordinator.send_picked(is_sent, || {});
+        let has_staged = |rank: usize| {
+            let staged = fleet.engine(rank)["staged"]["map_id"].as_u64();
+            staged.is_some() && staged == coordinator.map_id()
+        };
+        let has_promises = ranks < RANKS || coordinator.withheld().iter().any(is_commit);
+        if has_promises && (0..ranks).all(has_staged) {
+            return coordinator;
+        }
+        // An agent was reading its engine or was late; the attempt says nothing.
+        let _ = coordinator.finish();
+        fleet.wait_until_unstaged();
+    }
+    panic!("no map was staged in {MAX_ATTEMPTS} attempts");
+}
+
+/// Proposes maps until one is committed, and waits until it is used; returns the committed one.
+fn change_map(fleet: &RankFleet, shift: u32) -> u64 {
+    for _ in 0..MAX_ATTEMPTS {
+        let mut coordinator = fleet.propose(shift, FAR_STEPS);
+        let outcome = coordinator.finish();
+        let map_id = map_id(&coordinator);
+        if outcome == committed(map_id) {
+            fleet.wait_until_used(map_id);
+            return map_id;
+        }
+        assert_that!(outcome, eq(aborted(map_id)));
+    }
+    panic!("no map was committed in {MAX_ATTEMPTS} attempts");
+}
+
+#[googletest::test]
+fn every_change_of_the_map_happens_at_one_step() {
+    let fleet = start();
+    let maps: Vec<u64> = (1..=CHANGES)
+        .map(|shift| change_map(&fleet, as_u32(shift)))
+        .collect();
+    let used = fleet.used_maps();
+    expect_that!(used.len(), eq(maps.len() + 1));
+    expect_that!(maps, each(predicate(|map_id: &u64| used.contains(map_id))));
+    println!("steps held: {}", fleet.held_steps());
+}
+
+#[googletest::test]
+fn a_change_without_faults_holds_no_step() {
+    let fleet = RankFleet::start(RankPlan::builder().step_interval_ms(0).build());
+    let mut changes = 0;
+    for shift in 1.. {
+        let mut coordinator = fleet.propose(shift, CLOSE_STEPS);
+        // A step passes after each message and its reply: 4 reads, 4 prepares and 4 decisions.
+        coordinator.send_picked(|_| true, || fleet.step());
+        let outcome = coordinator.finish();
+        let map_id = map_id(&coordinator);
+        if outcome != committed(map_id) {
+            continue;
+        }
+        Fleet::wait_for("the switch step comes", || {
+            fleet.step();
+            fleet.engine(0)["active_map_id"] == map_id
+        });
+        fleet.wait_until_used(map_id);
+        changes += 1;
+        if changes == CHANGES {
+            break;
+        }
+    }
+    expect_that!(fleet.held_steps(), eq(0));
+    expect_that!(fleet.used_maps().len(), eq(CHANGES + 1));
+}
+
+#[googletest::test]
+fn an_agent_killed_after_all_promised_keeps_its_promise() {
+    let mut fleet = start();
+    let mut coordinator = stopped_at(&fleet, 1, FAR_STEPS, RANKS);
+    let map_id = map_id(&coordinator);
+    fleet.kill_agent(2);
+    fleet.restart_agent(2);
+    fleet.wait_until_used(map_id);
+    coordinator.set_agents(fleet.rank_agents());
+    expect_that!(coordinator.finish(), eq(committed(map_id)));
+    fleet.wait_for_steps(20);
+    expect_that!(fleet.used_maps(), contains(eq(&map_id)));
+}
+
+#[googletest::test]
+fn an_agent_killed_before_all_promised_leaves_the_map_unused() {
+    let mut fleet = start();
+    let mut coordinator = stopped_at(&fleet, 1, FAR_STEPS, RANKS - 1);
+    let map_id = map_id(&coordinator);
+    fleet.kill_agent(3);
+    fleet.restart_agent(3);
+    fleet.wait_until_unstaged();
+    // The coordinator wakes with the late prepare for the rank that was left out.
+    coordinator.set_agents(fleet.rank_agents());
+    expect_that!(coordinator.finish(), eq(aborted(map_id)));
+    change_map(&fleet, 2);
+    fleet.wait_for_steps(20);
+    expect_that!(fleet.used_maps(), not(contains(eq(&map_id))));
+}
+
+#[googletest::test]
+fn a_coordinator_that_wakes_late_does_not_undo_what_another_decided() {
+    let fleet = start();
+    let mut late = stopped_at(&fleet, 1, FAR_STEPS, RANKS - 1);
+    let late_map = map_id(&late);
+    fleet.wait_until_unstaged();
+    let other_map = change_map(&fleet, 2);
+    let outcome = late.finish();
+    let is_unused = [
+        aborted(late_map),
+        MapOutcome::Superseded { map_id: late_map },
+    ];
+    expect_that!(is_unused, contains(eq(outcome)));
+    fleet.wait_for_steps(20);
+    expect_that!(fleet.used_maps().len(), eq(2));
+    expect_that!(
+        fleet.engine(0)["active_map_id"].as_u64(),
+        some(eq(other_map))
+    );
+}
+
+#[googletest::test]
+fn late_decisions_of_a_coordinator_agree_with_those_of_another() {
+    let fleet = start();
+    let mut late = stopped_at(&fleet, 1, FAR_STEPS, RANKS);
+    let late_map = map_id(&late);
+    // The ranks settle the map themselves, and a later map replaces it.
+    fleet.wait_until_used(late_map);
+    let other_map = change_map(&fleet, 2);
+    late.send_picked(is_decision, || {});
+    fleet.wait_for_steps(20);
+    expect_that!(fleet.used_maps(), contains(eq(&late_map)));
+    expect_that!(
+        fleet.engine(0)["active_map_id"].as_u64(),
+        some(eq(other_map))
+    );
+}
+
+/// Tells whether the ranks that answer all wait and name just the frozen one as silent.
+fn is_blamed(fleet: &RankFleet, frozen: usize) -> bool {
+    let cause = format!("not heard: rank {frozen}");
+    let ranks = fleet.status();
+    let is_waiting = |rank: &&Value| {
+        let waits_for = rank["waits_for"].as_str();
+        waits_for.is_some_and(|waits_for| waits_for.ends_with(&cause))
+    };
+    ranks.iter().filter(is_waiting).count() == RANKS - 1
+}
+
+/// Freezes the agent of a rank while a map is undecided at all ranks; returns the map.
+fn freeze_while_undecided(fleet: &RankFleet, frozen: usize) -> u64 {
+    for shift in 1..=MAX_ATTEMPTS {
+        let coordinator = stopped_at(fleet, as_u32(shift), FAR_STEPS, RANKS);
+        fleet.agents[frozen].pause();
+        let is_decided = || {
+            let is_undecided = |rank| fleet.engine(rank)["staged"]["committed"] == false;
+            !(0..RANKS).all(is_undecided)
+        };
+        Fleet::wait_for("the ranks miss the frozen one", || {
+            is_blamed(fleet, frozen) || is_decided()
+        });
+        if !is_decided() {
+            return map_id(&coordinator);
+        }
+        // The ranks had settled the map before one of them was frozen.
+        fleet.agents[frozen].resume();
+        fleet.wait_until_unstaged();
+    }
+    panic!("no agent was frozen in time in {MAX_ATTEMPTS} attempts");
+}
+
+#[googletest::test]
+fn a_group_with_a_frozen_agent_waits_at_the_switch_step() {
+    let fleet = start();
+    let map_id = freeze_while_undecided(&fleet, 0);
+    Fleet::wait_for("the group waits at the switch step", || {
+        let engine = fleet.engine(1);
+        engine["held"] == true && engine["step"] == engine["staged"]["switch_step"]
+    });
+    expect_that!(fleet.engine(1)["staged"]["committed"], eq(&json!(false)));
+    expect_that!(fleet.used_maps(), not(contains(eq(&map_id))));
+    fleet.agents[0].resume();
+    fleet.wait_until_used(map_id);
+    fleet.wait_for_steps(20);
+    expect_that!(fleet.used_maps(), contains(eq(&map_id)));
+}
+
+#[googletest::test]
+fn coordinators_at_once_end_as_the_steps_show() {
+    let fleet = start();
+    let runs: Vec<_> = (1..=3)
+        .map(|shift| fleet.propose(shift, FAR_STEPS))
+        .map(|mut coordinator| {
+            thread::spawn(move || {
+                let outcome = coordinator.finish();
+                (outcome, map_id(&coordinator))
+            })
+        })
+        .collect();
+    let mut committed_maps = Vec::new();
+    let mut aborted_maps = Vec::new();
+    for run in runs {
+        let (outcome, map_id) = run.join().expect("no panic");
+        if outcome == committed(map_id) {
+            committed_maps.push(map_id);
+        } else if outcome == aborted(map_id) {
+            aborted_maps.push(map_id);
+        }
+    }
+    fleet.wait_until_unstaged();
+    let used = fleet.used_maps();
+    expect_that!(
+        committed_maps,
+        each(predicate(|map_id: &u64| used.contains(map_id)))
+    );
+    expect_that!(
+        aborted_maps,
+        each(predicate(|map_id: &u64| !used.contains(map_id)))
+    );
+    fleet.wait_for_steps(20);
+    let _ = fleet.used_maps();
+}
+
+/// An order whose agent died is carried out long after, when the group has moved on.
+fn check_late_order(checks_fencing: bool) {
+    let plan = RankPlan::builder().checks_fencing(checks_fencing).build();
+    let mut fleet = RankFleet::start(plan);
+    change_map(&fleet, 1);
+    fleet.delay_next_order(2, "stage");
+    let mut coordinator = fleet.propose(2, FAR_STEPS);
+    let outcome = coordinator.finish();
+    let lost_map = map_id(&coordinator);
+    expect_that!(outcome, eq(aborted(lost_map)));
+    expect_that!(fleet.late_orders(), eq(1));
+    fleet.kill_agent(2);
+    fleet.restart_agent(2);
+    change_map(&fleet, 3);
+    fleet.deliver_late_orders();
+    fleet.wait_until_unstaged();
+    change_map(&fleet, 4);
+    fleet.wait_for_steps(20);
+    let used = fleet.used_maps();
+    expect_that!(used, not(contains(eq(&lost_map))));
+}
+
+#[googletest::test]
+fn a_late_order_does_no_harm_at_an_engine_that_ignores_fencing_numbers() {
+    check_late_order(false);
+}
+
+#[googletest::test]
+fn a_late_order_does_no_harm_at_an_engine_that_checks_fencing_numbers() {
+    check_late_order(true);
+}
+
+#[googletest::test]
+fn a_map_proposed_before_a_rank_was_replaced_is_never_used() {
+    let mut fleet = start();
+    let first_map = change_map(&fleet, 1);
+    let mut late = stopped_at(&fleet, 2, FAR_STEPS, RANKS);
+    let late_map = map_id(&late);
+    fleet.replace_rank(1);
+    late.set_agents(fleet.rank_agents());
+    late.send_picked(is_decision, || {});
+    fleet.wait_for_steps(2 * FAR_STEPS);
+    expect_that!(fleet.used_maps(), not(contains(eq(&late_map))));
+    expect_that!(
+        fleet.engine(1)["active_map_id"].as_u64(),
+        some(eq(first_map))
+    );
+    change_map(&fleet, 3);
+    expect_that!(fleet.used_maps(), not(contains(eq(&late_map))));
+}
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -11,6 +11,8 @@
 mod map_message;
 pub mod process;
 pub mod process_cost;
+pub mod rank_coordinator;
+pub mod rank_fleet;
 pub mod relay;
 mod routing_workload;
 pub mod status;
--- a/lib/testutils/src/relay.rs
+++ b/lib/testutils/src/relay.rs
@@ -8,6 +8,7 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -28,6 +29,7 @@
 struct Switches {
     is_cut: AtomicBool,
     is_ended: AtomicBool,
+    target: Mutex<String>,
     open: Mutex<Vec<RelayedConnection>>,
 }
 
@@ -46,17 +48,34 @@
     /// Panics when no loopback port can be opened.
     #[must_use]
     pub fn start(target: &str) -> Self {
+        let relay = Self::start_without_target();
+        relay.set_target(target);
+        relay
+    }
+
+    /// Starts a relay that breaks every connection until it has a target.
+    ///
+    /// # Panics
+    ///
+    /// Panics when no loopback port can be opened.
+    #[must_use]
+    pub fn start_without_target() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port");
         let address = listener
             .local_addr()
             .expect("a bound socket has an address");
         let switches = Arc::new(Switches::default());
         let shared = Arc::clone(&switches);
-        let target = target.to_owned();
-        thread::spawn(move || accept_connections(&listener, &target, &shared));
+        thread::spawn(move || accept_connections(&listener, &shared));
         Self { address, switches }
     }
 
+    /// Forwards new connections to `target`.
+    pub fn set_target(&self, target: &str) {
+        let mut known = self.switches.target();
+        target.clone_into(&mut known);
+    }
+
     /// Returns the address to connect to.
     #[must_use]
     pub fn address(&self) -> String {
@@ -103,6 +122,10 @@
 }
 
 impl Switches {
+    fn target(&self) -> MutexGuard<'_, String> {
+        self.target.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn close_all(&self) {
         let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
         for connection in open.drain(..) {
@@ -112,7 +135,7 @@
     }
 }
 
-fn accept_connections(listener: &TcpListener, target: &str, switches: &Arc<Switches>) {
+fn accept_connections(listener: &TcpListener, switches: &Arc<Switches>) {
     for caller in listener.incoming() {
         if switches.is_ended.load(Ordering::Acquire) {
             return;
@@ -121,7 +144,8 @@
         if switches.is_cut.load(Ordering::Acquire) {
             continue;
         }
-        let _ = forward(&caller, target, switches);
+        let target = switches.target().clone();
+        let _ = forward(&caller, &target, switches);
     }
 }
 
