--- a/lib/src/protos/pomeloramp.control.rs
+++ b/lib/src/protos/pomeloramp.control.rs
@@ -453,12 +453,16 @@
     pub held_ms: u64,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct RankLoadRequest {}
+pub struct RankLoadRequest {
+    /// Asks for the replicas of the map in use, which are the same at all ranks.
+    #[prost(bool, tag = "1")]
+    pub with_replicas: bool,
+}
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct RankLoadReply {
     #[prost(uint64, tag = "1")]
     pub group_incarnation: u64,
-    /// The map in use, with its replicas.
+    /// The map in use, with its replicas if they were asked for.
     #[prost(message, optional, tag = "2")]
     pub active: ::core::option::Option<ExpertMap>,
     /// Layer by layer, the load of the experts on this rank.
--- a/lib/src/rank_planner.rs
+++ b/lib/src/rank_planner.rs
@@ -197,10 +197,11 @@
     async fn group_load(&self) -> Result<GroupLoad, PlanError> {
         let ranks = 0..self.peers.rank_count();
         let replies = try_join_all(ranks.map(|rank| self.rank_load(rank))).await?;
-        let is_same = |reply: &RankLoadReply| {
-            reply.active == replies[0].active
-                && reply.group_incarnation == replies[0].group_incarnation
+        let map_of = |reply: &RankLoadReply| {
+            let map_id = reply.active.as_ref().map(|active| active.map_id);
+            (reply.group_incarnation, map_id)
         };
+        let is_same = |reply: &RankLoadReply| map_of(reply) == map_of(&replies[0]);
         if let Some(rank) = replies.iter().position(|reply| !is_same(reply)) {
             return MapsDifferSnafu { rank }.fail();
         }
@@ -225,7 +226,9 @@
     async fn rank_load(&self, rank: usize) -> Result<RankLoadReply, PlanError> {
         let step = "read the load";
         let mut client = self.peers.client(rank).context(RankSnafu { step, rank })?;
-        let mut request = self.peers.address(rank).request(RankLoadRequest {});
+        let with_replicas = rank == 0;
+        let message = RankLoadRequest { with_replicas };
+        let mut request = self.peers.address(rank).request(message);
         request.set_timeout(LOAD_TIMEOUT);
         let reply = client.rank_load(request).await;
         Ok(reply.context(RankSnafu { step, rank })?.into_inner())
--- a/lib/src/rank_server.rs
+++ b/lib/src/rank_server.rs
@@ -84,8 +84,8 @@
         &self,
         request: Request<RankLoadRequest>,
     ) -> Result<Response<RankLoadReply>, Status> {
-        self.address.accept(request)?;
-        let load = self.weights.load().await;
+        let request = self.address.accept(request)?;
+        let load = self.weights.load(request.with_replicas).await;
         load.map(Response::new)
             .map_err(|error| Status::unavailable(error.to_string()))
     }
--- a/lib/src/rank_weights.rs
+++ b/lib/src/rank_weights.rs
@@ -43,8 +43,11 @@
 }
 
 impl RankWeights {
-    /// Reads the map in use and the load of its experts on the rank.
-    pub(crate) async fn load(&self) -> Result<RankLoadReply, RankWeightsError> {
+    /// Reads the map in use, its replicas if asked for, and the load of its experts on the rank.
+    pub(crate) async fn load(
+        &self,
+        with_replicas: bool,
+    ) -> Result<RankLoadReply, RankWeightsError> {
         let step = "read the map in use";
         let active = self.engine.active_map().await;
         let active = active.context(EngineSnafu { step })?;
@@ -52,11 +55,12 @@
         let load = self.engine.loads().await;
         let load = load.context(EngineSnafu { step })?;
         let layers = load.layers.into_iter();
+        let replicas = active.replicas.iter().filter(|_| with_replicas);
         Ok(RankLoadReply {
             group_incarnation: active.group_incarnation,
             active: Some(ExpertMap {
                 map_id: active.map_id,
-                replicas: active.replicas.iter().map(ExpertReplica::from).collect(),
+                replicas: replicas.map(ExpertReplica::from).collect(),
             }),
             layers: layers
                 .map(|tokens_per_s| LayerLoad { tokens_per_s })
--- a/lib/tests/test_expert_planner.rs
+++ b/lib/tests/test_expert_planner.rs
@@ -6,6 +6,7 @@
 use pomeloramp_lib::ExpertPlanner;
 use pomeloramp_lib::PlanLimits;
 use pomeloramp_lib::WeightPacer;
+use pomeloramp_lib::protos::control::ExpertReplica;
 use pomeloramp_lib::protos::template::RebalanceParameters;
 use pomeloramp_lib::skew_lower_bound;
 use proptest::collection::vec;
@@ -73,6 +74,15 @@
         .build()
 }
 
+fn restore(case: &Case, replicas: &[ExpertReplica]) -> Option<ExpertLayout> {
+    ExpertLayout::builder()
+        .layer_count(case.layout.layers().len())
+        .rank_count(case.ranks as usize)
+        .slots_per_rank(case.slots as usize)
+        .replicas(replicas)
+        .build()
+}
+
 /// Counts the replicas that are on another rank than before, without the library's help.
 fn count_moves(from: &ExpertLayout, to: &ExpertLayout) -> usize {
     let before = from.replicas();
@@ -94,6 +104,19 @@
         }
     }
 
+    #[test]
+    fn a_layout_is_restored_from_the_replicas_of_its_map(case in cases()) {
+        let restored = restore(&case, &case.layout.replicas());
+        prop_assert_eq!(restored.as_ref().map(|layout| count_moves(&case.layout, layout)), Some(0));
+        prop_assert_eq!(restored.map(|layout| layout.replicas().len()), Some(case.layout.replicas().len()));
+        let mut doubled = case.layout.replicas();
+        doubled.extend(doubled.first().copied());
+        prop_assert_eq!(restore(&case, &doubled), None);
+        let mut beyond = case.layout.replicas();
+        beyond[0].rank = case.ranks;
+        prop_assert_eq!(restore(&case, &beyond), None);
+    }
+
     #[test]
     fn a_plan_keeps_every_expert_and_every_slot(case in cases()) {
         if let Some(plan) = planner(parameters(1.0, 0.1)).plan(&case.layout, &case.load, AMPLE) {
--- a/lib/tests/test_rank_groups.rs
+++ b/lib/tests/test_rank_groups.rs
@@ -22,6 +22,8 @@
 const FAR_STEPS: u64 = 150;
 /// Steps ahead of a switch that leaves time for a recovery and for what comes after it.
 const LATE_STEPS: u64 = 250;
+/// Steps in which a recovery that has reached some ranks reaches the others.
+const SETTLING_STEPS: u64 = 40;
 const MAX_ATTEMPTS: usize = 20;
 /// Steps ahead of a switch that comes soon after the last of 12 messages that take a step each.
 const CLOSE_STEPS: u64 = 20;
@@ -160,6 +162,7 @@
     fleet.kill_agent(3);
     fleet.restart_agent(3);
     fleet.wait_until_unstaged();
+    fleet.wait_for_steps(SETTLING_STEPS);
     // The coordinator wakes with the late prepare for the rank that was left out.
     coordinator.set_agents(fleet.rank_agents());
     expect_that!(coordinator.finish(), eq(aborted(map_id)));
@@ -174,6 +177,7 @@
     let mut late = stopped_at(&fleet, 1, LATE_STEPS, RANKS - 1);
     let late_map = map_id(&late);
     fleet.wait_until_unstaged();
+    fleet.wait_for_steps(SETTLING_STEPS);
     // The rank that was left out gets its prepare now, well before the switch step.
     let outcome = late.finish();
     fleet.wait_for_steps(LATE_STEPS);
@@ -293,6 +297,17 @@
     let _ = fleet.used_maps();
 }
 
+#[googletest::test]
+fn a_map_whose_weights_are_missing_is_not_committed() {
+    let flags = vec!["--require-weights".to_owned()];
+    let fleet = RankFleet::start(RankPlan::builder().flags(flags).build());
+    let mut coordinator = fleet.propose(1, FAR_STEPS);
+    let outcome = coordinator.finish();
+    expect_that!(outcome, eq(aborted(map_id(&coordinator))));
+    fleet.wait_for_steps(FAR_STEPS);
+    expect_that!(fleet.used_maps().len(), eq(1));
+}
+
 #[googletest::test]
 fn an_agent_answers_nothing_that_is_meant_for_another_rank() {
     let fleet = start();
