connections: callers', endpoints' and the platform's silence found, with tests

Cause: only silence between entries and agents was tested; the other sides rested on TCP keepalive without a test. A commit on a silent connection to its endpoint was answered after 11.3 s, a stream under a deadline of 10 s never.

The relay can now drop every packet of its open connections by a socket filter, so that nothing is acknowledged. Endpoints and the platform, which are near and have no pings, get a bound of 4 s instead of 11 s; callers keep 11 s.

callers_on_both_sides_of_a_partition_run_a_call_once failed under no fault, for its first side never ran the call. Now one entry reaches both homes and the other only one of them; it fails with the call registry passed by (2 and 3 executions) and with any usable home in place of the placement's (2).

What it promised is checked over processes: found within the bound, a slow stream is not cut, the stream of a paused entry is whole.

--- a/lib/src/http_client.rs
+++ b/lib/src/http_client.rs
@@ -26,6 +26,7 @@
 use tokio::net::TcpStream;
 
 use crate::socket_options;
+use crate::socket_options::SilenceBound;
 
 /// Why a request has no response.
 #[derive(Debug, Snafu)]
@@ -99,7 +100,8 @@
         .await
         .map_err(|_| not_written(format!("timeout after {} ms", timeout.as_millis())))?
         .map_err(|error| not_written(error.to_string()))?;
-    socket_options::configure(&stream).map_err(|error| not_written(error.to_string()))?;
+    socket_options::configure(&stream, SilenceBound::SHORT)
+        .map_err(|error| not_written(error.to_string()))?;
     Ok(stream)
 }
 
--- a/lib/src/listener.rs
+++ b/lib/src/listener.rs
@@ -11,6 +11,7 @@
 
 use crate::daemon_error::DaemonError;
 use crate::socket_options;
+use crate::socket_options::SilenceBound;
 
 /// Opens a listening socket at an IP address and port of the settings.
 ///
@@ -37,7 +38,7 @@
 pub(crate) fn peers(listener: TcpListener) -> impl Stream<Item = io::Result<TcpStream>> {
     TcpListenerStream::new(listener).map(|accepted| {
         let stream = accepted?;
-        socket_options::configure(&stream)?;
+        socket_options::configure(&stream, SilenceBound::PATIENT)?;
         Ok(stream)
     })
 }
--- a/lib/tests/test_silent_connections.rs
+++ b/lib/tests/test_silent_connections.rs
@@ -11,64 +11,32 @@
 use pomeloramp_testutils::fleet::Fleet;
 use pomeloramp_testutils::fleet::FleetPlan;
 use pomeloramp_testutils::fleet::ORGANISATIONS;
+use pomeloramp_testutils::http;
 use pomeloramp_testutils::relay::Relay;
 
 const TIMEOUT: Duration = Duration::from_secs(15);
 const REPLACED_WITHIN: Duration = Duration::from_secs(4);
+/// Keys that are tried until the two endpoints are both home of one.
+const MAX_KEYS: u32 = 64;
+const LONGER_THAN_KEEPALIVE: Duration = Duration::from_secs(3);
 const BODY: &str = "{\"wire_mm\":4}";
 
-/// A fleet whose agents are reached through relays.
-struct RelayedFleet {
-    fleet: Fleet,
-    relays: Vec<Relay>,
+fn entry(fleet: &Fleet, index: usize) -> &str {
+    &fleet.entries[index].caller_address
 }
 
-fn start(plan: FleetPlan) -> RelayedFleet {
-    let mut fleet = Fleet::start(plan);
-    let agents: Vec<(String, String)> = fleet
-        .endpoints
-        .iter()
-        .map(|vm| (vm.vm_name.clone(), vm.peer_address.clone()))
-        .collect();
-    let mut relays = Vec::new();
-    for (vm_name, peer_address) in agents {
-        let relay = Relay::start(&peer_address);
-        fleet.list_peer_address(&vm_name, &relay.address());
-        relays.push(relay);
-    }
-    let relayed = RelayedFleet { fleet, relays };
-    relayed.wait_until_relayed();
-    relayed
+fn agent_relays(fleet: &Fleet) -> impl Iterator<Item = &Relay> {
+    let relays = fleet.endpoints.iter().map(|vm| vm.peer_relay.as_ref());
+    relays.map(|relay| relay.expect("the plan asks for relays"))
 }
 
-impl RelayedFleet {
-    fn entry(&self, index: usize) -> &str {
-        &self.fleet.entries[index].caller_address
-    }
-
-    fn silence(&self) {
-        for relay in &self.relays {
-            relay.silence_open_connections();
-        }
-    }
-
-    fn wait_until_relayed(&self) {
-        for entry in &self.fleet.entries {
-            Fleet::wait_for("calls pass the relays", || {
-                let placement = caller()
-                    .placement(&entry.caller_address)
-                    .unwrap_or_default();
-                let key = format!("probe-{}", entry.vm_name);
-                let heard = caller().commit(&entry.caller_address, &key, &placement, 1, BODY);
-                heard.outcome == "ran" && self.relays.iter().all(Relay::has_connections)
-            });
-        }
-    }
+fn silence(fleet: &Fleet) {
+    agent_relays(fleet).for_each(Relay::silence_open_connections);
+}
 
-    fn executions(&self, key: &str) -> u64 {
-        let name = format!("{}/{key}", ORGANISATIONS[0]);
-        self.fleet.executions().get(&name).copied().unwrap_or(0)
-    }
+fn executions(fleet: &Fleet, key: &str) -> u64 {
+    let name = format!("{}/{key}", ORGANISATIONS[0]);
+    fleet.executions().get(&name).copied().unwrap_or(0)
 }
 
 fn caller() -> Caller {
@@ -77,12 +45,16 @@
 
 #[googletest::test]
 fn a_silent_connection_is_replaced_and_new_calls_are_answered() {
-    let plan = FleetPlan::builder().entries(1).engines(1).build();
-    let relayed = start(plan);
-    relayed.silence();
+    let plan = FleetPlan::builder()
+        .entries(1)
+        .engines(1)
+        .relay_peers(true)
+        .build();
+    let fleet = Fleet::start(plan);
+    silence(&fleet);
     let started = Instant::now();
     Fleet::wait_for("a draft is answered whole", || {
-        let draft = caller().draft(relayed.entry(0), "extension spring", 3, true);
+        let draft = caller().draft(entry(&fleet, 0), "extension spring", 3, true);
         whole_draft(&draft.body).is_some()
     });
     expect_that!(started.elapsed(), lt(REPLACED_WITHIN));
@@ -103,13 +75,54 @@
         .entries(1)
         .engines(engines)
         .engine_flags(vec!["--token-interval-ms".to_owned(), "50".to_owned()])
+        .relay_peers(true)
         .build();
-    let relayed = start(plan);
-    let entry = relayed.entry(0).to_owned();
+    let fleet = Fleet::start(plan);
+    let entry = entry(&fleet, 0).to_owned();
     let undisturbed = caller().draft(&entry, "extension spring", 40, true);
     let draft = thread::spawn(move || caller().draft(&entry, "extension spring", 40, true));
     thread::sleep(Duration::from_millis(700));
-    relayed.silence();
+    silence(&fleet);
+    let draft = draft.join().expect("no panic");
+    expect_that!(whole_draft(&draft.body), some(anything()));
+    expect_that!(
+        whole_draft(&draft.body),
+        eq(&whole_draft(&undisturbed.body))
+    );
+}
+
+/// Pings are answered between the tokens, so that the connection is not taken for silent.
+#[googletest::test]
+fn a_stream_whose_tokens_are_far_apart_is_not_cut() {
+    let plan = FleetPlan::builder()
+        .entries(1)
+        .engines(1)
+        .engine_flags(vec!["--token-interval-ms".to_owned(), "2500".to_owned()])
+        .build();
+    let fleet = Fleet::start(plan);
+    let draft = caller().draft(entry(&fleet, 0), "extension spring", 3, true);
+    expect_that!(whole_draft(&draft.body), some(anything()));
+    expect_that!(begins_at_engine(&fleet), eq(1));
+}
+
+/// The silence of the agent is the entry's own here.
+#[googletest::test]
+fn a_stream_of_an_entry_that_was_paused_is_whole() {
+    let plan = FleetPlan::builder()
+        .entries(1)
+        .engines(1)
+        .engine_flags(vec!["--token-interval-ms".to_owned(), "50".to_owned()])
+        .build();
+    let fleet = Fleet::start(plan);
+    let address = entry(&fleet, 0).to_owned();
+    let undisturbed = caller().draft(&address, "extension spring", 40, true);
+    let draft = thread::spawn(move || caller().draft(&address, "extension spring", 40, true));
+    Fleet::wait_for("the second stream has begun", || {
+        begins_at_engine(&fleet) == 2
+    });
+    fleet.entries[0].daemon.pause();
+    thread::sleep(LONGER_THAN_KEEPALIVE);
+    fleet.entries[0].daemon.resume();
     let draft = draft.join().expect("no panic");
     expect_that!(whole_draft(&draft.body), some(anything()));
     expect_that!(
@@ -118,63 +131,117 @@
     );
 }
 
+/// Returns how often the only engine began a stream.
+fn begins_at_engine(fleet: &Fleet) -> u64 {
+    let engine = &fleet.endpoints[0].endpoint_address;
+    let counts = http::try_get(&format!("http://{engine}/admin/executions")).unwrap_or_default();
+    let by_request = counts["by_request"].as_object().cloned();
+    let begins = by_request.unwrap_or_default();
+    begins.values().filter_map(serde_json::Value::as_u64).sum()
+}
+
 #[googletest::test]
 fn a_commit_in_flight_on_a_silent_connection_runs_once() {
     let plan = FleetPlan::builder()
         .entries(2)
         .engines(0)
         .plain_flags(vec!["--work-ms".to_owned(), "600".to_owned()])
+        .relay_peers(true)
         .build();
-    let relayed = start(plan);
-    let placement = caller().placement(relayed.entry(0)).expect("a placement");
-    let entry = relayed.entry(0).to_owned();
+    let fleet = Fleet::start(plan);
+    let placement = caller().placement(entry(&fleet, 0)).expect("a placement");
+    let first_entry = entry(&fleet, 0).to_owned();
     let first_placement = placement.clone();
-    let first = thread::spawn(move || caller().commit(&entry, "key", &first_placement, 1, BODY));
+    let first =
+        thread::spawn(move || caller().commit(&first_entry, "key", &first_placement, 1, BODY));
     Fleet::wait_for("the call reaches its endpoint", || {
-        relayed.executions("key") > 0
+        executions(&fleet, "key") > 0
     });
-    relayed.silence();
+    silence(&fleet);
     let first = first.join().expect("no panic");
     expect_that!(first.outcome, eq("unknown"));
     let mut second = first;
     Fleet::wait_for("a resend hears the answer", || {
-        second = caller().commit(relayed.entry(1), "key", &placement, 2, BODY);
+        second = caller().commit(entry(&fleet, 1), "key", &placement, 2, BODY);
         second.outcome == "ran"
     });
-    expect_that!(relayed.executions("key"), eq(1));
+    expect_that!(executions(&fleet, "key"), eq(1));
 }
 
 #[googletest::test]
 fn callers_on_both_sides_of_a_partition_run_a_call_once() {
     let plan = FleetPlan::builder()
-        .entries(2)
+        .entries(1)
         .engines(0)
         .plain_endpoints(2)
+        .relay_peers(true)
         .build();
-    let mut relayed = start(plan);
-    let placement = caller().placement(relayed.entry(0)).expect("a placement");
-    for relay in &relayed.relays {
-        relay.cut();
-    }
-    let first = caller().commit(relayed.entry(0), "key", &placement, 2, BODY);
-    expect_that!(first.outcome, eq("unknown"));
-    let names: Vec<String> = relayed
-        .fleet
-        .endpoints
-        .iter()
-        .filter(|vm| vm.service == COMMIT_SERVICE)
-        .map(|vm| vm.vm_name.clone())
-        .collect();
-    for name in &names {
-        relayed.fleet.remove_from_list(name);
+    let mut fleet = Fleet::start(plan);
+    let placement = caller().placement(entry(&fleet, 0)).expect("a placement");
+    // The first entry keeps its connection to the first endpoint; the second gets none.
+    let unreachable = agent_relays(&fleet).next().expect("an agent");
+    unreachable.refuse_new_connections();
+    let second = add_entry_that_knows_one_endpoint(&mut fleet);
+
+    let mut lost = Vec::new();
+    let mut answered = Vec::new();
+    for number in 0..MAX_KEYS {
+        let key = format!("key-{number}");
+        let first = caller().commit(entry(&fleet, 0), &key, &placement, 1, BODY);
+        expect_that!(first.outcome, eq("ran"));
+        let resend = caller().commit(entry(&fleet, second), &key, &placement, 2, BODY);
+        expect_that!(executions(&fleet, &key), eq(1), "{key}");
+        match resend.outcome.as_str() {
+            "ran" => answered.push(key),
+            "unknown" => lost.push(key),
+            other => panic!("{key} was told \"{other}\" after it had run"),
+        }
+        if !lost.is_empty() && !answered.is_empty() {
+            break;
+        }
     }
-    for relay in &relayed.relays {
-        relay.mend();
+    expect_that!(
+        lost,
+        not(is_empty()),
+        "no key is bound to the first endpoint"
+    );
+    let begun_beyond = begin_beyond_the_partition(&fleet, second, &placement);
+
+    agent_relays(&fleet).for_each(Relay::mend);
+    for key in lost.iter().chain(&answered) {
+        Fleet::wait_for("a resend hears the answer", || {
+            let resend = caller().commit(entry(&fleet, second), key, &placement, 3, BODY);
+            resend.outcome == "ran"
+        });
+        expect_that!(executions(&fleet, key), eq(1), "{key}");
     }
-    let mut second = first;
-    Fleet::wait_for("a resend hears the answer", || {
-        second = caller().commit(relayed.entry(1), "key", &placement, 3, BODY);
-        second.outcome == "ran"
+    expect_that!(executions(&fleet, &begun_beyond), eq(0));
+}
+
+/// Adds an entry that has an open way to one of the two plain endpoints.
+fn add_entry_that_knows_one_endpoint(fleet: &mut Fleet) -> usize {
+    let index = fleet.add_entry();
+    fleet.publish_vms();
+    let url = format!(
+        "http://{}/v1/endpoints?service={COMMIT_SERVICE}",
+        entry(fleet, index)
+    );
+    Fleet::wait_for("the second entry knows one endpoint", || {
+        let known = http::try_get(&url).unwrap_or_default();
+        known["usable"] == 1 && known["configured"] == true
     });
-    expect_that!(relayed.executions("key"), eq(1));
+    index
+}
+
+/// First sends a key through an entry that can't reach its home, and returns the key.
+fn begin_beyond_the_partition(fleet: &Fleet, entry_index: usize, placement: &str) -> String {
+    for number in 0..MAX_KEYS {
+        let key = format!("begun-beyond-{number}");
+        let heard = caller().commit(entry(fleet, entry_index), &key, placement, 1, BODY);
+        if heard.outcome != "ran" {
+            expect_that!(executions(fleet, &key), eq(0));
+            return key;
+        }
+    }
+    panic!("no key of {MAX_KEYS} is bound to the first endpoint");
 }
--- a/lib/testutils/src/fleet.rs
+++ b/lib/testutils/src/fleet.rs
@@ -17,6 +17,7 @@
 use crate::fleet_text::template;
 use crate::http;
 use crate::process::TestProcess;
+use crate::relay::Relay;
 
 const DAEMON: &str = "pomelorampd";
 const STANDIN: &str = "pomeloramp-standin";
@@ -49,6 +50,10 @@
     pub endpoint: TestProcess,
     /// The agent's process.
     pub agent: TestProcess,
+    /// Relay through which other processes reach the agent, if the plan asks for one.
+    pub peer_relay: Option<Relay>,
+    /// Relay through which the agent reaches the endpoint, if the plan asks for one.
+    pub endpoint_relay: Option<Relay>,
     settings_path: String,
 }
 
@@ -63,6 +68,8 @@
     pub peer_address: String,
     /// The entry's process.
     pub daemon: TestProcess,
+    /// Relay through which other entries reach this one, if the plan asks for one.
+    pub peer_relay: Option<Relay>,
 }
 
 /// An entry whose process was started and which may not serve yet.
@@ -99,6 +106,18 @@
     /// YAML lines put under `entry:` of every entry's settings.
     #[builder(default = lines(&DEFAULT_ENTRY))]
     pub entry_settings: Vec<String>,
+    /// Deadline of a draft.
+    #[builder(default = 10_000)]
+    pub draft_deadline_ms: u64,
+    /// Lists agents and entries under the addresses of relays.
+    #[builder(default)]
+    pub relay_peers: bool,
+    /// Puts a relay between each agent and its endpoint.
+    #[builder(default)]
+    pub relay_endpoints: bool,
+    /// Puts a relay between the daemons and the platform.
+    #[builder(default)]
+    pub relay_platform: bool,
 }
 
 /// A running fleet; its processes end when the value is dropped.
@@ -112,11 +131,12 @@
     pub endpoints: Vec<EndpointVm>,
     /// Entries.
     pub entries: Vec<EntryVm>,
+    /// Relay through which the daemons reach the platform, if the plan asks for one.
+    pub platform_relay: Option<Relay>,
     plan: FleetPlan,
     directory: TempDir,
     leaving: Vec<String>,
     hidden: Vec<String>,
-    peer_addresses: BTreeMap<String, String>,
     next_name: usize,
 }
 
@@ -130,19 +150,22 @@
     pub fn start(plan: FleetPlan) -> Self {
         let platform = TestProcess::start(STANDIN, &["platform", "--listen", ANY_PORT]);
         let platform_address = platform.announced("listening");
+        let platform_relay = plan.relay_platform.then(|| Relay::start(&platform_address));
+        let draft_template = template(DRAFT_SERVICE, "model", true)
+            .replace("10000", &plan.draft_deadline_ms.to_string());
         let mut fleet = Self {
             platform,
             platform_address,
+            platform_relay,
             endpoints: Vec::new(),
             entries: Vec::new(),
             plan,
             directory: tempfile::tempdir().expect("a temporary directory"),
             leaving: Vec::new(),
             hidden: Vec::new(),
-            peer_addresses: BTreeMap::new(),
             next_name: 0,
         };
-        fleet.publish_template(DRAFT_SERVICE, &template(DRAFT_SERVICE, "model", true));
+        fleet.publish_template(DRAFT_SERVICE, &draft_template);
         fleet.publish_template(COMMIT_SERVICE, &template(COMMIT_SERVICE, "plain", false));
         for _ in 0..fleet.plan.engines {
             fleet.add_endpoint(DRAFT_SERVICE);
@@ -183,7 +206,9 @@
         };
         let endpoint = start_standin(program, ANY_PORT, &flags);
         let endpoint_address = endpoint.announced("listening");
-        let settings = self.agent_settings(&vm_name, service, &endpoint_address, ANY_PORT);
+        let endpoint_relay = start_relay(self.plan.relay_endpoints, &endpoint_address);
+        let reached_at = relayed_address(endpoint_relay.as_ref(), &endpoint_address);
+        let settings = self.agent_settings(&vm_name, service, &reached_at, ANY_PORT);
         let settings_path = self.write_settings(&vm_name, &settings);
         let agent = TestProcess::start(DAEMON, &["--settings", &settings_path]);
         let peer_address = agent.announced("peers");
@@ -191,9 +216,11 @@
             vm_name,
             service: service.to_owned(),
             endpoint_address,
+            peer_relay: start_relay(self.plan.relay_peers, &peer_address),
             peer_address,
             endpoint,
             agent,
+            endpoint_relay,
             settings_path,
         });
         self.endpoints.len() - 1
@@ -224,6 +251,7 @@
         self.entries.push(EntryVm {
             vm_name: begun.vm_name,
             caller_address,
+            peer_relay: start_relay(self.plan.relay_peers, &peer_address),
             peer_address,
             daemon: begun.daemon,
         });
@@ -238,10 +266,12 @@
     pub fn restart_agent(&mut self, index: usize) {
         self.endpoints[index].agent.kill();
         let endpoint = &self.endpoints[index];
+        let reached_at =
+            relayed_address(endpoint.endpoint_relay.as_ref(), &endpoint.endpoint_address);
         let settings = self.agent_settings(
             &endpoint.vm_name,
             &endpoint.service,
-            &endpoint.endpoint_address,
+            &reached_at,
             &endpoint.peer_address,
         );
         std::fs::write(&endpoint.settings_path, settings).expect("settings are written");
@@ -275,13 +305,6 @@
         self.publish_vms();
     }
 
-    /// Lists a VM under another peer address, such as a relay's.
-    pub fn list_peer_address(&mut self, vm_name: &str, address: &str) {
-        self.peer_addresses
-            .insert(vm_name.to_owned(), address.to_owned());
-        self.publish_vms();
-    }
-
     /// Publishes the list of VMs.
     pub fn publish_vms(&self) {
         let mut vms = Vec::new();
@@ -292,7 +315,7 @@
                 ZONES[index % ZONES.len()],
                 "",
                 &entry.caller_address,
-                &entry.peer_address,
+                &relayed_address(entry.peer_relay.as_ref(), &entry.peer_address),
             ));
         }
         for (index, endpoint) in self.endpoints.iter().enumerate() {
@@ -302,7 +325,7 @@
                 ZONES[index % ZONES.len()],
                 &endpoint.service,
                 "",
-                &endpoint.peer_address,
+                &relayed_address(endpoint.peer_relay.as_ref(), &endpoint.peer_address),
             ));
         }
         vms.retain(|vm| {
@@ -382,10 +405,6 @@
         peer_address: &str,
     ) -> Value {
         let leaving = self.leaving.iter().any(|leaving| leaving == name);
-        let peer_address = self
-            .peer_addresses
-            .get(name)
-            .map_or(peer_address, String::as_str);
         json!({
             "vm_name": name,
             "region": "cr-central",
@@ -418,10 +437,12 @@
     }
 
     fn common_settings(&self, role: &str, vm_name: &str, zone: &str, peer_address: &str) -> String {
+        let platform_address =
+            relayed_address(self.platform_relay.as_ref(), &self.platform_address);
         let mut settings = format!(
             "role: {role}\nvm_name: {vm_name}\nregion: cr-central\navailability_zone: {zone}\n\
-             peer_address: \"{peer_address}\"\nplatform_address: \"{}\"\npeer_key: local-fleet-of-tests\n",
-            self.platform_address,
+             peer_address: \"{peer_address}\"\nplatform_address: \"{platform_address}\"\n\
+             peer_key: local-fleet-of-tests\n",
         );
         if !self.plan.control_settings.is_empty() {
             settings.push_str("control:\n");
@@ -447,3 +468,12 @@
     arguments.extend(flags.iter().map(String::as_str));
     TestProcess::start(STANDIN, &arguments)
 }
+
+fn start_relay(is_planned: bool, target: &str) -> Option<Relay> {
+    is_planned.then(|| Relay::start(target))
+}
+
+/// Returns the address at which others reach a process, directly or through its relay.
+fn relayed_address(relay: Option<&Relay>, address: &str) -> String {
+    relay.map_or_else(|| address.to_owned(), Relay::address)
+}
--- a/lib/testutils/src/relay.rs
+++ b/lib/testutils/src/relay.rs
@@ -1,4 +1,4 @@
-//! A loopback relay that can cut connections or let them go silent.
+//! A loopback relay that can cut connections, let them go silent or drop their packets.
 
 use std::io::Read;
 use std::io::Write;
@@ -8,14 +8,21 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
+use socket2::SockFilter;
+use socket2::SockRef;
+
 const BUFFER_BYTES: usize = 16 << 10;
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Classic BPF instruction `ret`, with the length to keep as its constant.
+const BPF_RETURN: u16 = 0x06;
+const DROP_EVERY_PACKET: [SockFilter; 1] = [SockFilter::new(BPF_RETURN, 0, 0, 0)];
 
 /// Forwards connections from one loopback address to another.
 #[derive(Debug)]
@@ -27,6 +34,7 @@
 #[derive(Debug, Default)]
 struct Switches {
     is_cut: AtomicBool,
+    refuses_new: AtomicBool,
     is_ended: AtomicBool,
     open: Mutex<Vec<RelayedConnection>>,
 }
@@ -69,29 +77,51 @@
         self.switches.close_all();
     }
 
+    /// Refuses new connections; the open ones go on.
+    pub fn refuse_new_connections(&self) {
+        self.switches.refuses_new.store(true, Ordering::Release);
+    }
+
     /// Accepts connections again.
     pub fn mend(&self) {
         self.switches.is_cut.store(false, Ordering::Release);
+        self.switches.refuses_new.store(false, Ordering::Release);
     }
 
     /// Tells whether a connection has been forwarded.
     #[must_use]
     pub fn has_connections(&self) -> bool {
-        let open = self.switches.open.lock();
-        !open.unwrap_or_else(PoisonError::into_inner).is_empty()
+        !self.switches.open_connections().is_empty()
     }
 
     /// Lets the open connections go silent for good; new ones work.
+    ///
+    /// The operating system goes on to acknowledge what the two ends send, so that only they can
+    /// find out.
     pub fn silence_open_connections(&self) {
-        let open = self
-            .switches
-            .open
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        for connection in open.iter() {
+        for connection in self.switches.open_connections().iter() {
             connection.is_silent.store(true, Ordering::Release);
         }
     }
+
+    /// Drops every packet of the open connections from now on; new ones work.
+    ///
+    /// Nothing that the two ends send is acknowledged, as if a device between them had lost track
+    /// of the connection.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the operating system takes no packet filter.
+    pub fn drop_packets_of_open_connections(&self) {
+        self.silence_open_connections();
+        for connection in self.switches.open_connections().iter() {
+            for socket in [&connection.caller, &connection.target] {
+                SockRef::from(socket)
+                    .attach_filter(&DROP_EVERY_PACKET)
+                    .expect("the socket takes a packet filter");
+            }
+        }
+    }
 }
 
 impl Drop for Relay {
@@ -103,9 +133,12 @@
 }
 
 impl Switches {
+    fn open_connections(&self) -> MutexGuard<'_, Vec<RelayedConnection>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn close_all(&self) {
-        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
-        for connection in open.drain(..) {
+        for connection in self.open_connections().drain(..) {
             let _ = connection.caller.shutdown(Shutdown::Both);
             let _ = connection.target.shutdown(Shutdown::Both);
         }
@@ -118,7 +151,9 @@
             return;
         }
         let Ok(caller) = caller else { continue };
-        if switches.is_cut.load(Ordering::Acquire) {
+        let is_refused =
+            switches.is_cut.load(Ordering::Acquire) || switches.refuses_new.load(Ordering::Acquire);
+        if is_refused {
             continue;
         }
         let _ = forward(&caller, target, switches);
@@ -143,8 +178,7 @@
         caller: caller.try_clone()?,
         target,
     };
-    let mut open = switches.open.lock().unwrap_or_else(PoisonError::into_inner);
-    open.push(connection);
+    switches.open_connections().push(connection);
     Ok(())
 }
 
