--- a/lib/tests/test_compound_failures.rs
+++ b/lib/tests/test_compound_failures.rs
@@ -1,22 +1,59 @@
 //! Two faults at once, drawn by seed, over a whole fleet.
 
 use googletest::prelude::*;
+use pomeloramp_testutils::SmallestTrace;
 use pomeloramp_testutils::compound;
 use pomeloramp_testutils::compound::CompoundPlan;
+use pomeloramp_testutils::compound_fault::Fault;
+use pomeloramp_testutils::compound_fault::FaultKind;
+use pomeloramp_testutils::compound_fault::Round;
 
 fn check(plan: CompoundPlan) {
-    let report = compound::run(plan);
-    expect_that!(
-        report.violations,
-        is_empty(),
-        "seed {}: {:?}",
-        plan.seed,
-        report.trace
-    );
+    let rounds = compound::draw(plan);
+    let report = compound::run_rounds(plan, &rounds);
+    let seed = plan.seed;
+    expect_that!(report.violations, is_empty(), "seed {seed}: {rounds:#?}");
     expect_that!(report.ran, gt(0));
     expect_that!(report.whole_drafts, gt(0));
 }
 
+/// Stands for a run that fails whenever an agent is cut off after an entry was paused.
+fn fails_after_a_pause(rounds: &[Round]) -> bool {
+    let kinds: Vec<FaultKind> = rounds.iter().flatten().map(|fault| fault.kind).collect();
+    let pause = kinds
+        .iter()
+        .position(|kind| *kind == FaultKind::FreezeEntry);
+    pause.is_some_and(|pause| kinds[pause..].contains(&FaultKind::CutAgent))
+}
+
+fn fault(kind: FaultKind) -> Fault {
+    Fault {
+        kind,
+        entry: 0,
+        endpoint: 0,
+        deadline_ms: 0,
+    }
+}
+
+#[googletest::test]
+fn a_failing_trace_is_made_smaller() {
+    let rounds = [
+        vec![fault(FaultKind::CutAgent), fault(FaultKind::NewEntry)],
+        vec![fault(FaultKind::FreezeEntry), fault(FaultKind::ListDown)],
+        vec![fault(FaultKind::KillEntry), fault(FaultKind::CutAgent)],
+    ];
+    let smallest = SmallestTrace::find(&rounds, 20, fails_after_a_pause);
+    let expected = [
+        vec![fault(FaultKind::FreezeEntry)],
+        vec![fault(FaultKind::CutAgent)],
+    ];
+    expect_that!(smallest.rounds, eq(&expected));
+    expect_that!(smallest.reruns, eq(6));
+    let bounded = SmallestTrace::find(&rounds, 2, fails_after_a_pause);
+    expect_that!(bounded.reruns, eq(2));
+    expect_that!(fails_after_a_pause(&bounded.rounds), eq(true));
+}
+
 fn small(seed: u64) -> CompoundPlan {
     CompoundPlan {
         seed,
--- a/lib/testutils/src/compound.rs
+++ b/lib/testutils/src/compound.rs
@@ -6,16 +6,16 @@
 use std::thread;
 use std::time::Duration;
 
-use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
-use serde_json::json;
 
 use crate::caller::Caller;
 use crate::caller::whole_draft;
-use crate::fleet::COMMIT_SERVICE;
-use crate::fleet::DRAFT_SERVICE;
+use crate::compound_fault::Fault;
+use crate::compound_fault::FaultKind;
+use crate::compound_fault::Round;
+use crate::compound_fault::Undo;
 use crate::fleet::Fleet;
 use crate::fleet::FleetPlan;
 use crate::fleet::ORGANISATIONS;
@@ -43,36 +43,6 @@
     pub rounds: usize,
 }
 
-/// A fault that a run may draw.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Fault {
-    KillEntry,
-    FreezeEntry,
-    RestartAgent,
-    FreezeAgent,
-    RestartEngine,
-    ConfigurationDown,
-    ConfigurationStale,
-    ListDown,
-    NewEntry,
-    NewEndpoint,
-    PublishTemplate,
-}
-
-const FAULTS: [Fault; 11] = [
-    Fault::KillEntry,
-    Fault::FreezeEntry,
-    Fault::RestartAgent,
-    Fault::FreezeAgent,
-    Fault::RestartEngine,
-    Fault::ConfigurationDown,
-    Fault::ConfigurationStale,
-    Fault::ListDown,
-    Fault::NewEntry,
-    Fault::NewEndpoint,
-    Fault::PublishTemplate,
-];
-
 /// What a caller knows of one commit at the end.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct CommitHistory {
@@ -85,8 +55,6 @@
 /// What a run found.
 #[derive(Debug, Default)]
 pub struct CompoundReport {
-    /// Faults in the order in which they were caused.
-    pub trace: Vec<String>,
     /// Violated guarantees; empty for a good run.
     pub violations: Vec<String>,
     /// Commits whose last word was `ran`, `not-run`, `unknown` or none.
@@ -95,12 +63,36 @@
     pub not_run: usize,
     /// Commits whose fate their caller does not know.
     pub unknown: usize,
+    /// Those of them that had run.
+    pub unknown_that_ran: usize,
     /// Drafts that were answered whole.
     pub whole_drafts: usize,
     /// Drafts that were cut or refused, told as such.
     pub failed_drafts: usize,
 }
 
+impl CompoundReport {
+    /// Adds what another run found.
+    pub fn add(&mut self, other: Self) {
+        self.violations.extend(other.violations);
+        self.ran += other.ran;
+        self.not_run += other.not_run;
+        self.unknown += other.unknown;
+        self.unknown_that_ran += other.unknown_that_ran;
+        self.whole_drafts += other.whole_drafts;
+        self.failed_drafts += other.failed_drafts;
+    }
+}
+
+/// Draws the rounds of faults of a run.
+#[must_use]
+pub fn draw(plan: CompoundPlan) -> Vec<Round> {
+    let mut rng = SmallRng::seed_from_u64(plan.seed);
+    (0..plan.rounds)
+        .map(|_| Fault::draw_pair(&mut rng))
+        .collect()
+}
+
 /// Runs a fleet under drawn pairs of faults and checks what its callers heard.
 ///
 /// # Panics
@@ -108,13 +100,24 @@
 /// Panics when the fleet does not start, or does not serve again after the faults.
 #[must_use]
 pub fn run(plan: CompoundPlan) -> CompoundReport {
-    let mut rng = SmallRng::seed_from_u64(plan.seed);
+    run_rounds(plan, &draw(plan))
+}
+
+/// Runs a fleet under given rounds of faults and checks what its callers heard.
+///
+/// # Panics
+///
+/// Panics when the fleet does not start, or does not serve again after the faults.
+#[must_use]
+pub fn run_rounds(plan: CompoundPlan, rounds: &[Round]) -> CompoundReport {
     let fleet_plan = FleetPlan::builder()
         .entries(plan.entries)
         .engines(plan.engines)
         .plain_endpoints(plan.plain_endpoints)
         .engine_flags(flags(&["--token-interval-ms", "10"]))
         .plain_flags(flags(&["--work-ms", "30"]))
+        .relay_peers(true)
+        .relay_platform(true)
         .build();
     let mut fleet = Fleet::start(fleet_plan);
     let addresses: Vec<String> = fleet
@@ -139,18 +142,8 @@
     };
 
     let mut report = CompoundReport::default();
-    for _ in 0..plan.rounds {
-        let pair: Vec<Fault> = FAULTS.sample(&mut rng, 2).copied().collect();
-        let mut undos: Vec<(Fault, Undo)> = pair
-            .iter()
-            .map(|fault| (*fault, cause(*fault, &mut fleet, &mut rng, &mut report)))
-            .collect();
-        thread::sleep(FAULT_PAUSE);
-        // A new entry can't serve before the platform's faults are undone.
-        undos.sort_by_key(|(fault, _)| *fault == Fault::NewEntry);
-        for (_, undo) in undos {
-            undo(&mut fleet);
-        }
+    for round in rounds {
+        fail_for_a_while(round, &mut fleet);
     }
     let histories: Vec<CommitHistory> = commits
         .into_iter()
@@ -166,58 +159,18 @@
     report
 }
 
-type Undo = Box<dyn FnOnce(&mut Fleet)>;
-
-fn cause(fault: Fault, fleet: &mut Fleet, rng: &mut SmallRng, report: &mut CompoundReport) -> Undo {
-    let entry = rng.random_range(0..fleet.entries.len());
-    let endpoint = rng.random_range(0..fleet.endpoints.len());
-    report
-        .trace
-        .push(format!("{fault:?} entry={entry} endpoint={endpoint}"));
-    match fault {
-        Fault::KillEntry if fleet.entries.len() > 1 => fleet.entries[entry].daemon.kill(),
-        Fault::KillEntry => {}
-        Fault::FreezeEntry => {
-            fleet.entries[entry].daemon.pause();
-            return Box::new(move |fleet| fleet.entries[entry].daemon.resume());
-        }
-        Fault::RestartAgent => fleet.restart_agent(endpoint),
-        Fault::FreezeAgent => {
-            fleet.endpoints[endpoint].agent.pause();
-            return Box::new(move |fleet| fleet.endpoints[endpoint].agent.resume());
-        }
-        Fault::RestartEngine => {
-            if fleet.endpoints[endpoint].service == DRAFT_SERVICE {
-                fleet.restart_endpoint_process(endpoint);
-            }
-        }
-        Fault::ConfigurationDown => return platform_fault(fleet, "config", "down"),
-        Fault::ConfigurationStale => return platform_fault(fleet, "config", "stale"),
-        Fault::ListDown => return platform_fault(fleet, "vm_list", "down"),
-        Fault::NewEntry => {
-            let begun = fleet.begin_entry();
-            return Box::new(move |fleet| {
-                fleet.finish_entry(begun);
-                fleet.publish_vms();
-            });
-        }
-        Fault::NewEndpoint => {
-            fleet.add_endpoint(COMMIT_SERVICE);
-            fleet.publish_vms();
-        }
-        Fault::PublishTemplate => {
-            let deadline_ms = rng.random_range(8_000..10_000);
-            let text = crate::fleet_text::template(COMMIT_SERVICE, "plain", false)
-                .replace("10000", &format!("{deadline_ms}"));
-            fleet.publish_template(COMMIT_SERVICE, &text);
-        }
+/// Causes the faults of one round, waits, and undoes them.
+fn fail_for_a_while(round: &Round, fleet: &mut Fleet) {
+    let mut undos: Vec<(Fault, Undo)> = round
+        .iter()
+        .map(|fault| (*fault, fault.cause(fleet)))
+        .collect();
+    thread::sleep(FAULT_PAUSE);
+    // A new entry can't serve before the platform's faults are undone.
+    undos.sort_by_key(|(fault, _)| fault.kind == FaultKind::NewEntry);
+    for (_, undo) in undos {
+        undo(fleet);
     }
-    Box::new(|_| {})
-}
-
-fn platform_fault(fleet: &Fleet, name: &'static str, value: &str) -> Undo {
-    fleet.set_platform_faults(&json!({ name: value }));
-    Box::new(move |fleet| fleet.set_platform_faults(&json!({ name: "none" })))
 }
 
 /// Sends each commit until its fate is known or the sends are used up.
@@ -319,7 +272,10 @@
         match history.last_outcome.as_str() {
             "ran" => report.ran += 1,
             "not-run" => report.not_run += 1,
-            _ => report.unknown += 1,
+            _ => {
+                report.unknown += 1;
+                report.unknown_that_ran += usize::from(count > 0);
+            }
         }
         if !is_allowed {
             let key = &history.key;
@@ -347,7 +303,6 @@
             whole_draft(&draft.body).as_deref() == Some(reference) && commit.outcome == "ran"
         });
     }
-    report.trace.push("recovered".to_owned());
 }
 
 fn flags(texts: &[&str]) -> Vec<String> {
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod caller;
 pub mod compound;
+pub mod compound_fault;
 mod fake_engine;
 mod fake_rank_engine;
 pub mod fleet;
@@ -13,6 +14,7 @@
 pub mod process_cost;
 pub mod relay;
 mod routing_workload;
+mod smallest_trace;
 pub mod status;
 
 pub use fake_engine::EngineEvent;
@@ -21,3 +23,4 @@
 pub use fake_rank_engine::FakeRankEngine;
 pub use map_group::MapGroup;
 pub use routing_workload::RoutingWorkload;
+pub use smallest_trace::SmallestTrace;
