compound: callers go on for as long as faults do, and send again sooner

Cause: each caller committed 12 keys, which took about a second, so that the rounds after the first met no commit, and drafts were one at a time. Now 10 callers commit and 6 draft until the faults end; a commit is sent again after 500 ms, before a paused process wakes.

--- a/lib/tests/test_crashing_requests.rs
+++ b/lib/tests/test_crashing_requests.rs
@@ -12,10 +12,13 @@
 use pomeloramp_testutils::fleet::FleetPlan;
 use pomeloramp_testutils::fleet::ORGANISATIONS;
 use pomeloramp_testutils::http;
+use pomeloramp_testutils::status;
 
 const TIMEOUT: Duration = Duration::from_secs(15);
 const FLEET_WIDE_WITHIN: Duration = Duration::from_secs(1);
 const REFUSED_AT_ONCE: Duration = Duration::from_millis(500);
+/// A third of the interval of heartbeats and exchanges; the word itself takes milliseconds.
+const SOONER_THAN_CONTROL_TRAFFIC: Duration = Duration::from_secs(3);
 const MAX_LOST_ENDPOINTS: usize = 2;
 const CRASHING_PROMPT: &str = "CRASH this engine";
 const INNOCENT_PROMPTS: [&str; 4] = ["wire", "coil", "hook", "loop"];
@@ -62,6 +65,52 @@
     expect_that!(lost_engines(&mut fleet), le(MAX_LOST_ENDPOINTS));
 }
 
+/// Heartbeats and exchanges are far apart here, so that only the push between peers brings the word.
+#[googletest::test]
+fn eight_entries_and_all_agents_know_of_crashing_content_at_once() {
+    let plan = FleetPlan::builder()
+        .entries(8)
+        .engines(5)
+        .plain_endpoints(3)
+        .control_settings(rare_control_traffic())
+        .build();
+    let mut fleet = Fleet::start(plan);
+    let entry = fleet.entries[0].caller_address.clone();
+    let first = caller().draft(&entry, CRASHING_PROMPT, 8, false);
+    let refused_at = Instant::now();
+    expect_that!(first.code(), eq("quarantined"));
+    let processes = fleet.entries.len() + fleet.endpoints.len();
+    Fleet::wait_for("every process refuses the content", || {
+        let contents = status::run(&fleet, "quarantine");
+        contents.len() == 1 && contents[0]["processes"] == processes
+    });
+    let known_after = refused_at.elapsed();
+    println!("known to {processes} processes after {known_after:.2?}");
+    expect_that!(known_after, lt(SOONER_THAN_CONTROL_TRAFFIC));
+    for entry in &fleet.entries {
+        let resend = caller().draft(&entry.caller_address, CRASHING_PROMPT, 8, false);
+        expect_that!(resend.code(), eq("quarantined"));
+        expect_that!(resend.outcome, eq("not-run"));
+    }
+    expect_that!(lost_engines(&mut fleet), eq(MAX_LOST_ENDPOINTS));
+}
+
+fn rare_control_traffic() -> Vec<String> {
+    [
+        "heartbeat_interval_ms: 10000",
+        "suspect_after_ms: 60000",
+        "vm_list_interval_ms: 200",
+        "watch_wait_ms: 5000",
+        "peer_exchange_interval_ms: 10000",
+        "config_readers_per_zone: 2",
+        "connect_timeout_ms: 500",
+        "keepalive_interval_ms: 500",
+        "keepalive_timeout_ms: 500",
+    ]
+    .map(str::to_owned)
+    .to_vec()
+}
+
 #[googletest::test]
 fn requests_that_shared_a_batch_are_answered_and_not_refused() {
     let mut fleet = start();
--- a/lib/testutils/src/compound.rs
+++ b/lib/testutils/src/compound.rs
@@ -20,10 +20,13 @@
 use crate::fleet::FleetPlan;
 use crate::fleet::ORGANISATIONS;
 
-const CALLERS: u64 = 6;
-const KEYS_PER_CALLER: u64 = 12;
+const CALLERS: u64 = 10;
+const DRAFT_CALLERS: usize = 6;
+const DRAFT_TOKENS: u32 = 50;
 const MAX_SENDS: u32 = 8;
 const CALLER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Shorter than a fault lasts, so that callers send again while the first send may still arrive.
+const IMPATIENT_TIMEOUT: Duration = Duration::from_millis(500);
 const RESEND_DELAY: Duration = Duration::from_millis(100);
 const FAULT_PAUSE: Duration = Duration::from_millis(700);
 const BODY: &str = "{\"wire_mm\":4}";
@@ -115,7 +118,7 @@
         .engines(plan.engines)
         .plain_endpoints(plan.plain_endpoints)
         .engine_flags(flags(&["--token-interval-ms", "10"]))
-        .plain_flags(flags(&["--work-ms", "30"]))
+        .plain_flags(flags(&["--work-ms", "60"]))
         .relay_peers(true)
         .relay_platform(true)
         .build();
@@ -131,29 +134,36 @@
         .map(|number| {
             let addresses = addresses.clone();
             let seed = plan.seed.wrapping_mul(CALLERS).wrapping_add(number);
-            thread::spawn(move || commit_repeatedly(seed, number, &addresses))
+            let stop = Arc::clone(&stop);
+            thread::spawn(move || commit_repeatedly(seed, number, &addresses, &stop))
+        })
+        .collect();
+    let drafts: Vec<_> = (0..DRAFT_CALLERS)
+        .map(|number| {
+            let mut addresses = addresses.clone();
+            let entries = addresses.len();
+            addresses.rotate_left(number % entries);
+            let stop = Arc::clone(&stop);
+            let reference = reference.clone();
+            thread::spawn(move || draft_repeatedly(&addresses, &reference, &stop))
         })
         .collect();
-    let drafts = {
-        let addresses = addresses.clone();
-        let stop = Arc::clone(&stop);
-        let reference = reference.clone();
-        thread::spawn(move || draft_repeatedly(&addresses, &reference, &stop))
-    };
 
     let mut report = CompoundReport::default();
     for round in rounds {
         fail_for_a_while(round, &mut fleet);
     }
+    stop.store(true, Ordering::Release);
     let histories: Vec<CommitHistory> = commits
         .into_iter()
         .flat_map(|caller| caller.join().expect("a caller thread ends normally"))
         .collect();
-    stop.store(true, Ordering::Release);
-    let draft_counts = drafts.join().expect("the draft thread ends normally");
-    report.whole_drafts = draft_counts.whole;
-    report.failed_drafts = draft_counts.failed;
-    report.violations.extend(draft_counts.violations);
+    for caller in drafts {
+        let counts = caller.join().expect("a caller thread ends normally");
+        report.whole_drafts += counts.whole;
+        report.failed_drafts += counts.failed;
+        report.violations.extend(counts.violations);
+    }
     check_commits(&fleet, &histories, &mut report);
     check_recovery(&fleet, &reference, &mut report);
     report
@@ -173,20 +183,21 @@
     }
 }
 
-/// Sends each commit until its fate is known or the sends are used up.
-fn commit_repeatedly(seed: u64, number: u64, addresses: &[String]) -> Vec<CommitHistory> {
+/// Commits until the faults are over; sends each commit until its fate is known or the sends are used up.
+fn commit_repeatedly(
+    seed: u64,
+    number: u64,
+    addresses: &[String],
+    stop: &AtomicBool,
+) -> Vec<CommitHistory> {
     let mut rng = SmallRng::seed_from_u64(seed);
-    let caller = Caller::new(ORGANISATIONS[0], CALLER_TIMEOUT);
-    (0..KEYS_PER_CALLER)
-        .map(|index| {
-            commit_one(
-                &caller,
-                &format!("key-{number}-{index}"),
-                addresses,
-                &mut rng,
-            )
-        })
-        .collect()
+    let caller = Caller::new(ORGANISATIONS[0], IMPATIENT_TIMEOUT);
+    let mut histories = Vec::new();
+    while !stop.load(Ordering::Acquire) {
+        let key = format!("key-{number}-{}", histories.len());
+        histories.push(commit_one(&caller, &key, addresses, &mut rng));
+    }
+    histories
 }
 
 fn commit_one(
@@ -236,7 +247,8 @@
 }
 
 fn draft_reference(entry: &str) -> String {
-    let draft = Caller::new(ORGANISATIONS[1], CALLER_TIMEOUT).draft(entry, "hook", 20, true);
+    let draft =
+        Caller::new(ORGANISATIONS[1], CALLER_TIMEOUT).draft(entry, "hook", DRAFT_TOKENS, true);
     whole_draft(&draft.body).expect("a draft is whole before any fault")
 }
 
@@ -247,7 +259,7 @@
         if stop.load(Ordering::Acquire) {
             break;
         }
-        let draft = caller.draft(entry, "hook", 20, true);
+        let draft = caller.draft(entry, "hook", DRAFT_TOKENS, true);
         match whole_draft(&draft.body) {
             Some(text) if text == reference => counts.whole += 1,
             Some(text) => counts
@@ -297,7 +309,7 @@
         }
         let name = &entry.vm_name;
         Fleet::wait_for("an entry serves again after the faults", || {
-            let draft = caller.draft(address, "hook", 20, true);
+            let draft = caller.draft(address, "hook", DRAFT_TOKENS, true);
             let placement = caller.placement(address).unwrap_or_default();
             let commit = caller.commit(address, &format!("recovery-{name}"), &placement, 1, BODY);
             whole_draft(&draft.body).as_deref() == Some(reference) && commit.outcome == "ran"
