--- a/lib/testutils/src/compound.rs
+++ b/lib/testutils/src/compound.rs
@@ -165,7 +165,7 @@
         report.violations.extend(counts.violations);
     }
     check_commits(&fleet, &histories, &mut report);
-    check_recovery(&fleet, &reference, &mut report);
+    check_recovery(&fleet, &reference);
     report
 }
 
@@ -300,7 +300,7 @@
 }
 
 /// After the faults, each entry that runs serves both services again.
-fn check_recovery(fleet: &Fleet, reference: &str, report: &mut CompoundReport) {
+fn check_recovery(fleet: &Fleet, reference: &str) {
     let caller = Caller::new(ORGANISATIONS[0], CALLER_TIMEOUT);
     for entry in &fleet.entries {
         let address = &entry.caller_address;
