--- a/lib/testutils/src/rank_fleet.rs
+++ b/lib/testutils/src/rank_fleet.rs
@@ -193,13 +193,14 @@
     /// Starts a coordinator's run that proposes a map with every expert on `shift` ranks further on.
     #[must_use]
     pub fn propose(&self, shift: u32, lead_steps: u64) -> RankCoordinator {
+        self.propose_map(shifted_map(shift), lead_steps)
+    }
+
+    /// Starts a coordinator's run that proposes a map.
+    #[must_use]
+    pub fn propose_map(&self, replicas: Vec<ExpertReplica>, lead_steps: u64) -> RankCoordinator {
         let group_incarnation = self.group()["group_incarnation"].as_u64().unwrap_or(0);
-        RankCoordinator::start(
-            self.rank_agents(),
-            group_incarnation,
-            shifted_map(shift),
-            lead_steps,
-        )
+        RankCoordinator::start(self.rank_agents(), group_incarnation, replicas, lead_steps)
     }
 
     /// Returns the state of the group's engines.
