--- a/lib/src/rank_duty.rs
+++ b/lib/src/rank_duty.rs
@@ -31,8 +31,10 @@
 
 const RING_CAPACITY: usize = 1024;
 const TICK: Duration = Duration::from_millis(10);
-/// Time between two reads of the engine's state.
-const POLL_INTERVAL_MS: u64 = 40;
+/// Time between two reads of the engine's state while no map is staged.
+const IDLE_POLL_INTERVAL_MS: u64 = 100;
+/// Time between two reads while a map is staged.
+const CHANGE_POLL_INTERVAL_MS: u64 = 40;
 /// Wait at a switch step after which it is an event.
 const HELD_EVENT_AFTER_MS: u64 = 1_000;
 /// Silence after which a rank that was asked is named as a cause of a wait.
@@ -147,7 +149,7 @@
     /// Polls the engine, pushes on what is undecided and lets a run go on.
     fn advance(&mut self, now_ms: u64) {
         if now_ms >= self.next_poll_ms {
-            self.next_poll_ms = now_ms + POLL_INTERVAL_MS;
+            self.next_poll_ms = now_ms + self.poll_interval_ms();
             let actions = self.participant.tick(now_ms);
             self.act(actions, now_ms);
             self.note_wait(now_ms);
@@ -160,6 +162,16 @@
         }
     }
 
+    fn poll_interval_ms(&self) -> u64 {
+        let engine = self.participant.engine();
+        let is_changing = engine.is_some_and(|engine| engine.staged.is_some());
+        if is_changing {
+            CHANGE_POLL_INTERVAL_MS
+        } else {
+            IDLE_POLL_INTERVAL_MS
+        }
+    }
+
     /// Answers a request, or lets it wait for the answer to the order in flight.
     fn requested(&mut self, request: MapRequest, reply: oneshot::Sender<MapReply>, now_ms: u64) {
         let is_question = matches!(&request, MapRequest::State(request) if request.ballot == 0);
