--- a/cli/tests/test_arguments.rs
+++ b/cli/tests/test_arguments.rs
@@ -5,7 +5,7 @@
 
 use googletest::prelude::*;
 
-const COMMANDS: [&str; 8] = [
+const COMMANDS: [&str; 9] = [
     "check",
     "render",
     "status",
@@ -14,6 +14,7 @@
     "draining",
     "quarantine",
     "idle",
+    "ranks",
 ];
 
 fn run(arguments: &[&str]) -> Output {
