configuration: peers pass on what changed in a template, and large starts in pieces

A changed template travelled whole between processes: 720 KB for 3,800 organisations, at every change and to every peer. An answer to a process that starts held every value at once; above 4 MB, the limit of a message, it never arrived, so at the design size (22 templates of 720 KB) no new entry would have served.

Answers are bounded to 2 MB, lowest revisions first, and the asker goes on until it has all.

Ruled out: keeping former values to compare on request (16 MB for each generation of 22 templates); one changed middle between common prefix and suffix (two distant organisations would ship all between them).

--- a/lib/examples/control_cost/wire.rs
+++ b/lib/examples/control_cost/wire.rs
@@ -100,6 +100,7 @@
         quarantined: Vec::new(),
         config_digest: u64::MAX / 5,
         asks_for_values: keys > 0,
+        takes_patches: keys > 0,
     }
 }
 
@@ -114,6 +115,8 @@
         config_digest: u64::MAX / 5,
         service_reached_ago_ms: Some(20),
         starting: false,
+        patches: Vec::new(),
+        has_more: false,
     }
 }
 
--- a/lib/src/config_duty.rs
+++ b/lib/src/config_duty.rs
@@ -7,6 +7,7 @@
 use arc_swap::ArcSwap;
 use tokio::sync::oneshot;
 
+use crate::ConfigChanges;
 use crate::ConfigOffer;
 use crate::ConfigStore;
 use crate::config_view::ConfigView;
@@ -14,25 +15,28 @@
 use crate::duty::Duty;
 use crate::duty::Wake;
 use crate::event;
-use crate::protos::control::ConfigValue;
 use crate::protos::control::KeyRevision;
 use crate::protos::control::RefusedDocument;
 
 const RING_CAPACITY: usize = 64;
 const TICK: Duration = Duration::from_secs(1);
 const SERVICE_PREFIX: &str = "services/";
+/// Bytes of values in one answer to a peer, but for the first value.
+const REPLY_BYTES: usize = 2 << 20;
 
 /// What the duty is told or asked.
 pub(crate) enum ConfigCommand {
-    /// Values read from the platform or passed on by a peer; `done` hears when they are taken.
+    /// Changes read from the platform or passed on by a peer; `done` hears when they are taken,
+    /// and whether every patch among them fitted.
     Offer {
-        values: Vec<ConfigValue>,
-        done: oneshot::Sender<()>,
+        changes: ConfigChanges,
+        done: oneshot::Sender<bool>,
     },
-    /// A peer asks for the values that are newer than its own.
+    /// A peer asks for what is newer than its own, as patches if it takes them.
     Newer {
         have: Vec<KeyRevision>,
-        reply: oneshot::Sender<Vec<ConfigValue>>,
+        takes_patches: bool,
+        reply: oneshot::Sender<ConfigChanges>,
     },
     /// This process asks which revisions it holds, to ask a peer for newer ones.
     Have {
@@ -65,16 +69,21 @@
             return;
         };
         match command {
-            ConfigCommand::Offer { values, done } => {
-                if offer(&mut store, values) {
+            ConfigCommand::Offer { changes, done } => {
+                let effect = offer(&mut store, changes);
+                if effect.is_changed {
                     let view = Arc::new(next_view(&store, &shared.load()));
                     shared.store(Arc::clone(&view));
                     changed(&view);
                 }
-                let _ = done.send(());
+                let _ = done.send(effect.all_fitted);
             }
-            ConfigCommand::Newer { have, reply } => {
-                let _ = reply.send(store.newer_than(&have));
+            ConfigCommand::Newer {
+                have,
+                takes_patches,
+                reply,
+            } => {
+                let _ = reply.send(newer(&store, &have, takes_patches));
             }
             ConfigCommand::Have { reply } => {
                 let _ = reply.send(store.have());
@@ -89,23 +98,45 @@
     })
 }
 
-/// Offers values to the store and tells whether it changed.
-fn offer(store: &mut ConfigStore, values: Vec<ConfigValue>) -> bool {
-    let mut is_changed = false;
-    for value in values {
-        if !value.key.starts_with(SERVICE_PREFIX) {
-            continue;
+/// What became of the changes that were offered together.
+struct OfferEffect {
+    is_changed: bool,
+    /// No patch failed to apply.
+    all_fitted: bool,
+}
+
+/// Offers changes to the store, whole values first.
+fn offer(store: &mut ConfigStore, changes: ConfigChanges) -> OfferEffect {
+    let mut effect = OfferEffect {
+        is_changed: false,
+        all_fitted: true,
+    };
+    for value in changes.values {
+        if value.key.starts_with(SERVICE_PREFIX) {
+            let offer = store.offer(&value);
+            effect.note(&value.key, value.revision, offer);
+        }
+    }
+    for patch in changes.patches {
+        let revision = patch.steps.last().map_or(0, |step| step.revision);
+        if patch.key.starts_with(SERVICE_PREFIX) {
+            let offer = store.offer_patch(&patch);
+            effect.note(&patch.key, revision, offer);
         }
-        let key = &value.key;
-        let revision = value.revision;
-        match store.offer(&value) {
+    }
+    effect
+}
+
+impl OfferEffect {
+    fn note(&mut self, key: &str, revision: u64, offer: ConfigOffer) {
+        match offer {
             ConfigOffer::InForce => {
                 event!(ConfigAccepted, "key={key} revision={revision}");
-                is_changed = true;
+                self.is_changed = true;
             }
             ConfigOffer::Refused => {
                 event!(ConfigRefused, "key={key} revision={revision}");
-                is_changed = true;
+                self.is_changed = true;
             }
             ConfigOffer::Conflict => {
                 event!(
@@ -113,10 +144,25 @@
                     "key={key} revision={revision} published twice"
                 );
             }
+            ConfigOffer::UnknownBase => self.all_fitted = false,
+            ConfigOffer::WrongBytes => {
+                log::warn!("key={key} revision={revision}: patch with other bytes");
+                self.all_fitted = false;
+            }
             ConfigOffer::Stale => {}
         }
     }
-    is_changed
+}
+
+/// Returns what a peer lacks, in a message of bounded size.
+fn newer(store: &ConfigStore, have: &[KeyRevision], takes_patches: bool) -> ConfigChanges {
+    if takes_patches {
+        return store.changes_since(have, REPLY_BYTES);
+    }
+    ConfigChanges {
+        values: store.newer_than(have),
+        ..ConfigChanges::default()
+    }
 }
 
 /// Builds the view of the store, keeping the indexes of services that did not change.
--- a/lib/src/config_offer.rs
+++ b/lib/src/config_offer.rs
@@ -13,4 +13,8 @@
     Stale,
     /// Another value with the same revision was seen before, which the service must never serve.
     Conflict,
+    /// The value that the patch starts from is not held any more.
+    UnknownBase,
+    /// The patch did not result in the bytes that the peer holds; the whole value is asked for.
+    WrongBytes,
 }
--- a/lib/src/config_source.rs
+++ b/lib/src/config_source.rs
@@ -6,6 +6,7 @@
 use tokio::sync::oneshot;
 use tonic::Request;
 
+use crate::ConfigChanges;
 use crate::agent_channels::AgentChannels;
 use crate::agent_channels::is_refused_connection;
 use crate::config_duty::ConfigCommand;
@@ -17,10 +18,13 @@
 use crate::protos::control::ConfigValue;
 use crate::protos::control::ExchangeReply;
 use crate::protos::control::ExchangeRequest;
+use crate::protos::control::KeyRevision;
 use crate::protos::control::peer_client::PeerClient;
 use crate::shared_quarantine::SharedQuarantine;
 
 const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Questions to a peer in one exchange; an answer is bounded, so a new process asks several.
+const MAX_QUESTIONS: usize = 64;
 const RING_RETRY_DELAY: Duration = Duration::from_millis(5);
 
 /// Why a peer gave no answer to an exchange.
@@ -61,7 +65,11 @@
                 value: value.value.into_bytes(),
             })
             .collect();
-        self.offer(values).await;
+        let changes = ConfigChanges {
+            values,
+            ..ConfigChanges::default()
+        };
+        self.offer(changes).await;
         Ok(published.revision)
     }
 
@@ -84,17 +92,32 @@
         if answer.config_digest == view.digest {
             return Ok(answer);
         }
+        for _ in 0..MAX_QUESTIONS {
+            let question = ExchangeRequest {
+                have: self.have().await?,
+                asks_for_values: true,
+                takes_patches: true,
+                ..greeting.clone()
+            };
+            let mut answer = self.send(peer, question).await?;
+            let changes = ConfigChanges {
+                values: std::mem::take(&mut answer.newer),
+                patches: std::mem::take(&mut answer.patches),
+                has_more: answer.has_more,
+            };
+            let all_fitted = self.offer(changes).await;
+            if all_fitted && !answer.has_more {
+                return Ok(answer);
+            }
+        }
+        Err(ExchangeError::Silent)
+    }
+
+    async fn have(&self) -> Result<Vec<KeyRevision>, ExchangeError> {
         let (reply, have) = oneshot::channel();
         let submitted = self.duty.submit(ConfigCommand::Have { reply });
         submitted.map_err(|_| ExchangeError::Silent)?;
-        let question = ExchangeRequest {
-            have: have.await.map_err(|_| ExchangeError::Silent)?,
-            asks_for_values: true,
-            ..greeting
-        };
-        let mut answer = self.send(peer, question).await?;
-        self.offer(std::mem::take(&mut answer.newer)).await;
-        Ok(answer)
+        have.await.map_err(|_| ExchangeError::Silent)
     }
 
     async fn send(
@@ -114,36 +137,38 @@
         }
     }
 
-    /// Hands values to the duty and waits until they are taken, however full its ring is.
-    async fn offer(&self, values: Vec<ConfigValue>) {
-        if values.is_empty() {
-            return;
+    /// Hands changes to the duty, however full its ring is, and returns once they are taken whether
+    /// every patch among them fitted.
+    async fn offer(&self, changes: ConfigChanges) -> bool {
+        if changes.values.is_empty() && changes.patches.is_empty() {
+            return true;
         }
         let (done, taken) = oneshot::channel();
-        let mut command = ConfigCommand::Offer { values, done };
+        let mut command = ConfigCommand::Offer { changes, done };
         while let Err(returned) = self.duty.submit_or_return(command) {
             command = returned;
             tokio::time::sleep(RING_RETRY_DELAY).await;
         }
-        let _ = taken.await;
+        taken.await.unwrap_or(false)
     }
 }
 
-/// Returns the values that a peer with the list `have` lacks.
+/// Returns what a peer lacks, if it asks for that.
 ///
 /// # Errors
 ///
 /// Fails when the duty's ring is full or its thread has ended.
-pub(crate) async fn newer_values(
+pub(crate) async fn newer_changes(
     duty: &Duty<ConfigCommand>,
     exchange: ExchangeRequest,
-) -> Result<Vec<ConfigValue>, DutyError> {
+) -> Result<ConfigChanges, DutyError> {
     if !exchange.asks_for_values {
-        return Ok(Vec::new());
+        return Ok(ConfigChanges::default());
     }
     let (reply, newer) = oneshot::channel();
     let command = ConfigCommand::Newer {
         have: exchange.have,
+        takes_patches: exchange.takes_patches,
         reply,
     };
     duty.submit(command)?;
--- /dev/null
+++ b/lib/src/held_value.rs
@@ -0,0 +1,24 @@
+//! A configuration value as a process holds it.
+
+use pomeloramp_proc_macros::value;
+use sha2::Digest;
+use sha2::Sha256;
+
+/// A configuration value as a process holds it.
+#[value]
+pub(crate) struct HeldValue {
+    pub(crate) revision: u64,
+    pub(crate) value: Vec<u8>,
+    pub(crate) sha256: [u8; 32],
+}
+
+impl HeldValue {
+    /// Holds a value.
+    pub(crate) fn new(revision: u64, value: &[u8]) -> Self {
+        Self {
+            revision,
+            value: value.to_vec(),
+            sha256: Sha256::digest(value).into(),
+        }
+    }
+}
--- a/lib/src/peer_server.rs
+++ b/lib/src/peer_server.rs
@@ -13,7 +13,7 @@
 use crate::config_duty::DocumentReport;
 use crate::config_duty::SharedConfig;
 use crate::config_follower::ServiceReached;
-use crate::config_source::newer_values;
+use crate::config_source::newer_changes;
 use crate::duty::Duty;
 use crate::in_flight::InFlight;
 use crate::incarnation::Incarnation;
@@ -75,7 +75,7 @@
         let state = &self.state;
         let exchange = request.into_inner();
         state.quarantine.merge(&exchange.quarantined);
-        let newer = newer_values(&state.config_duty, exchange)
+        let changes = newer_changes(&state.config_duty, exchange)
             .await
             .map_err(|error| Status::unavailable(error.to_string()))?;
         let view = state.config.load();
@@ -84,11 +84,13 @@
             incarnation: state.incarnation.0,
             config_revision: view.revision,
             config_digest: view.digest,
-            newer,
+            newer: changes.values,
             quarantined: state.quarantine.entries(),
             leaving: *state.draining.borrow(),
             service_reached_ago_ms: state.reached.ago_ms(),
             starting: !*state.serving.borrow(),
+            patches: changes.patches,
+            has_more: changes.has_more,
         }))
     }
 
--- a/lib/src/protos/pomeloramp.control.rs
+++ b/lib/src/protos/pomeloramp.control.rs
@@ -198,6 +198,39 @@
     #[prost(uint64, tag = "2")]
     pub revision: u64,
 }
+/// Bytes copied from the former value, and new bytes that follow them.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PatchPiece {
+    #[prost(uint64, tag = "1")]
+    pub copy_offset: u64,
+    #[prost(uint64, tag = "2")]
+    pub copy_bytes: u64,
+    #[prost(bytes = "vec", tag = "3")]
+    pub insert: ::prost::alloc::vec::Vec<u8>,
+}
+/// How the value of one revision arises from the one before.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct PatchStep {
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    /// In the order of the new value.
+    #[prost(message, repeated, tag = "2")]
+    pub pieces: ::prost::alloc::vec::Vec<PatchPiece>,
+}
+/// A value as steps from another that the receiver holds.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ConfigPatch {
+    #[prost(string, tag = "1")]
+    pub key: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub base_revision: u64,
+    /// The revision of the last one is that of the value.
+    #[prost(message, repeated, tag = "3")]
+    pub steps: ::prost::alloc::vec::Vec<PatchStep>,
+    /// SHA-256 of the value.
+    #[prost(bytes = "vec", tag = "4")]
+    pub sha256: ::prost::alloc::vec::Vec<u8>,
+}
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ExchangeRequest {
     #[prost(string, tag = "1")]
@@ -214,6 +247,9 @@
     pub asks_for_values: bool,
     #[prost(message, repeated, tag = "4")]
     pub quarantined: ::prost::alloc::vec::Vec<QuarantineEntry>,
+    /// The sender applies patches.
+    #[prost(bool, tag = "7")]
+    pub takes_patches: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ExchangeReply {
@@ -238,6 +274,12 @@
     /// The process does not serve yet, for it asks its peers itself.
     #[prost(bool, tag = "9")]
     pub starting: bool,
+    /// To be applied in this order, after the whole values.
+    #[prost(message, repeated, tag = "10")]
+    pub patches: ::prost::alloc::vec::Vec<ConfigPatch>,
+    /// Values or patches with higher revisions were left out to bound the message.
+    #[prost(bool, tag = "11")]
+    pub has_more: bool,
 }
 /// Content that ran on an endpoint when it crashed.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- /dev/null
+++ b/lib/tests/test_large_templates.rs
@@ -0,0 +1,134 @@
+//! Templates of the design size across processes: changes travel as patches, starts in pieces.
+
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use googletest::prelude::*;
+use pomeloramp_testutils::fleet::DRAFT_SERVICE;
+use pomeloramp_testutils::fleet::Fleet;
+use pomeloramp_testutils::fleet::FleetPlan;
+use pomeloramp_testutils::fleet_text::template;
+use pomeloramp_testutils::relay::Relay;
+use pomeloramp_testutils::status::revisions;
+use serde_json::json;
+
+const ORGANISATIONS: usize = 3_800;
+const IN_FORCE_WITHIN: Duration = Duration::from_secs(4);
+/// Longer than an exchange between two processes may take.
+const EXCHANGE_OVER: Duration = Duration::from_millis(1_200);
+/// Values of which an answer that held all would exceed the limit of a message, 4 MB.
+const LARGE_SERVICES: usize = 6;
+const LARGE_VALUE_BYTES: usize = 900_000;
+
+/// One availability zone, in which one entry reads the service and the others ask it.
+fn plan(entries: usize) -> FleetPlan {
+    let control = [
+        "heartbeat_interval_ms: 200",
+        "suspect_after_ms: 1000",
+        "vm_list_interval_ms: 200",
+        "watch_wait_ms: 5000",
+        "peer_exchange_interval_ms: 200",
+        "config_readers_per_zone: 1",
+        "connect_timeout_ms: 500",
+        "keepalive_interval_ms: 500",
+        "keepalive_timeout_ms: 500",
+    ];
+    FleetPlan::builder()
+        .entries(entries)
+        .zones(1)
+        .engines(1)
+        .control_settings(control.map(str::to_owned).to_vec())
+        .build()
+}
+
+fn large_template(changed: Option<usize>) -> String {
+    let rows = (0..ORGANISATIONS).map(|number| {
+        let urgency = if changed == Some(number) { 7 } else { 3 };
+        format!(
+            "  - organisation: organisation-{number:05}\n    credential_sha256: {number:064x}\n    \
+             max_in_flight: 64\n    urgency: {urgency}\n    share_weight: 1\n    idle_weight: 1\n"
+        )
+    });
+    let rows: Vec<String> = rows.collect();
+    template(DRAFT_SERVICE, "model", true) + &rows.concat()
+}
+
+/// Waits until a publication is in force in every process, and returns how long that took.
+fn wait_until_in_force(fleet: &Fleet, former: u64) -> Duration {
+    let started = Instant::now();
+    Fleet::wait_for("the revision is in force", || {
+        let held = revisions(fleet);
+        let processes = fleet.entries.len() + fleet.endpoints.len();
+        held.len() == processes && held.values().all(|held| *held > former)
+    });
+    started.elapsed()
+}
+
+fn latest(fleet: &Fleet) -> u64 {
+    revisions(fleet).values().max().copied().unwrap_or(0)
+}
+
+/// Lists every entry under a relay's address, so that exchanges among entries are counted.
+fn relay_entries(fleet: &mut Fleet) -> Vec<Relay> {
+    let addresses: Vec<_> = fleet
+        .entries
+        .iter()
+        .map(|entry| (entry.vm_name.clone(), entry.peer_address.clone()))
+        .collect();
+    let mut relays = Vec::new();
+    for (vm_name, address) in addresses {
+        let relay = Relay::start(&address);
+        fleet.list_peer_address(&vm_name, &relay.address());
+        relays.push(relay);
+    }
+    Fleet::wait_for("entries exchange through the relays", || {
+        relays.iter().all(Relay::has_connections)
+    });
+    relays
+}
+
+fn forwarded_bytes(relays: &[Relay]) -> usize {
+    let bytes: u64 = relays.iter().map(Relay::forwarded_bytes).sum();
+    usize::try_from(bytes).unwrap_or(usize::MAX)
+}
+
+#[googletest::test]
+fn one_organisations_change_of_a_large_template_travels_as_a_patch() {
+    let mut fleet = Fleet::start(plan(4));
+    let relays = relay_entries(&mut fleet);
+    let former = latest(&fleet);
+    let whole = large_template(None);
+    fleet.publish_template(DRAFT_SERVICE, &whole);
+    wait_until_in_force(&fleet, former);
+    Fleet::wait_for("exchanges of whole values are over", || {
+        let before = forwarded_bytes(&relays);
+        thread::sleep(EXCHANGE_OVER);
+        forwarded_bytes(&relays) - before < whole.len() / 2
+    });
+    let before = forwarded_bytes(&relays);
+    let former = latest(&fleet);
+    fleet.publish_template(DRAFT_SERVICE, &large_template(Some(1_900)));
+    let elapsed = wait_until_in_force(&fleet, former);
+    let bytes = forwarded_bytes(&relays) - before;
+    println!("{} bytes: {bytes} forwarded in {elapsed:?}", whole.len());
+    expect_that!(bytes, lt(whole.len() / 2));
+    expect_that!(elapsed, lt(IN_FORCE_WITHIN));
+}
+
+#[googletest::test]
+fn a_new_entry_takes_more_than_a_message_holds_from_its_peers() {
+    let mut fleet = Fleet::start(plan(2));
+    let mut former = latest(&fleet);
+    for number in 0..LARGE_SERVICES {
+        let service = format!("large-{number}");
+        let padding = format!("# {}\n", "-".repeat(97)).repeat(LARGE_VALUE_BYTES / 100);
+        fleet.publish_template(&service, &(template(&service, "plain", false) + &padding));
+        wait_until_in_force(&fleet, former);
+        former = latest(&fleet);
+    }
+    fleet.set_platform_faults(&json!({ "config": "down" }));
+    let newborn = fleet.add_entry();
+    let vm_name = &fleet.entries[newborn].vm_name;
+    expect_that!(revisions(&fleet).get(vm_name), some(eq(&former)));
+}
--- a/lib/testutils/src/fleet.rs
+++ b/lib/testutils/src/fleet.rs
@@ -78,6 +78,9 @@
     /// Number of entries.
     #[builder(default = 3)]
     pub entries: usize,
+    /// Number of availability zones, up to three.
+    #[builder(default = ZONES.len())]
+    pub zones: usize,
     /// Number of model engines.
     #[builder(default = 2)]
     pub engines: usize,
@@ -208,7 +211,7 @@
     /// Starts the process of an entry without waiting until it serves.
     pub fn begin_entry(&mut self) -> BegunEntry {
         let vm_name = self.new_name("entry");
-        let zone = ZONES[self.entries.len() % ZONES.len()];
+        let zone = ZONES[self.entries.len() % self.plan.zones];
         let mut settings = self.common_settings("entry", &vm_name, zone, ANY_PORT);
         settings.push_str("entry:\n  caller_address: \"127.0.0.1:0\"\n");
         push_lines(&mut settings, &self.plan.entry_settings);
@@ -289,7 +292,7 @@
             vms.push(self.record(
                 &entry.vm_name,
                 "entry",
-                ZONES[index % ZONES.len()],
+                ZONES[index % self.plan.zones],
                 "",
                 &entry.caller_address,
                 &entry.peer_address,
@@ -299,7 +302,7 @@
             vms.push(self.record(
                 &endpoint.vm_name,
                 "endpoint",
-                ZONES[index % ZONES.len()],
+                ZONES[index % self.plan.zones],
                 &endpoint.service,
                 "",
                 &endpoint.peer_address,
@@ -405,7 +408,7 @@
         endpoint_address: &str,
         peer_address: &str,
     ) -> String {
-        let zone = ZONES[self.endpoints.len() % ZONES.len()];
+        let zone = ZONES[self.endpoints.len() % self.plan.zones];
         let mut settings = self.common_settings("endpoint", vm_name, zone, peer_address);
         settings.push_str("endpoint:\n");
         let lines = [
--- a/lib/testutils/src/relay.rs
+++ b/lib/testutils/src/relay.rs
@@ -10,6 +10,7 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
@@ -28,6 +29,7 @@
 struct Switches {
     is_cut: AtomicBool,
     is_ended: AtomicBool,
+    forwarded_bytes: Arc<AtomicU64>,
     open: Mutex<Vec<RelayedConnection>>,
 }
 
@@ -81,6 +83,12 @@
         !open.unwrap_or_else(PoisonError::into_inner).is_empty()
     }
 
+    /// Returns the bytes forwarded in both directions so far.
+    #[must_use]
+    pub fn forwarded_bytes(&self) -> u64 {
+        self.switches.forwarded_bytes.load(Ordering::Acquire)
+    }
+
     /// Lets the open connections go silent for good; new ones work.
     pub fn silence_open_connections(&self) {
         let open = self
@@ -132,11 +140,13 @@
         caller.try_clone()?,
         target.try_clone()?,
         Arc::clone(&is_silent),
+        Arc::clone(&switches.forwarded_bytes),
     );
     pump(
         target.try_clone()?,
         caller.try_clone()?,
         Arc::clone(&is_silent),
+        Arc::clone(&switches.forwarded_bytes),
     );
     let connection = RelayedConnection {
         is_silent,
@@ -148,7 +158,12 @@
     Ok(())
 }
 
-fn pump(mut from: TcpStream, mut to: TcpStream, is_silent: Arc<AtomicBool>) {
+fn pump(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    is_silent: Arc<AtomicBool>,
+    forwarded_bytes: Arc<AtomicU64>,
+) {
     thread::spawn(move || {
         let mut buffer = vec![0; BUFFER_BYTES];
         loop {
@@ -164,6 +179,7 @@
                 let _ = to.shutdown(Shutdown::Both);
                 return;
             }
+            forwarded_bytes.fetch_add(count as u64, Ordering::AcqRel);
         }
     });
 }
