capacity: control_cost measures changes passed on as patches

A server and relay of the measurement without TCP_NODELAY waited 40 ms for each larger answer and the run did not end within 10 minutes; both set it now, as the daemon does.

--- a/lib/examples/control_cost/main.rs
+++ b/lib/examples/control_cost/main.rs
@@ -5,6 +5,7 @@
 
 mod cpu_time;
 mod fleet;
+mod patches;
 mod templates;
 mod wire;
 
@@ -27,15 +28,19 @@
     println!("seed {seed}");
     let heartbeat = wire::heartbeat_cost();
     print_rpc("heartbeat", &heartbeat);
-    print_rpc("exchange without news", &wire::exchange_cost(0));
+    print_rpc(
+        "exchange without news",
+        &wire::exchange_cost(0, &wire::exchange_reply()),
+    );
     print_rpc(
         "exchange that asks for values",
-        &wire::exchange_cost(SERVICES),
+        &wire::exchange_cost(SERVICES, &wire::exchange_reply()),
     );
     let idle_bytes = wire::idle_bytes_per_s(PROBE_INTERVAL);
     println!("idle connection probed every second: {idle_bytes} bytes a second");
     print_fleets(seed, &heartbeat);
     templates::print_costs();
+    patches::print_costs(SERVICES);
     templates::print_vm_list();
 }
 
--- a/lib/examples/control_cost/templates.rs
+++ b/lib/examples/control_cost/templates.rs
@@ -7,7 +7,7 @@
 use pomeloramp_lib::protos::template::ServiceTemplate;
 use prost::Message;
 
-const ORGANISATIONS: [usize; 3] = [10, 400, 3_800];
+pub(crate) const ORGANISATIONS: [usize; 3] = [10, 400, 3_800];
 const VMS: [usize; 3] = [43, 650, 1_690];
 const PARSES: u32 = 5;
 
@@ -63,7 +63,7 @@
     })
 }
 
-fn template(count: usize) -> ServiceTemplate {
+pub(crate) fn template(count: usize) -> ServiceTemplate {
     ServiceTemplate {
         service: "quote-draft".to_owned(),
         kind: "model".to_owned(),
--- a/lib/examples/control_cost/wire.rs
+++ b/lib/examples/control_cost/wire.rs
@@ -30,6 +30,7 @@
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::runtime::Runtime;
+use tokio_stream::StreamExt;
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::Request;
 use tonic::Response;
@@ -104,7 +105,8 @@
     }
 }
 
-fn exchange_reply() -> ExchangeReply {
+/// Returns an answer of a peer that has no news.
+pub(crate) fn exchange_reply() -> ExchangeReply {
     ExchangeReply {
         vm_name: "entry-vm-00043".to_owned(),
         incarnation: u64::MAX / 3,
@@ -122,7 +124,9 @@
 
 /// Answers every call with a fixed message.
 #[derive(Clone)]
-struct FixedAnswers;
+struct FixedAnswers {
+    exchange_reply: ExchangeReply,
+}
 
 #[tonic::async_trait]
 impl Agent for FixedAnswers {
@@ -146,7 +150,7 @@
         &self,
         _: Request<ExchangeRequest>,
     ) -> Result<Response<ExchangeReply>, Status> {
-        Ok(Response::new(exchange_reply()))
+        Ok(Response::new(self.exchange_reply.clone()))
     }
 
     async fn status(&self, _: Request<StatusRequest>) -> Result<Response<StatusReply>, Status> {
@@ -155,7 +159,7 @@
 }
 
 pub(crate) fn heartbeat_cost() -> RpcCost {
-    let measured = measure(async |channel| {
+    let measured = measure(&exchange_reply(), async |channel| {
         let mut client = AgentClient::new(channel);
         for _ in 0..CALLS {
             client
@@ -171,8 +175,8 @@
     }
 }
 
-pub(crate) fn exchange_cost(keys: usize) -> RpcCost {
-    let measured = measure(async |channel| {
+pub(crate) fn exchange_cost(keys: usize, reply: &ExchangeReply) -> RpcCost {
+    let measured = measure(reply, async |channel| {
         let mut client = PeerClient::new(channel);
         for _ in 0..CALLS {
             client
@@ -183,7 +187,7 @@
     });
     RpcCost {
         request_bytes: exchange_request(keys).encoded_len(),
-        reply_bytes: exchange_reply().encoded_len(),
+        reply_bytes: reply.encoded_len(),
         ..measured
     }
 }
@@ -192,7 +196,7 @@
 pub(crate) fn idle_bytes_per_s(probe_interval: Duration) -> u64 {
     let runtime = Runtime::new().expect("a runtime");
     runtime.block_on(async {
-        let server = start_server().await;
+        let server = start_server(&exchange_reply()).await;
         let bytes = Arc::new(AtomicU64::new(0));
         let relay = start_relay(server, bytes.clone(), bytes.clone()).await;
         let channel = Endpoint::from_shared(format!("http://{relay}"))
@@ -211,10 +215,10 @@
 }
 
 /// Counts the bytes of the calls through a relay, and their processor time without it.
-fn measure(calls: impl AsyncFn(Channel)) -> RpcCost {
+fn measure(exchange_reply: &ExchangeReply, calls: impl AsyncFn(Channel)) -> RpcCost {
     let runtime = Runtime::new().expect("a runtime");
     runtime.block_on(async {
-        let server = start_server().await;
+        let server = start_server(exchange_reply).await;
         let sent_bytes = Arc::new(AtomicU64::new(0));
         let received_bytes = Arc::new(AtomicU64::new(0));
         let relay = start_relay(server, sent_bytes.clone(), received_bytes.clone()).await;
@@ -238,13 +242,21 @@
     endpoint.connect().await.expect("the server listens")
 }
 
-async fn start_server() -> SocketAddr {
+async fn start_server(exchange_reply: &ExchangeReply) -> SocketAddr {
+    let answers = FixedAnswers {
+        exchange_reply: exchange_reply.clone(),
+    };
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("a bound address");
+    let incoming = TcpListenerStream::new(listener).map(|stream| {
+        let stream = stream?;
+        stream.set_nodelay(true)?;
+        Ok::<_, std::io::Error>(stream)
+    });
     let server = Server::builder()
-        .add_service(AgentServer::new(FixedAnswers))
-        .add_service(PeerServer::new(FixedAnswers))
-        .serve_with_incoming(TcpListenerStream::new(listener));
+        .add_service(AgentServer::new(answers.clone()))
+        .add_service(PeerServer::new(answers))
+        .serve_with_incoming(incoming);
     tokio::spawn(server);
     address
 }
@@ -259,6 +271,9 @@
     tokio::spawn(async move {
         let (client, _) = listener.accept().await.expect("a client");
         let server = TcpStream::connect(server).await.expect("the server");
+        for stream in [&client, &server] {
+            stream.set_nodelay(true).expect("an open connection");
+        }
         let (from_client, to_client) = client.into_split();
         let (from_server, to_server) = server.into_split();
         tokio::spawn(relay(from_client, to_server, sent_bytes));
