configuration: starts and reads of a large fleet are paced

- An entry that starts read the service every 50 ms while the service did not answer: up to 20 calls a second each, 7,800 for 390 entries, where the service takes 2,000.
StartReads spreads the first read over the fleet's size, leaves at least 500 ms between two, and stops at the first answer.
- Two readers of each availability zone received every changed template whole, 6.2 KB/s at the design size.
Readers are elected anew every 16 revisions, so the bytes spread over all entries of a zone.
A new reader watches from what peers passed on; before, it read everything once more.
- The spread of fallback reads is derived from the VM list (`ReaderElection::fallback_spread_ms`) when that is longer than 30 s.
A read is one call, so this begins to count at 30,000 VMs; below, the 30 s keep readers' absence from turning into whole values for every entry at once.
- The VM list is read whole, so reads are paced by `control.vm_list_bytes_per_s` (2,000 as shipped): 3 s up to 30 VMs, 64 s at 650, 166 s at 1,690.

Ruled out: a watch for each document, for the service promises none; agents that hold their own template only, for patches make the others cheap (32 MB of memory) and one revision tells whether a process is current.

--- a/lib/src/config_follower.rs
+++ b/lib/src/config_follower.rs
@@ -15,6 +15,7 @@
 use crate::Incarnation;
 use crate::MemberWord;
 use crate::StartDecision;
+use crate::StartReads;
 use crate::clock::Clock;
 use crate::config_source::ConfigSource;
 use crate::config_source::ExchangeError;
@@ -113,6 +114,7 @@
         };
         let mut asked: Vec<PeerTarget> = Vec::new();
         let mut plan = plan;
+        let mut reads = StartReads::new(plan.listed_vms, rand::random(), self.clock.now_ms());
         while start.decide(self.clock.now_ms()) == StartDecision::Wait {
             let fresh = plan.peers.iter().filter(|peer| !asked.contains(peer));
             let drawn = fresh.cloned().sample(&mut rand::rng(), CATCH_UP_PEERS);
@@ -120,6 +122,9 @@
                 start.asked(&peer.vm_name);
             }
             asked.extend(drawn);
+            if reads.take_due(self.clock.now_ms()) {
+                self.read_at_start(&mut reads, &mut start).await;
+            }
             self.ask_all_at_start(&asked, &mut start).await;
             tokio::time::sleep(CATCH_UP_INTERVAL).await;
             if let Some(latest) = plans.borrow().clone() {
@@ -128,12 +133,19 @@
         }
     }
 
-    /// Asks the service and the drawn peers once more what they hold.
-    async fn ask_all_at_start(&self, peers: &[PeerTarget], start: &mut ConfigStart) {
-        if self.source.read(0, Duration::ZERO).await.is_ok() {
-            self.note_reached(0);
-            start.service_answered();
+    async fn read_at_start(&self, reads: &mut StartReads, start: &mut ConfigStart) {
+        match self.source.read(0, Duration::ZERO).await {
+            Ok(_) => {
+                self.note_reached(0);
+                reads.answered();
+                start.service_answered();
+            }
+            Err(error) => event!(ConfigServiceFailed, "{error}"),
         }
+    }
+
+    /// Asks the drawn peers once more what they hold.
+    async fn ask_all_at_start(&self, peers: &[PeerTarget], start: &mut ConfigStart) {
         let exchanges = peers.iter().map(|peer| self.ask_at_start(peer));
         for (peer, answer) in peers.iter().zip(futures::future::join_all(exchanges).await) {
             match answer {
@@ -205,10 +217,14 @@
 
     /// Watches the service for as long as this entry is a reader.
     async fn watch_while_reader(self, mut is_reader: watch::Receiver<bool>) {
-        let mut revision = 0;
+        let mut revision = self.source.config.load().revision;
         loop {
-            if is_reader.wait_for(|is_reader| *is_reader).await.is_err() {
-                return;
+            if !*is_reader.borrow_and_update() {
+                if is_reader.wait_for(|is_reader| *is_reader).await.is_err() {
+                    return;
+                }
+                // Peers passed on what came before.
+                revision = self.source.config.load().revision;
             }
             let read = tokio::select! {
                 read = self.source.read(revision, self.watch_wait) => read,
--- a/lib/src/control_loop.rs
+++ b/lib/src/control_loop.rs
@@ -5,9 +5,11 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
+use tokio::time::Instant;
 use tokio::time::MissedTickBehavior;
 use tonic::Request;
 
+use crate::VmListPace;
 use crate::agent_channels::AgentChannels;
 use crate::clock::Clock;
 use crate::config_duty::SharedConfig;
@@ -35,7 +37,7 @@
     pub(crate) config: SharedConfig,
     pub(crate) routing: Duty<RoutingCommand>,
     pub(crate) heartbeat_timeout: Duration,
-    pub(crate) vm_list_interval: Duration,
+    pub(crate) vm_list_pace: VmListPace,
     /// Hears the address of an agent that holds a configuration unlike this entry's.
     pub(crate) config_pulls: mpsc::Sender<String>,
     pub(crate) quarantine: SharedQuarantine,
@@ -45,35 +47,33 @@
 impl ControlLoop {
     /// Runs until the process ends, and passes each plan on.
     pub(crate) async fn run(self, plans: watch::Sender<Option<ControlPlan>>) {
-        let mut list_ticks = tokio::time::interval(self.vm_list_interval);
+        tokio::spawn(read_lists(
+            self.platform.clone(),
+            self.channels.clone(),
+            self.routing.clone(),
+            self.vm_list_pace,
+        ));
         let mut plan_ticks = tokio::time::interval(PLAN_INTERVAL);
-        list_ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         plan_ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            tokio::select! {
-                _ = list_ticks.tick() => {
-                    tokio::spawn(read_list(
-                        self.platform.clone(),
-                        self.channels.clone(),
-                        self.routing.clone(),
-                    ));
-                }
-                _ = plan_ticks.tick() => {
-                    if let Some(plan) = self.plan().await {
-                        self.send_heartbeats(&plan.heartbeats);
-                        for peer in &plan.peers {
-                            self.recent_peers.note(&peer.peer_address);
-                        }
-                        plans.send_replace(Some(plan));
-                    }
+            plan_ticks.tick().await;
+            if let Some(plan) = self.plan().await {
+                self.send_heartbeats(&plan.heartbeats);
+                for peer in &plan.peers {
+                    self.recent_peers.note(&peer.peer_address);
                 }
+                plans.send_replace(Some(plan));
             }
         }
     }
 
     async fn plan(&self) -> Option<ControlPlan> {
         let (reply, plan) = oneshot::channel();
-        self.routing.submit(RoutingCommand::Plan { reply }).ok()?;
+        let command = RoutingCommand::Plan {
+            config_revision: self.config.load().revision,
+            reply,
+        };
+        self.routing.submit(command).ok()?;
         plan.await.ok()
     }
 
@@ -103,19 +103,39 @@
     }
 }
 
-async fn read_list(
+/// Reads the list again and again until the process ends.
+async fn read_lists(
     platform: PlatformClient,
     channels: AgentChannels,
     routing: Duty<RoutingCommand>,
+    pace: VmListPace,
 ) {
+    loop {
+        let started = Instant::now();
+        let answer_bytes = read_list(&platform, &channels, &routing).await;
+        let delay = Duration::from_millis(pace.delay_ms(answer_bytes));
+        tokio::time::sleep_until(started + delay).await;
+    }
+}
+
+/// Reads the list once and returns its bytes, zero when there was no answer.
+async fn read_list(
+    platform: &PlatformClient,
+    channels: &AgentChannels,
+    routing: &Duty<RoutingCommand>,
+) -> u64 {
     match platform.vms().await {
         Ok(list) => {
             channels.retain(|peer| list.vms.iter().any(|vm| vm.peer_address == peer));
             if let Err(error) = routing.submit(RoutingCommand::VmList(list.vms)) {
                 log::warn!("VM list: {error}");
             }
+            list.answer_bytes
+        }
+        Err(error) => {
+            event!(VmListFailed, "{error}");
+            0
         }
-        Err(error) => event!(VmListFailed, "{error}"),
     }
 }
 
--- a/lib/src/control_plan.rs
+++ b/lib/src/control_plan.rs
@@ -23,6 +23,8 @@
 pub(crate) struct ControlPlan {
     /// The platform's list has been read at least once.
     pub(crate) has_list: bool,
+    /// VMs on the list.
+    pub(crate) listed_vms: usize,
     pub(crate) heartbeats: Vec<HeartbeatTarget>,
     /// This entry watches the configuration service for its availability zone.
     pub(crate) is_reader: bool,
--- a/lib/src/entry_daemon.rs
+++ b/lib/src/entry_daemon.rs
@@ -28,6 +28,7 @@
 use crate::AddressRequest;
 use crate::EntryRecord;
 use crate::Metrics;
+use crate::VmListPace;
 use crate::agent_channels::AgentChannels;
 use crate::caller_error::CallerError;
 use crate::caller_server;
@@ -59,6 +60,7 @@
 use crate::plain_call;
 use crate::platform_client::PlatformClient;
 use crate::protos::control::peer_server::PeerServer as PeerService;
+use crate::protos::settings::ControlSettings;
 use crate::protos::settings::DaemonSettings;
 use crate::quarantine_push;
 use crate::quarantine_push::RecentPeers;
@@ -114,7 +116,7 @@
         config: Arc::clone(&config),
         routing: routing.clone(),
         heartbeat_timeout: Duration::from_millis(control.heartbeat_interval_ms) * 2,
-        vm_list_interval: Duration::from_millis(control.vm_list_interval_ms),
+        vm_list_pace: vm_list_pace(&control),
         config_pulls,
         quarantine: quarantine.clone(),
         recent_peers,
@@ -178,6 +180,13 @@
     Ok(())
 }
 
+fn vm_list_pace(control: &ControlSettings) -> VmListPace {
+    VmListPace {
+        interval_ms: control.vm_list_interval_ms,
+        max_bytes_per_s: control.vm_list_bytes_per_s,
+    }
+}
+
 fn routing_settings(settings: &DaemonSettings) -> RoutingSettings {
     let control = settings.control.unwrap_or_default();
     let entry = settings.entry.clone().unwrap_or_default();
--- a/lib/src/fleet_view.rs
+++ b/lib/src/fleet_view.rs
@@ -43,6 +43,7 @@
     membership: Membership,
     election: ReaderElection,
     has_list: bool,
+    listed_vms: usize,
     entries: Vec<VmRecord>,
     /// Entries that did not answer, with the time until which they are left out.
     avoided_until_ms: HashMap<String, u64>,
@@ -72,6 +73,7 @@
             election: ReaderElection::new(election, rand::random(), now_ms),
             settings,
             has_list: false,
+            listed_vms: 0,
             entries: Vec::new(),
             avoided_until_ms: HashMap::new(),
             services: BTreeMap::new(),
@@ -84,6 +86,8 @@
     /// Takes the platform's list of VMs.
     pub(crate) fn observe_list(&mut self, vms: &[VmRecord], now_ms: u64) {
         self.has_list = true;
+        self.listed_vms = vms.len();
+        self.election.observe_processes(vms.len());
         let listed: Vec<ListedVm> = vms.iter().map(listed_vm).collect();
         self.membership.observe_list(&listed, now_ms);
         self.entries = vms.iter().filter(|vm| vm.role == ENTRY).cloned().collect();
@@ -137,6 +141,11 @@
         self.election.observe_reader_news(reached_ms);
     }
 
+    /// Notes the configuration revision in force here.
+    pub(crate) fn observe_revision(&mut self, revision: u64) {
+        self.election.observe_revision(revision);
+    }
+
     /// Tells whether this entry must read the configuration service by itself now.
     pub(crate) fn take_due_fallback_read(&mut self, now_ms: u64) -> bool {
         self.election.take_due_fallback_read(now_ms)
@@ -183,6 +192,7 @@
             .collect();
         ControlPlan {
             has_list: self.has_list,
+            listed_vms: self.listed_vms,
             heartbeats,
             is_reader: elected.contains(&self.settings.vm_name.as_str()),
             readers,
--- a/lib/src/platform_client.rs
+++ b/lib/src/platform_client.rs
@@ -108,6 +108,9 @@
 pub struct VmList {
     /// Live and leaving VMs.
     pub vms: Vec<VmRecord>,
+    /// Bytes of the platform's answer.
+    #[serde(skip)]
+    pub answer_bytes: u64,
 }
 
 /// Reads from one platform address.
@@ -141,7 +144,8 @@
             "/config/watch?after={revision}&wait_ms={}",
             wait.as_millis()
         );
-        self.get(&path, wait + ANSWER_TIMEOUT).await
+        let body = self.get(&path, wait + ANSWER_TIMEOUT).await?;
+        self.parse(&path, &body)
     }
 
     /// Reads the list of VMs.
@@ -150,14 +154,15 @@
     ///
     /// Fails when the platform is down or answers nonsense.
     pub async fn vms(&self) -> Result<VmList, PlatformError> {
-        self.get("/vms", ANSWER_TIMEOUT).await
+        let body = self.get("/vms", ANSWER_TIMEOUT).await?;
+        let list: VmList = self.parse("/vms", &body)?;
+        Ok(VmList {
+            answer_bytes: body.len() as u64,
+            ..list
+        })
     }
 
-    async fn get<T: DeserializeOwned>(
-        &self,
-        path: &str,
-        timeout: Duration,
-    ) -> Result<T, PlatformError> {
+    async fn get(&self, path: &str, timeout: Duration) -> Result<Bytes, PlatformError> {
         tokio::time::timeout(timeout, self.get_unbounded(path))
             .await
             .map_err(|_| PlatformError::Timeout {
@@ -167,7 +172,7 @@
             })?
     }
 
-    async fn get_unbounded<T: DeserializeOwned>(&self, path: &str) -> Result<T, PlatformError> {
+    async fn get_unbounded(&self, path: &str) -> Result<Bytes, PlatformError> {
         let request = Request::get(path)
             .header(http::header::HOST, &self.address)
             .body(Full::new(Bytes::new()))
@@ -186,16 +191,22 @@
                 status: status.as_u16(),
             });
         }
-        let body_error = |reason: String| PlatformError::Body {
-            peer: self.address.clone(),
-            path: path.to_owned(),
-            reason,
-        };
         let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
             .collect()
             .await
-            .map_err(|error| body_error(error.to_string()))?
-            .to_bytes();
-        serde_json::from_slice(&body).map_err(|error| body_error(error.to_string()))
+            .map_err(|error| self.body_error(path, error.to_string()))?;
+        Ok(body.to_bytes())
+    }
+
+    fn parse<T: DeserializeOwned>(&self, path: &str, body: &[u8]) -> Result<T, PlatformError> {
+        serde_json::from_slice(body).map_err(|error| self.body_error(path, error.to_string()))
+    }
+
+    fn body_error(&self, path: &str, reason: String) -> PlatformError {
+        PlatformError::Body {
+            peer: self.address.clone(),
+            path: path.to_owned(),
+            reason,
+        }
     }
 }
--- a/lib/src/protos/pomeloramp.settings.rs
+++ b/lib/src/protos/pomeloramp.settings.rs
@@ -57,6 +57,9 @@
     /// Bound on the bytes of all heartbeats of one process; they slow down to keep it.
     #[prost(uint64, tag = "10")]
     pub heartbeat_bytes_per_s: u64,
+    /// Bound on the bytes of all reads of the VM list by one process.
+    #[prost(uint64, tag = "11")]
+    pub vm_list_bytes_per_s: u64,
 }
 /// Settings of the entry role.
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/lib/src/reader_election.rs
+++ b/lib/src/reader_election.rs
@@ -10,12 +10,19 @@
 /// Purpose under which the readers of an availability zone are ranked.
 const READER_PURPOSE: &str = "configuration-reader";
 const MS_PER_S: u64 = 1_000;
+/// A watch without wait.
+const CALLS_PER_FALLBACK_READ: u64 = 1;
+/// Half the calls that the configuration service takes.
+const FALLBACK_CALLS_PER_S: u64 = 1_000;
+/// Revisions of the configuration service after which readers are elected anew.
+const REVISIONS_PER_TERM: u64 = 16;
 
 /// Decides whether this process watches the configuration service, or leaves that to peers.
 ///
 /// Each availability zone elects its readers by rendezvous over the members that are alive in the
 /// eyes of each process. Processes that disagree elect a few readers more or fewer, which is
-/// harmless, since a reader only reads. A process without news from a reader reads by itself, once
+/// harmless, since a reader only reads. A reader gets every changed value whole, so after some
+/// revisions other processes take over, and the bytes spread over all. A process without news from a reader reads by itself, once
 /// in each fallback spread and at a time drawn anew for each.
 #[derive(Debug)]
 pub struct ReaderElection {
@@ -24,6 +31,10 @@
     /// Time of the last sign that a reader reached the service.
     reader_news_ms: u64,
     fallback_reads: u64,
+    /// Time over which the reads of all processes spread.
+    fallback_spread_ms: u64,
+    /// Counts the times that readers were elected, by the revision in force.
+    term: u64,
 }
 
 impl ReaderElection {
@@ -31,13 +42,31 @@
     #[must_use]
     pub fn new(settings: ReaderElectionSettings, seed: u64, now_ms: u64) -> Self {
         Self {
+            fallback_spread_ms: settings.fallback_spread_ms,
             settings,
             seed,
             reader_news_ms: now_ms,
             fallback_reads: 0,
+            term: 0,
         }
     }
 
+    /// Takes note of the revision in force here, which tells the term of the readers.
+    pub fn observe_revision(&mut self, revision: u64) {
+        self.term = revision / REVISIONS_PER_TERM;
+    }
+
+    /// Takes note of the processes listed, over which reads of their own are spread so that the
+    /// service gets at most half the calls that it takes.
+    pub fn observe_processes(&mut self, processes: usize) {
+        let least_ms = Self::fallback_spread_ms(
+            processes as u64,
+            CALLS_PER_FALLBACK_READ,
+            FALLBACK_CALLS_PER_S,
+        );
+        self.fallback_spread_ms = self.settings.fallback_spread_ms.max(least_ms);
+    }
+
     /// Returns the spread in which `processes` that read by themselves, each with `calls_per_read`,
     /// stay on average within `calls_per_s` at the configuration service.
     #[must_use]
@@ -81,7 +110,7 @@
         let first_ms = self
             .reader_news_ms
             .saturating_add(settings.fallback_after_ms);
-        let spread_ms = settings.fallback_spread_ms.max(1);
+        let spread_ms = self.fallback_spread_ms.max(1);
         let round_ms = self.fallback_reads.saturating_mul(spread_ms);
         let drawn = xxh3_64_with_seed(&self.fallback_reads.to_le_bytes(), self.seed);
         let jitter_ms = drawn % spread_ms;
@@ -105,7 +134,7 @@
             .reader_news_ms
             .saturating_add(self.settings.fallback_after_ms);
         let elapsed_ms = now_ms.saturating_sub(first_ms);
-        let current_round = elapsed_ms / self.settings.fallback_spread_ms.max(1);
+        let current_round = elapsed_ms / self.fallback_spread_ms.max(1);
         self.fallback_reads = self.fallback_reads.max(current_round);
         if self.next_fallback_read_ms() <= now_ms {
             self.fallback_reads += 1;
@@ -113,6 +142,7 @@
     }
 
     fn weight(&self, vm_name: &str) -> u64 {
-        rendezvous::weight(&self.settings.availability_zone, vm_name, READER_PURPOSE)
+        let purpose = format!("{READER_PURPOSE} {}", self.term);
+        rendezvous::weight(&self.settings.availability_zone, vm_name, &purpose)
     }
 }
--- a/lib/src/reader_election_settings.rs
+++ b/lib/src/reader_election_settings.rs
@@ -17,7 +17,7 @@
     /// Time without news from any reader after which a process reads by itself.
     #[builder(default = 3_000)]
     pub fallback_after_ms: u64,
-    /// Time over which the reads of all processes spread when readers have vanished.
+    /// Least time over which the reads of all processes spread when readers have vanished.
     #[builder(default = 30_000)]
     pub fallback_spread_ms: u64,
 }
--- a/lib/src/routing_duty.rs
+++ b/lib/src/routing_duty.rs
@@ -42,8 +42,11 @@
     ReaderNews { reached_ms: u64 },
     /// This entry asks whether it must read the configuration service by itself.
     FallbackRead { reply: oneshot::Sender<bool> },
-    /// The control traffic asks what to do next.
-    Plan { reply: oneshot::Sender<ControlPlan> },
+    /// The control traffic asks what to do next, with the configuration revision in force.
+    Plan {
+        config_revision: u64,
+        reply: oneshot::Sender<ControlPlan>,
+    },
     /// A request asks for an endpoint.
     Choose {
         query: RouteQuery,
@@ -100,8 +103,12 @@
         RoutingCommand::FallbackRead { reply } => {
             let _ = reply.send(fleet.take_due_fallback_read(now_ms));
         }
-        RoutingCommand::Plan { reply } => {
+        RoutingCommand::Plan {
+            config_revision,
+            reply,
+        } => {
             fleet.refresh_states(now_ms);
+            fleet.observe_revision(config_revision);
             let _ = reply.send(fleet.plan(now_ms));
         }
         RoutingCommand::Choose { query, reply } => {
--- a/lib/src/settings_ranges.rs
+++ b/lib/src/settings_ranges.rs
@@ -15,11 +15,12 @@
     pub(crate) max: u64,
 }
 
-const NUMBER_RANGES: [NumberRange; 22] = [
+const NUMBER_RANGES: [NumberRange; 23] = [
     range("control.heartbeat_interval_ms", 50, MINUTE_MS),
     range("control.heartbeat_bytes_per_s", 100, 1_000_000_000),
     range("control.suspect_after_ms", 100, HOUR_MS),
     range("control.vm_list_interval_ms", 100, HOUR_MS),
+    range("control.vm_list_bytes_per_s", 100, 1_000_000_000),
     range("control.watch_wait_ms", 100, HOUR_MS),
     range("control.peer_exchange_interval_ms", 50, MINUTE_MS),
     range("control.config_readers_per_zone", 1, 64),
--- a/lib/tests/test_configuration_in_force.rs
+++ b/lib/tests/test_configuration_in_force.rs
@@ -1,5 +1,7 @@
 //! Configuration across processes: in force everywhere in time, and never back.
 
+use std::collections::BTreeMap;
+use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -19,6 +21,15 @@
 const OLD_STATE_WATCHED: Duration = Duration::from_secs(2);
 const IN_FORCE_WITHIN: Duration = Duration::from_secs(4);
 const NEW_ENTRIES: usize = 3;
+const OPERATORS: usize = 2;
+const PUBLICATIONS: u64 = 40;
+/// Short enough that one answer of the service holds several publications.
+const PUBLICATION_INTERVAL: Duration = Duration::from_millis(10);
+/// Entries of a fleet of today.
+const RESTARTED_ENTRIES: usize = 8;
+const READS_BEFORE_SERVICE_IS_BACK: u64 = 24;
+/// Shortest time between two reads of an entry that starts.
+const START_READ_INTERVAL: Duration = Duration::from_millis(500);
 
 fn plan(entries: usize) -> FleetPlan {
     FleetPlan::builder().entries(entries).engines(1).build()
@@ -157,3 +168,126 @@
     let values = http::try_get(&url).expect("the configuration service answers");
     values["revision"].as_u64().expect("a revision")
 }
+
+/// Revisions in force by process and document, as one look at the whole fleet shows them.
+fn in_force(fleet: &Fleet) -> BTreeMap<(String, String), u64> {
+    let rows = run(fleet, "revisions");
+    let rows = rows.iter().filter(|row| row["state"] == "in force");
+    let cells = rows.filter_map(|row| {
+        let vm_name = row["vm_name"].as_str()?.to_owned();
+        let document = row["document"].as_str()?.to_owned();
+        Some(((vm_name, document), row["revision"].as_u64()?))
+    });
+    cells.collect()
+}
+
+/// Publishes both documents in turn, each time with another deadline.
+fn publish_in_turn(platform_address: &str, operator: usize) {
+    let documents = [
+        (DRAFT_SERVICE, template(DRAFT_SERVICE, "model", true)),
+        (COMMIT_SERVICE, template(COMMIT_SERVICE, "plain", false)),
+    ];
+    for publication in 0..PUBLICATIONS {
+        let deadline_ms = 9_000 + publication * 10 + operator as u64;
+        for (service, text) in &documents {
+            let url = format!("http://{platform_address}/admin/config/services/{service}");
+            let text = text.replace("deadline_ms: 10000", &format!("deadline_ms: {deadline_ms}"));
+            http::put(&url, &text);
+            thread::sleep(PUBLICATION_INTERVAL);
+        }
+    }
+}
+
+#[googletest::test]
+fn two_operators_who_publish_at_once_leave_every_process_at_the_last_revisions() {
+    // Two entries read the service, and three others take what these pass on.
+    let plan = FleetPlan::builder().entries(5).zones(1).engines(1).build();
+    let fleet = Fleet::start(plan);
+    let operators: Vec<_> = (0..OPERATORS)
+        .map(|operator| {
+            let address = fleet.platform_address.clone();
+            thread::spawn(move || publish_in_turn(&address, operator))
+        })
+        .collect();
+    let mut former = in_force(&fleet);
+    while operators.iter().any(|operator| !operator.is_finished()) {
+        former = expect_none_went_back(&former, in_force(&fleet));
+    }
+    for operator in operators {
+        operator.join().expect("the operator published all");
+    }
+    let url = format!("http://{}/config/values", fleet.platform_address);
+    let published = http::try_get(&url).expect("the configuration service answers");
+    let published = published["values"].as_array().expect("a list of values");
+    expect_that!(published, len(eq(2)));
+    Fleet::wait_for("the last revisions are in force", || {
+        former = expect_none_went_back(&former, in_force(&fleet));
+        let is_in_force = |value: &Value| {
+            let document = value["key"].as_str().unwrap_or_default();
+            let mut held = former.iter().filter(|((_, key), _)| key == document);
+            held.all(|(_, revision)| value["revision"].as_u64() == Some(*revision))
+        };
+        published.iter().all(is_in_force)
+    });
+    let processes = fleet.entries.len() + fleet.endpoints.len();
+    expect_that!(former, len(eq(2 * processes)));
+}
+
+/// Checks a look at the fleet against the one before, and returns it.
+fn expect_none_went_back(
+    former: &BTreeMap<(String, String), u64>,
+    latter: BTreeMap<(String, String), u64>,
+) -> BTreeMap<(String, String), u64> {
+    for (place, revision) in former {
+        // A process that did not answer this look is compared at the next.
+        if let Some(held) = latter.get(place) {
+            expect_that!(held, ge(revision), "{place:?}");
+        }
+    }
+    let mut merged = former.clone();
+    merged.extend(latter);
+    merged
+}
+
+fn watches(fleet: &Fleet) -> Value {
+    let url = format!("http://{}/admin/calls", fleet.platform_address);
+    http::try_get(&url).expect("the platform answers")
+}
+
+#[googletest::test]
+fn a_whole_fleet_that_restarts_while_the_service_is_down_calls_it_seldom() {
+    let mut fleet = Fleet::start(plan(RESTARTED_ENTRIES));
+    let revision = publish(&fleet, 9_000);
+    wait_until_in_force(&fleet, revision);
+    fleet.set_platform_faults(&json!({ "config": "down" }));
+    for entry in &mut fleet.entries {
+        entry.daemon.kill();
+    }
+    let agents = fleet.endpoints.len();
+    for agent in 0..agents {
+        fleet.restart_agent(agent);
+    }
+    let count = |fleet: &Fleet| watches(fleet)["config_watches"].as_u64().unwrap_or(0);
+    let before = count(&fleet);
+    let started = Instant::now();
+    fleet.entries.clear();
+    let begun: Vec<_> = (0..RESTARTED_ENTRIES)
+        .map(|_| fleet.begin_entry())
+        .collect();
+    Fleet::wait_for("the new entries ask the service", || {
+        count(&fleet) >= before + READS_BEFORE_SERVICE_IS_BACK
+    });
+    let calls = count(&fleet) - before;
+    let elapsed = started.elapsed();
+    let reads_each = elapsed.as_millis() / START_READ_INTERVAL.as_millis() + 1;
+    let most = u64::try_from(reads_each).unwrap() * RESTARTED_ENTRIES as u64 + agents as u64;
+    println!("{calls} calls in {elapsed:?}, at most {most}");
+    expect_that!(calls, le(most));
+    fleet.set_platform_faults(&json!({ "config": "none" }));
+    for entry in begun {
+        fleet.finish_entry(entry);
+    }
+    fleet.publish_vms();
+    wait_until_in_force(&fleet, revision);
+    expect_that!(watches(&fleet)["config_refused"].as_u64(), some(eq(0)));
+}
--- a/lib/tests/test_reader_election.rs
+++ b/lib/tests/test_reader_election.rs
@@ -3,6 +3,8 @@
 use googletest::prelude::*;
 use pomeloramp_lib::ReaderElection;
 use pomeloramp_lib::ReaderElectionSettings;
+use pomeloramp_lib::StartReads;
+use pomeloramp_lib::VmListPace;
 
 fn election(vm_name: &str, seed: u64) -> ReaderElection {
     let settings = ReaderElectionSettings::builder()
@@ -40,6 +42,31 @@
     expect_that!(election("entry-1", 0).is_reader(&["entry-1"]), eq(true));
 }
 
+/// A reader gets every changed value whole, so over the revisions of a day the role must pass
+/// evenly through the processes of an availability zone.
+#[googletest::test]
+fn every_process_of_a_zone_is_a_reader_for_its_share_of_the_revisions() {
+    let names: Vec<String> = (0..30).map(|n| format!("entry-{n}")).collect();
+    let live: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut election = election("entry-0", 0);
+    let mut read_by = vec![0_u32; names.len()];
+    let mut elections = 0;
+    let mut former = Vec::new();
+    for revision in 1..=7_400 {
+        election.observe_revision(revision);
+        let readers = election.readers(&live);
+        assert_that!(readers, len(eq(2)));
+        for reader in &readers {
+            read_by[live.iter().position(|vm| vm == reader).unwrap()] += 1;
+        }
+        let readers: Vec<String> = readers.into_iter().map(str::to_owned).collect();
+        elections += u32::from(readers != former);
+        former = readers;
+    }
+    expect_that!(read_by.iter().max(), some(lt(&1_000)), "493 on average");
+    expect_that!(elections, lt(500));
+}
+
 #[googletest::test]
 fn news_from_a_reader_put_off_the_fallback() {
     let mut election = election("entry-1", 7);
@@ -85,3 +112,50 @@
     expect_that!(calls_in_second.iter().max(), some(lt(&2_000)));
     expect_that!(reads_of_process.iter().min(), some(ge(&5)));
 }
+
+/// A whole fleet of the design size starts at one moment before a service that is down; each
+/// process of it keeps asking until the service answers.
+#[googletest::test]
+fn a_whole_fleet_that_starts_stays_below_the_call_limit() {
+    let entries = 390;
+    let agents = 1_300;
+    let mut calls_in_second = [0_u64; 20];
+    calls_in_second[0] += agents;
+    for entry in 0..entries {
+        let mut reads = StartReads::new(1_690, entry, 0);
+        for now_ms in (0..20_000).step_by(50) {
+            if reads.take_due(now_ms) {
+                calls_in_second[usize::try_from(now_ms / 1_000).unwrap()] += 1;
+            }
+        }
+        expect_that!(reads.take_due(30_000), eq(true), "it does not give up");
+        reads.answered();
+        expect_that!(reads.take_due(60_000), eq(false));
+    }
+    expect_that!(calls_in_second.iter().max(), some(lt(&2_000)));
+}
+
+#[googletest::test]
+fn a_listed_fleet_spreads_its_fallback_reads_by_its_size() {
+    let mut election = election("entry-1", 7);
+    election.observe_processes(1_690);
+    expect_that!(election.next_fallback_read_ms(), lt(33_000));
+    let mut latest_ms = 0;
+    for seed in 0..50 {
+        let mut election = self::election("entry-1", seed);
+        election.observe_processes(1_000_000);
+        latest_ms = latest_ms.max(election.next_fallback_read_ms());
+    }
+    expect_that!(latest_ms, all!(gt(500_000), lt(1_003_000)));
+}
+
+#[googletest::test]
+fn a_long_list_is_read_more_seldom() {
+    let pace = VmListPace {
+        interval_ms: 3_000,
+        max_bytes_per_s: 2_000,
+    };
+    expect_that!(pace.delay_ms(0), eq(3_000));
+    expect_that!(pace.delay_ms(6_000), eq(3_000));
+    expect_that!(pace.delay_ms(331_249), eq(165_625));
+}
--- a/lib/testutils/src/fleet_text.rs
+++ b/lib/testutils/src/fleet_text.rs
@@ -5,10 +5,11 @@
 
 use crate::fleet::ORGANISATIONS;
 
-pub(crate) const DEFAULT_CONTROL: [&str; 9] = [
+pub(crate) const DEFAULT_CONTROL: [&str; 10] = [
     "heartbeat_interval_ms: 200",
     "suspect_after_ms: 1000",
     "vm_list_interval_ms: 200",
+    "vm_list_bytes_per_s: 1000000",
     "watch_wait_ms: 5000",
     "peer_exchange_interval_ms: 200",
     "config_readers_per_zone: 2",
