--- a/lib/src/platform_client.rs
+++ b/lib/src/platform_client.rs
@@ -109,6 +109,9 @@
 pub struct VmList {
     /// Live and leaving VMs.
     pub vms: Vec<VmRecord>,
+    /// Bytes of the platform's answer.
+    #[serde(skip)]
+    pub answer_bytes: u64,
 }
 
 /// Reads from one platform address.
@@ -142,7 +145,8 @@
             "/config/watch?after={revision}&wait_ms={}",
             wait.as_millis()
         );
-        self.get(&path, wait + ANSWER_TIMEOUT).await
+        let body = self.get(&path, wait + ANSWER_TIMEOUT).await?;
+        self.parse(&path, &body)
     }
 
     /// Reads the list of VMs.
@@ -151,7 +155,12 @@
     ///
     /// Fails when the platform is down or answers nonsense.
     pub async fn vms(&self) -> Result<VmList, PlatformError> {
-        self.get("/vms", ANSWER_TIMEOUT).await
+        let body = self.get("/vms", ANSWER_TIMEOUT).await?;
+        let list: VmList = self.parse("/vms", &body)?;
+        Ok(VmList {
+            answer_bytes: body.len() as u64,
+            ..list
+        })
     }
 
     /// Reads the weights of one expert of one layer.
@@ -161,23 +170,10 @@
     /// Fails when the platform is down or too slow.
     pub(crate) async fn weights(&self, layer: u32, expert: u32) -> Result<Bytes, PlatformError> {
         let path = format!("/weights/{layer}-{expert}");
-        self.get_bytes(&path, WEIGHTS_TIMEOUT).await
+        self.get(&path, WEIGHTS_TIMEOUT).await
     }
 
-    async fn get<T: DeserializeOwned>(
-        &self,
-        path: &str,
-        timeout: Duration,
-    ) -> Result<T, PlatformError> {
-        let body = self.get_bytes(path, timeout).await?;
-        serde_json::from_slice(&body).map_err(|error| PlatformError::Body {
-            peer: self.address.clone(),
-            path: path.to_owned(),
-            reason: error.to_string(),
-        })
-    }
-
-    async fn get_bytes(&self, path: &str, timeout: Duration) -> Result<Bytes, PlatformError> {
+    async fn get(&self, path: &str, timeout: Duration) -> Result<Bytes, PlatformError> {
         tokio::time::timeout(timeout, self.get_unbounded(path))
             .await
             .map_err(|_| PlatformError::Timeout {
@@ -209,11 +205,19 @@
         let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
             .collect()
             .await
-            .map_err(|error| PlatformError::Body {
-                peer: self.address.clone(),
-                path: path.to_owned(),
-                reason: error.to_string(),
-            })?;
+            .map_err(|error| self.body_error(path, error.to_string()))?;
         Ok(body.to_bytes())
     }
+
+    fn parse<T: DeserializeOwned>(&self, path: &str, body: &[u8]) -> Result<T, PlatformError> {
+        serde_json::from_slice(body).map_err(|error| self.body_error(path, error.to_string()))
+    }
+
+    fn body_error(&self, path: &str, reason: String) -> PlatformError {
+        PlatformError::Body {
+            peer: self.address.clone(),
+            path: path.to_owned(),
+            reason,
+        }
+    }
 }
--- a/lib/testutils/src/relay.rs
+++ b/lib/testutils/src/relay.rs
@@ -11,6 +11,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
@@ -37,6 +38,7 @@
     refuses_new: AtomicBool,
     is_ended: AtomicBool,
     target: Mutex<String>,
+    forwarded_bytes: Arc<AtomicU64>,
     open: Mutex<Vec<RelayedConnection>>,
 }
 
@@ -112,6 +114,12 @@
         !self.switches.open_connections().is_empty()
     }
 
+    /// Returns the bytes forwarded in both directions so far.
+    #[must_use]
+    pub fn forwarded_bytes(&self) -> u64 {
+        self.switches.forwarded_bytes.load(Ordering::Acquire)
+    }
+
     /// Lets the open connections go silent for good; new ones work.
     ///
     /// The operating system goes on to acknowledge what the two ends send, so that only they can
@@ -190,11 +198,13 @@
         caller.try_clone()?,
         target.try_clone()?,
         Arc::clone(&is_silent),
+        Arc::clone(&switches.forwarded_bytes),
     );
     pump(
         target.try_clone()?,
         caller.try_clone()?,
         Arc::clone(&is_silent),
+        Arc::clone(&switches.forwarded_bytes),
     );
     let connection = RelayedConnection {
         is_silent,
@@ -205,7 +215,12 @@
     Ok(())
 }
 
-fn pump(mut from: TcpStream, mut to: TcpStream, is_silent: Arc<AtomicBool>) {
+fn pump(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    is_silent: Arc<AtomicBool>,
+    forwarded_bytes: Arc<AtomicU64>,
+) {
     thread::spawn(move || {
         let mut buffer = vec![0; BUFFER_BYTES];
         loop {
@@ -221,6 +236,7 @@
                 let _ = to.shutdown(Shutdown::Both);
                 return;
             }
+            forwarded_bytes.fetch_add(count as u64, Ordering::AcqRel);
         }
     });
 }
