--- a/lib/examples/control_cost/main.rs
+++ b/lib/examples/control_cost/main.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod templates;
 mod wire;
+mod words;
 
 use std::env;
 use std::time::Duration;
@@ -25,6 +26,7 @@
     let seed = env::args().nth(1).and_then(|seed| seed.parse().ok());
     let seed: u64 = seed.unwrap_or(DEFAULT_SEED);
     println!("seed {seed}");
+    words::print_costs(seed);
     let heartbeat = wire::heartbeat_cost();
     print_rpc("heartbeat", &heartbeat);
     print_rpc("exchange without news", &wire::exchange_cost(0));
--- a/lib/examples/routing_comparison/entry.rs
+++ b/lib/examples/routing_comparison/entry.rs
@@ -23,14 +23,17 @@
 use pomeloramp_testutils::EngineRequest;
 use pomeloramp_testutils::FakeEngine;
 
-const SUSPECT_AFTER_MS: u64 = 1_500;
 const MAX_HINTS: usize = 16;
 const RETRY_PERCENT: u32 = 10;
 const MAX_SAVED_RETRIES: u32 = 10;
 const RETRY_FLOOR_INTERVAL_MS: u64 = 1_000;
+/// Time from the sending of a request until its endpoint counts it, at most.
+const SEND_TO_COUNT_MS: u64 = 4;
 
 /// One entry of a routing run.
 pub struct RoutingEntry {
+    /// Silence after which an endpoint is suspected.
+    pub suspect_after_ms: u64,
     policy: RoutePolicy,
     rng: SmallRng,
     router: Router,
@@ -73,6 +76,7 @@
             index.add_endpoint(id, None);
         }
         Self {
+            suspect_after_ms: 0,
             policy,
             rng,
             router,
@@ -122,7 +126,7 @@
     ) -> Result<usize, u64> {
         for (endpoint, known) in self.known.iter().enumerate() {
             let flags = EndpointFlags {
-                suspected: known.is_suspected(now_ms),
+                suspected: known.is_suspected(self.suspect_after_ms, now_ms),
                 ..EndpointFlags::default()
             };
             self.router.set_state(id_of(endpoint), flags);
@@ -163,6 +167,23 @@
         self.router.update_load(id_of(endpoint), report, now_ms);
     }
 
+    /// Takes the word beside an answer.
+    pub fn take_word(&mut self, endpoint: usize, report: &LoadReport, now_ms: u64) {
+        self.known[endpoint] = KnownEndpoint {
+            reported_at_ms: now_ms,
+            requests: report.running_requests + report.queued_requests,
+        };
+        let counted_until_ms = now_ms.saturating_sub(SEND_TO_COUNT_MS);
+        self.router
+            .update_load_of(id_of(endpoint), report, counted_until_ms);
+    }
+
+    /// Forgets what an endpoint that restarted had in its cache.
+    pub fn forget_prefixes(&mut self, endpoint: usize) {
+        self.index.remove_endpoint(id_of(endpoint));
+        self.index.add_endpoint(id_of(endpoint), None);
+    }
+
     pub fn take_cache_event(&mut self, endpoint: usize, event: &CacheEvent) {
         self.index.note_event(id_of(endpoint), event);
     }
@@ -185,7 +206,8 @@
     fn usable(&self, tried: &[EndpointId], now_ms: u64) -> Vec<usize> {
         let usable: Vec<usize> = (0..self.known.len())
             .filter(|&endpoint| {
-                !self.known[endpoint].is_suspected(now_ms) && !tried.contains(&id_of(endpoint))
+                !self.known[endpoint].is_suspected(self.suspect_after_ms, now_ms)
+                    && !tried.contains(&id_of(endpoint))
             })
             .collect();
         if usable.is_empty() {
@@ -221,8 +243,8 @@
 }
 
 impl KnownEndpoint {
-    fn is_suspected(&self, now_ms: u64) -> bool {
-        now_ms > self.reported_at_ms + SUSPECT_AFTER_MS
+    fn is_suspected(&self, suspect_after_ms: u64, now_ms: u64) -> bool {
+        now_ms > self.reported_at_ms + suspect_after_ms
     }
 }
 
--- a/lib/examples/routing_comparison/main.rs
+++ b/lib/examples/routing_comparison/main.rs
@@ -1,8 +1,9 @@
 //! Compares routing policies over seeded scenarios.
 //!
 //! `cargo run --release -p pomeloramp-lib --example routing_comparison -- [--seed N] [--csv FILE]
-//! [--entries N] [--endpoints N] [--scenario NAME]`. Each row pools three runs, whose seeds follow
-//! on the given one.
+//! [--entries N] [--endpoints N] [--scenario NAME] [--report-interval-ms N] [--words]
+//! [--cache-events none|removed|all] [--restarts] [--router-only]`. Each row pools three runs, whose
+//! seeds follow on the given one.
 
 mod entry;
 mod request_record;
@@ -15,6 +16,9 @@
 
 use crate::request_record::RequestRecord;
 use crate::run::RoutingRun;
+use crate::run::RunOutcome;
+use crate::scenario::CacheNews;
+use crate::scenario::EndpointNews;
 use crate::scenario::RoutePolicy;
 use crate::scenario::Scenario;
 
@@ -48,6 +52,18 @@
     cached_percent: f64,
     sends_per_request: f64,
     refusals_per_request: f64,
+    /// Blocks that the cache events of one endpoint name in a second.
+    event_blocks_per_s: f64,
+}
+
+/// Sizes and settings of the runs of one table.
+#[derive(Clone, Copy)]
+struct Comparison {
+    seed: u64,
+    entries: usize,
+    endpoints: usize,
+    news: EndpointNews,
+    is_router_only: bool,
 }
 
 fn main() {
@@ -55,15 +71,25 @@
     let seed = argument(&mut arguments, "--seed", 1);
     let entries = argument(&mut arguments, "--entries", 8);
     let endpoints = argument(&mut arguments, "--endpoints", 16);
+    let comparison = Comparison {
+        seed,
+        entries,
+        endpoints,
+        news: endpoint_news(&mut arguments),
+        is_router_only: arguments.contains("--router-only"),
+    };
     let only: Option<String> = arguments.opt_value_from_str("--scenario").expect("a name");
     let csv: Option<String> = arguments.opt_value_from_str("--csv").expect("a path");
     let mut csv_text = String::from(
         "scenario,policy,requests,ttft_p50_ms,ttft_p95_ms,ttft_p99_ms,goodput_percent,\
          cached_percent,sends_per_request,refusals_per_request\n",
     );
-    println!("seed {seed}, {entries} entries, {endpoints} endpoints");
     println!(
-        "{:<17} {:<14} {:>8} {:>6} {:>6} {:>6} {:>8} {:>7} {:>6} {:>8}",
+        "seed {seed}, {entries} entries, {endpoints} endpoints, {:?}",
+        comparison.news
+    );
+    println!(
+        "{:<17} {:<14} {:>8} {:>6} {:>6} {:>6} {:>8} {:>7} {:>6} {:>8} {:>7}",
         "scenario",
         "policy",
         "requests",
@@ -73,14 +99,15 @@
         "goodput",
         "cached",
         "sends",
-        "refusals"
+        "refusals",
+        "blocks"
     );
     for scenario in SCENARIOS {
         let name = format!("{scenario:?}");
         if only.as_ref().is_some_and(|only| *only != name) {
             continue;
         }
-        for row in rows(scenario, seed, entries, endpoints) {
+        for row in rows(scenario, comparison) {
             println!("{}", row.as_table_line());
             writeln!(csv_text, "{}", row.as_csv_line()).expect("a string takes all");
         }
@@ -100,33 +127,59 @@
         .unwrap_or(default)
 }
 
-fn rows(scenario: Scenario, seed: u64, entries: usize, endpoints: usize) -> Vec<Row> {
+fn endpoint_news(arguments: &mut pico_args::Arguments) -> EndpointNews {
+    let cache: String = argument(arguments, "--cache-events", "removed".to_owned());
+    EndpointNews {
+        report_interval_ms: argument(arguments, "--report-interval-ms", 500),
+        words: arguments.contains("--words"),
+        cache: match cache.as_str() {
+            "none" => CacheNews::None,
+            "all" => CacheNews::All,
+            _ => CacheNews::Removed,
+        },
+        restarts: arguments.contains("--restarts"),
+    }
+}
+
+fn rows(scenario: Scenario, comparison: Comparison) -> Vec<Row> {
+    let policies = POLICIES
+        .into_iter()
+        .filter(|policy| !comparison.is_router_only || *policy == RoutePolicy::Router);
     thread::scope(|scope| {
-        let handles: Vec<_> = POLICIES
-            .map(|policy| {
-                scope.spawn(move || {
-                    let records: Vec<RequestRecord> = (seed..seed + RUNS_PER_ROW)
-                        .flat_map(|seed| {
-                            RoutingRun::builder()
-                                .policy(policy)
-                                .scenario(scenario)
-                                .seed(seed)
-                                .entries(entries)
-                                .endpoints(endpoints)
-                                .build()
-                                .run()
-                        })
-                        .collect();
-                    Row::new(scenario, policy, &records)
-                })
-            })
-            .into_iter()
+        let handles: Vec<_> = policies
+            .map(|policy| scope.spawn(move || row(scenario, policy, comparison)))
             .collect();
         let joined = handles.into_iter().map(ScopedJoinHandle::join);
         joined.map(|row| row.expect("a run ends")).collect()
     })
 }
 
+fn row(scenario: Scenario, policy: RoutePolicy, comparison: Comparison) -> Row {
+    let outcomes: Vec<RunOutcome> = (comparison.seed..comparison.seed + RUNS_PER_ROW)
+        .map(|seed| {
+            RoutingRun::builder()
+                .policy(policy)
+                .scenario(scenario)
+                .seed(seed)
+                .entries(comparison.entries)
+                .endpoints(comparison.endpoints)
+                .news(comparison.news)
+                .build()
+                .run()
+        })
+        .collect();
+    let event_blocks: u64 = outcomes.iter().map(|outcome| outcome.event_blocks).sum();
+    let endpoint_seconds = RUNS_PER_ROW * run::RUN_S * comparison.endpoints as u64;
+    let records: Vec<RequestRecord> = outcomes
+        .into_iter()
+        .flat_map(|outcome| outcome.records)
+        .collect();
+    Row {
+        event_blocks_per_s: ratio(event_blocks, endpoint_seconds),
+        ..Row::new(scenario, policy, &records)
+    }
+}
+
 impl Row {
     fn new(scenario: Scenario, policy: RoutePolicy, records: &[RequestRecord]) -> Self {
         let mut first_tokens_ms: Vec<u64> = records
@@ -151,12 +204,13 @@
             cached_percent: ratio(sum(|record| record.cached_tokens), prompts) * 100.0,
             sends_per_request: ratio(sum(|record| u64::from(record.sends)), total),
             refusals_per_request: ratio(sum(|record| u64::from(record.refusals)), total),
+            event_blocks_per_s: 0.0,
         }
     }
 
     fn as_table_line(&self) -> String {
         format!(
-            "{:<17} {:<14} {:>8} {:>6} {:>6} {:>6} {:>7.2}% {:>6.1}% {:>6.3} {:>8.3}",
+            "{:<17} {:<14} {:>8} {:>6} {:>6} {:>6} {:>7.2}% {:>6.1}% {:>6.3} {:>8.3} {:>7.1}",
             format!("{:?}", self.scenario),
             format!("{:?}", self.policy),
             self.requests,
@@ -167,6 +221,7 @@
             self.cached_percent,
             self.sends_per_request,
             self.refusals_per_request,
+            self.event_blocks_per_s,
         )
     }
 
--- a/lib/examples/routing_comparison/run.rs
+++ b/lib/examples/routing_comparison/run.rs
@@ -14,6 +14,8 @@
 
 use crate::entry::RoutingEntry;
 use crate::request_record::RequestRecord;
+use crate::scenario::CacheNews;
+use crate::scenario::EndpointNews;
 use crate::scenario::RoutePolicy;
 use crate::scenario::Scenario;
 use pomeloramp_testutils::EngineEvent;
@@ -22,7 +24,6 @@
 use pomeloramp_testutils::RoutingWorkload;
 
 const HOP_MS: u64 = 2;
-const REPORT_INTERVAL_MS: u64 = 500;
 const REPORT_LAG_MS: u64 = 150;
 const CACHE_EVENT_LAG_MS: u64 = 400;
 const LOST_CACHE_EVENTS_PERCENT: u32 = 20;
@@ -38,6 +39,8 @@
 pub const WARM_UP_MS: u64 = 20_000;
 const ARRIVALS_END_MS: u64 = 90_000;
 const RUN_END_MS: u64 = 110_000;
+/// Length of a run.
+pub const RUN_S: u64 = RUN_END_MS / 1_000;
 
 /// Settings of a run.
 #[derive(Debug, Clone, Builder)]
@@ -54,6 +57,16 @@
     /// Number of endpoints.
     #[builder(default = 16)]
     pub endpoints: usize,
+    /// What entries hear of endpoints.
+    pub news: EndpointNews,
+}
+
+/// What a run shows.
+pub struct RunOutcome {
+    /// The measured requests.
+    pub records: Vec<RequestRecord>,
+    /// Blocks named by the cache events of all endpoints.
+    pub event_blocks: u64,
 }
 
 #[derive(Debug)]
@@ -64,14 +77,23 @@
     Step(usize),
     Report(usize),
     ReportAtEntry(usize, usize, LoadReport),
-    CacheEventAtEntry(usize, usize, u64, u64, Vec<BlockHash>),
+    CacheEventAtEntry(usize, usize, CacheUpdate),
     Failed(usize, usize),
     FirstToken(usize, usize, u64),
-    Finished(usize, usize),
+    Finished(usize, usize, LoadReport),
     GiveUp(usize, u32),
     Fault(bool),
 }
 
+/// A cache event on its way to an entry.
+#[derive(Debug, Clone)]
+struct CacheUpdate {
+    sequence: u64,
+    made_at_ms: u64,
+    stored: Option<PrefixChain>,
+    removed: Vec<BlockHash>,
+}
+
 /// One request in flight.
 #[derive(Debug)]
 struct Flight {
@@ -100,12 +122,13 @@
     cache_sequences: Vec<u64>,
     entries: Vec<RoutingEntry>,
     flights: Vec<Flight>,
+    event_blocks: u64,
 }
 
 impl RoutingRun {
     /// Runs the scenario and returns the records of the measured requests.
     #[must_use]
-    pub fn run(&self) -> Vec<RequestRecord> {
+    pub fn run(&self) -> RunOutcome {
         let mut world = World::new(self);
         while let Some(((now_ms, _), event)) = world.events.pop_first() {
             if now_ms > RUN_END_MS {
@@ -115,9 +138,12 @@
             world.handle(event);
         }
         let records = world.flights.into_iter().map(|flight| flight.record);
-        records
-            .filter(|record| record.arrived_at_ms >= WARM_UP_MS)
-            .collect()
+        RunOutcome {
+            records: records
+                .filter(|record| record.arrived_at_ms >= WARM_UP_MS)
+                .collect(),
+            event_blocks: world.event_blocks,
+        }
     }
 
     fn requests_per_s(&self, now_ms: u64) -> f64 {
@@ -151,13 +177,15 @@
         let zones: Vec<usize> = (0..run.endpoints).map(zone_of).collect();
         let entries = (0..run.entries)
             .map(|entry| {
-                RoutingEntry::new(
+                let mut entry = RoutingEntry::new(
                     run.policy,
                     u32::try_from(run.entries - 1).unwrap_or(0),
                     zone_of(entry),
                     &zones,
                     rng.random(),
-                )
+                );
+                entry.suspect_after_ms = 3 * run.news.report_interval_ms;
+                entry
             })
             .collect();
         let mut world = Self {
@@ -174,12 +202,13 @@
             cache_sequences: vec![0; run.endpoints],
             entries,
             flights: Vec::new(),
+            event_blocks: 0,
         };
         world.after(0, Event::Arrive);
         world.after(EVENT_START_MS, Event::Fault(true));
         world.after(EVENT_START_MS + run.event_ms(), Event::Fault(false));
         for endpoint in 0..run.endpoints {
-            let offset_ms = world.rng.random_range(0..REPORT_INTERVAL_MS);
+            let offset_ms = world.rng.random_range(0..run.news.report_interval_ms);
             world.after(offset_ms % FakeEngine::STEP_MS, Event::Step(endpoint));
             world.after(offset_ms, Event::Report(endpoint));
         }
@@ -202,11 +231,12 @@
             Event::ReportAtEntry(entry, endpoint, report) => {
                 self.entries[entry].take_report(endpoint, &report, self.now_ms);
             }
-            Event::CacheEventAtEntry(entry, endpoint, sequence, made_at_ms, removed) => {
+            Event::CacheEventAtEntry(entry, endpoint, update) => {
                 let event = CacheEvent::builder()
-                    .sequence(sequence)
-                    .made_at_ms(made_at_ms)
-                    .removed(&removed)
+                    .sequence(update.sequence)
+                    .made_at_ms(update.made_at_ms)
+                    .maybe_stored(update.stored.as_ref())
+                    .removed(&update.removed)
                     .build();
                 self.entries[entry].take_cache_event(endpoint, &event);
             }
@@ -214,7 +244,7 @@
             Event::FirstToken(id, endpoint, cached_tokens) => {
                 self.first_token(id, endpoint, cached_tokens);
             }
-            Event::Finished(id, endpoint) => self.finished(id, endpoint),
+            Event::Finished(id, endpoint, report) => self.finished(id, endpoint, &report),
             Event::GiveUp(id, attempt) => self.give_up(id, attempt),
             Event::Fault(is_start) => self.fault(is_start),
         }
@@ -305,29 +335,63 @@
                 EngineEvent::FirstToken { id, cached_tokens } => {
                     self.after(HOP_MS, Event::FirstToken(id, endpoint, cached_tokens));
                 }
-                EngineEvent::Finished { id } => self.after(HOP_MS, Event::Finished(id, endpoint)),
+                EngineEvent::Finished { id } => {
+                    // The word beside an answer still counts the request.
+                    let mut report = self.engines[endpoint].report();
+                    report.running_requests += 1;
+                    self.after(HOP_MS, Event::Finished(id, endpoint, report));
+                }
             }
         }
     }
 
     fn report(&mut self, endpoint: usize) {
-        self.after(REPORT_INTERVAL_MS, Event::Report(endpoint));
+        self.after(self.run.news.report_interval_ms, Event::Report(endpoint));
         if self.is_down {
             return;
         }
         let report = self.engines[endpoint].report();
-        let removed = self.engines[endpoint].take_removed();
-        self.cache_sequences[endpoint] += 1;
-        let sequence = self.cache_sequences[endpoint];
-        let made_at_ms = self.now_ms;
         for entry in 0..self.entries.len() {
             let lag_ms = REPORT_LAG_MS + self.rng.random_range(0..REPORT_LAG_MS / 3);
             self.after(lag_ms, Event::ReportAtEntry(entry, endpoint, report));
-            if self.rng.random_range(0..100) >= LOST_CACHE_EVENTS_PERCENT {
-                let removed = removed.clone();
-                let event =
-                    Event::CacheEventAtEntry(entry, endpoint, sequence, made_at_ms, removed);
-                self.after(CACHE_EVENT_LAG_MS, event);
+        }
+        self.cache_events(endpoint);
+    }
+
+    fn cache_events(&mut self, endpoint: usize) {
+        let removed = self.engines[endpoint].take_removed();
+        let stored = self.engines[endpoint].take_stored();
+        let chains: Vec<Option<PrefixChain>> = match self.run.news.cache {
+            CacheNews::None => return,
+            CacheNews::Removed => vec![None],
+            CacheNews::All => stored
+                .iter()
+                .map(|stored| Some(PrefixChain::from(stored.blocks.clone())))
+                .chain([None])
+                .collect(),
+        };
+        let new_blocks: usize = stored.iter().map(|stored| stored.new_blocks).sum();
+        self.event_blocks += removed.len() as u64;
+        if self.run.news.cache == CacheNews::All {
+            self.event_blocks += new_blocks as u64;
+        }
+        for stored in chains {
+            self.cache_sequences[endpoint] += 1;
+            let update = CacheUpdate {
+                sequence: self.cache_sequences[endpoint],
+                made_at_ms: self.now_ms,
+                removed: if stored.is_none() {
+                    removed.clone()
+                } else {
+                    Vec::new()
+                },
+                stored,
+            };
+            for entry in 0..self.entries.len() {
+                if self.rng.random_range(0..100) >= LOST_CACHE_EVENTS_PERCENT {
+                    let event = Event::CacheEventAtEntry(entry, endpoint, update.clone());
+                    self.after(CACHE_EVENT_LAG_MS, event);
+                }
             }
         }
     }
@@ -363,11 +427,14 @@
         }
     }
 
-    fn finished(&mut self, id: usize, endpoint: usize) {
+    fn finished(&mut self, id: usize, endpoint: usize, report: &LoadReport) {
         let flight = &mut self.flights[id];
         if flight.endpoint == Some(endpoint) {
             flight.endpoint = None;
             flight.record.is_whole = true;
+            if self.run.news.words {
+                self.entries[flight.entry].take_word(endpoint, report, self.now_ms);
+            }
             self.entries[flight.entry].note_end(id, endpoint, self.now_ms);
         }
     }
@@ -391,6 +458,12 @@
             Scenario::OneRefusing => self.refusing_endpoint = is_start.then_some(0),
             Scenario::Outage => {
                 self.is_down = is_start;
+                if !is_start && self.run.news.restarts {
+                    let endpoints = self.engines.len();
+                    for entry in &mut self.entries {
+                        (0..endpoints).for_each(|endpoint| entry.forget_prefixes(endpoint));
+                    }
+                }
                 for endpoint in 0..self.engines.len() {
                     for id in self.engines[endpoint].crash() {
                         self.after(HOP_MS, Event::Failed(id, endpoint));
--- a/lib/examples/routing_comparison/scenario.rs
+++ b/lib/examples/routing_comparison/scenario.rs
@@ -31,3 +31,27 @@
     /// No endpoint answers for 5 s; all lose their caches.
     Outage,
 }
+
+/// What entries hear of the prefix caches of endpoints.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CacheNews {
+    /// Nothing.
+    None,
+    /// Which blocks were dropped.
+    Removed,
+    /// Which prefixes came in, whoever sent them, and which blocks were dropped.
+    All,
+}
+
+/// What entries hear of endpoints.
+#[derive(Debug, Clone, Copy)]
+pub struct EndpointNews {
+    /// Time between two load reports of one endpoint.
+    pub report_interval_ms: u64,
+    /// The load also comes beside the end of each answer.
+    pub words: bool,
+    /// Cache events.
+    pub cache: CacheNews,
+    /// Prefixes of an endpoint that restarted are forgotten.
+    pub restarts: bool,
+}
--- a/lib/src/agent_call.rs
+++ b/lib/src/agent_call.rs
@@ -9,10 +9,13 @@
 use crate::FrameEvent;
 use crate::agent_channels::AgentChannels;
 use crate::agent_channels::is_connect_failure;
+use crate::agent_reports::AgentReports;
 use crate::event;
+use crate::protos::control::AgentWord;
 use crate::protos::control::CallFrame;
 use crate::protos::control::CallRequest;
 use crate::protos::control::agent_client::AgentClient;
+use crate::protos::control::call_frame::Frame;
 
 /// Why a call to an agent has no valid final frame.
 #[derive(Debug, Snafu)]
@@ -35,9 +38,19 @@
     },
 }
 
-/// An answer that is being received.
+/// The agent that a call goes to.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct CallTarget<'a> {
+    pub(crate) vm_name: &'a str,
+    pub(crate) peer_address: &'a str,
+}
+
+/// An answer that is being received; what it shows of the agent is reported.
 pub(crate) struct AgentCall {
+    vm_name: String,
     peer: String,
+    asked_ms: u64,
+    reports: AgentReports,
     frames: Streaming<CallFrame>,
     assembler: FrameAssembler,
 }
@@ -46,9 +59,12 @@
     /// Sends a call once.
     pub(crate) async fn open(
         channels: &AgentChannels,
-        peer: &str,
+        reports: &AgentReports,
+        target: CallTarget<'_>,
         call: CallRequest,
     ) -> Result<Self, AgentCallError> {
+        let peer = target.peer_address;
+        let asked_ms = reports.now_ms();
         let assembler = FrameAssembler::resumed(&call.request_id, call.resume_after_token);
         let channel = channels
             .get(peer)
@@ -56,10 +72,14 @@
         let frames = AgentClient::new(channel)
             .call(call)
             .await
+            .inspect_err(|_| reports.unreachable(target.vm_name))
             .map_err(|status| classify(peer, &status))?
             .into_inner();
         Ok(Self {
+            vm_name: target.vm_name.to_owned(),
             peer: peer.to_owned(),
+            asked_ms,
+            reports: reports.clone(),
             frames,
             assembler,
         })
@@ -68,15 +88,27 @@
     /// Returns the next part of the answer.
     pub(crate) async fn next(&mut self) -> Result<FrameEvent, AgentCallError> {
         match self.frames.next().await {
-            Some(Ok(frame)) => self.assembler.accept(frame).map_err(|error| {
-                event!(AnswerDamaged, "peer={}: {error}", self.peer);
-                self.lost(&error.to_string())
-            }),
-            Some(Err(status)) => Err(self.lost(status.message())),
+            Some(Ok(frame)) => self.accept(frame),
+            Some(Err(status)) => {
+                self.reports.unreachable(&self.vm_name);
+                Err(self.lost(status.message()))
+            }
             None => Err(self.lost("stream ended without its final frame")),
         }
     }
 
+    fn accept(&mut self, mut frame: CallFrame) -> Result<FrameEvent, AgentCallError> {
+        let word = take_word(&mut frame);
+        let accepted = self.assembler.accept(frame).map_err(|error| {
+            event!(AnswerDamaged, "peer={}: {error}", self.peer);
+            self.lost(&error.to_string())
+        })?;
+        if let Some(word) = word {
+            self.reports.word(&self.vm_name, word, self.asked_ms);
+        }
+        Ok(accepted)
+    }
+
     /// Returns the tokens passed on so far, over all streams of the answer.
     pub(crate) fn delivered_tokens(&self) -> u64 {
         self.assembler.delivered_tokens()
@@ -90,6 +122,13 @@
     }
 }
 
+fn take_word(frame: &mut CallFrame) -> Option<AgentWord> {
+    match &mut frame.frame {
+        Some(Frame::Final(end)) => end.word.take(),
+        _ => None,
+    }
+}
+
 fn classify(peer: &str, status: &Status) -> AgentCallError {
     if is_connect_failure(status) {
         return not_written(peer, status);
--- /dev/null
+++ b/lib/src/agent_reports.rs
@@ -0,0 +1,55 @@
+//! What requests of an entry show of agents, for the routing duty.
+
+use crate::clock::Clock;
+use crate::duty::Duty;
+use crate::protos::control::AgentWord;
+use crate::routing_duty::RoutingCommand;
+
+/// Tells the routing duty what requests show of agents.
+#[derive(Clone)]
+pub(crate) struct AgentReports {
+    clock: Clock,
+    routing: Duty<RoutingCommand>,
+}
+
+impl AgentReports {
+    /// Creates the reports of one process, by its clock.
+    pub(crate) fn new(clock: Clock, routing: Duty<RoutingCommand>) -> Self {
+        Self { clock, routing }
+    }
+
+    /// Returns the time by the clock that words are reckoned in.
+    pub(crate) fn now_ms(&self) -> u64 {
+        self.clock.now_ms()
+    }
+
+    /// Reports an agent's word in answer to a request that was sent at `asked_ms`.
+    pub(crate) fn word(&self, vm_name: &str, word: AgentWord, asked_ms: u64) {
+        self.submit(RoutingCommand::Word {
+            vm_name: vm_name.to_owned(),
+            word,
+            asked_ms,
+        });
+    }
+
+    /// Reports that an agent has heard the news of this digest by a heartbeat.
+    pub(crate) fn told(&self, vm_name: &str, news: u64) {
+        self.submit(RoutingCommand::Told {
+            vm_name: vm_name.to_owned(),
+            news,
+        });
+    }
+
+    /// Reports that a request did not reach an agent, or that its connection broke.
+    pub(crate) fn unreachable(&self, vm_name: &str) {
+        self.submit(RoutingCommand::Unreachable {
+            vm_name: vm_name.to_owned(),
+        });
+    }
+
+    fn submit(&self, command: RoutingCommand) {
+        if let Err(error) = self.routing.submit(command) {
+            log::debug!("report on an agent: {error}");
+        }
+    }
+}
--- a/lib/src/agent_server.rs
+++ b/lib/src/agent_server.rs
@@ -42,11 +42,13 @@
 use crate::in_flight::InFlight;
 use crate::in_flight::InFlightGuard;
 use crate::protos::control;
+use crate::protos::control::AgentWord;
 use crate::protos::control::CallFrame;
 use crate::protos::control::CallRequest;
 use crate::protos::control::HeartbeatReply;
 use crate::protos::control::HeartbeatRequest;
 use crate::protos::control::agent_server::Agent;
+use crate::protos::control::call_frame::Frame;
 use crate::quarantine_push::RecentPeers;
 use crate::shared_quarantine::SharedQuarantine;
 
@@ -83,6 +85,21 @@
     pub(crate) endpoint_up: watch::Receiver<bool>,
 }
 
+impl AgentState {
+    /// Returns what the agent says of itself now.
+    fn word(&self) -> AgentWord {
+        AgentWord {
+            incarnation: self.incarnation.0,
+            clock_ms: self.clock.now_ms(),
+            leaving: *self.leaving.borrow(),
+            endpoint_up: *self.endpoint_up.borrow(),
+            config_revision: self.config.load().revision,
+            load: Some(**self.load.load()),
+            endpoint_run: 0,
+        }
+    }
+}
+
 /// Serves heartbeats and calls.
 #[derive(Clone)]
 pub(crate) struct AgentServer {
@@ -112,17 +129,19 @@
             // A pull that is already under way fetches this revision as well.
             let _ = state.pulls.try_send(heartbeat.from_address);
         }
+        let word = state.word();
         Ok(Response::new(HeartbeatReply {
             vm_name: state.vm_name.clone(),
-            incarnation: state.incarnation.0,
-            clock_ms: state.clock.now_ms(),
-            leaving: *state.leaving.borrow(),
+            incarnation: word.incarnation,
+            clock_ms: word.clock_ms,
+            leaving: word.leaving,
             config_revision: view.revision,
-            load: Some(**state.load.load()),
+            load: word.load,
             service: state.service.clone(),
-            endpoint_up: *state.endpoint_up.borrow(),
+            endpoint_up: word.endpoint_up,
             quarantined: state.quarantine.entries(),
             config_digest: view.digest,
+            endpoint_run: word.endpoint_run,
         }))
     }
 
@@ -167,7 +186,10 @@
                 self.stream(number).await;
             }
             Ok(Verdict::Run(number)) => self.answer(number).await,
-            Ok(Verdict::Replay(answer)) => self.send_answer(&answer).await,
+            Ok(Verdict::Replay(answer)) => {
+                let word = self.state.word();
+                self.send_answer(&answer, word).await;
+            }
             Ok(Verdict::AnswerGone) => self.answer_gone().await,
             Ok(Verdict::Refused(refusal)) => self.refuse(&refusal).await,
             Err(error) => {
@@ -248,8 +270,10 @@
                     content_type: answer.content_type.into(),
                     body: answer.body,
                 };
+                // The word still counts this call, whose end the entry notes by itself.
+                let word = self.state.word();
                 self.end(number, CallEnd::Answered(answer.clone())).await;
-                self.send_answer(&answer).await;
+                self.send_answer(&answer, word).await;
             }
             Err(error) => self.fail(number, &error).await,
         }
@@ -264,9 +288,10 @@
         };
         match streamed {
             Ok(()) => {
+                // The word still counts this call, whose end the entry notes by itself.
+                let word = self.state.word();
                 self.end(number, CallEnd::Streamed).await;
-                let frame = self.writer.finish();
-                let _ = self.sender.send(Ok(frame)).await;
+                send_final(&self.sender, self.writer.finish(), word).await;
             }
             Err(error) => self.fail(number, &error).await,
         }
@@ -299,18 +324,20 @@
                     self.fail_crashed(number, &message).await;
                     return;
                 }
+                let word = self.state.word();
                 self.end(number, CallEnd::Lost).await;
                 let refusal = Refusal::unknown_for_good(RefusalCode::EndpointLost);
                 let frame = self.writer.refuse(&refusal, &message);
-                let _ = self.sender.send(Ok(frame)).await;
+                send_final(&self.sender, frame, word).await;
             }
             EndpointError::Status { .. } => {
+                let word = self.state.word();
                 self.end(number, CallEnd::Streamed).await;
                 let outcome = control::Outcome::NotRun;
                 let frame = self
                     .writer
                     .fail(outcome, ENDPOINT_ERROR, &message, OVERLOAD_RETRY_MS);
-                let _ = self.sender.send(Ok(frame)).await;
+                send_final(&self.sender, frame, word).await;
             }
         }
     }
@@ -324,32 +351,33 @@
         let quarantined = self.state.quarantine.entry_of(content);
         let refusal = Refusal::unknown_for_good(RefusalCode::EndpointCrashed);
         let frame = self.writer.crashed(&refusal, message, quarantined);
-        let _ = self.sender.send(Ok(frame)).await;
+        send_final(&self.sender, frame, self.state.word()).await;
     }
 
-    async fn send_answer(mut self, answer: &StoredAnswer) {
+    async fn send_answer(mut self, answer: &StoredAnswer, word: AgentWord) {
         let head = self.writer.head(answer.status, &answer.content_type);
         let data = self.writer.data(answer.body.to_vec(), 0);
         let end = self.writer.finish();
-        for frame in [head, data, end] {
+        for frame in [head, data] {
             if self.sender.send(Ok(frame)).await.is_err() {
                 return;
             }
         }
+        send_final(&self.sender, end, word).await;
     }
 
     async fn answer_gone(self) {
         let message = "the call ran; its answer is no longer held";
         let outcome = control::Outcome::Ran;
         let frame = self.writer.fail(outcome, ANSWER_GONE, message, 0);
-        let _ = self.sender.send(Ok(frame)).await;
+        send_final(&self.sender, frame, self.state.word()).await;
     }
 
     async fn refuse(self, refusal: &Refusal) {
         let vm_name = &self.state.vm_name;
         let message = format!("agent of {vm_name}: {}", refusal.code.as_str());
         let frame = self.writer.refuse(refusal, &message);
-        let _ = self.sender.send(Ok(frame)).await;
+        send_final(&self.sender, frame, self.state.word()).await;
     }
 
     async fn end(&self, number: RequestNumber, end: CallEnd) {
@@ -365,6 +393,15 @@
     }
 }
 
+/// Sends the final frame of an answer, with the agent's word beside it.
+async fn send_final(sender: &FrameSender, mut frame: CallFrame, word: AgentWord) {
+    if let Some(Frame::Final(end)) = &mut frame.frame {
+        end.word = Some(word);
+    }
+    // A caller that has gone needs no answer.
+    let _ = sender.send(Ok(frame)).await;
+}
+
 fn ended() -> DutyError {
     DutyError::Ended { duty: "agent" }
 }
--- a/lib/src/completion.rs
+++ b/lib/src/completion.rs
@@ -183,7 +183,9 @@
         let time_left = self.attempts.time_left();
         call.deadline_ms = u64::try_from(time_left.as_millis()).unwrap_or(u64::MAX);
         let opening = async {
-            let mut answer = AgentCall::open(&self.state.channels, &send.peer_address, call)
+            let mut answer = self
+                .state
+                .open_call(send.target(), call)
                 .await
                 .map_err(|error| error_of(&error))?;
             match answer.next().await.map_err(|error| error_of(&error))? {
--- a/lib/src/control_loop.rs
+++ b/lib/src/control_loop.rs
@@ -7,15 +7,18 @@
 use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
 use tonic::Request;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::agent_channels::AgentChannels;
-use crate::clock::Clock;
+use crate::agent_channels::is_connect_failure;
+use crate::agent_reports::AgentReports;
 use crate::config_duty::SharedConfig;
 use crate::control_plan::ControlPlan;
 use crate::control_plan::HeartbeatTarget;
 use crate::duty::Duty;
 use crate::event;
 use crate::platform_client::PlatformClient;
+use crate::protos::control::AgentWord;
 use crate::protos::control::HeartbeatReply;
 use crate::protos::control::HeartbeatRequest;
 use crate::protos::control::agent_client::AgentClient;
@@ -29,10 +32,10 @@
 pub(crate) struct ControlLoop {
     pub(crate) vm_name: String,
     pub(crate) peer_address: String,
-    pub(crate) clock: Clock,
     pub(crate) platform: PlatformClient,
     pub(crate) channels: AgentChannels,
     pub(crate) config: SharedConfig,
+    pub(crate) reports: AgentReports,
     pub(crate) routing: Duty<RoutingCommand>,
     pub(crate) heartbeat_timeout: Duration,
     pub(crate) vm_list_interval: Duration,
@@ -73,10 +76,24 @@
 
     async fn plan(&self) -> Option<ControlPlan> {
         let (reply, plan) = oneshot::channel();
-        self.routing.submit(RoutingCommand::Plan { reply }).ok()?;
+        let command = RoutingCommand::Plan {
+            news: self.news(),
+            reply,
+        };
+        self.routing.submit(command).ok()?;
         plan.await.ok()
     }
 
+    /// Returns a digest of what heartbeats tell beside what the VM list says of their receiver.
+    fn news(&self) -> u64 {
+        let view = self.config.load();
+        let mut digest = Xxh3::new();
+        digest.update(&view.revision.to_le_bytes());
+        digest.update(&view.digest.to_le_bytes());
+        digest.update(&self.quarantine.version().to_le_bytes());
+        digest.digest()
+    }
+
     fn send_heartbeats(&self, targets: &[HeartbeatTarget]) {
         let view = self.config.load();
         for target in targets {
@@ -90,9 +107,10 @@
             };
             let exchange = HeartbeatExchange {
                 target: target.clone(),
-                asked_ms: self.clock.now_ms(),
+                asked_ms: self.reports.now_ms(),
                 config_revision: view.revision,
-                routing: self.routing.clone(),
+                config_digest: view.digest,
+                reports: self.reports.clone(),
                 config_pulls: self.config_pulls.clone(),
                 quarantine: self.quarantine.clone(),
                 recent_peers: self.recent_peers.clone(),
@@ -124,7 +142,8 @@
     target: HeartbeatTarget,
     asked_ms: u64,
     config_revision: u64,
-    routing: Duty<RoutingCommand>,
+    config_digest: u64,
+    reports: AgentReports,
     config_pulls: mpsc::Sender<String>,
     quarantine: SharedQuarantine,
     recent_peers: RecentPeers,
@@ -139,25 +158,37 @@
         request.set_timeout(timeout);
         let mut client = AgentClient::new(channel);
         let answer = tokio::time::timeout(timeout, client.heartbeat(request)).await;
-        if let Ok(Ok(reply)) = answer {
-            self.heard(reply.into_inner());
+        match answer {
+            Ok(Ok(reply)) => self.heard(&reply.into_inner()),
+            Ok(Err(status)) if is_connect_failure(&status) => {
+                self.reports.unreachable(&self.target.vm_name);
+            }
+            // A late answer proves nothing; silence is counted from the last word.
+            Ok(Err(_)) | Err(_) => {}
         }
     }
 
-    fn heard(self, reply: HeartbeatReply) {
+    fn heard(&self, reply: &HeartbeatReply) {
         self.quarantine.merge(&reply.quarantined);
         self.recent_peers.note(&self.target.peer_address);
         if reply.config_revision > self.config_revision {
             // A pull that is already under way fetches this revision as well.
-            let _ = self.config_pulls.try_send(self.target.peer_address);
+            let _ = self.config_pulls.try_send(self.target.peer_address.clone());
         }
-        let command = RoutingCommand::Heartbeat {
-            vm_name: self.target.vm_name,
-            reply,
-            asked_ms: self.asked_ms,
+        let word = AgentWord {
+            incarnation: reply.incarnation,
+            clock_ms: reply.clock_ms,
+            leaving: reply.leaving,
+            endpoint_up: reply.endpoint_up,
+            config_revision: reply.config_revision,
+            load: reply.load,
+            endpoint_run: reply.endpoint_run,
         };
-        if let Err(error) = self.routing.submit(command) {
-            log::debug!("heartbeat: {error}");
+        let vm_name = &self.target.vm_name;
+        self.reports.word(vm_name, word, self.asked_ms);
+        // An agent that holds another configuration has to be told again.
+        if reply.config_digest == self.config_digest {
+            self.reports.told(vm_name, self.target.news);
         }
     }
 }
--- a/lib/src/control_plan.rs
+++ b/lib/src/control_plan.rs
@@ -9,6 +9,8 @@
     pub(crate) peer_address: String,
     /// The platform's list marks the VM as leaving.
     pub(crate) is_listed_leaving: bool,
+    /// Digest of what the heartbeat tells.
+    pub(crate) news: u64,
 }
 
 /// Another entry.
--- a/lib/src/entry_daemon.rs
+++ b/lib/src/entry_daemon.rs
@@ -29,6 +29,7 @@
 use crate::EntryRecord;
 use crate::Metrics;
 use crate::agent_channels::AgentChannels;
+use crate::agent_reports::AgentReports;
 use crate::caller_error::CallerError;
 use crate::caller_server;
 use crate::caller_server::CallerLimits;
@@ -60,6 +61,7 @@
 use crate::platform_client::PlatformClient;
 use crate::protos::control::peer_server::PeerServer as PeerService;
 use crate::protos::settings::DaemonSettings;
+use crate::protos::settings::EntrySettings;
 use crate::quarantine_push;
 use crate::quarantine_push::RecentPeers;
 use crate::routing_duty;
@@ -86,6 +88,7 @@
     let channels = AgentChannels::new(&control);
     let quarantine = SharedQuarantine::new(clock);
     let routing = routing_duty::spawn(clock, routing_settings(&settings));
+    let reports = AgentReports::new(clock, routing.clone());
     let peer_listener = listen("peer_address", &settings.peer_address).await?;
     announce("peers", &peer_listener);
 
@@ -108,10 +111,10 @@
     let control_loop = ControlLoop {
         vm_name: settings.vm_name.clone(),
         peer_address: local_address(&peer_listener),
-        clock,
         platform,
         channels: channels.clone(),
         config: Arc::clone(&config),
+        reports: reports.clone(),
         routing: routing.clone(),
         heartbeat_timeout: Duration::from_millis(control.heartbeat_interval_ms) * 2,
         vm_list_interval: Duration::from_millis(control.vm_list_interval_ms),
@@ -135,10 +138,7 @@
 
     let in_flight = InFlight::default();
     let draining = shutdown::listen();
-    let limits = CallerLimits {
-        header_timeout: Duration::from_millis(entry.header_timeout_ms),
-        max_connections: entry.max_connections as usize,
-    };
+    let limits = caller_limits(&entry);
     let lifetime = Duration::from_millis(entry.address_lifetime_ms);
     let peer_state = PeerState {
         vm_name: settings.vm_name.clone(),
@@ -168,6 +168,7 @@
         channels,
         config,
         routing,
+        reports,
         in_flight: in_flight.clone(),
         metrics,
         quarantine,
@@ -178,6 +179,13 @@
     Ok(())
 }
 
+fn caller_limits(entry: &EntrySettings) -> CallerLimits {
+    CallerLimits {
+        header_timeout: Duration::from_millis(entry.header_timeout_ms),
+        max_connections: entry.max_connections as usize,
+    }
+}
+
 fn routing_settings(settings: &DaemonSettings) -> RoutingSettings {
     let control = settings.control.unwrap_or_default();
     let entry = settings.entry.clone().unwrap_or_default();
--- a/lib/src/entry_server.rs
+++ b/lib/src/entry_server.rs
@@ -20,7 +20,11 @@
 use crate::ContentStanding;
 use crate::Metrics;
 use crate::RefusalCode;
+use crate::agent_call::AgentCall;
+use crate::agent_call::AgentCallError;
+use crate::agent_call::CallTarget;
 use crate::agent_channels::AgentChannels;
+use crate::agent_reports::AgentReports;
 use crate::attempts::Attempts;
 use crate::caller_error::CallerError;
 use crate::config_duty::SharedConfig;
@@ -45,6 +49,7 @@
     pub(crate) channels: AgentChannels,
     pub(crate) config: SharedConfig,
     pub(crate) routing: Duty<RoutingCommand>,
+    pub(crate) reports: AgentReports,
     pub(crate) in_flight: InFlight,
     pub(crate) metrics: Metrics,
     pub(crate) quarantine: SharedQuarantine,
@@ -136,6 +141,15 @@
         answer.await.map_err(|_| overloaded())
     }
 
+    /// Sends a call once to an agent.
+    pub(crate) async fn open_call(
+        &self,
+        target: CallTarget<'_>,
+        call: CallRequest,
+    ) -> Result<AgentCall, AgentCallError> {
+        AgentCall::open(&self.channels, &self.reports, target, call).await
+    }
+
     /// Starts the sends of a request that may be repeated.
     pub(crate) fn attempts(&self, call: &CallRequest, prompt: Bytes) -> Attempts {
         let query = RouteQuery {
--- a/lib/src/fleet_view.rs
+++ b/lib/src/fleet_view.rs
@@ -8,6 +8,7 @@
 use crate::HeartbeatPace;
 use crate::Incarnation;
 use crate::ListedVm;
+use crate::Member;
 use crate::MemberState;
 use crate::MemberWord;
 use crate::Membership;
@@ -23,7 +24,7 @@
 use crate::control_plan::PeerTarget;
 use crate::event;
 use crate::platform_client::VmRecord;
-use crate::protos::control::HeartbeatReply;
+use crate::protos::control::AgentWord;
 use crate::protos::control::MemberStatus;
 use crate::protos::control::PlacementHome;
 use crate::route_query::RouteQuery;
@@ -90,33 +91,39 @@
         self.choose_subsets(now_ms);
     }
 
-    /// Takes an agent's answer to a heartbeat that was sent at `asked_ms`.
-    pub(crate) fn observe_heartbeat(
+    /// Takes an agent's word with the answer to a heartbeat or call that was sent at `asked_ms`.
+    pub(crate) fn observe_word(
         &mut self,
         vm_name: &str,
-        reply: &HeartbeatReply,
+        word: &AgentWord,
         asked_ms: u64,
         now_ms: u64,
     ) {
-        let word = MemberWord {
+        let member_word = MemberWord {
             vm_name: vm_name.to_owned(),
-            incarnation: Incarnation(reply.incarnation),
-            clock_ms: reply.clock_ms,
-            leaving: reply.leaving,
-            endpoint_up: reply.endpoint_up,
-            config_revision: reply.config_revision,
+            incarnation: Incarnation(word.incarnation),
+            clock_ms: word.clock_ms,
+            leaving: word.leaving,
+            endpoint_up: word.endpoint_up,
+            config_revision: word.config_revision,
         };
-        match self.membership.observe_word(&word, asked_ms, now_ms) {
+        match self.membership.observe_word(&member_word, asked_ms, now_ms) {
             WordEffect::NewIncarnation => event!(AgentFound, "vm_name={vm_name}"),
             WordEffect::Refreshed => {}
             WordEffect::Ignored => return,
         }
-        let service = self.service_of(vm_name);
-        if let Some(routes) = self.services.get_mut(&service)
-            && let Some(load) = &reply.load
-        {
-            routes.update_load(vm_name, load, now_ms);
-        }
+        self.observe_endpoint(vm_name, word);
+        self.refresh_state(vm_name, now_ms);
+    }
+
+    /// Notes that an agent has heard the news of this digest by a heartbeat.
+    pub(crate) fn observe_told(&mut self, vm_name: &str, news: u64) {
+        self.membership.observe_told(vm_name, news);
+    }
+
+    /// Notes that a heartbeat or call did not reach an agent, or that its connection broke.
+    pub(crate) fn observe_failure(&mut self, vm_name: &str, now_ms: u64) {
+        self.membership.observe_failure(vm_name, now_ms);
         self.refresh_state(vm_name, now_ms);
     }
 
@@ -151,7 +158,8 @@
     }
 
     /// Returns what the control traffic does next.
-    pub(crate) fn plan(&mut self, now_ms: u64) -> ControlPlan {
+    pub(crate) fn plan(&mut self, news: u64, now_ms: u64) -> ControlPlan {
+        self.membership.set_news(news);
         let monitored: Vec<&str> = self
             .subsets
             .values()
@@ -166,6 +174,7 @@
                 vm_name: member.listed().vm_name.clone(),
                 peer_address: member.listed().peer_address.clone(),
                 is_listed_leaving: member.listed().leaving,
+                news: self.membership.news(member),
             })
             .collect();
         let peers: Vec<&VmRecord> = self.live_peers(now_ms).collect();
@@ -211,10 +220,27 @@
     }
 
     /// Returns the agents that calls of a service may be bound to.
+    ///
+    /// Agents that a request failed to reach are left out while any other is alive.
     pub(crate) fn homes(&self, service: &str, now_ms: u64) -> Vec<PlacementHome> {
+        let alive = self
+            .membership
+            .endpoints_in_state(service, MemberState::Alive, now_ms);
+        let homes = self.homes_among(service, alive);
+        if !homes.is_empty() {
+            return homes;
+        }
+        let heard = self.membership.endpoints_heard_alive(service, now_ms);
+        self.homes_among(service, heard)
+    }
+
+    fn homes_among<'a>(
+        &self,
+        service: &str,
+        members: impl Iterator<Item = &'a Member>,
+    ) -> Vec<PlacementHome> {
         let subset = self.subsets.get(service).map_or(&[][..], Vec::as_slice);
-        self.membership
-            .endpoints_in_state(service, MemberState::Alive, now_ms)
+        members
             .filter(|member| subset.contains(&member.listed().vm_name))
             .filter_map(|member| {
                 let word = member.word()?;
@@ -318,6 +344,22 @@
         self.set_route_state(vm_name, state);
     }
 
+    /// Takes what a word says of the endpoint, unless a later word came before.
+    fn observe_endpoint(&mut self, vm_name: &str, word: &AgentWord) {
+        let Some(member) = self.membership.member(vm_name) else {
+            return;
+        };
+        let is_latest = member
+            .word()
+            .is_some_and(|latest| latest.clock_ms <= word.clock_ms);
+        let Some(routes) = self.services.get_mut(&member.listed().service) else {
+            return;
+        };
+        if is_latest && let Some(load) = &word.load {
+            routes.update_load(vm_name, load, member.asked_ms());
+        }
+    }
+
     fn set_route_state(&mut self, vm_name: &str, state: MemberState) {
         let service = self.service_of(vm_name);
         if let Some(routes) = self.services.get_mut(&service) {
--- a/lib/src/frame_writer.rs
+++ b/lib/src/frame_writer.rs
@@ -87,7 +87,7 @@
             retry_after_ms,
             data_frames: self.data_frames,
             digest: self.digest.digest(),
-            quarantined: Vec::new(),
+            ..control::FinalFrame::default()
         };
         self.frame(Frame::Final(end))
     }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -10,6 +10,7 @@
 mod agent_channels;
 mod agent_command;
 mod agent_duty;
+mod agent_reports;
 mod agent_server;
 mod arguments;
 mod attempt_number;
--- a/lib/src/member.rs
+++ b/lib/src/member.rs
@@ -10,6 +10,10 @@
 
 /// Former incarnations of one VM whose words are told from a new incarnation's.
 const MAX_FORMER_INCARNATIONS: usize = 8;
+/// Divisor of the time by which two processes' clocks run apart at most.
+const CLOCK_DRIFT_DIVISOR: u64 = 1000;
+/// Intervals for which the words beside answers put off a heartbeat at most.
+const MAX_PUT_OFF_INTERVALS: u64 = 4;
 
 /// What one process knows of another VM.
 #[derive(Debug)]
@@ -19,12 +23,17 @@
     /// The list's leaving mark was made for an incarnation that is gone.
     leaving_mark_outdated: bool,
     word: Option<MemberWord>,
-    /// Time of sending of the request that the freshest word answered.
+    /// Time at or after which the freshest word was made.
     asked_ms: u64,
     /// Time of receipt of the latest word of the known incarnation.
     heard_ms: u64,
     former_incarnations: VecDeque<Incarnation>,
-    pub(crate) next_heartbeat_ms: u64,
+    /// Time at which a request last failed to reach the process.
+    failed_ms: Option<u64>,
+    next_heartbeat_ms: u64,
+    last_heartbeat_ms: u64,
+    /// Digest of what the process has heard by heartbeats.
+    told_news: Option<u64>,
 }
 
 impl Member {
@@ -37,7 +46,10 @@
             asked_ms: 0,
             heard_ms: 0,
             former_incarnations: VecDeque::new(),
+            failed_ms: None,
             next_heartbeat_ms,
+            last_heartbeat_ms: next_heartbeat_ms,
+            told_news: None,
         }
     }
 
@@ -53,14 +65,25 @@
         self.word.as_ref()
     }
 
-    /// Returns the time of sending of the request that the freshest word answered; the process was
-    /// in the state of its word at that time or later.
+    /// Returns the time at or after which the freshest word was made: that of the sending of the
+    /// request that it answered, or a later one that follows from the process's own clock.
     #[must_use]
     pub fn asked_ms(&self) -> u64 {
         self.asked_ms
     }
 
     pub(crate) fn state(&self, now_ms: u64, suspect_after_ms: u64) -> MemberState {
+        let state = self.state_by_words(now_ms, suspect_after_ms);
+        match state {
+            MemberState::Alive | MemberState::EndpointDown if self.is_unreachable() => {
+                MemberState::Suspected
+            }
+            _ => state,
+        }
+    }
+
+    /// Returns how the VM is regarded when failed requests are left out of account.
+    pub(crate) fn state_by_words(&self, now_ms: u64, suspect_after_ms: u64) -> MemberState {
         let leaving_by_list = self.listed.leaving && !self.leaving_mark_outdated;
         let Some(word) = &self.word else {
             return if leaving_by_list {
@@ -131,19 +154,63 @@
         }
     }
 
+    /// Notes that a request failed to reach the process, or that its connection broke.
+    ///
+    /// The process is suspected until a word comes that was made after this, for which the next
+    /// heartbeat asks at once.
+    pub(crate) fn observe_failure(&mut self, now_ms: u64) {
+        if !self.is_unreachable() {
+            self.next_heartbeat_ms = self.next_heartbeat_ms.min(now_ms);
+        }
+        self.failed_ms = Some(now_ms);
+    }
+
     /// Tells whether a heartbeat is due, and plans the next one.
-    pub(crate) fn take_due_heartbeat(&mut self, now_ms: u64, interval_ms: u64) -> bool {
-        if self.word.is_some() {
+    ///
+    /// A heartbeat that would hear what a word beside an answer has just told is put off, unless
+    /// it has news to tell.
+    pub(crate) fn take_due_heartbeat(
+        &mut self,
+        now_ms: u64,
+        interval_ms: u64,
+        news: Option<u64>,
+    ) -> bool {
+        let due_ms = if self.may_put_off(news) {
             let after_word_ms = self.asked_ms.saturating_add(interval_ms);
-            self.next_heartbeat_ms = self.next_heartbeat_ms.max(after_word_ms);
-        }
-        if self.next_heartbeat_ms > now_ms {
+            let put_off_ms = interval_ms.saturating_mul(MAX_PUT_OFF_INTERVALS);
+            let latest_ms = self.last_heartbeat_ms.saturating_add(put_off_ms);
+            self.next_heartbeat_ms.max(after_word_ms.min(latest_ms))
+        } else {
+            self.next_heartbeat_ms
+        };
+        if due_ms > now_ms {
             return false;
         }
         self.next_heartbeat_ms = now_ms.saturating_add(interval_ms);
+        self.last_heartbeat_ms = now_ms;
         true
     }
 
+    /// Returns the digest of what a heartbeat tells this process, by that of what it tells all.
+    pub(crate) fn news(&self, news: u64) -> u64 {
+        news.wrapping_add(u64::from(self.listed.leaving))
+    }
+
+    /// Notes what the process has heard by a heartbeat.
+    pub(crate) fn observe_told(&mut self, news: u64) {
+        self.told_news = Some(news);
+    }
+
+    fn may_put_off(&self, news: Option<u64>) -> bool {
+        let is_told = news.is_none_or(|news| self.told_news == Some(self.news(news)));
+        self.word.is_some() && is_told && !self.is_unreachable()
+    }
+
+    fn is_unreachable(&self) -> bool {
+        self.failed_ms
+            .is_some_and(|failed_ms| self.asked_ms <= failed_ms)
+    }
+
     fn adopt(&mut self, word: &MemberWord, asked_ms: u64, now_ms: u64) {
         self.word = Some(word.clone());
         self.asked_ms = asked_ms;
@@ -155,13 +222,18 @@
         let Some(known) = &mut self.word else {
             return;
         };
+        let passed_ms = word.clock_ms.saturating_sub(known.clock_ms);
+        let drift_ms = passed_ms.div_ceil(CLOCK_DRIFT_DIVISOR);
+        // The known word was made at `self.asked_ms` or later, and this one so much after it.
+        let after_known_ms = self.asked_ms.saturating_add(passed_ms - drift_ms);
+        let made_ms = asked_ms.max(after_known_ms.min(now_ms));
         known.leaving |= word.leaving;
-        known.clock_ms = known.clock_ms.max(word.clock_ms);
         known.config_revision = known.config_revision.max(word.config_revision);
-        if asked_ms >= self.asked_ms {
+        if word.clock_ms >= known.clock_ms {
             known.endpoint_up = word.endpoint_up;
         }
-        self.asked_ms = self.asked_ms.max(asked_ms);
+        known.clock_ms = known.clock_ms.max(word.clock_ms);
+        self.asked_ms = self.asked_ms.max(made_ms);
         self.heard_ms = self.heard_ms.max(now_ms);
     }
 }
--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -20,13 +20,15 @@
 
 /// One process's view of the other VMs.
 ///
-/// A word counts from the time at which its request was sent, not from its receipt. So a process
-/// that began to leave is no longer [`MemberState::Alive`] here after `suspect_after_ms`, however
+/// A word counts from the time at which its request was sent, or from the later one that follows
+/// from the process's own clock since its word before, not from its receipt. So a process that began to leave is no longer [`MemberState::Alive`] here after `suspect_after_ms`, however
 /// late answers come and however old the VM list is.
 #[derive(Debug)]
 pub struct Membership {
     settings: MembershipSettings,
     members: BTreeMap<String, Member>,
+    /// Digest of what heartbeats tell; without one they only ask.
+    news: Option<u64>,
 }
 
 impl Membership {
@@ -36,9 +38,15 @@
         Self {
             settings,
             members: BTreeMap::new(),
+            news: None,
         }
     }
 
+    /// Sets the digest of what heartbeats tell; a changed one is not put off by other words.
+    pub fn set_news(&mut self, news: u64) {
+        self.news = Some(news);
+    }
+
     /// Changes the pace of heartbeats, and the silence after which a VM is suspected with it.
     pub fn set_pace(&mut self, pace: HeartbeatPace) {
         self.settings.heartbeat_interval_ms = pace.interval_ms;
@@ -74,6 +82,28 @@
         }
     }
 
+    /// Notes that a request failed to reach the VM's process, or that its connection broke.
+    ///
+    /// The VM is suspected until a word comes that was made after this.
+    pub fn observe_failure(&mut self, vm_name: &str, now_ms: u64) {
+        if let Some(member) = self.members.get_mut(vm_name) {
+            member.observe_failure(now_ms);
+        }
+    }
+
+    /// Notes that the VM's process has heard the news of this digest by a heartbeat.
+    pub fn observe_told(&mut self, vm_name: &str, news: u64) {
+        if let Some(member) = self.members.get_mut(vm_name) {
+            member.observe_told(news);
+        }
+    }
+
+    /// Returns the digest of what a heartbeat tells the VM's process now.
+    #[must_use]
+    pub fn news(&self, member: &Member) -> u64 {
+        self.news.map_or(0, |news| member.news(news))
+    }
+
     /// Takes another process's word that an incarnation is leaving.
     pub fn observe_relayed_leaving(&mut self, vm_name: &str, incarnation: Incarnation) {
         if let Some(member) = self.members.get_mut(vm_name) {
@@ -84,12 +114,13 @@
     /// Returns which of the monitored VMs are due a heartbeat now, and plans their next ones.
     pub fn due_heartbeats(&mut self, monitored: &[&str], now_ms: u64) -> Vec<String> {
         let interval_ms = self.settings.heartbeat_interval_ms;
+        let news = self.news;
         let mut due = Vec::new();
         for name in monitored {
             let Some(member) = self.members.get_mut(*name) else {
                 continue;
             };
-            if member.take_due_heartbeat(now_ms, interval_ms) {
+            if member.take_due_heartbeat(now_ms, interval_ms, news) {
                 due.push((*name).to_owned());
             }
         }
@@ -122,11 +153,28 @@
         now_ms: u64,
     ) -> impl Iterator<Item = &Member> {
         let suspect_after_ms = self.settings.suspect_after_ms;
-        self.members.values().filter(move |member| {
-            member.listed().service == service && member.state(now_ms, suspect_after_ms) == state
+        self.endpoints(service)
+            .filter(move |member| member.state(now_ms, suspect_after_ms) == state)
+    }
+
+    /// Returns the endpoints of a service that are alive, or would be but for a failed request.
+    pub fn endpoints_heard_alive(
+        &self,
+        service: &str,
+        now_ms: u64,
+    ) -> impl Iterator<Item = &Member> {
+        let suspect_after_ms = self.settings.suspect_after_ms;
+        self.endpoints(service).filter(move |member| {
+            member.state_by_words(now_ms, suspect_after_ms) == MemberState::Alive
         })
     }
 
+    fn endpoints(&self, service: &str) -> impl Iterator<Item = &Member> {
+        self.members
+            .values()
+            .filter(move |member| member.listed().service == service)
+    }
+
     /// Returns the highest configuration revision that any known process named.
     #[must_use]
     pub fn highest_config_revision(&self) -> u64 {
--- a/lib/src/plain_call.rs
+++ b/lib/src/plain_call.rs
@@ -19,8 +19,8 @@
 use crate::Outcome;
 use crate::Placement;
 use crate::RefusalCode;
-use crate::agent_call::AgentCall;
 use crate::agent_call::AgentCallError;
+use crate::agent_call::CallTarget;
 use crate::caller_error::CallerError;
 use crate::caller_error::OUTCOME_HEADER;
 use crate::caller_error::PLACEMENT_HEADER;
@@ -109,7 +109,7 @@
         let chosen = attempts.choose().await?;
         let mut message = call.clone();
         state.add_suspicion(&mut message);
-        let result = receive(state, &chosen.peer_address, message).await;
+        let result = receive(state, chosen.target(), message).await;
         attempts.finished(&chosen);
         let error = match result {
             Ok(Received::Whole(response)) => return Ok(response),
@@ -165,7 +165,11 @@
         stamp_ms: home.stamp_ms,
         attempt: attempt.get(),
     });
-    let error = match receive(state, &home.peer_address, call).await {
+    let target = CallTarget {
+        vm_name: &home.vm_name,
+        peer_address: &home.peer_address,
+    };
+    let error = match receive(state, target, call).await {
         Ok(Received::Whole(response)) => return Ok(response),
         Ok(Received::Failed(error)) => error,
         Err(AgentCallError::NotWritten { reason, .. }) => {
@@ -212,10 +216,10 @@
 /// Sends a call to one agent and receives its whole answer.
 async fn receive(
     state: &EntryState,
-    peer_address: &str,
+    target: CallTarget<'_>,
     call: CallRequest,
 ) -> Result<Received, AgentCallError> {
-    let mut answer = AgentCall::open(&state.channels, peer_address, call).await?;
+    let mut answer = state.open_call(target, call).await?;
     let mut response = Response::new(Body::empty());
     let mut body = Vec::new();
     loop {
--- a/lib/src/protos/pomeloramp.control.rs
+++ b/lib/src/protos/pomeloramp.control.rs
@@ -39,6 +39,29 @@
     pub quarantined: ::prost::alloc::vec::Vec<QuarantineEntry>,
     #[prost(uint64, tag = "10")]
     pub config_digest: u64,
+    /// Counts how often the agent has seen its endpoint start.
+    #[prost(uint32, tag = "11")]
+    pub endpoint_run: u32,
+}
+/// What an agent says of itself beside an answer.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct AgentWord {
+    #[prost(uint64, tag = "1")]
+    pub incarnation: u64,
+    /// The agent's own monotonic clock.
+    #[prost(uint64, tag = "2")]
+    pub clock_ms: u64,
+    #[prost(bool, tag = "3")]
+    pub leaving: bool,
+    #[prost(bool, tag = "4")]
+    pub endpoint_up: bool,
+    #[prost(uint64, tag = "5")]
+    pub config_revision: u64,
+    #[prost(message, optional, tag = "6")]
+    pub load: ::core::option::Option<LoadReport>,
+    /// Counts how often the agent has seen its endpoint start.
+    #[prost(uint32, tag = "7")]
+    pub endpoint_run: u32,
 }
 /// Load of one endpoint as its agent last saw it.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -181,6 +204,8 @@
     /// What the agent holds against the content after a crash.
     #[prost(message, repeated, tag = "7")]
     pub quarantined: ::prost::alloc::vec::Vec<QuarantineEntry>,
+    #[prost(message, optional, tag = "8")]
+    pub word: ::core::option::Option<AgentWord>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ConfigValue {
--- a/lib/src/router.rs
+++ b/lib/src/router.rs
@@ -111,6 +111,13 @@
         });
     }
 
+    /// Takes in a load report that counts all requests sent up to `counted_until_ms`.
+    pub fn update_load_of(&mut self, id: EndpointId, report: &LoadReport, counted_until_ms: u64) {
+        self.change(id, |endpoint| {
+            endpoint.take_report(*report, Some(counted_until_ms));
+        });
+    }
+
     /// Sets how many other entries send to the same endpoints.
     ///
     /// What they have sent since the last load report is not known. The fuller an endpoint was by
--- a/lib/src/routing_duty.rs
+++ b/lib/src/routing_duty.rs
@@ -14,7 +14,7 @@
 use crate::fleet_view::FleetView;
 use crate::fleet_view::ListedEntry;
 use crate::platform_client::VmRecord;
-use crate::protos::control::HeartbeatReply;
+use crate::protos::control::AgentWord;
 use crate::protos::control::MemberStatus;
 use crate::protos::control::PlacementHome;
 use crate::route_query::RouteQuery;
@@ -28,12 +28,16 @@
 pub(crate) enum RoutingCommand {
     /// The platform's list of VMs.
     VmList(Vec<VmRecord>),
-    /// An agent answered a heartbeat that was sent at `asked_ms`.
-    Heartbeat {
+    /// An agent's word came with the answer to a heartbeat or call that was sent at `asked_ms`.
+    Word {
         vm_name: String,
-        reply: HeartbeatReply,
+        word: AgentWord,
         asked_ms: u64,
     },
+    /// An agent has heard the news of this digest by a heartbeat.
+    Told { vm_name: String, news: u64 },
+    /// A heartbeat or call did not reach an agent, or its connection broke.
+    Unreachable { vm_name: String },
     /// Another entry answered an exchange that was sent at `asked_ms`.
     Peer { word: MemberWord, asked_ms: u64 },
     /// Another entry did not answer an exchange.
@@ -42,8 +46,11 @@
     ReaderNews { reached_ms: u64 },
     /// This entry asks whether it must read the configuration service by itself.
     FallbackRead { reply: oneshot::Sender<bool> },
-    /// The control traffic asks what to do next.
-    Plan { reply: oneshot::Sender<ControlPlan> },
+    /// The control traffic asks what to do next; `news` is a digest of what heartbeats tell.
+    Plan {
+        news: u64,
+        reply: oneshot::Sender<ControlPlan>,
+    },
     /// A request asks for an endpoint.
     Choose {
         query: RouteQuery,
@@ -89,20 +96,22 @@
 fn handle(fleet: &mut FleetView, command: RoutingCommand, now_ms: u64) {
     match command {
         RoutingCommand::VmList(vms) => fleet.observe_list(&vms, now_ms),
-        RoutingCommand::Heartbeat {
+        RoutingCommand::Word {
             vm_name,
-            reply,
+            word,
             asked_ms,
-        } => fleet.observe_heartbeat(&vm_name, &reply, asked_ms, now_ms),
+        } => fleet.observe_word(&vm_name, &word, asked_ms, now_ms),
+        RoutingCommand::Told { vm_name, news } => fleet.observe_told(&vm_name, news),
+        RoutingCommand::Unreachable { vm_name } => fleet.observe_failure(&vm_name, now_ms),
         RoutingCommand::Peer { word, asked_ms } => fleet.observe_peer(&word, asked_ms, now_ms),
         RoutingCommand::SilentPeer { vm_name } => fleet.avoid_peer(&vm_name, now_ms),
         RoutingCommand::ReaderNews { reached_ms } => fleet.observe_reader_news(reached_ms),
         RoutingCommand::FallbackRead { reply } => {
             let _ = reply.send(fleet.take_due_fallback_read(now_ms));
         }
-        RoutingCommand::Plan { reply } => {
+        RoutingCommand::Plan { news, reply } => {
             fleet.refresh_states(now_ms);
-            let _ = reply.send(fleet.plan(now_ms));
+            let _ = reply.send(fleet.plan(news, now_ms));
         }
         RoutingCommand::Choose { query, reply } => {
             let _ = reply.send(fleet.choose(&query, now_ms));
--- a/lib/src/service_routes.rs
+++ b/lib/src/service_routes.rs
@@ -16,6 +16,7 @@
 use crate::Router;
 use crate::RouterSettings;
 use crate::SendTicket;
+use crate::agent_call::CallTarget;
 use crate::protos::control::LoadReport;
 use crate::route_query::RouteQuery;
 
@@ -28,6 +29,8 @@
 const BYTES_PER_TOKEN: u64 = 4;
 const MAX_SAVED_RETRIES: u32 = 20;
 const RETRY_FLOOR_INTERVAL_MS: u64 = 1000;
+/// Time from the sending of a request until its agent counts it, at most.
+const SEND_TO_COUNT_MS: u64 = 20;
 
 /// An endpoint that was chosen, with the ticket of the send.
 #[derive(Debug, Clone)]
@@ -37,6 +40,16 @@
     pub(crate) ticket: SendTicket,
 }
 
+impl RoutedSend {
+    /// Returns the agent that was chosen.
+    pub(crate) fn target(&self) -> CallTarget<'_> {
+        CallTarget {
+            vm_name: &self.vm_name,
+            peer_address: &self.peer_address,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Route {
     vm_name: String,
@@ -121,10 +134,11 @@
         }
     }
 
-    /// Takes in a load report.
-    pub(crate) fn update_load(&mut self, vm_name: &str, report: &LoadReport, now_ms: u64) {
+    /// Takes in a load report that was made at `made_at_ms` or later.
+    pub(crate) fn update_load(&mut self, vm_name: &str, report: &LoadReport, made_at_ms: u64) {
         if let Some(&id) = self.ids.get(vm_name) {
-            self.router.update_load(id, report, now_ms);
+            let counted_until_ms = made_at_ms.saturating_sub(SEND_TO_COUNT_MS);
+            self.router.update_load_of(id, report, counted_until_ms);
         }
     }
 
--- a/lib/src/shared_quarantine.rs
+++ b/lib/src/shared_quarantine.rs
@@ -97,6 +97,11 @@
         self.lock().expire(now_ms);
     }
 
+    /// Returns a number that grows with each change.
+    pub(crate) fn version(&self) -> u64 {
+        *self.version.borrow()
+    }
+
     /// Returns a receiver that hears of each change.
     pub(crate) fn changes(&self) -> watch::Receiver<u64> {
         self.version.subscribe()
--- a/lib/tests/test_membership.rs
+++ b/lib/tests/test_membership.rs
@@ -3,6 +3,7 @@
 use googletest::prelude::*;
 use pomeloramp_lib::Incarnation;
 use pomeloramp_lib::ListedVm;
+use pomeloramp_lib::Member;
 use pomeloramp_lib::MemberState;
 use pomeloramp_lib::MemberWord;
 use pomeloramp_lib::Membership;
@@ -130,6 +131,66 @@
     expect_that!(members.due_heartbeats(&["a"], 2_900), len(eq(1)));
 }
 
+/// The word beside the end of a long answer tells of its end, as the process's own clock shows.
+#[googletest::test]
+fn a_word_counts_by_the_clock_of_its_process() {
+    let mut members = membership(&[vm("a", false)]);
+    let at = |clock_ms| MemberWord {
+        clock_ms,
+        ..word("a", 5)
+    };
+    members.observe_word(&at(50_000), 100, 110);
+    members.observe_word(&at(58_000), 200, 8_130);
+    let asked_ms = |members: &Membership| members.member("a").map(Member::asked_ms);
+    expect_that!(asked_ms(&members), some(eq(8_092)));
+    // A clock that jumps proves nothing beyond the receipt.
+    members.observe_word(&at(90_000), 8_200, 8_210);
+    expect_that!(asked_ms(&members), some(eq(8_210)));
+    members.observe_word(&at(60_000), 8_300, 9_000);
+    expect_that!(asked_ms(&members), some(eq(8_300)));
+}
+
+#[googletest::test]
+fn a_failed_request_suspects_a_vm_until_a_word_made_after_it() {
+    let mut members = membership(&[vm("a", false)]);
+    members.due_heartbeats(&["a"], 1_000);
+    members.observe_word(&word("a", 5), 1_000, 1_010);
+    members.observe_failure("a", 1_200);
+    expect_that!(members.state("a", 1_200), some(eq(MemberState::Suspected)));
+    members.observe_word(&word("a", 5), 1_150, 1_210);
+    expect_that!(members.state("a", 1_210), some(eq(MemberState::Suspected)));
+    expect_that!(members.due_heartbeats(&["a"], 1_210), len(eq(1)));
+    // Another failure does not ask again at once.
+    members.observe_failure("a", 1_220);
+    expect_that!(members.due_heartbeats(&["a"], 1_230), is_empty());
+    members.observe_word(&word("a", 5), 1_221, 1_240);
+    expect_that!(members.state("a", 1_240), some(eq(MemberState::Alive)));
+}
+
+#[googletest::test]
+fn a_heartbeat_with_news_is_not_put_off_and_any_other_not_for_ever() {
+    let mut members = membership(&[vm("a", false)]);
+    members.set_news(7);
+    expect_that!(members.due_heartbeats(&["a"], 1_000), len(eq(1)));
+    members.observe_word(&word("a", 5), 1_000, 1_010);
+    let news = members.member("a").map_or(0, |a| members.news(a));
+    members.observe_told("a", news);
+    let mut heartbeats_ms = Vec::new();
+    for now_ms in (1_100..12_000).step_by(100) {
+        if now_ms == 8_100 {
+            members.set_news(8);
+        }
+        members.observe_word(&word("a", 5), now_ms, now_ms);
+        if !members.due_heartbeats(&["a"], now_ms).is_empty() {
+            heartbeats_ms.push(now_ms);
+        }
+    }
+    expect_that!(
+        heartbeats_ms,
+        elements_are![eq(&5_000), eq(&8_100), eq(&9_100), eq(&10_100), eq(&11_100)]
+    );
+}
+
 #[googletest::test]
 fn endpoints_are_found_by_service_and_state() {
     let mut members = membership(&[vm("a", false), vm("b", false)]);
--- a/lib/tests/test_membership_machine.rs
+++ b/lib/tests/test_membership_machine.rs
@@ -4,10 +4,12 @@
 
 use pomeloramp_lib::Incarnation;
 use pomeloramp_lib::ListedVm;
+use pomeloramp_lib::Member;
 use pomeloramp_lib::MemberState;
 use pomeloramp_lib::MemberWord;
 use pomeloramp_lib::Membership;
 use pomeloramp_lib::MembershipSettings;
+use pomeloramp_lib::WordEffect;
 use proptest::prelude::BoxedStrategy;
 use proptest::prelude::Just;
 use proptest::prelude::ProptestConfig;
@@ -36,6 +38,8 @@
     AnswerFromFormer(usize, u64),
     List(Vec<Option<bool>>),
     RoundTrip(usize),
+    /// A request to the process fails.
+    Fail(usize),
     Pass,
 }
 
@@ -51,6 +55,8 @@
     run: u64,
     run_since_ms: u64,
     leaving_since_ms: Option<u64>,
+    /// Time of the last failed request.
+    failed_ms: Option<u64>,
 }
 
 #[derive(Clone, Debug)]
@@ -59,6 +65,7 @@
     run: u64,
     leaving: bool,
     asked_ms: u64,
+    made_ms: u64,
 }
 
 /// The truth about all VMs, and the messages on their way.
@@ -79,6 +86,7 @@
             run: self.processes[vm].run,
             leaving: self.processes[vm].leaving_since_ms.is_some(),
             asked_ms,
+            made_ms: self.now_ms,
         }
     }
 }
@@ -109,6 +117,7 @@
             3 => (0..VMS, 1..=FORMER_INCARNATIONS).prop_map(|(vm, back)| Event::AnswerFromFormer(vm, back)),
             4 => list.prop_map(Event::List),
             8 => (0..VMS).prop_map(Event::RoundTrip),
+            4 => (0..VMS).prop_map(Event::Fail),
             8 => Just(Event::Pass),
         ];
         (prop_oneof![0_u64..3, 0_u64..1_500], event)
@@ -147,6 +156,7 @@
                 answer.run -= back;
                 world.delivered = Some(answer);
             }
+            Event::Fail(vm) => world.processes[*vm].failed_ms = Some(world.now_ms),
             Event::RoundTrip(vm) => world.delivered = Some(world.answer(*vm, world.now_ms)),
             _ => {}
         }
@@ -159,6 +169,14 @@
     membership: Membership,
     seen_runs: BTreeMap<usize, Vec<u64>>,
     listed_leaving: [bool; VMS],
+    /// Latest time at which a word that was heard had been made.
+    heard_made_ms: [Option<u64>; VMS],
+}
+
+/// Clocks of the processes run a thousandth too fast, right, and a thousandth too slow.
+fn process_clock_ms(vm: usize, time_ms: u64) -> u64 {
+    let per_s_ms = [1_001, 1_000, 999];
+    time_ms * per_s_ms[vm % VMS] / 1_000
 }
 
 fn vm_name(vm: usize) -> String {
@@ -175,12 +193,17 @@
         let word = MemberWord {
             vm_name: vm_name(answer.vm),
             incarnation: incarnation(answer.run),
-            clock_ms: now_ms,
+            clock_ms: process_clock_ms(answer.vm, answer.made_ms),
             leaving: answer.leaving,
             endpoint_up: true,
             config_revision: 0,
         };
-        self.membership.observe_word(&word, answer.asked_ms, now_ms);
+        let effect = self.membership.observe_word(&word, answer.asked_ms, now_ms);
+        if effect == WordEffect::Ignored {
+            return;
+        }
+        let heard_made_ms = &mut self.heard_made_ms[answer.vm];
+        *heard_made_ms = (*heard_made_ms).max(Some(answer.made_ms));
     }
 
     fn known_run(&self, vm: usize, up_to: u64) -> Option<u64> {
@@ -204,6 +227,7 @@
             membership: Membership::new(settings),
             seen_runs: BTreeMap::new(),
             listed_leaving: [false; VMS],
+            heard_made_ms: [None; VMS],
         };
         view.observe_list(&[Some(false); VMS], 0);
         view
@@ -213,6 +237,9 @@
         if let Event::List(list) = &step.event {
             view.observe_list(list, world.now_ms);
         }
+        if let Event::Fail(vm) = step.event {
+            view.membership.observe_failure(&vm_name(vm), world.now_ms);
+        }
         let Some(answer) = &world.delivered else {
             return view;
         };
@@ -233,6 +260,15 @@
         for (vm, process) in world.processes.iter().enumerate() {
             let state = view.membership.state(&vm_name(vm), world.now_ms);
             let is_alive = state == Some(MemberState::Alive);
+            let made_ms = view.heard_made_ms[vm];
+            let is_unheard_since = process.failed_ms.is_some() && made_ms <= process.failed_ms;
+            assert!(!is_unheard_since || !is_alive, "{vm} failed and is chosen");
+            let member = view.membership.member(&vm_name(vm));
+            let asked_ms = member.map_or(0, Member::asked_ms);
+            assert!(
+                asked_ms <= made_ms.unwrap_or(0),
+                "{vm} is taken for heard at {asked_ms} and was at {made_ms:?}"
+            );
             let leaving_ms = process.leaving_since_ms.map(|since| world.now_ms - since);
             let known_run = view.known_run(vm, process.run);
             if known_run == Some(process.run) {
@@ -274,7 +310,8 @@
             return;
         };
         let is_settled = member.asked_ms() == world.now_ms;
-        if !is_settled || self.listed_leaving[*vm] {
+        let is_failed = world.processes[*vm].failed_ms == Some(world.now_ms);
+        if !is_settled || is_failed || self.listed_leaving[*vm] {
             return;
         }
         let process = &world.processes[*vm];
--- a/lib/testutils/src/fake_engine.rs
+++ b/lib/testutils/src/fake_engine.rs
@@ -36,6 +36,15 @@
     },
 }
 
+/// A prefix of which some blocks came into the cache.
+#[derive(Debug, Clone)]
+pub struct StoredPrefix {
+    /// All blocks of the prefix.
+    pub blocks: Vec<BlockHash>,
+    /// Number of blocks that were not in the cache before.
+    pub new_blocks: usize,
+}
+
 /// A model engine that is advanced in steps.
 #[derive(Debug, Default)]
 pub struct FakeEngine {
@@ -47,6 +56,7 @@
     by_use: BTreeMap<u64, BlockHash>,
     use_count: u64,
     removed: Vec<BlockHash>,
+    stored: Vec<StoredPrefix>,
     progress_percent: u64,
 }
 
@@ -118,6 +128,11 @@
         std::mem::take(&mut self.removed)
     }
 
+    /// Prefixes that came into the cache since the last call.
+    pub fn take_stored(&mut self) -> Vec<StoredPrefix> {
+        std::mem::take(&mut self.stored)
+    }
+
     /// Advances by [`FakeEngine::STEP_MS`].
     pub fn step(&mut self) -> Vec<EngineEvent> {
         self.progress_percent += self.speed_percent;
@@ -184,6 +199,14 @@
     }
 
     fn touch(&mut self, blocks: &[BlockHash]) {
+        let is_new = |hash: &&BlockHash| !self.last_use.contains_key(hash);
+        let new_blocks = blocks.iter().filter(is_new).count();
+        if new_blocks > 0 {
+            self.stored.push(StoredPrefix {
+                blocks: blocks.to_vec(),
+                new_blocks,
+            });
+        }
         for &hash in blocks.iter().rev() {
             self.use_count += 1;
             if let Some(old) = self.last_use.insert(hash, self.use_count) {
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -18,6 +18,7 @@
 pub use fake_engine::EngineEvent;
 pub use fake_engine::EngineRequest;
 pub use fake_engine::FakeEngine;
+pub use fake_engine::StoredPrefix;
 pub use fake_rank_engine::FakeRankEngine;
 pub use map_group::MapGroup;
 pub use routing_workload::RoutingWorkload;
