--- a/lib/examples/control_cost/wire.rs
+++ b/lib/examples/control_cost/wire.rs
@@ -84,7 +84,6 @@
         endpoint_up: true,
         quarantined: Vec::new(),
         config_digest: u64::MAX / 5,
-        endpoint_run: 1,
     }
 }
 
--- a/lib/examples/control_cost/words.rs
+++ b/lib/examples/control_cost/words.rs
@@ -144,7 +144,6 @@
             endpoint_up: reply.endpoint_up,
             config_revision: reply.config_revision,
             load: reply.load,
-            endpoint_run: reply.endpoint_run,
         }),
         ..FinalFrame::default()
     };
--- a/lib/src/agent_server.rs
+++ b/lib/src/agent_server.rs
@@ -95,7 +95,6 @@
             endpoint_up: *self.endpoint_up.borrow(),
             config_revision: self.config.load().revision,
             load: Some(**self.load.load()),
-            endpoint_run: 0,
         }
     }
 }
@@ -141,7 +140,6 @@
             endpoint_up: word.endpoint_up,
             quarantined: state.quarantine.entries(),
             config_digest: view.digest,
-            endpoint_run: word.endpoint_run,
         }))
     }
 
--- a/lib/src/control_loop.rs
+++ b/lib/src/control_loop.rs
@@ -182,7 +182,6 @@
             endpoint_up: reply.endpoint_up,
             config_revision: reply.config_revision,
             load: reply.load,
-            endpoint_run: reply.endpoint_run,
         };
         let vm_name = &self.target.vm_name;
         self.reports.word(vm_name, word, self.asked_ms);
--- a/lib/src/protos/pomeloramp.control.rs
+++ b/lib/src/protos/pomeloramp.control.rs
@@ -39,9 +39,6 @@
     pub quarantined: ::prost::alloc::vec::Vec<QuarantineEntry>,
     #[prost(uint64, tag = "10")]
     pub config_digest: u64,
-    /// Counts how often the agent has seen its endpoint start.
-    #[prost(uint32, tag = "11")]
-    pub endpoint_run: u32,
 }
 /// What an agent says of itself beside an answer.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -59,9 +56,6 @@
     pub config_revision: u64,
     #[prost(message, optional, tag = "6")]
     pub load: ::core::option::Option<LoadReport>,
-    /// Counts how often the agent has seen its endpoint start.
-    #[prost(uint32, tag = "7")]
-    pub endpoint_run: u32,
 }
 /// Load of one endpoint as its agent last saw it.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
