agent reports test: a new call for each try at a leaving agent

A call admitted before the signal took effect hangs, and a resend under its key would have attached to it for good, so the verdict rested on a race. Not seen to fail; found by reading.

--- a/lib/tests/test_agent_reports.rs
+++ b/lib/tests/test_agent_reports.rs
@@ -142,12 +142,14 @@
     Fleet::wait_for("the call runs", || fleet.executions().contains_key(&run));
     leaving.agent.terminate();
 
-    let late = key_of(&bound, &leaving.vm_name, "late");
+    let impatient = Caller::new(ORGANISATIONS[0], Duration::from_secs(1));
+    let mut sent = 0;
     Fleet::wait_for("the agent refuses", || {
-        // A resend of a call that still ran would hang; each send is a call of its own.
-        let refused = Caller::new(ORGANISATIONS[0], Duration::from_secs(1));
+        // A call that was admitted before the signal took effect hangs, so each is a new one.
+        sent += 1;
+        let key = key_of(&bound, &leaving.vm_name, &format!("late-{sent}"));
         let entry = &fleet.entries[0].caller_address;
-        refused.commit(entry, &late, &bound, 1, "{}").code() == "draining"
+        impatient.commit(entry, &key, &bound, 1, "{}").code() == "draining"
     });
     expect_that!(
         homes(&placement(&fleet)),
