--- a/lib/src/control_loop.rs
+++ b/lib/src/control_loop.rs
@@ -5,17 +5,22 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
+use tokio::time::Instant;
 use tokio::time::MissedTickBehavior;
 use tonic::Request;
+use xxhash_rust::xxh3::Xxh3;
 
+use crate::VmListPace;
 use crate::agent_channels::AgentChannels;
-use crate::clock::Clock;
+use crate::agent_channels::is_connect_failure;
+use crate::agent_reports::AgentReports;
 use crate::config_duty::SharedConfig;
 use crate::control_plan::ControlPlan;
 use crate::control_plan::HeartbeatTarget;
 use crate::duty::Duty;
 use crate::event;
 use crate::platform_client::PlatformClient;
+use crate::protos::control::AgentWord;
 use crate::protos::control::HeartbeatReply;
 use crate::protos::control::HeartbeatRequest;
 use crate::protos::control::agent_client::AgentClient;
@@ -29,13 +34,13 @@
 pub(crate) struct ControlLoop {
     pub(crate) vm_name: String,
     pub(crate) peer_address: String,
-    pub(crate) clock: Clock,
     pub(crate) platform: PlatformClient,
     pub(crate) channels: AgentChannels,
     pub(crate) config: SharedConfig,
+    pub(crate) reports: AgentReports,
     pub(crate) routing: Duty<RoutingCommand>,
     pub(crate) heartbeat_timeout: Duration,
-    pub(crate) vm_list_interval: Duration,
+    pub(crate) vm_list_pace: VmListPace,
     /// Hears the address of an agent that holds a configuration unlike this entry's.
     pub(crate) config_pulls: mpsc::Sender<String>,
     pub(crate) quarantine: SharedQuarantine,
@@ -45,38 +50,47 @@
 impl ControlLoop {
     /// Runs until the process ends, and passes each plan on.
     pub(crate) async fn run(self, plans: watch::Sender<Option<ControlPlan>>) {
-        let mut list_ticks = tokio::time::interval(self.vm_list_interval);
+        tokio::spawn(read_lists(
+            self.platform.clone(),
+            self.channels.clone(),
+            self.routing.clone(),
+            self.vm_list_pace,
+        ));
         let mut plan_ticks = tokio::time::interval(PLAN_INTERVAL);
-        list_ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         plan_ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            tokio::select! {
-                _ = list_ticks.tick() => {
-                    tokio::spawn(read_list(
-                        self.platform.clone(),
-                        self.channels.clone(),
-                        self.routing.clone(),
-                    ));
-                }
-                _ = plan_ticks.tick() => {
-                    if let Some(plan) = self.plan().await {
-                        self.send_heartbeats(&plan.heartbeats);
-                        for peer in &plan.peers {
-                            self.recent_peers.note(&peer.peer_address);
-                        }
-                        plans.send_replace(Some(plan));
-                    }
+            plan_ticks.tick().await;
+            if let Some(plan) = self.plan().await {
+                self.send_heartbeats(&plan.heartbeats);
+                for peer in &plan.peers {
+                    self.recent_peers.note(&peer.peer_address);
                 }
+                plans.send_replace(Some(plan));
             }
         }
     }
 
     async fn plan(&self) -> Option<ControlPlan> {
         let (reply, plan) = oneshot::channel();
-        self.routing.submit(RoutingCommand::Plan { reply }).ok()?;
+        let command = RoutingCommand::Plan {
+            config_revision: self.config.load().revision,
+            news: self.news(),
+            reply,
+        };
+        self.routing.submit(command).ok()?;
         plan.await.ok()
     }
 
+    /// Returns a digest of what heartbeats tell beside what the VM list says of their receiver.
+    fn news(&self) -> u64 {
+        let view = self.config.load();
+        let mut digest = Xxh3::new();
+        digest.update(&view.revision.to_le_bytes());
+        digest.update(&view.digest.to_le_bytes());
+        digest.update(&self.quarantine.version().to_le_bytes());
+        digest.digest()
+    }
+
     fn send_heartbeats(&self, targets: &[HeartbeatTarget]) {
         let view = self.config.load();
         for target in targets {
@@ -85,14 +99,15 @@
                 config_revision: view.revision,
                 from_address: self.peer_address.clone(),
                 listed_leaving: target.is_listed_leaving,
-                quarantined: self.quarantine.entries(),
+                quarantine_news: self.quarantine.news_for(&target.peer_address),
                 config_digest: view.digest,
             };
             let exchange = HeartbeatExchange {
                 target: target.clone(),
-                asked_ms: self.clock.now_ms(),
+                asked_ms: self.reports.now_ms(),
                 config_revision: view.revision,
-                routing: self.routing.clone(),
+                config_digest: view.digest,
+                reports: self.reports.clone(),
                 config_pulls: self.config_pulls.clone(),
                 quarantine: self.quarantine.clone(),
                 recent_peers: self.recent_peers.clone(),
@@ -103,19 +118,39 @@
     }
 }
 
-async fn read_list(
+/// Reads the list again and again until the process ends.
+async fn read_lists(
     platform: PlatformClient,
     channels: AgentChannels,
     routing: Duty<RoutingCommand>,
+    pace: VmListPace,
 ) {
+    loop {
+        let started = Instant::now();
+        let answer_bytes = read_list(&platform, &channels, &routing).await;
+        let delay = Duration::from_millis(pace.delay_ms(answer_bytes));
+        tokio::time::sleep_until(started + delay).await;
+    }
+}
+
+/// Reads the list once and returns its bytes, zero when there was no answer.
+async fn read_list(
+    platform: &PlatformClient,
+    channels: &AgentChannels,
+    routing: &Duty<RoutingCommand>,
+) -> u64 {
     match platform.vms().await {
         Ok(list) => {
             channels.retain(|peer| list.vms.iter().any(|vm| vm.peer_address == peer));
             if let Err(error) = routing.submit(RoutingCommand::VmList(list.vms)) {
                 log::warn!("VM list: {error}");
             }
+            list.answer_bytes
+        }
+        Err(error) => {
+            event!(VmListFailed, "{error}");
+            0
         }
-        Err(error) => event!(VmListFailed, "{error}"),
     }
 }
 
@@ -124,7 +159,8 @@
     target: HeartbeatTarget,
     asked_ms: u64,
     config_revision: u64,
-    routing: Duty<RoutingCommand>,
+    config_digest: u64,
+    reports: AgentReports,
     config_pulls: mpsc::Sender<String>,
     quarantine: SharedQuarantine,
     recent_peers: RecentPeers,
@@ -139,25 +175,37 @@
         request.set_timeout(timeout);
         let mut client = AgentClient::new(channel);
         let answer = tokio::time::timeout(timeout, client.heartbeat(request)).await;
-        if let Ok(Ok(reply)) = answer {
-            self.heard(reply.into_inner());
+        match answer {
+            Ok(Ok(reply)) => self.heard(&reply.into_inner()),
+            Ok(Err(status)) if is_connect_failure(&status) => {
+                self.reports.unreachable(&self.target.vm_name);
+            }
+            // A late answer proves nothing; silence is counted from the last word.
+            Ok(Err(_)) | Err(_) => {}
         }
     }
 
-    fn heard(self, reply: HeartbeatReply) {
-        self.quarantine.merge(&reply.quarantined);
+    fn heard(&self, reply: &HeartbeatReply) {
+        let news = reply.quarantine_news.as_ref();
+        self.quarantine.take(&self.target.peer_address, news);
         self.recent_peers.note(&self.target.peer_address);
         if reply.config_revision > self.config_revision {
             // A pull that is already under way fetches this revision as well.
-            let _ = self.config_pulls.try_send(self.target.peer_address);
+            let _ = self.config_pulls.try_send(self.target.peer_address.clone());
         }
-        let command = RoutingCommand::Heartbeat {
-            vm_name: self.target.vm_name,
-            reply,
-            asked_ms: self.asked_ms,
+        let word = AgentWord {
+            incarnation: reply.incarnation,
+            clock_ms: reply.clock_ms,
+            leaving: reply.leaving,
+            endpoint_up: reply.endpoint_up,
+            config_revision: reply.config_revision,
+            load: reply.load,
         };
-        if let Err(error) = self.routing.submit(command) {
-            log::debug!("heartbeat: {error}");
+        let vm_name = &self.target.vm_name;
+        self.reports.word(vm_name, word, self.asked_ms);
+        // An agent that holds another configuration has to be told again.
+        if reply.config_digest == self.config_digest {
+            self.reports.told(vm_name, self.target.news);
         }
     }
 }
--- a/lib/src/control_plan.rs
+++ b/lib/src/control_plan.rs
@@ -9,6 +9,8 @@
     pub(crate) peer_address: String,
     /// The platform's list marks the VM as leaving.
     pub(crate) is_listed_leaving: bool,
+    /// Digest of what the heartbeat tells.
+    pub(crate) news: u64,
 }
 
 /// Another entry.
@@ -23,6 +25,8 @@
 pub(crate) struct ControlPlan {
     /// The platform's list has been read at least once.
     pub(crate) has_list: bool,
+    /// VMs on the list.
+    pub(crate) listed_vms: usize,
     pub(crate) heartbeats: Vec<HeartbeatTarget>,
     /// This entry watches the configuration service for its availability zone.
     pub(crate) is_reader: bool,
--- a/lib/src/peer_server.rs
+++ b/lib/src/peer_server.rs
@@ -13,7 +13,7 @@
 use crate::config_duty::DocumentReport;
 use crate::config_duty::SharedConfig;
 use crate::config_follower::ServiceReached;
-use crate::config_source::newer_values;
+use crate::config_source::newer_changes;
 use crate::duty::Duty;
 use crate::in_flight::InFlight;
 use crate::incarnation::Incarnation;
@@ -21,6 +21,7 @@
 use crate::protos::control::ExchangeRequest;
 use crate::protos::control::IdleTime;
 use crate::protos::control::MemberStatus;
+use crate::protos::control::RankStatus;
 use crate::protos::control::StatusReply;
 use crate::protos::control::StatusRequest;
 use crate::protos::control::peer_server::Peer;
@@ -48,6 +49,7 @@
 pub(crate) struct RoleStatus {
     pub(crate) members: Vec<MemberStatus>,
     pub(crate) idle_times: Vec<IdleTime>,
+    pub(crate) rank: Option<RankStatus>,
 }
 
 impl PeerState {
@@ -74,8 +76,11 @@
     ) -> Result<Response<ExchangeReply>, Status> {
         let state = &self.state;
         let exchange = request.into_inner();
-        state.quarantine.merge(&exchange.quarantined);
-        let newer = newer_values(&state.config_duty, exchange)
+        let from_vm = exchange.from_vm.clone();
+        state
+            .quarantine
+            .take(&from_vm, exchange.quarantine_news.as_ref());
+        let changes = newer_changes(&state.config_duty, exchange)
             .await
             .map_err(|error| Status::unavailable(error.to_string()))?;
         let view = state.config.load();
@@ -84,11 +89,13 @@
             incarnation: state.incarnation.0,
             config_revision: view.revision,
             config_digest: view.digest,
-            newer,
-            quarantined: state.quarantine.entries(),
+            newer: changes.values,
+            quarantine_news: state.quarantine.news_for(&from_vm),
             leaving: *state.draining.borrow(),
             service_reached_ago_ms: state.reached.ago_ms(),
             starting: !*state.serving.borrow(),
+            patches: changes.patches,
+            has_more: changes.has_more,
         }))
     }
 
@@ -111,6 +118,7 @@
             idle_times: role_status.idle_times,
             refused_documents: documents.refused,
             documents: documents.in_force,
+            rank: role_status.rank,
         }))
     }
 }
--- a/lib/src/protos/pomeloramp.control.rs
+++ b/lib/src/protos/pomeloramp.control.rs
@@ -11,8 +11,8 @@
     /// The platform's list marks the agent's VM as leaving.
     #[prost(bool, tag = "4")]
     pub listed_leaving: bool,
-    #[prost(message, repeated, tag = "5")]
-    pub quarantined: ::prost::alloc::vec::Vec<QuarantineEntry>,
+    #[prost(message, optional, tag = "7")]
+    pub quarantine_news: ::core::option::Option<QuarantineNews>,
     #[prost(uint64, tag = "6")]
     pub config_digest: u64,
 }
@@ -35,11 +35,28 @@
     pub service: ::prost::alloc::string::String,
     #[prost(bool, tag = "8")]
     pub endpoint_up: bool,
-    #[prost(message, repeated, tag = "9")]
-    pub quarantined: ::prost::alloc::vec::Vec<QuarantineEntry>,
+    #[prost(message, optional, tag = "11")]
+    pub quarantine_news: ::core::option::Option<QuarantineNews>,
     #[prost(uint64, tag = "10")]
     pub config_digest: u64,
 }
+/// What an agent says of itself beside an answer.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct AgentWord {
+    #[prost(uint64, tag = "1")]
+    pub incarnation: u64,
+    /// The agent's own monotonic clock.
+    #[prost(uint64, tag = "2")]
+    pub clock_ms: u64,
+    #[prost(bool, tag = "3")]
+    pub leaving: bool,
+    #[prost(bool, tag = "4")]
+    pub endpoint_up: bool,
+    #[prost(uint64, tag = "5")]
+    pub config_revision: u64,
+    #[prost(message, optional, tag = "6")]
+    pub load: ::core::option::Option<LoadReport>,
+}
 /// Load of one endpoint as its agent last saw it.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct LoadReport {
@@ -181,6 +198,8 @@
     /// What the agent holds against the content after a crash.
     #[prost(message, repeated, tag = "7")]
     pub quarantined: ::prost::alloc::vec::Vec<QuarantineEntry>,
+    #[prost(message, optional, tag = "8")]
+    pub word: ::core::option::Option<AgentWord>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ConfigValue {
@@ -198,6 +217,39 @@
     #[prost(uint64, tag = "2")]
     pub revision: u64,
 }
+/// Bytes copied from the former value, and new bytes that follow them.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PatchPiece {
+    #[prost(uint64, tag = "1")]
+    pub copy_offset: u64,
+    #[prost(uint64, tag = "2")]
+    pub copy_bytes: u64,
+    #[prost(bytes = "vec", tag = "3")]
+    pub insert: ::prost::alloc::vec::Vec<u8>,
+}
+/// How the value of one revision arises from the one before.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct PatchStep {
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    /// In the order of the new value.
+    #[prost(message, repeated, tag = "2")]
+    pub pieces: ::prost::alloc::vec::Vec<PatchPiece>,
+}
+/// A value as steps from another that the receiver holds.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ConfigPatch {
+    #[prost(string, tag = "1")]
+    pub key: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub base_revision: u64,
+    /// The revision of the last one is that of the value.
+    #[prost(message, repeated, tag = "3")]
+    pub steps: ::prost::alloc::vec::Vec<PatchStep>,
+    /// SHA-256 of the value.
+    #[prost(bytes = "vec", tag = "4")]
+    pub sha256: ::prost::alloc::vec::Vec<u8>,
+}
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ExchangeRequest {
     #[prost(string, tag = "1")]
@@ -212,8 +264,11 @@
     pub config_digest: u64,
     #[prost(bool, tag = "6")]
     pub asks_for_values: bool,
-    #[prost(message, repeated, tag = "4")]
-    pub quarantined: ::prost::alloc::vec::Vec<QuarantineEntry>,
+    #[prost(message, optional, tag = "7")]
+    pub quarantine_news: ::core::option::Option<QuarantineNews>,
+    /// The sender applies patches.
+    #[prost(bool, tag = "8")]
+    pub takes_patches: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ExchangeReply {
@@ -225,8 +280,8 @@
     pub config_revision: u64,
     #[prost(message, repeated, tag = "4")]
     pub newer: ::prost::alloc::vec::Vec<ConfigValue>,
-    #[prost(message, repeated, tag = "5")]
-    pub quarantined: ::prost::alloc::vec::Vec<QuarantineEntry>,
+    #[prost(message, optional, tag = "5")]
+    pub quarantine_news: ::core::option::Option<QuarantineNews>,
     #[prost(bool, tag = "6")]
     pub leaving: bool,
     #[prost(uint64, tag = "7")]
@@ -238,6 +293,12 @@
     /// The process does not serve yet, for it asks its peers itself.
     #[prost(bool, tag = "9")]
     pub starting: bool,
+    /// To be applied in this order, after the whole values.
+    #[prost(message, repeated, tag = "10")]
+    pub patches: ::prost::alloc::vec::Vec<ConfigPatch>,
+    /// Values or patches with higher revisions were left out to bound the message.
+    #[prost(bool, tag = "11")]
+    pub has_more: bool,
 }
 /// Content that ran on an endpoint when it crashed.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -256,6 +317,26 @@
     #[prost(bool, tag = "5")]
     pub quarantined: bool,
 }
+/// Changes of the sender's quarantine that the receiver did not acknowledge yet.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct QuarantineNews {
+    /// Names the sender's quarantine; drawn anew at each start.
+    #[prost(fixed32, tag = "1")]
+    pub source: u32,
+    /// The entries hold all changes after this version of the sender's quarantine.
+    #[prost(uint64, tag = "2")]
+    pub since_version: u64,
+    /// The last version that the entries hold.
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
+    #[prost(message, repeated, tag = "4")]
+    pub entries: ::prost::alloc::vec::Vec<QuarantineEntry>,
+    /// Acknowledges the receiver's quarantine of this name up to a version.
+    #[prost(fixed32, tag = "5")]
+    pub acknowledged_source: u32,
+    #[prost(uint64, tag = "6")]
+    pub acknowledged_version: u64,
+}
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct StatusRequest {}
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -282,6 +363,30 @@
     pub refused_documents: ::prost::alloc::vec::Vec<RefusedDocument>,
     #[prost(message, repeated, tag = "11")]
     pub documents: ::prost::alloc::vec::Vec<KeyRevision>,
+    /// Present for an agent of a rank group.
+    #[prost(message, optional, tag = "12")]
+    pub rank: ::core::option::Option<RankStatus>,
+}
+/// What an agent knows of its rank and of the map that is being agreed on.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RankStatus {
+    #[prost(string, tag = "1")]
+    pub group: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "2")]
+    pub rank: u32,
+    /// False while the engine has not answered this run of the agent.
+    #[prost(bool, tag = "3")]
+    pub engine_known: bool,
+    #[prost(message, optional, tag = "4")]
+    pub map: ::core::option::Option<MapStateReply>,
+    /// Why the rank or its group waits; empty when it does not.
+    #[prost(string, tag = "5")]
+    pub waits_for: ::prost::alloc::string::String,
+    /// Runs of the planner that proposed a map, and how they ended.
+    #[prost(uint64, tag = "6")]
+    pub committed_plans: u64,
+    #[prost(uint64, tag = "7")]
+    pub aborted_plans: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct MemberStatus {
@@ -297,18 +402,37 @@
     pub config_revision: u64,
 }
 /// Capacity-time of one organisation at one endpoint.
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+/// Capacity time of one organisation at one endpoint; one slot gives one second a second.
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct IdleTime {
+    /// Empty for capacity of which nobody declares a share.
     #[prost(string, tag = "1")]
     pub organisation: ::prost::alloc::string::String,
     #[prost(string, tag = "2")]
     pub service: ::prost::alloc::string::String,
+    /// Its share, used by itself.
     #[prost(uint64, tag = "3")]
     pub used_ms: u64,
+    /// Its share, used by others.
     #[prost(uint64, tag = "4")]
     pub lent_ms: u64,
+    /// Its share, used by nobody.
     #[prost(uint64, tag = "5")]
     pub idle_ms: u64,
+    /// Others' shares, used by it.
+    #[prost(uint64, tag = "6")]
+    pub borrowed_ms: u64,
+    /// To whom the lent time went; what is missing from `lent_ms` went to organisations too many to
+    /// tell apart.
+    #[prost(message, repeated, tag = "7")]
+    pub lent_to: ::prost::alloc::vec::Vec<LentShare>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct LentShare {
+    #[prost(string, tag = "1")]
+    pub borrower: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub lent_ms: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct RefusedDocument {
@@ -428,6 +552,43 @@
     #[prost(uint64, tag = "11")]
     pub held_ms: u64,
 }
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RankLoadRequest {
+    /// Asks for the replicas of the map in use, which are the same at all ranks.
+    #[prost(bool, tag = "1")]
+    pub with_replicas: bool,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RankLoadReply {
+    #[prost(uint64, tag = "1")]
+    pub group_incarnation: u64,
+    /// The map in use, with its replicas if they were asked for.
+    #[prost(message, optional, tag = "2")]
+    pub active: ::core::option::Option<ExpertMap>,
+    /// Layer by layer, the load of the experts on this rank.
+    #[prost(message, repeated, tag = "3")]
+    pub layers: ::prost::alloc::vec::Vec<LayerLoad>,
+    /// Experts of a layer that the rank has room for.
+    #[prost(uint32, tag = "4")]
+    pub slots_per_rank: u32,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct LayerLoad {
+    /// Tokens a second, by expert.
+    #[prost(double, repeated, tag = "1")]
+    pub tokens_per_s: ::prost::alloc::vec::Vec<f64>,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct LoadWeightsRequest {
+    #[prost(message, repeated, tag = "1")]
+    pub replicas: ::prost::alloc::vec::Vec<ExpertReplica>,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct LoadWeightsReply {
+    /// Bytes read from the weight store.
+    #[prost(uint64, tag = "1")]
+    pub loaded_bytes: u64,
+}
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
 pub enum Outcome {
@@ -1419,6 +1580,53 @@
                 .insert(GrpcMethod::new("pomeloramp.control.RankGroup", "MapState"));
             self.inner.unary(req, path, codec).await
         }
+        /// Reports the map that the rank's engine uses and its load.
+        pub async fn rank_load(
+            &mut self,
+            request: impl tonic::IntoRequest<super::RankLoadRequest>,
+        ) -> std::result::Result<tonic::Response<super::RankLoadReply>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/pomeloramp.control.RankGroup/RankLoad",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("pomeloramp.control.RankGroup", "RankLoad"));
+            self.inner.unary(req, path, codec).await
+        }
+        /// Loads weights that a map to be proposed needs on the rank.
+        pub async fn load_weights(
+            &mut self,
+            request: impl tonic::IntoRequest<super::LoadWeightsRequest>,
+        ) -> std::result::Result<
+            tonic::Response<super::LoadWeightsReply>,
+            tonic::Status,
+        > {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/pomeloramp.control.RankGroup/LoadWeights",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("pomeloramp.control.RankGroup", "LoadWeights"));
+            self.inner.unary(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -1446,6 +1654,19 @@
             &self,
             request: tonic::Request<super::MapStateRequest>,
         ) -> std::result::Result<tonic::Response<super::MapStateReply>, tonic::Status>;
+        /// Reports the map that the rank's engine uses and its load.
+        async fn rank_load(
+            &self,
+            request: tonic::Request<super::RankLoadRequest>,
+        ) -> std::result::Result<tonic::Response<super::RankLoadReply>, tonic::Status>;
+        /// Loads weights that a map to be proposed needs on the rank.
+        async fn load_weights(
+            &self,
+            request: tonic::Request<super::LoadWeightsRequest>,
+        ) -> std::result::Result<
+            tonic::Response<super::LoadWeightsReply>,
+            tonic::Status,
+        >;
     }
     /// Served by the agents of the ranks of one group.
     #[derive(Debug)]
@@ -1659,6 +1880,96 @@
                     };
                     Box::pin(fut)
                 }
+                "/pomeloramp.control.RankGroup/RankLoad" => {
+                    #[allow(non_camel_case_types)]
+                    struct RankLoadSvc<T: RankGroup>(pub Arc<T>);
+                    impl<
+                        T: RankGroup,
+                    > tonic::server::UnaryService<super::RankLoadRequest>
+                    for RankLoadSvc<T> {
+                        type Response = super::RankLoadReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::RankLoadRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as RankGroup>::rank_load(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = RankLoadSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
+                "/pomeloramp.control.RankGroup/LoadWeights" => {
+                    #[allow(non_camel_case_types)]
+                    struct LoadWeightsSvc<T: RankGroup>(pub Arc<T>);
+                    impl<
+                        T: RankGroup,
+                    > tonic::server::UnaryService<super::LoadWeightsRequest>
+                    for LoadWeightsSvc<T> {
+                        type Response = super::LoadWeightsReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::LoadWeightsRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as RankGroup>::load_weights(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = LoadWeightsSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => {
                     Box::pin(async move {
                         let mut response = http::Response::new(
--- a/lib/testutils/src/compound.rs
+++ b/lib/testutils/src/compound.rs
@@ -6,24 +6,27 @@
 use std::thread;
 use std::time::Duration;
 
-use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
-use serde_json::json;
 
 use crate::caller::Caller;
 use crate::caller::whole_draft;
-use crate::fleet::COMMIT_SERVICE;
-use crate::fleet::DRAFT_SERVICE;
+use crate::compound_fault::Fault;
+use crate::compound_fault::FaultKind;
+use crate::compound_fault::Round;
+use crate::compound_fault::Undo;
 use crate::fleet::Fleet;
 use crate::fleet::FleetPlan;
 use crate::fleet::ORGANISATIONS;
 
-const CALLERS: u64 = 6;
-const KEYS_PER_CALLER: u64 = 12;
+const CALLERS: u64 = 10;
+const DRAFT_CALLERS: usize = 6;
+const DRAFT_TOKENS: u32 = 50;
 const MAX_SENDS: u32 = 8;
 const CALLER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Shorter than a fault lasts, so that callers send again while the first send may still arrive.
+const IMPATIENT_TIMEOUT: Duration = Duration::from_millis(500);
 const RESEND_DELAY: Duration = Duration::from_millis(100);
 const FAULT_PAUSE: Duration = Duration::from_millis(700);
 const BODY: &str = "{\"wire_mm\":4}";
@@ -43,36 +46,6 @@
     pub rounds: usize,
 }
 
-/// A fault that a run may draw.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Fault {
-    KillEntry,
-    FreezeEntry,
-    RestartAgent,
-    FreezeAgent,
-    RestartEngine,
-    ConfigurationDown,
-    ConfigurationStale,
-    ListDown,
-    NewEntry,
-    NewEndpoint,
-    PublishTemplate,
-}
-
-const FAULTS: [Fault; 11] = [
-    Fault::KillEntry,
-    Fault::FreezeEntry,
-    Fault::RestartAgent,
-    Fault::FreezeAgent,
-    Fault::RestartEngine,
-    Fault::ConfigurationDown,
-    Fault::ConfigurationStale,
-    Fault::ListDown,
-    Fault::NewEntry,
-    Fault::NewEndpoint,
-    Fault::PublishTemplate,
-];
-
 /// What a caller knows of one commit at the end.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct CommitHistory {
@@ -85,8 +58,6 @@
 /// What a run found.
 #[derive(Debug, Default)]
 pub struct CompoundReport {
-    /// Faults in the order in which they were caused.
-    pub trace: Vec<String>,
     /// Violated guarantees; empty for a good run.
     pub violations: Vec<String>,
     /// Commits whose last word was `ran`, `not-run`, `unknown` or none.
@@ -95,12 +66,36 @@
     pub not_run: usize,
     /// Commits whose fate their caller does not know.
     pub unknown: usize,
+    /// Those of them that had run.
+    pub unknown_that_ran: usize,
     /// Drafts that were answered whole.
     pub whole_drafts: usize,
     /// Drafts that were cut or refused, told as such.
     pub failed_drafts: usize,
 }
 
+impl CompoundReport {
+    /// Adds what another run found.
+    pub fn add(&mut self, other: Self) {
+        self.violations.extend(other.violations);
+        self.ran += other.ran;
+        self.not_run += other.not_run;
+        self.unknown += other.unknown;
+        self.unknown_that_ran += other.unknown_that_ran;
+        self.whole_drafts += other.whole_drafts;
+        self.failed_drafts += other.failed_drafts;
+    }
+}
+
+/// Draws the rounds of faults of a run.
+#[must_use]
+pub fn draw(plan: CompoundPlan) -> Vec<Round> {
+    let mut rng = SmallRng::seed_from_u64(plan.seed);
+    (0..plan.rounds)
+        .map(|_| Fault::draw_pair(&mut rng))
+        .collect()
+}
+
 /// Runs a fleet under drawn pairs of faults and checks what its callers heard.
 ///
 /// # Panics
@@ -108,13 +103,24 @@
 /// Panics when the fleet does not start, or does not serve again after the faults.
 #[must_use]
 pub fn run(plan: CompoundPlan) -> CompoundReport {
-    let mut rng = SmallRng::seed_from_u64(plan.seed);
+    run_rounds(plan, &draw(plan))
+}
+
+/// Runs a fleet under given rounds of faults and checks what its callers heard.
+///
+/// # Panics
+///
+/// Panics when the fleet does not start, or does not serve again after the faults.
+#[must_use]
+pub fn run_rounds(plan: CompoundPlan, rounds: &[Round]) -> CompoundReport {
     let fleet_plan = FleetPlan::builder()
         .entries(plan.entries)
         .engines(plan.engines)
         .plain_endpoints(plan.plain_endpoints)
         .engine_flags(flags(&["--token-interval-ms", "10"]))
-        .plain_flags(flags(&["--work-ms", "30"]))
+        .plain_flags(flags(&["--work-ms", "60"]))
+        .relay_peers(true)
+        .relay_platform(true)
         .build();
     let mut fleet = Fleet::start(fleet_plan);
     let addresses: Vec<String> = fleet
@@ -128,112 +134,70 @@
         .map(|number| {
             let addresses = addresses.clone();
             let seed = plan.seed.wrapping_mul(CALLERS).wrapping_add(number);
-            thread::spawn(move || commit_repeatedly(seed, number, &addresses))
+            let stop = Arc::clone(&stop);
+            thread::spawn(move || commit_repeatedly(seed, number, &addresses, &stop))
+        })
+        .collect();
+    let drafts: Vec<_> = (0..DRAFT_CALLERS)
+        .map(|number| {
+            let mut addresses = addresses.clone();
+            let entries = addresses.len();
+            addresses.rotate_left(number % entries);
+            let stop = Arc::clone(&stop);
+            let reference = reference.clone();
+            thread::spawn(move || draft_repeatedly(&addresses, &reference, &stop))
         })
         .collect();
-    let drafts = {
-        let addresses = addresses.clone();
-        let stop = Arc::clone(&stop);
-        let reference = reference.clone();
-        thread::spawn(move || draft_repeatedly(&addresses, &reference, &stop))
-    };
 
     let mut report = CompoundReport::default();
-    for _ in 0..plan.rounds {
-        let pair: Vec<Fault> = FAULTS.sample(&mut rng, 2).copied().collect();
-        let mut undos: Vec<(Fault, Undo)> = pair
-            .iter()
-            .map(|fault| (*fault, cause(*fault, &mut fleet, &mut rng, &mut report)))
-            .collect();
-        thread::sleep(FAULT_PAUSE);
-        // A new entry can't serve before the platform's faults are undone.
-        undos.sort_by_key(|(fault, _)| *fault == Fault::NewEntry);
-        for (_, undo) in undos {
-            undo(&mut fleet);
-        }
+    for round in rounds {
+        fail_for_a_while(round, &mut fleet);
     }
+    stop.store(true, Ordering::Release);
     let histories: Vec<CommitHistory> = commits
         .into_iter()
         .flat_map(|caller| caller.join().expect("a caller thread ends normally"))
         .collect();
-    stop.store(true, Ordering::Release);
-    let draft_counts = drafts.join().expect("the draft thread ends normally");
-    report.whole_drafts = draft_counts.whole;
-    report.failed_drafts = draft_counts.failed;
-    report.violations.extend(draft_counts.violations);
+    for caller in drafts {
+        let counts = caller.join().expect("a caller thread ends normally");
+        report.whole_drafts += counts.whole;
+        report.failed_drafts += counts.failed;
+        report.violations.extend(counts.violations);
+    }
     check_commits(&fleet, &histories, &mut report);
-    check_recovery(&fleet, &reference, &mut report);
+    check_recovery(&fleet, &reference);
     report
 }
 
-type Undo = Box<dyn FnOnce(&mut Fleet)>;
-
-fn cause(fault: Fault, fleet: &mut Fleet, rng: &mut SmallRng, report: &mut CompoundReport) -> Undo {
-    let entry = rng.random_range(0..fleet.entries.len());
-    let endpoint = rng.random_range(0..fleet.endpoints.len());
-    report
-        .trace
-        .push(format!("{fault:?} entry={entry} endpoint={endpoint}"));
-    match fault {
-        Fault::KillEntry if fleet.entries.len() > 1 => fleet.entries[entry].daemon.kill(),
-        Fault::KillEntry => {}
-        Fault::FreezeEntry => {
-            fleet.entries[entry].daemon.pause();
-            return Box::new(move |fleet| fleet.entries[entry].daemon.resume());
-        }
-        Fault::RestartAgent => fleet.restart_agent(endpoint),
-        Fault::FreezeAgent => {
-            fleet.endpoints[endpoint].agent.pause();
-            return Box::new(move |fleet| fleet.endpoints[endpoint].agent.resume());
-        }
-        Fault::RestartEngine => {
-            if fleet.endpoints[endpoint].service == DRAFT_SERVICE {
-                fleet.restart_endpoint_process(endpoint);
-            }
-        }
-        Fault::ConfigurationDown => return platform_fault(fleet, "config", "down"),
-        Fault::ConfigurationStale => return platform_fault(fleet, "config", "stale"),
-        Fault::ListDown => return platform_fault(fleet, "vm_list", "down"),
-        Fault::NewEntry => {
-            let begun = fleet.begin_entry();
-            return Box::new(move |fleet| {
-                fleet.finish_entry(begun);
-                fleet.publish_vms();
-            });
-        }
-        Fault::NewEndpoint => {
-            fleet.add_endpoint(COMMIT_SERVICE);
-            fleet.publish_vms();
-        }
-        Fault::PublishTemplate => {
-            let deadline_ms = rng.random_range(8_000..10_000);
-            let text = crate::fleet_text::template(COMMIT_SERVICE, "plain", false)
-                .replace("10000", &format!("{deadline_ms}"));
-            fleet.publish_template(COMMIT_SERVICE, &text);
-        }
+/// Causes the faults of one round, waits, and undoes them.
+fn fail_for_a_while(round: &Round, fleet: &mut Fleet) {
+    let mut undos: Vec<(Fault, Undo)> = round
+        .iter()
+        .map(|fault| (*fault, fault.cause(fleet)))
+        .collect();
+    thread::sleep(FAULT_PAUSE);
+    // A new entry can't serve before the platform's faults are undone.
+    undos.sort_by_key(|(fault, _)| fault.kind == FaultKind::NewEntry);
+    for (_, undo) in undos {
+        undo(fleet);
     }
-    Box::new(|_| {})
 }
 
-fn platform_fault(fleet: &Fleet, name: &'static str, value: &str) -> Undo {
-    fleet.set_platform_faults(&json!({ name: value }));
-    Box::new(move |fleet| fleet.set_platform_faults(&json!({ name: "none" })))
-}
-
-/// Sends each commit until its fate is known or the sends are used up.
-fn commit_repeatedly(seed: u64, number: u64, addresses: &[String]) -> Vec<CommitHistory> {
+/// Commits until the faults are over; sends each commit until its fate is known or the sends are used up.
+fn commit_repeatedly(
+    seed: u64,
+    number: u64,
+    addresses: &[String],
+    stop: &AtomicBool,
+) -> Vec<CommitHistory> {
     let mut rng = SmallRng::seed_from_u64(seed);
-    let caller = Caller::new(ORGANISATIONS[0], CALLER_TIMEOUT);
-    (0..KEYS_PER_CALLER)
-        .map(|index| {
-            commit_one(
-                &caller,
-                &format!("key-{number}-{index}"),
-                addresses,
-                &mut rng,
-            )
-        })
-        .collect()
+    let caller = Caller::new(ORGANISATIONS[0], IMPATIENT_TIMEOUT);
+    let mut histories = Vec::new();
+    while !stop.load(Ordering::Acquire) {
+        let key = format!("key-{number}-{}", histories.len());
+        histories.push(commit_one(&caller, &key, addresses, &mut rng));
+    }
+    histories
 }
 
 fn commit_one(
@@ -283,7 +247,8 @@
 }
 
 fn draft_reference(entry: &str) -> String {
-    let draft = Caller::new(ORGANISATIONS[1], CALLER_TIMEOUT).draft(entry, "hook", 20, true);
+    let draft =
+        Caller::new(ORGANISATIONS[1], CALLER_TIMEOUT).draft(entry, "hook", DRAFT_TOKENS, true);
     whole_draft(&draft.body).expect("a draft is whole before any fault")
 }
 
@@ -294,7 +259,7 @@
         if stop.load(Ordering::Acquire) {
             break;
         }
-        let draft = caller.draft(entry, "hook", 20, true);
+        let draft = caller.draft(entry, "hook", DRAFT_TOKENS, true);
         match whole_draft(&draft.body) {
             Some(text) if text == reference => counts.whole += 1,
             Some(text) => counts
@@ -319,7 +284,10 @@
         match history.last_outcome.as_str() {
             "ran" => report.ran += 1,
             "not-run" => report.not_run += 1,
-            _ => report.unknown += 1,
+            _ => {
+                report.unknown += 1;
+                report.unknown_that_ran += usize::from(count > 0);
+            }
         }
         if !is_allowed {
             let key = &history.key;
@@ -332,7 +300,7 @@
 }
 
 /// After the faults, each entry that runs serves both services again.
-fn check_recovery(fleet: &Fleet, reference: &str, report: &mut CompoundReport) {
+fn check_recovery(fleet: &Fleet, reference: &str) {
     let caller = Caller::new(ORGANISATIONS[0], CALLER_TIMEOUT);
     for entry in &fleet.entries {
         let address = &entry.caller_address;
@@ -341,13 +309,12 @@
         }
         let name = &entry.vm_name;
         Fleet::wait_for("an entry serves again after the faults", || {
-            let draft = caller.draft(address, "hook", 20, true);
+            let draft = caller.draft(address, "hook", DRAFT_TOKENS, true);
             let placement = caller.placement(address).unwrap_or_default();
             let commit = caller.commit(address, &format!("recovery-{name}"), &placement, 1, BODY);
             whole_draft(&draft.body).as_deref() == Some(reference) && commit.outcome == "ran"
         });
     }
-    report.trace.push("recovered".to_owned());
 }
 
 fn flags(texts: &[&str]) -> Vec<String> {
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod caller;
 pub mod compound;
+pub mod compound_fault;
 mod fake_engine;
 mod fake_rank_engine;
 pub mod fleet;
@@ -11,13 +12,18 @@
 mod map_message;
 pub mod process;
 pub mod process_cost;
+pub mod rank_coordinator;
+pub mod rank_fleet;
 pub mod relay;
 mod routing_workload;
+mod smallest_trace;
 pub mod status;
 
 pub use fake_engine::EngineEvent;
 pub use fake_engine::EngineRequest;
 pub use fake_engine::FakeEngine;
+pub use fake_engine::StoredPrefix;
 pub use fake_rank_engine::FakeRankEngine;
 pub use map_group::MapGroup;
 pub use routing_workload::RoutingWorkload;
+pub use smallest_trace::SmallestTrace;
--- a/lib/testutils/src/relay.rs
+++ b/lib/testutils/src/relay.rs
@@ -1,4 +1,4 @@
-//! A loopback relay that can cut connections or let them go silent.
+//! A loopback relay that can cut connections, let them go silent or drop their packets.
 
 use std::io::Read;
 use std::io::Write;
@@ -8,14 +8,22 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
+use socket2::SockFilter;
+use socket2::SockRef;
+
 const BUFFER_BYTES: usize = 16 << 10;
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Classic BPF instruction `ret`, with the length to keep as its constant.
+const BPF_RETURN: u16 = 0x06;
+const DROP_EVERY_PACKET: [SockFilter; 1] = [SockFilter::new(BPF_RETURN, 0, 0, 0)];
 
 /// Forwards connections from one loopback address to another.
 #[derive(Debug)]
@@ -27,7 +35,10 @@
 #[derive(Debug, Default)]
 struct Switches {
     is_cut: AtomicBool,
+    refuses_new: AtomicBool,
     is_ended: AtomicBool,
+    target: Mutex<String>,
+    forwarded_bytes: Arc<AtomicU64>,
     open: Mutex<Vec<RelayedConnection>>,
 }
 
@@ -46,17 +57,34 @@
     /// Panics when no loopback port can be opened.
     #[must_use]
     pub fn start(target: &str) -> Self {
+        let relay = Self::start_without_target();
+        relay.set_target(target);
+        relay
+    }
+
+    /// Starts a relay that breaks every connection until it has a target.
+    ///
+    /// # Panics
+    ///
+    /// Panics when no loopback port can be opened.
+    #[must_use]
+    pub fn start_without_target() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port");
         let address = listener
             .local_addr()
             .expect("a bound socket has an address");
         let switches = Arc::new(Switches::default());
         let shared = Arc::clone(&switches);
-        let target = target.to_owned();
-        thread::spawn(move || accept_connections(&listener, &target, &shared));
+        thread::spawn(move || accept_connections(&listener, &shared));
         Self { address, switches }
     }
 
+    /// Forwards new connections to `target`.
+    pub fn set_target(&self, target: &str) {
+        let mut known = self.switches.target();
+        target.clone_into(&mut known);
+    }
+
     /// Returns the address to connect to.
     #[must_use]
     pub fn address(&self) -> String {
@@ -69,29 +97,57 @@
         self.switches.close_all();
     }
 
+    /// Refuses new connections; the open ones go on.
+    pub fn refuse_new_connections(&self) {
+        self.switches.refuses_new.store(true, Ordering::Release);
+    }
+
     /// Accepts connections again.
     pub fn mend(&self) {
         self.switches.is_cut.store(false, Ordering::Release);
+        self.switches.refuses_new.store(false, Ordering::Release);
     }
 
     /// Tells whether a connection has been forwarded.
     #[must_use]
     pub fn has_connections(&self) -> bool {
-        let open = self.switches.open.lock();
-        !open.unwrap_or_else(PoisonError::into_inner).is_empty()
+        !self.switches.open_connections().is_empty()
+    }
+
+    /// Returns the bytes forwarded in both directions so far.
+    #[must_use]
+    pub fn forwarded_bytes(&self) -> u64 {
+        self.switches.forwarded_bytes.load(Ordering::Acquire)
     }
 
     /// Lets the open connections go silent for good; new ones work.
+    ///
+    /// The operating system goes on to acknowledge what the two ends send, so that only they can
+    /// find out.
     pub fn silence_open_connections(&self) {
-        let open = self
-            .switches
-            .open
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        for connection in open.iter() {
+        for connection in self.switches.open_connections().iter() {
             connection.is_silent.store(true, Ordering::Release);
         }
     }
+
+    /// Drops every packet of the open connections from now on; new ones work.
+    ///
+    /// Nothing that the two ends send is acknowledged, as if a device between them had lost track
+    /// of the connection.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the operating system takes no packet filter.
+    pub fn drop_packets_of_open_connections(&self) {
+        self.silence_open_connections();
+        for connection in self.switches.open_connections().iter() {
+            for socket in [&connection.caller, &connection.target] {
+                SockRef::from(socket)
+                    .attach_filter(&DROP_EVERY_PACKET)
+                    .expect("the socket takes a packet filter");
+            }
+        }
+    }
 }
 
 impl Drop for Relay {
@@ -103,25 +159,35 @@
 }
 
 impl Switches {
+    fn target(&self) -> MutexGuard<'_, String> {
+        self.target.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn open_connections(&self) -> MutexGuard<'_, Vec<RelayedConnection>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn close_all(&self) {
-        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
-        for connection in open.drain(..) {
+        for connection in self.open_connections().drain(..) {
             let _ = connection.caller.shutdown(Shutdown::Both);
             let _ = connection.target.shutdown(Shutdown::Both);
         }
     }
 }
 
-fn accept_connections(listener: &TcpListener, target: &str, switches: &Arc<Switches>) {
+fn accept_connections(listener: &TcpListener, switches: &Arc<Switches>) {
     for caller in listener.incoming() {
         if switches.is_ended.load(Ordering::Acquire) {
             return;
         }
         let Ok(caller) = caller else { continue };
-        if switches.is_cut.load(Ordering::Acquire) {
+        let is_refused =
+            switches.is_cut.load(Ordering::Acquire) || switches.refuses_new.load(Ordering::Acquire);
+        if is_refused {
             continue;
         }
-        let _ = forward(&caller, target, switches);
+        let target = switches.target().clone();
+        let _ = forward(&caller, &target, switches);
     }
 }
 
@@ -132,23 +198,29 @@
         caller.try_clone()?,
         target.try_clone()?,
         Arc::clone(&is_silent),
+        Arc::clone(&switches.forwarded_bytes),
     );
     pump(
         target.try_clone()?,
         caller.try_clone()?,
         Arc::clone(&is_silent),
+        Arc::clone(&switches.forwarded_bytes),
     );
     let connection = RelayedConnection {
         is_silent,
         caller: caller.try_clone()?,
         target,
     };
-    let mut open = switches.open.lock().unwrap_or_else(PoisonError::into_inner);
-    open.push(connection);
+    switches.open_connections().push(connection);
     Ok(())
 }
 
-fn pump(mut from: TcpStream, mut to: TcpStream, is_silent: Arc<AtomicBool>) {
+fn pump(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    is_silent: Arc<AtomicBool>,
+    forwarded_bytes: Arc<AtomicU64>,
+) {
     thread::spawn(move || {
         let mut buffer = vec![0; BUFFER_BYTES];
         loop {
@@ -164,6 +236,7 @@
                 let _ = to.shutdown(Shutdown::Both);
                 return;
             }
+            forwarded_bytes.fetch_add(count as u64, Ordering::AcqRel);
         }
     });
 }
--- a/reports/examples/control_cost/main.rs
+++ b/reports/examples/control_cost/main.rs
@@ -4,7 +4,9 @@
 //! those of HTTP/2 on the connection, as counted on loopback; the headers of TCP and IP are not
 //! among them.
 
+mod patches;
 mod templates;
+mod words;
 
 use std::env;
 use std::time::Duration;
@@ -15,6 +17,7 @@
 use pomeloramp_reports::SERVICES;
 use pomeloramp_reports::control_rows;
 use pomeloramp_reports::exchange_cost;
+use pomeloramp_reports::exchange_reply;
 use pomeloramp_reports::heartbeat_cost;
 use pomeloramp_reports::idle_bytes_per_s;
 
@@ -24,10 +27,17 @@
     let seed = env::args().nth(1).and_then(|seed| seed.parse().ok());
     let seed: u64 = seed.unwrap_or(DEFAULT_SEED);
     println!("seed {seed}");
+    words::print_costs(seed);
     let heartbeat = heartbeat_cost();
     print_rpc("heartbeat", &heartbeat);
-    print_rpc("exchange without news", &exchange_cost(0));
-    print_rpc("exchange that asks for values", &exchange_cost(SERVICES));
+    print_rpc(
+        "exchange without news",
+        &exchange_cost(0, &exchange_reply()),
+    );
+    print_rpc(
+        "exchange that asks for values",
+        &exchange_cost(SERVICES, &exchange_reply()),
+    );
     let idle_bytes = idle_bytes_per_s(PROBE_INTERVAL);
     println!("idle connection probed every second: {idle_bytes} bytes a second");
     println!(
@@ -37,6 +47,7 @@
         print_row(&row);
     }
     templates::print_costs();
+    patches::print_costs(SERVICES);
     templates::print_vm_list();
 }
 
--- a/reports/examples/routing_comparison.rs
+++ b/reports/examples/routing_comparison.rs
@@ -1,29 +1,45 @@
 //! Compares routing policies over seeded scenarios.
 //!
 //! `cargo run --release -p pomeloramp-reports --example routing_comparison -- [--seed N]
-//! [--csv FILE] [--entries N] [--endpoints N] [--scenario NAME]`. Each row pools three runs, whose
-//! seeds follow on the given one.
+//! [--csv FILE] [--entries N] [--endpoints N] [--scenario NAME] [--report-interval-ms N] [--words]
+//! [--cache-events none|removed|all] [--restarts] [--router-only] [--endpoints-per-entry N]`. Each
+//! row pools three runs, whose seeds follow on the given one.
 
 use std::fmt::Write as _;
 
+use pomeloramp_reports::CacheNews;
+use pomeloramp_reports::EndpointNews;
+use pomeloramp_reports::RoutePolicy;
+use pomeloramp_reports::RoutingComparison;
 use pomeloramp_reports::RoutingRow;
 use pomeloramp_reports::Scenario;
-use pomeloramp_reports::routing_rows;
 
 fn main() {
     let mut arguments = pico_args::Arguments::from_env();
-    let seed = argument(&mut arguments, "--seed", 1);
-    let entries = argument(&mut arguments, "--entries", 8);
-    let endpoints = argument(&mut arguments, "--endpoints", 16);
+    let comparison = RoutingComparison::builder()
+        .seed(argument(&mut arguments, "--seed", 1))
+        .entries(argument(&mut arguments, "--entries", 8))
+        .endpoints(argument(&mut arguments, "--endpoints", 16))
+        .endpoints_per_entry(argument(
+            &mut arguments,
+            "--endpoints-per-entry",
+            usize::MAX,
+        ))
+        .news(endpoint_news(&mut arguments))
+        .policies(policies(&mut arguments))
+        .build();
     let only: Option<String> = arguments.opt_value_from_str("--scenario").expect("a name");
     let csv: Option<String> = arguments.opt_value_from_str("--csv").expect("a path");
     let mut csv_text = String::from(
         "scenario,policy,requests,ttft_p50_ms,ttft_p95_ms,ttft_p99_ms,goodput_percent,\
          cached_percent,sends_per_request,refusals_per_request\n",
     );
-    println!("seed {seed}, {entries} entries, {endpoints} endpoints");
     println!(
-        "{:<17} {:<14} {:>8} {:>6} {:>6} {:>6} {:>8} {:>7} {:>6} {:>8}",
+        "seed {}, {} entries, {} endpoints, {:?}",
+        comparison.seed, comparison.entries, comparison.endpoints, comparison.news
+    );
+    println!(
+        "{:<17} {:<14} {:>8} {:>6} {:>6} {:>6} {:>8} {:>7} {:>6} {:>8} {:>7}",
         "scenario",
         "policy",
         "requests",
@@ -33,14 +49,15 @@
         "goodput",
         "cached",
         "sends",
-        "refusals"
+        "refusals",
+        "blocks"
     );
     for scenario in Scenario::ALL {
         let name = format!("{scenario:?}");
         if only.as_ref().is_some_and(|only| *only != name) {
             continue;
         }
-        for row in routing_rows(scenario, seed, entries, endpoints) {
+        for row in comparison.rows(scenario) {
             println!("{}", as_table_line(&row));
             writeln!(csv_text, "{}", as_csv_line(&row)).expect("a string takes all");
         }
@@ -60,9 +77,36 @@
         .unwrap_or(default)
 }
 
+fn endpoint_news(arguments: &mut pico_args::Arguments) -> EndpointNews {
+    let shipped = EndpointNews::default();
+    let cache: String = argument(arguments, "--cache-events", "removed".to_owned());
+    EndpointNews {
+        report_interval_ms: argument(
+            arguments,
+            "--report-interval-ms",
+            shipped.report_interval_ms,
+        ),
+        words: arguments.contains("--words"),
+        cache: match cache.as_str() {
+            "none" => CacheNews::None,
+            "all" => CacheNews::All,
+            _ => CacheNews::Removed,
+        },
+        restarts: arguments.contains("--restarts"),
+    }
+}
+
+fn policies(arguments: &mut pico_args::Arguments) -> Vec<RoutePolicy> {
+    if arguments.contains("--router-only") {
+        vec![RoutePolicy::Router]
+    } else {
+        RoutePolicy::ALL.to_vec()
+    }
+}
+
 fn as_table_line(row: &RoutingRow) -> String {
     format!(
-        "{:<17} {:<14} {:>8} {:>6} {:>6} {:>6} {:>7.2}% {:>6.1}% {:>6.3} {:>8.3}",
+        "{:<17} {:<14} {:>8} {:>6} {:>6} {:>6} {:>7.2}% {:>6.1}% {:>6.3} {:>8.3} {:>7.1}",
         format!("{:?}", row.scenario),
         format!("{:?}", row.policy),
         row.requests,
@@ -73,6 +117,7 @@
         row.cached_percent,
         row.sends_per_request,
         row.refusals_per_request,
+        row.event_blocks_per_s,
     )
 }
 
--- a/reports/src/routing_row.rs
+++ b/reports/src/routing_row.rs
@@ -3,10 +3,15 @@
 use std::thread;
 use std::thread::ScopedJoinHandle;
 
+use bon::Builder;
+
 use crate::figures::as_f64;
 use crate::figures::percentile;
 use crate::request_record::RequestRecord;
+use crate::routing_run::RUN_S;
 use crate::routing_run::RoutingRun;
+use crate::routing_run::RunOutcome;
+use crate::routing_scenario::EndpointNews;
 use crate::routing_scenario::RoutePolicy;
 use crate::routing_scenario::Scenario;
 
@@ -38,42 +43,77 @@
     pub sends_per_request: f64,
     /// Refusals by entries over requests.
     pub refusals_per_request: f64,
+    /// Blocks that the cache events of one endpoint name in a second.
+    pub event_blocks_per_s: f64,
+}
+
+/// Sizes and settings of the runs of one table.
+#[derive(Debug, Clone, Builder)]
+pub struct RoutingComparison {
+    /// Seed of the first run.
+    pub seed: u64,
+    /// Number of entries.
+    pub entries: usize,
+    /// Number of endpoints.
+    pub endpoints: usize,
+    /// Number of endpoints that one entry sends to.
+    #[builder(default = usize::MAX)]
+    pub endpoints_per_entry: usize,
+    /// What entries hear of endpoints.
+    #[builder(default)]
+    pub news: EndpointNews,
+    /// Policies that are compared.
+    #[builder(default = RoutePolicy::ALL.to_vec())]
+    pub policies: Vec<RoutePolicy>,
 }
 
-/// Returns the rows of all policies in one scenario.
-///
-/// # Panics
-///
-/// Panics if a run panics.
-#[must_use]
-pub fn routing_rows(
-    scenario: Scenario,
-    seed: u64,
-    entries: usize,
-    endpoints: usize,
-) -> Vec<RoutingRow> {
-    thread::scope(|scope| {
-        let handles = RoutePolicy::ALL.map(|policy| {
-            scope.spawn(move || {
-                let seeds = seed..seed + RUNS_PER_ROW;
-                let records: Vec<RequestRecord> = seeds
-                    .flat_map(|seed| {
-                        RoutingRun::builder()
-                            .policy(policy)
-                            .scenario(scenario)
-                            .seed(seed)
-                            .entries(entries)
-                            .endpoints(endpoints)
-                            .build()
-                            .run()
-                    })
-                    .collect();
-                RoutingRow::new(scenario, policy, &records)
-            })
-        });
-        let joined = handles.into_iter().map(ScopedJoinHandle::join);
-        joined.map(|row| row.expect("a run ends")).collect()
-    })
+impl RoutingComparison {
+    /// Returns the rows of all policies in one scenario.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a run panics.
+    #[must_use]
+    pub fn rows(&self, scenario: Scenario) -> Vec<RoutingRow> {
+        thread::scope(|scope| {
+            let handles: Vec<_> = self
+                .policies
+                .iter()
+                .map(|policy| scope.spawn(move || self.row(scenario, *policy)))
+                .collect();
+            let joined = handles.into_iter().map(ScopedJoinHandle::join);
+            joined.map(|row| row.expect("a run ends")).collect()
+        })
+    }
+
+    fn row(&self, scenario: Scenario, policy: RoutePolicy) -> RoutingRow {
+        let outcomes: Vec<RunOutcome> = (self.seed..self.seed + RUNS_PER_ROW)
+            .map(|seed| self.run(scenario, policy, seed))
+            .collect();
+        let event_blocks: u64 = outcomes.iter().map(|outcome| outcome.event_blocks).sum();
+        let endpoint_seconds = RUNS_PER_ROW * RUN_S * self.endpoints as u64;
+        let records: Vec<RequestRecord> = outcomes
+            .into_iter()
+            .flat_map(|outcome| outcome.records)
+            .collect();
+        RoutingRow {
+            event_blocks_per_s: ratio(event_blocks, endpoint_seconds),
+            ..RoutingRow::new(scenario, policy, &records)
+        }
+    }
+
+    fn run(&self, scenario: Scenario, policy: RoutePolicy, seed: u64) -> RunOutcome {
+        RoutingRun::builder()
+            .policy(policy)
+            .scenario(scenario)
+            .seed(seed)
+            .entries(self.entries)
+            .endpoints(self.endpoints)
+            .endpoints_per_entry(self.endpoints_per_entry)
+            .news(self.news)
+            .build()
+            .run()
+    }
 }
 
 impl RoutingRow {
@@ -100,6 +140,7 @@
             cached_percent: ratio(sum(|record| record.cached_tokens), prompts) * 100.0,
             sends_per_request: ratio(sum(|record| u64::from(record.sends)), total),
             refusals_per_request: ratio(sum(|record| u64::from(record.refusals)), total),
+            event_blocks_per_s: 0.0,
         }
     }
 }
--- a/reports/src/section.rs
+++ b/reports/src/section.rs
@@ -16,7 +16,7 @@
 use crate::report_error::ReportError;
 use crate::report_settings::ReportSettings;
 use crate::routing_plots::routing_plots;
-use crate::routing_row::routing_rows;
+use crate::routing_row::RoutingComparison;
 use crate::routing_scenario::Scenario;
 use crate::shared_endpoint::Discipline;
 use crate::sharing_plots::NamedSharing;
@@ -63,7 +63,12 @@
 
 fn routing_section(settings: &ReportSettings) -> Result<Section, ReportError> {
     let (seed, entries, endpoints) = (settings.seed, settings.entries, settings.endpoints);
-    let rows = Scenario::ALL.map(|scenario| routing_rows(scenario, seed, entries, endpoints));
+    let comparison = RoutingComparison::builder()
+        .seed(seed)
+        .entries(entries)
+        .endpoints(endpoints)
+        .build();
+    let rows = Scenario::ALL.map(|scenario| comparison.rows(scenario));
     Ok(Section {
         heading: "Routing",
         run: format!("seed {seed}, {entries} entries, {endpoints} endpoints, 3 runs for each bar"),
--- a/reports/tests/test_report.rs
+++ b/reports/tests/test_report.rs
@@ -11,12 +11,12 @@
 use pomeloramp_reports::Plot;
 use pomeloramp_reports::ReportDirectory;
 use pomeloramp_reports::RoutePolicy;
+use pomeloramp_reports::RoutingComparison;
 use pomeloramp_reports::Scenario;
 use pomeloramp_reports::Section;
 use pomeloramp_reports::SharingLoad;
 use pomeloramp_reports::balance_plots;
 use pomeloramp_reports::routing_plots;
-use pomeloramp_reports::routing_rows;
 
 const SEED: u64 = 7;
 
@@ -49,8 +49,13 @@
 
 #[googletest::test]
 fn routing_rows_are_the_same_twice() -> Result<()> {
-    let rows = routing_rows(Scenario::Outage, SEED, 2, 2);
-    expect_that!(routing_rows(Scenario::Outage, SEED, 2, 2), eq(&rows));
+    let comparison = RoutingComparison::builder()
+        .seed(SEED)
+        .entries(2)
+        .endpoints(2)
+        .build();
+    let rows = comparison.rows(Scenario::Outage);
+    expect_that!(comparison.rows(Scenario::Outage), eq(&rows));
     expect_that!(rows.len(), eq(RoutePolicy::ALL.len()));
     let plots = routing_plots(&rows).or_fail()?;
     for policy in RoutePolicy::ALL {
