--- a/lib/tests/test_whole_path.rs
+++ b/lib/tests/test_whole_path.rs
@@ -61,3 +61,54 @@
     }
     expect_that!(fleet.executions(), is_empty());
 }
+
+/// Waits until each entry that is not dead answers a draft and a commit.
+fn wait_until_served(fleet: &Fleet, dead_entries: &[usize], case: &str) {
+    let caller = Caller::new(ORGANISATIONS[0], TIMEOUT);
+    for (index, entry) in fleet.entries.iter().enumerate() {
+        if dead_entries.contains(&index) {
+            continue;
+        }
+        let address = &entry.caller_address;
+        let mut attempts = 0;
+        Fleet::wait_for(&format!("{case}: {} answers", entry.vm_name), || {
+            attempts += 1;
+            let draft = caller.draft(address, "hook", 3, true);
+            let key = format!("{case} {index} {attempts}");
+            let placement = caller.placement(address).unwrap_or_default();
+            let commit = caller.commit(address, &key, &placement, 1, "{}");
+            whole_draft(&draft.body).is_some() && commit.outcome == "ran"
+        });
+    }
+}
+
+#[googletest::test]
+fn callers_are_served_while_any_one_endpoint_is_dead() {
+    let plan = FleetPlan::builder().entries(2).plain_endpoints(2).build();
+    let mut fleet = Fleet::start(plan);
+    for index in 0..fleet.endpoints.len() {
+        fleet.endpoints[index].agent.kill();
+        wait_until_served(&fleet, &[], &format!("agent {index} is dead"));
+        fleet.restart_agent(index);
+        fleet.endpoints[index].endpoint.kill();
+        wait_until_served(&fleet, &[], &format!("endpoint {index} is dead"));
+        fleet.restart_endpoint_process(index);
+        wait_until_served(&fleet, &[], &format!("endpoint {index} is back"));
+    }
+    expect_that!(fleet.executions(), each((anything(), eq(&1))));
+}
+
+#[googletest::test]
+fn callers_are_served_while_any_one_entry_is_dead() {
+    let mut fleet = Fleet::start(FleetPlan::builder().build());
+    let mut dead = Vec::new();
+    for index in 0..3 {
+        fleet.entries[index].daemon.kill();
+        dead.push(index);
+        wait_until_served(&fleet, &dead, &format!("entry {index} is dead"));
+        fleet.add_entry();
+        fleet.publish_vms();
+    }
+    wait_until_served(&fleet, &dead, "new entries took the place of all");
+    expect_that!(fleet.executions(), each((anything(), eq(&1))));
+}
--- a/lib/testutils/src/process.rs
+++ b/lib/testutils/src/process.rs
@@ -97,6 +97,11 @@
         self.send(Signal::SIGTERM);
     }
 
+    /// Interrupts the process as a terminal does.
+    pub fn interrupt(&self) {
+        self.send(Signal::SIGINT);
+    }
+
     /// Waits for the process to end and tells whether it succeeded, or `None` at the timeout.
     pub fn wait(&mut self, timeout: Duration) -> Option<bool> {
         let deadline = Instant::now() + timeout;
--- a/standins/src/bin/local_fleet.rs
+++ b/standins/src/bin/local_fleet.rs
@@ -11,7 +11,8 @@
 const TIMEOUT: Duration = Duration::from_secs(10);
 
 fn main() {
-    let mut fleet = Fleet::start(FleetPlan::builder().build());
+    let plan = FleetPlan::builder().engines(3).plain_endpoints(3).build();
+    let mut fleet = Fleet::start(plan);
     print_members(&fleet);
     let caller = Caller::new(ORGANISATIONS[0], TIMEOUT);
     send_draft(&fleet, &caller, 0);
