--- a/lib/src/rank_address.rs
+++ b/lib/src/rank_address.rs
@@ -2,8 +2,13 @@
 
 use tonic::Request;
 use tonic::Status;
+use tonic::transport::Channel;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::MapReply;
+use crate::MapRequest;
+use crate::protos::control::rank_group_client::RankGroupClient;
+
 const METADATA_KEY: &str = "pomeloramp-rank";
 
 /// Names one rank of one group, and how many ranks the sender takes the group to have.
@@ -22,7 +27,7 @@
 
 impl RankAddress {
     /// Makes a request that carries the address.
-    pub fn request<T>(&self, message: T) -> Request<T> {
+    pub(crate) fn request<T>(&self, message: T) -> Request<T> {
         let mut request = Request::new(message);
         if let Ok(digest) = self.digest().parse() {
             request.metadata_mut().insert(METADATA_KEY, digest);
@@ -30,6 +35,33 @@
         request
     }
 
+    /// Asks the agent of this rank.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the agent is out of reach or serves another rank.
+    pub async fn ask(
+        &self,
+        client: &mut RankGroupClient<Channel>,
+        request: MapRequest,
+    ) -> Result<MapReply, Status> {
+        let reply = match request {
+            MapRequest::Prepare(request) => {
+                let reply = client.prepare_map(self.request(request)).await?;
+                MapReply::Prepare(reply.into_inner())
+            }
+            MapRequest::Decide(request) => {
+                let reply = client.decide_map(self.request(request)).await?;
+                MapReply::Decide(reply.into_inner())
+            }
+            MapRequest::State(request) => {
+                let reply = client.map_state(self.request(request)).await?;
+                MapReply::State(reply.into_inner())
+            }
+        };
+        Ok(reply)
+    }
+
     /// Takes the message of a request that is meant for this rank.
     pub(crate) fn accept<T>(&self, request: Request<T>) -> Result<T, Status> {
         let digest = request.metadata().get(METADATA_KEY);
--- a/lib/src/rank_links.rs
+++ b/lib/src/rank_links.rs
@@ -55,22 +55,7 @@
             return rank_server::ask(&self.duty, request).await;
         }
         let mut client = self.client(rank)?;
-        let address = self.address(rank);
-        let reply = match request {
-            MapRequest::Prepare(request) => {
-                let reply = client.prepare_map(address.request(request)).await?;
-                MapReply::Prepare(reply.into_inner())
-            }
-            MapRequest::Decide(request) => {
-                let reply = client.decide_map(address.request(request)).await?;
-                MapReply::Decide(reply.into_inner())
-            }
-            MapRequest::State(request) => {
-                let reply = client.map_state(address.request(request)).await?;
-                MapReply::State(reply.into_inner())
-            }
-        };
-        Ok(reply)
+        self.address(rank).ask(&mut client, request).await
     }
 
     /// Returns a client of a rank's agent.
--- a/lib/testutils/src/rank_coordinator.rs
+++ b/lib/testutils/src/rank_coordinator.rs
@@ -159,19 +159,5 @@
         rank,
         rank_count: agents.addresses.len(),
     };
-    let reply = match request {
-        MapRequest::Prepare(request) => {
-            let reply = client.prepare_map(address.request(request)).await?;
-            MapReply::Prepare(reply.into_inner())
-        }
-        MapRequest::Decide(request) => {
-            let reply = client.decide_map(address.request(request)).await?;
-            MapReply::Decide(reply.into_inner())
-        }
-        MapRequest::State(request) => {
-            let reply = client.map_state(address.request(request)).await?;
-            MapReply::State(reply.into_inner())
-        }
-    };
-    Ok(reply)
+    address.ask(&mut client, request).await
 }
