read-through: read a bounded body in one place, tell the quarantine once an exchange

The clients of the platform, of endpoints and of rank engines each collected an answer up to a bound by themselves; http_client::read_body serves the four places.

--- a/lib/src/config_source.rs
+++ b/lib/src/config_source.rs
@@ -97,6 +97,7 @@
                 have: self.have().await?,
                 asks_for_values: true,
                 takes_patches: true,
+                quarantine_news: None,
                 ..greeting.clone()
             };
             let mut answer = self.send(peer, question).await?;
--- a/lib/src/endpoint_client.rs
+++ b/lib/src/endpoint_client.rs
@@ -10,7 +10,6 @@
 use http::header::HOST;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use pomeloramp_proc_macros::value;
 use snafu::Snafu;
@@ -114,11 +113,9 @@
             .and_then(|value| value.to_str().ok())
             .unwrap_or("application/octet-stream")
             .to_owned();
-        let body = Limited::new(response.into_body(), self.max_answer_bytes)
-            .collect()
+        let body = http_client::read_body(response, self.max_answer_bytes)
             .await
-            .map_err(|error| self.lost(&error))?
-            .to_bytes();
+            .map_err(|error| self.lost(&error))?;
         Ok(EndpointAnswer {
             status,
             content_type,
@@ -158,11 +155,9 @@
             .body(Full::new(Bytes::new()))
             .expect("the load path is a valid URI");
         let response = http_client::send(&self.address, self.connect_timeout, request).await?;
-        let body = Limited::new(response.into_body(), MAX_EVENT_BYTES)
-            .collect()
+        http_client::read_body(response, MAX_EVENT_BYTES)
             .await
-            .map_err(|error| self.lost(&error))?;
-        Ok(body.to_bytes())
+            .map_err(|error| self.lost(&error))
     }
 
     /// Tells whether nobody listens at the endpoint's address any more.
--- a/lib/src/http_client.rs
+++ b/lib/src/http_client.rs
@@ -3,6 +3,7 @@
 //! A pooled client hides whether a request was written before its connection failed. Here each
 //! request opens a connection and counts what it writes, so that "nothing was written" is known.
 
+use std::error::Error;
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -15,7 +16,9 @@
 use bytes::Bytes;
 use http::Request;
 use http::Response;
+use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -90,6 +93,19 @@
         .map_err(|error| classify("request to", &error))
 }
 
+/// Reads the body of a response, up to `max_bytes`.
+///
+/// # Errors
+///
+/// Fails when the connection breaks or the body is longer.
+pub(crate) async fn read_body(
+    response: Response<Incoming>,
+    max_bytes: usize,
+) -> Result<Bytes, Box<dyn Error + Send + Sync>> {
+    let body = Limited::new(response.into_body(), max_bytes);
+    Ok(body.collect().await?.to_bytes())
+}
+
 async fn connect(peer: &str, timeout: Duration) -> Result<TcpStream, HttpError> {
     let not_written = |reason: String| HttpError::NotWritten {
         step: "connect to",
--- a/lib/src/platform_client.rs
+++ b/lib/src/platform_client.rs
@@ -4,9 +4,7 @@
 
 use bytes::Bytes;
 use http::Request;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use pomeloramp_proc_macros::document;
 use serde::de::DeserializeOwned;
 use snafu::Snafu;
@@ -202,11 +200,9 @@
                 status: status.as_u16(),
             });
         }
-        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
-            .collect()
+        http_client::read_body(response, MAX_ANSWER_BYTES)
             .await
-            .map_err(|error| self.body_error(path, error.to_string()))?;
-        Ok(body.to_bytes())
+            .map_err(|error| self.body_error(path, error.to_string()))
     }
 
     fn parse<T: DeserializeOwned>(&self, path: &str, body: &[u8]) -> Result<T, PlatformError> {
--- a/lib/src/rank_engine_client.rs
+++ b/lib/src/rank_engine_client.rs
@@ -8,9 +8,7 @@
 use http::StatusCode;
 use http::header::CONTENT_TYPE;
 use http::header::HOST;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use pomeloramp_proc_macros::document;
 use serde::de::DeserializeOwned;
 use snafu::Snafu;
@@ -260,11 +258,9 @@
                 status: status.as_u16(),
             });
         }
-        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
-            .collect()
+        http_client::read_body(response, MAX_ANSWER_BYTES)
             .await
-            .map_err(|error| self.unreadable(path, &error))?;
-        Ok(body.to_bytes())
+            .map_err(|error| self.unreadable(path, &error))
     }
 
     fn unreadable(&self, path: &str, reason: &impl ToString) -> RankEngineError {
