--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -13,6 +13,8 @@
 use pomeloramp_lib::run_endpoint;
 use pomeloramp_lib::run_entry;
 use pomeloramp_lib::settings_role;
+use pomeloramp_platform::PlatformError;
+use pomeloramp_platform::PlatformSettings;
 use tokio::runtime::Runtime;
 
 const LOG_VARIABLE: &str = "RUST_LOG";
@@ -25,9 +27,11 @@
 Runs one pomeloramp daemon: an entry, or the agent beside an endpoint.
 
 Usage: pomelorampd --settings FILE
+       pomelorampd --platform ROLE
 
 Options:
   --settings FILE  settings in YAML; their key role selects \"entry\" or \"endpoint\"
+  --platform ROLE  run \"entry\" with the settings file that the users' platform names
   -h, --help       print this text
   -V, --version    print the version
 
@@ -49,6 +53,16 @@
         print!("{text}");
         return ExitCode::SUCCESS;
     }
+    let platform_role: Option<String> = match arguments.opt_value_from_str("--platform") {
+        Ok(role) => role,
+        Err(error) => return refuse(&error.to_string()),
+    };
+    if let Some(role) = platform_role {
+        return match TEXT.refuse_rest(arguments) {
+            Ok(()) => run_on_platform(&role),
+            Err(error) => refuse(&error.to_string()),
+        };
+    }
     let path: Result<String, _> = arguments.value_from_str("--settings");
     if let Err(error) = TEXT.refuse_rest(arguments) {
         return refuse(&error.to_string());
@@ -86,6 +100,32 @@
     }
 }
 
+/// Runs a role with the settings that the users' platform writes.
+fn run_on_platform(role: &str) -> ExitCode {
+    let settings = match PlatformSettings::load() {
+        Ok(settings) => settings,
+        Err(error) => return refuse(&error.to_string()),
+    };
+    let runtime = Runtime::new().expect("the runtime starts its threads");
+    let result = match DaemonRole::from_name(role) {
+        Some(DaemonRole::Entry) => runtime.block_on(pomeloramp_platform::run_entry(settings)),
+        Some(DaemonRole::Endpoint) | None => {
+            return refuse(&format!("role \"{role}\" does not exist on the platform"));
+        }
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(PlatformError::Settings { source }) => {
+            event!(SettingsRefused, "{source}");
+            refuse(&source.to_string())
+        }
+        Err(PlatformError::Daemon { source }) => {
+            event!(ListenFailed, "{source}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn refuse(reason: &str) -> ExitCode {
     eprintln!("{}: {reason}", TEXT.name);
     ExitCode::from(USAGE_EXIT_CODE)
--- a/lib/src/caller_server.rs
+++ b/lib/src/caller_server.rs
@@ -42,12 +42,34 @@
     pub(crate) max_connections: usize,
 }
 
-/// Serves callers until `closing` turns true, then lets the open connections finish.
+/// When a server of callers lets go of its connections.
+#[derive(Debug, Clone)]
+pub(crate) struct CallerClosing {
+    /// Once true, each connection ends after the request that it is at, and idle ones at once.
+    pub(crate) draining: watch::Receiver<bool>,
+    /// Once true, no further connection is accepted either.
+    pub(crate) closing: watch::Receiver<bool>,
+}
+
+impl CallerClosing {
+    /// Drains and closes at the same moment.
+    pub(crate) fn at_once(closing: watch::Receiver<bool>) -> Self {
+        Self {
+            draining: closing.clone(),
+            closing,
+        }
+    }
+}
+
+/// Serves callers until told to close, then lets the open connections finish.
 pub(crate) async fn serve(
     listener: TcpListener,
     router: Router,
     limits: CallerLimits,
-    mut closing: watch::Receiver<bool>,
+    CallerClosing {
+        draining,
+        mut closing,
+    }: CallerClosing,
 ) {
     let router = Arc::new(router);
     let permits = Arc::new(Semaphore::new(limits.max_connections));
@@ -79,9 +101,9 @@
             }
         };
         let router = Arc::clone(&router);
-        let closing = closing.clone();
+        let draining = draining.clone();
         tokio::spawn(async move {
-            serve_connection(stream, peer, router, limits.header_timeout, closing).await;
+            serve_connection(stream, peer, router, limits.header_timeout, draining).await;
             drop(permit);
         });
     }
@@ -95,20 +117,24 @@
     peer: SocketAddr,
     router: Arc<Router>,
     header_timeout: Duration,
-    mut closing: watch::Receiver<bool>,
+    mut draining: watch::Receiver<bool>,
 ) {
     if let Err(error) = socket_options::configure(&stream, SilenceBound::PATIENT) {
         log::debug!("socket options of caller {peer}: {error}");
     }
     let service = service_fn(move |request| handle(Arc::clone(&router), peer, request));
+    // A connection that comes while draining is served one request, since its caller holds an
+    // address that was given out before.
+    let is_late = *draining.borrow();
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(header_timeout)
+        .keep_alive(!is_late)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
-        () = closed(&mut closing) => {
+        () = closed(&mut draining), if !is_late => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/lib/src/config_source.rs
+++ b/lib/src/config_source.rs
@@ -7,6 +7,7 @@
 use tonic::Request;
 
 use crate::ConfigChanges;
+use crate::JsonError;
 use crate::agent_channels::AgentChannels;
 use crate::agent_channels::is_refused_connection;
 use crate::config_duty::ConfigCommand;
@@ -14,7 +15,6 @@
 use crate::duty::Duty;
 use crate::duty::DutyError;
 use crate::platform_client::PlatformClient;
-use crate::platform_client::PlatformError;
 use crate::protos::control::ConfigValue;
 use crate::protos::control::ExchangeReply;
 use crate::protos::control::ExchangeRequest;
@@ -54,7 +54,7 @@
     /// # Errors
     ///
     /// Fails when the platform does not answer.
-    pub(crate) async fn read(&self, revision: u64, wait: Duration) -> Result<u64, PlatformError> {
+    pub(crate) async fn read(&self, revision: u64, wait: Duration) -> Result<u64, JsonError> {
         let published = self.platform.watch(revision, wait).await?;
         let values = published
             .values
--- /dev/null
+++ b/lib/src/direct_duty.rs
@@ -0,0 +1,202 @@
+//! The duty of an entry that decides where directly sent calls go.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::sync::oneshot;
+
+use crate::DirectDispatch;
+use crate::DispatchAnswer;
+use crate::DispatchQuery;
+use crate::EndpointRecord;
+use crate::OthersDemand;
+use crate::RouteTable;
+use crate::SendResult;
+use crate::clock::Clock;
+use crate::direct_service::DirectService;
+use crate::duty::Duty;
+use crate::duty::Wake;
+
+const RING_CAPACITY: usize = 4096;
+const TICK: Duration = Duration::from_millis(20);
+
+/// What the duty is told or asked.
+pub(crate) enum DirectCommand {
+    /// The list of endpoints changed.
+    Endpoints(Vec<Arc<EndpointRecord>>),
+    /// Another revision of the configuration is in force.
+    Table(Arc<RouteTable>),
+    /// Other entries that take new work, and what all others have in hand by service.
+    Others {
+        entries: u32,
+        others: HashMap<u32, OthersDemand>,
+    },
+    /// A call asks for an endpoint.
+    Arrive {
+        query: DispatchQuery,
+        reply: oneshot::Sender<DispatchAnswer>,
+    },
+    /// A call asks whether it may be sent again.
+    Retry {
+        service: String,
+        reply: oneshot::Sender<bool>,
+    },
+    /// A call that ran or waited has ended.
+    End { call: u64, result: SendResult },
+    /// The word to other entries asks what this one has in hand.
+    Demand { reply: oneshot::Sender<OwnDemand> },
+}
+
+/// What an entry has in hand.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct OwnDemand {
+    pub(crate) by_service: HashMap<String, ServiceDemand>,
+}
+
+/// What an entry has in hand of one service.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct ServiceDemand {
+    /// Calls, running and waiting.
+    pub(crate) calls: u32,
+    /// Running calls by endpoint.
+    pub(crate) by_endpoint: Vec<(String, u32)>,
+}
+
+/// Pauses between events that were seen since the duty last looked.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct PauseSamples {
+    by_service: Arc<Mutex<HashMap<String, (f64, u32)>>>,
+}
+
+impl PauseSamples {
+    /// Adds a pause of a service's stream.
+    pub(crate) fn add(&self, service: &str, pause: Duration) {
+        let mut by_service = self.lock();
+        let pause_ms = pause.as_secs_f64() * 1e3;
+        match by_service.get_mut(service) {
+            Some((sum_ms, count)) => {
+                *sum_ms += pause_ms;
+                *count += 1;
+            }
+            None => {
+                by_service.insert(service.to_owned(), (pause_ms, 1));
+            }
+        }
+    }
+
+    fn take(&self) -> HashMap<String, (f64, u32)> {
+        std::mem::take(&mut *self.lock())
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<String, (f64, u32)>> {
+        self.by_service
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+struct State {
+    dispatch: DirectDispatch,
+    replies: HashMap<u64, oneshot::Sender<DispatchAnswer>>,
+}
+
+/// Starts the duty.
+pub(crate) fn spawn(
+    clock: Clock,
+    availability_zone: &str,
+    retry_percent: u32,
+    pauses: PauseSamples,
+) -> Duty<DirectCommand> {
+    let rng = SmallRng::seed_from_u64(rand::random());
+    let mut state = State {
+        dispatch: DirectDispatch::new(availability_zone, retry_percent, rng),
+        replies: HashMap::new(),
+    };
+    Duty::spawn("dispatch", RING_CAPACITY, TICK, move |wake| {
+        let now_ms = clock.now_ms();
+        for (service, (sum_ms, count)) in pauses.take() {
+            let mean_ms = sum_ms / f64::from(count);
+            state.dispatch.observe_pauses(&service, mean_ms, count);
+        }
+        match wake {
+            Wake::Command(command) => state.handle(command, now_ms),
+            Wake::Tick => {
+                let answers = state.dispatch.advance(now_ms);
+                state.answer(answers);
+            }
+        }
+    })
+}
+
+impl State {
+    /// Whoever asked may have given up waiting, so answers that nobody takes are dropped.
+    fn handle(&mut self, command: DirectCommand, now_ms: u64) {
+        match command {
+            DirectCommand::Endpoints(records) => {
+                let answers = self.dispatch.set_endpoints(&records, now_ms);
+                self.answer(answers);
+            }
+            DirectCommand::Table(table) => self.dispatch.set_table(&table),
+            DirectCommand::Others { entries, others } => {
+                self.dispatch.set_others(entries, &others);
+            }
+            DirectCommand::Arrive { query, reply } => self.arrive(query, reply, now_ms),
+            DirectCommand::Retry { service, reply } => {
+                let _ = reply.send(self.dispatch.try_retry(&service, now_ms));
+            }
+            DirectCommand::End { call, result } => {
+                self.replies.remove(&call);
+                let answers = self.dispatch.end(call, result, now_ms);
+                self.answer(answers);
+            }
+            DirectCommand::Demand { reply } => {
+                let _ = reply.send(self.demand());
+            }
+        }
+    }
+
+    fn arrive(
+        &mut self,
+        query: DispatchQuery,
+        reply: oneshot::Sender<DispatchAnswer>,
+        now_ms: u64,
+    ) {
+        let call = query.call;
+        match self.dispatch.arrive(query, now_ms) {
+            Some(answer) => {
+                let _ = reply.send(answer);
+            }
+            None => {
+                self.replies.insert(call, reply);
+            }
+        }
+    }
+
+    fn answer(&mut self, answers: Vec<(u64, DispatchAnswer)>) {
+        for (call, answer) in answers {
+            if let Some(reply) = self.replies.remove(&call) {
+                let _ = reply.send(answer);
+            }
+        }
+    }
+
+    fn demand(&self) -> OwnDemand {
+        let services = self.dispatch.services();
+        let demand = |(name, service): (&str, &DirectService)| {
+            let owned = |(id, calls): (&str, u32)| (id.to_owned(), calls);
+            let demand = ServiceDemand {
+                calls: service.demand(),
+                by_endpoint: service.own_calls().map(owned).collect(),
+            };
+            (name.to_owned(), demand)
+        };
+        OwnDemand {
+            by_service: services.map(demand).collect(),
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/direct_endpoint.rs
@@ -0,0 +1,101 @@
+//! What an entry knows of an endpoint that it sends calls to directly.
+
+use std::sync::Arc;
+
+use crate::EndpointRecord;
+use crate::SendResult;
+
+/// Time for which a full endpoint gets no further calls.
+const FULL_PAUSE_MS: u64 = 60;
+/// Time for which an endpoint whose address others have gets no calls.
+const MISDIRECTED_PAUSE_MS: u64 = 1_000;
+/// Time for which an unreachable endpoint gets no calls, doubled with each failure in a row.
+const UNREACHABLE_PAUSE_MS: u64 = 250;
+const MAX_PAUSE_DOUBLINGS: u32 = 3;
+const FAILURE_WEIGHT: f64 = 0.15;
+const LATENCY_WEIGHT: f64 = 0.2;
+const FIRST_LATENCY_MS: f64 = 20.0;
+/// Calls that an endpoint with only failures seems to have more than it has.
+const FAILURE_PENALTY: f64 = 24.0;
+
+/// What an entry knows of an endpoint that it sends calls to directly.
+#[derive(Debug)]
+pub(crate) struct DirectEndpoint {
+    pub(crate) record: Arc<EndpointRecord>,
+    pub(crate) is_local: bool,
+    /// Calls of this entry that have not ended.
+    pub(crate) own_calls: u32,
+    /// Calls of other entries, by their last word.
+    pub(crate) others_calls: u32,
+    /// Part of the recent calls that failed, from 0 to 1.
+    failure_rate: f64,
+    mean_latency_ms: f64,
+    failures_in_row: u32,
+    avoid_until_ms: u64,
+}
+
+impl DirectEndpoint {
+    pub(crate) fn new(record: Arc<EndpointRecord>, is_local: bool) -> Self {
+        Self {
+            record,
+            is_local,
+            own_calls: 0,
+            others_calls: 0,
+            failure_rate: 0.0,
+            mean_latency_ms: FIRST_LATENCY_MS,
+            failures_in_row: 0,
+            avoid_until_ms: 0,
+        }
+    }
+
+    /// Calls that the endpoint has, as far as this entry knows.
+    pub(crate) fn calls(&self) -> u32 {
+        self.own_calls + self.others_calls
+    }
+
+    pub(crate) fn is_avoided(&self, now_ms: u64) -> bool {
+        now_ms < self.avoid_until_ms
+    }
+
+    /// Expected burden of one more call; the endpoint with the least is the best.
+    pub(crate) fn burden(&self, is_stream: bool) -> f64 {
+        let calls = f64::from(self.calls()) + 1.0;
+        let penalty = self.failure_rate * FAILURE_PENALTY;
+        if is_stream {
+            return calls + penalty;
+        }
+        (calls + penalty) * self.mean_latency_ms
+    }
+
+    /// Takes note of how a send ended that took `elapsed_ms`.
+    pub(crate) fn note(&mut self, result: SendResult, elapsed_ms: u64, now_ms: u64) {
+        let is_failure = match result {
+            SendResult::Abandoned => return,
+            SendResult::Answered => false,
+            SendResult::Full => {
+                self.avoid_for(FULL_PAUSE_MS, now_ms);
+                return;
+            }
+            SendResult::Misdirected => {
+                self.avoid_for(MISDIRECTED_PAUSE_MS, now_ms);
+                return;
+            }
+            SendResult::Failed | SendResult::Unreachable => true,
+        };
+        let sample = if is_failure { 1.0 } else { 0.0 };
+        self.failure_rate += FAILURE_WEIGHT * (sample - self.failure_rate);
+        if result == SendResult::Unreachable {
+            let doublings = self.failures_in_row.min(MAX_PAUSE_DOUBLINGS);
+            self.avoid_for(UNREACHABLE_PAUSE_MS << doublings, now_ms);
+            self.failures_in_row += 1;
+            return;
+        }
+        self.failures_in_row = 0;
+        let elapsed_ms = f64::from(u32::try_from(elapsed_ms).unwrap_or(u32::MAX));
+        self.mean_latency_ms += LATENCY_WEIGHT * (elapsed_ms - self.mean_latency_ms);
+    }
+
+    fn avoid_for(&mut self, pause_ms: u64, now_ms: u64) {
+        self.avoid_until_ms = self.avoid_until_ms.max(now_ms + pause_ms);
+    }
+}
--- /dev/null
+++ b/lib/src/direct_entry.rs
@@ -0,0 +1,255 @@
+//! The entry role where calls go to endpoints directly.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+use bon::Builder;
+use bytes::Bytes;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use volo_http::request::Request;
+use volo_http::server::route::Router;
+
+use crate::Clock;
+use crate::DaemonError;
+use crate::DirectWire;
+use crate::EndpointRecord;
+use crate::Metrics;
+use crate::RouteTable;
+use crate::caller_server;
+use crate::caller_server::CallerClosing;
+use crate::caller_server::CallerLimits;
+use crate::direct_duty;
+use crate::direct_duty::DirectCommand;
+use crate::direct_duty::PauseSamples;
+use crate::direct_server;
+use crate::direct_state::DirectState;
+use crate::event;
+use crate::in_flight::InFlight;
+use crate::listener::announce;
+use crate::listener::listen;
+use crate::shutdown;
+
+const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Part of the time between SIGTERM and SIGKILL that a drain may take, in percent.
+const DRAIN_PERCENT: u32 = 93;
+
+/// Settings of an entry that sends calls to endpoints directly.
+#[derive(Debug, Clone, Builder)]
+pub struct DirectEntrySettings {
+    /// Name of the VM.
+    pub vm_name: String,
+    /// Availability zone of the VM.
+    pub availability_zone: String,
+    /// IP address and port on which callers connect.
+    pub caller_address: String,
+    /// IP address and port on which metrics are scraped; empty for none.
+    #[builder(default)]
+    pub metrics_address: String,
+    /// Bound on retries, in percent of the requests of each service.
+    pub retry_percent: u32,
+    /// Time for which a caller keeps the answer with the entries' addresses.
+    pub address_lifetime_ms: u64,
+    /// Time between SIGTERM and SIGKILL.
+    pub grace_ms: u64,
+    /// Connections of callers that are served at once.
+    pub max_connections: usize,
+    /// Time that a connection of a caller may take for a request head, idle time included.
+    pub idle_timeout_ms: u64,
+}
+
+/// An entry that sends calls to endpoints directly.
+#[derive(Clone)]
+pub struct DirectEntry {
+    settings: Arc<DirectEntrySettings>,
+    state: Arc<DirectState>,
+    draining: watch::Receiver<bool>,
+    /// Serialises changes of the configuration.
+    table_change: Arc<Mutex<()>>,
+    has_endpoints: watch::Sender<bool>,
+}
+
+impl DirectEntry {
+    /// Starts the duties of an entry that serves nobody yet.
+    ///
+    /// Must be called on a tokio runtime.
+    #[must_use]
+    pub fn start(settings: DirectEntrySettings, wire: DirectWire) -> Self {
+        let clock = Clock::start();
+        let pauses = PauseSamples::default();
+        let dispatch = direct_duty::spawn(
+            clock,
+            &settings.availability_zone,
+            settings.retry_percent,
+            pauses.clone(),
+        );
+        let state = DirectState {
+            clock,
+            table: ArcSwapOption::empty(),
+            dispatch,
+            pauses,
+            wire,
+            metrics: Metrics::new(),
+            in_flight: InFlight::default(),
+            next_call: AtomicU64::new(0),
+        };
+        Self {
+            settings: Arc::new(settings),
+            state: Arc::new(state),
+            draining: shutdown::listen(),
+            table_change: Arc::default(),
+            has_endpoints: watch::channel(false).0,
+        }
+    }
+
+    /// Returns the clock of the process.
+    #[must_use]
+    pub fn clock(&self) -> Clock {
+        self.state.clock
+    }
+
+    /// Returns the revision of the configuration in force.
+    #[must_use]
+    pub fn revision(&self) -> Option<u64> {
+        self.state.table().map(|table| table.revision())
+    }
+
+    /// Returns the configuration in force as it was published.
+    pub(crate) fn document(&self) -> Option<Bytes> {
+        self.state.table().map(|table| table.document().clone())
+    }
+
+    /// Puts a published configuration in force unless the present one is as new; returns whether
+    /// it did.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the reason when the configuration is not valid; it is refused whole.
+    pub fn set_document(&self, document: Bytes) -> Result<bool, String> {
+        let table = (self.state.wire.read_config)(document);
+        let table = table.inspect_err(|reason| event!(ConfigRefused, "{reason}"))?;
+        Ok(self.set_table(table))
+    }
+
+    /// Puts a configuration in force unless the present one is as new; returns whether it did.
+    fn set_table(&self, table: RouteTable) -> bool {
+        let change = self.table_change.lock();
+        let _change = change.unwrap_or_else(PoisonError::into_inner);
+        let present = self.revision();
+        if present.is_some_and(|present| present >= table.revision()) {
+            return false;
+        }
+        event!(ConfigAccepted, "revision={}", table.revision());
+        let table = Arc::new(table);
+        self.state.table.store(Some(Arc::clone(&table)));
+        self.submit(DirectCommand::Table(table));
+        true
+    }
+
+    /// Takes over the list of endpoints.
+    pub fn set_endpoints(&self, endpoints: Vec<Arc<EndpointRecord>>) {
+        self.has_endpoints.send_replace(true);
+        self.submit(DirectCommand::Endpoints(endpoints));
+    }
+
+    /// Returns whether the entry takes new work.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let knows_enough = self.revision().is_some() && *self.has_endpoints.borrow();
+        knows_enough && !*self.draining.borrow()
+    }
+
+    /// Returns a receiver that turns true when the process is told to end.
+    #[must_use]
+    pub fn draining(&self) -> watch::Receiver<bool> {
+        self.draining.clone()
+    }
+
+    /// Serves callers until the process has been told to end and every call has its answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address is not usable.
+    pub async fn serve(&self) -> Result<(), DaemonError> {
+        self.state
+            .metrics
+            .serve(&self.settings.metrics_address)
+            .await?;
+        let (close, closing) = watch::channel(false);
+        let draining = self.draining.clone();
+        tokio::spawn(self.clone().drain(close));
+        let state = Arc::clone(&self.state);
+        let router = Router::new().fallback(move |request: Request| {
+            let state = Arc::clone(&state);
+            async move { direct_server::handle(state, request).await }
+        });
+        let listener = listen("caller_address", &self.settings.caller_address).await?;
+        announce("callers", &listener);
+        event!(
+            EntryStarted,
+            "caller_address={}",
+            self.settings.caller_address
+        );
+        let closing = CallerClosing { draining, closing };
+        caller_server::serve(listener, router, self.limits(), closing).await;
+        event!(DrainFinished);
+        Ok(())
+    }
+
+    /// Serves another interface of the process until it ends.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address is not usable.
+    pub async fn serve_beside(
+        &self,
+        name: &'static str,
+        address: &str,
+        router: Router,
+    ) -> Result<(), DaemonError> {
+        let listener = listen(name, address).await?;
+        announce(name, &listener);
+        let limits = self.limits();
+        let (keep_open, closing) = watch::channel(false);
+        tokio::spawn(async move {
+            let closing = CallerClosing::at_once(closing);
+            caller_server::serve(listener, router, limits, closing).await;
+            drop(keep_open);
+        });
+        Ok(())
+    }
+
+    fn limits(&self) -> CallerLimits {
+        CallerLimits {
+            header_timeout: Duration::from_millis(self.settings.idle_timeout_ms),
+            max_connections: self.settings.max_connections,
+        }
+    }
+
+    pub(crate) fn submit(&self, command: DirectCommand) {
+        if let Err(error) = self.state.dispatch.submit(command) {
+            log::error!("dispatch: {error}");
+        }
+    }
+
+    /// Closes the listener once no call is in flight and callers had time to learn that the entry
+    /// leaves.
+    async fn drain(mut self, close: watch::Sender<bool>) {
+        if self.draining.wait_for(|draining| *draining).await.is_err() {
+            return;
+        }
+        event!(DrainStarted, "in_flight={}", self.state.in_flight.count());
+        let began = Instant::now();
+        let grace = Duration::from_millis(self.settings.grace_ms) * DRAIN_PERCENT / 100;
+        let linger = Duration::from_millis(self.settings.address_lifetime_ms).min(grace);
+        tokio::time::sleep(linger).await;
+        while self.state.in_flight.count() > 0 && began.elapsed() < grace {
+            tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
+        }
+        let _ = close.send(true);
+    }
+}
--- /dev/null
+++ b/lib/src/direct_exchange.rs
@@ -0,0 +1,97 @@
+//! One send of a call to an endpoint, over a connection of its own.
+//!
+//! A connection that serves one call can neither be silent from an earlier time nor carry bytes
+//! of another answer, so that what an endpoint said of a call is never in doubt.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::request;
+use http_body_util::Full;
+use hyper::body::Incoming;
+
+use crate::DirectCall;
+use crate::DirectWire;
+use crate::EndpointSend;
+use crate::SendResult;
+use crate::http_client;
+use crate::http_client::HttpError;
+
+/// An endpoint on a reachable VM accepts within this time.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// What became of one send.
+pub(crate) enum Sent {
+    /// The endpoint answered; its body is still to be read.
+    Answered(Response<Incoming>),
+    /// No byte of the call was written.
+    Unwritten { reason: String },
+    /// The endpoint said that it did not run the call.
+    NotRun { result: SendResult, reason: String },
+    /// The call may have run, and no valid answer came.
+    Lost { result: SendResult, reason: String },
+}
+
+/// One call as it is sent to an endpoint.
+pub(crate) struct DirectExchange<'a> {
+    pub(crate) wire: &'a DirectWire,
+    pub(crate) call: &'a DirectCall,
+    pub(crate) head: &'a request::Parts,
+    pub(crate) body: &'a Bytes,
+}
+
+impl DirectExchange<'_> {
+    /// Sends the call to the endpoint at `address` and waits for the head of its answer.
+    pub(crate) async fn send(&self, address: &str, send: &EndpointSend<'_>) -> Sent {
+        let request = self.request(send);
+        match http_client::send(address, CONNECT_TIMEOUT, request).await {
+            Ok(response) => self.check(response),
+            Err(error @ HttpError::NotWritten { .. }) => Sent::Unwritten {
+                reason: error.to_string(),
+            },
+            Err(error @ HttpError::Written { .. }) => Sent::Lost {
+                result: SendResult::Unreachable,
+                reason: error.to_string(),
+            },
+        }
+    }
+
+    fn request(&self, send: &EndpointSend<'_>) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.head.method.clone();
+        *request.uri_mut() = self.head.uri.clone();
+        *request.headers_mut() = (self.wire.endpoint_head)(&self.head.headers, send);
+        request
+    }
+
+    /// Checks that the answer is one to this call, and what it says of its run.
+    fn check(&self, response: Response<Incoming>) -> Sent {
+        let (head, body) = response.into_parts();
+        let answer = (self.wire.read_answer)(&head);
+        let status = head.status;
+        if answer.is_not_run || status == StatusCode::MISDIRECTED_REQUEST {
+            return Sent::NotRun {
+                result: if status == StatusCode::MISDIRECTED_REQUEST {
+                    SendResult::Misdirected
+                } else {
+                    SendResult::Full
+                },
+                reason: format!("endpoint did not run the call: status {status}"),
+            };
+        }
+        let damaged = |reason: String| Sent::Lost {
+            result: SendResult::Failed,
+            reason,
+        };
+        if answer.request_id.as_deref() != Some(self.call.request_id.as_str()) {
+            return damaged("endpoint answered another request".to_owned());
+        }
+        if status.is_success() && !answer.is_sealed {
+            return damaged("endpoint does not vouch for its answer".to_owned());
+        }
+        Sent::Answered(Response::from_parts(head, body))
+    }
+}
--- /dev/null
+++ b/lib/src/direct_place.rs
@@ -0,0 +1,56 @@
+//! The place of one send at an endpoint.
+
+use std::sync::Arc;
+
+use crate::EndpointRecord;
+use crate::SendResult;
+use crate::direct_duty::DirectCommand;
+use crate::duty::Duty;
+
+/// The place of one send at an endpoint, or in the queue for one; dropping it gives it back.
+pub(crate) struct DirectPlace {
+    dispatch: Duty<DirectCommand>,
+    call: u64,
+    endpoint: Option<Arc<EndpointRecord>>,
+    result: SendResult,
+}
+
+impl DirectPlace {
+    /// Stands for a call that is about to ask for an endpoint.
+    pub(crate) fn waiting(dispatch: Duty<DirectCommand>, call: u64) -> Self {
+        Self {
+            dispatch,
+            call,
+            endpoint: None,
+            result: SendResult::Abandoned,
+        }
+    }
+
+    /// Notes the endpoint that the call was given.
+    pub(crate) fn at(mut self, endpoint: Arc<EndpointRecord>) -> Self {
+        self.endpoint = Some(endpoint);
+        self
+    }
+
+    /// Returns the endpoint; absent while the call waits.
+    pub(crate) fn endpoint(&self) -> Option<&EndpointRecord> {
+        self.endpoint.as_deref()
+    }
+
+    /// Gives the place back with what was learnt of the endpoint.
+    pub(crate) fn end(mut self, result: SendResult) {
+        self.result = result;
+    }
+}
+
+impl Drop for DirectPlace {
+    fn drop(&mut self) {
+        let command = DirectCommand::End {
+            call: self.call,
+            result: self.result,
+        };
+        if let Err(error) = self.dispatch.submit(command) {
+            log::warn!("place of call {}: {error}", self.call);
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/direct_relay.rs
@@ -0,0 +1,443 @@
+//! Relays one call to endpoints, within its deadline, its route's attempts and the retry budget.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Response;
+use http::StatusCode;
+use http::request;
+use hyper::body::Incoming;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use crate::DirectCall;
+use crate::DirectRefusal;
+use crate::DispatchAnswer;
+use crate::DispatchQuery;
+use crate::EndpointSend;
+use crate::Repeatability;
+use crate::RouteRule;
+use crate::SendResult;
+use crate::TableOrganisation;
+use crate::direct_duty::DirectCommand;
+use crate::direct_exchange::DirectExchange;
+use crate::direct_exchange::Sent;
+use crate::direct_place::DirectPlace;
+use crate::direct_state::DirectState;
+use crate::event;
+use crate::http_client;
+use crate::in_flight::InFlightGuard;
+
+/// Size of an answer that is not a stream, at most.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+const OVERLOAD_RETRY_MS: u64 = 500;
+const UNREACHABLE_RETRY_MS: u64 = 400;
+/// Sends that found no endpoint listening, at most; none of them wrote a byte.
+const MAX_UNWRITTEN_SENDS: u32 = 4;
+/// Time that an endpoint needs at least to serve a call in.
+const MIN_SERVICE_MS: u64 = 40;
+/// Part of a caller's patience that a stream may wait for its place, in percent.
+const STREAM_WAIT_PERCENT: u64 = 70;
+/// Pause after which callers give up a stream, at least.
+const MIN_PATIENCE_MS: u64 = 2_000;
+const PATIENCE_TARGETS: u64 = 4;
+const PATIENCE_PAUSES: u64 = 8;
+/// Part of the time left after which a repeatable call is sent to another endpoint, in percent.
+const RESEND_AFTER_PERCENT: u32 = 45;
+/// A caller whose time left is below this part of the route's timeout was here before, in percent.
+const RETURNING_BELOW_PERCENT: u64 = 97;
+
+/// One call with all that is needed to send it.
+pub(crate) struct DirectRelay {
+    pub(crate) state: Arc<DirectState>,
+    pub(crate) call: DirectCall,
+    pub(crate) rule: Arc<RouteRule>,
+    pub(crate) organisation: Option<Arc<TableOrganisation>>,
+    pub(crate) service: String,
+    pub(crate) head: request::Parts,
+    pub(crate) body: Bytes,
+    pub(crate) arrived: Instant,
+    pub(crate) deadline: Instant,
+    /// Endpoints that got the call.
+    pub(crate) tried: Vec<String>,
+    pub(crate) unwritten_sends: u32,
+    /// An endpoint may have run the call, so that nothing is promised any more.
+    pub(crate) may_have_run: bool,
+    /// Last event that the caller has.
+    pub(crate) resume_after: Option<u64>,
+    /// Counts the call as in flight.
+    pub(crate) _guard: InFlightGuard,
+}
+
+/// An answer whose head has arrived.
+pub(crate) struct OpenAnswer {
+    pub(crate) place: DirectPlace,
+    pub(crate) response: Response<Incoming>,
+}
+
+/// A whole answer.
+pub(crate) struct WholeAnswer {
+    pub(crate) head: http::response::Parts,
+    pub(crate) body: Bytes,
+}
+
+/// Why a send gave no answer to pass on.
+pub(crate) struct SendFailure {
+    pub(crate) result: SendResult,
+    pub(crate) reason: String,
+    /// What the caller is told if the call is not sent again.
+    pub(crate) refusal: DirectRefusal,
+    /// Nothing of the call can have run.
+    pub(crate) is_not_run: bool,
+    /// A byte of the call was written to the endpoint.
+    pub(crate) is_written: bool,
+}
+
+impl DirectRelay {
+    /// Gets the whole answer of a call that is no stream.
+    pub(crate) async fn whole(&mut self) -> Result<WholeAnswer, DirectRefusal> {
+        loop {
+            let place = self.place().await?;
+            let failure = match self.whole_from(&place).await {
+                Ok(answer) if self.is_worth_repeating(answer.head.status) => {
+                    if !self.may_retry().await {
+                        place.end(SendResult::Failed);
+                        return Ok(answer);
+                    }
+                    self.note_retry(&place, "endpoint answered with a failure");
+                    place.end(SendResult::Failed);
+                    continue;
+                }
+                Ok(answer) => {
+                    let result = if answer.head.status.is_server_error() {
+                        SendResult::Failed
+                    } else {
+                        SendResult::Answered
+                    };
+                    place.end(result);
+                    return Ok(answer);
+                }
+                Err(failure) => failure,
+            };
+            self.after_failure(place, failure).await?;
+        }
+    }
+
+    /// Gets the head of an answer; of a stream that is resumed, at another endpoint.
+    pub(crate) async fn open(&mut self) -> Result<OpenAnswer, DirectRefusal> {
+        loop {
+            let place = self.place().await?;
+            let failure = match self.open_at(&place, self.send_deadline()).await {
+                Ok(response) if self.is_worth_repeating(response.status()) => {
+                    if !self.may_retry().await {
+                        return Ok(OpenAnswer { place, response });
+                    }
+                    self.note_retry(&place, "endpoint answered with a failure");
+                    place.end(SendResult::Failed);
+                    continue;
+                }
+                Ok(response) => return Ok(OpenAnswer { place, response }),
+                Err(failure) => failure,
+            };
+            self.after_failure(place, failure).await?;
+        }
+    }
+
+    /// Gives the place back, and decides whether the call is sent once more.
+    pub(crate) async fn after_failure(
+        &mut self,
+        place: DirectPlace,
+        failure: SendFailure,
+    ) -> Result<(), DirectRefusal> {
+        let reason = failure.reason.as_str();
+        let may_repeat = failure.is_not_run || self.rule.repeatability.may_repeat();
+        let is_retried = if failure.is_written {
+            may_repeat && self.may_retry().await
+        } else {
+            self.unwritten_sends += 1;
+            self.unwritten_sends < MAX_UNWRITTEN_SENDS && self.time_left_ms() > MIN_SERVICE_MS
+        };
+        if is_retried {
+            self.note_retry(&place, reason);
+        } else {
+            self.note_failure(&place, reason);
+        }
+        place.end(failure.result);
+        self.may_have_run |= !failure.is_not_run;
+        if is_retried {
+            return Ok(());
+        }
+        Err(self.without_false_promise(failure.refusal))
+    }
+
+    /// Takes back the promise of a refusal if an earlier send may have run.
+    fn without_false_promise(&self, refusal: DirectRefusal) -> DirectRefusal {
+        if self.may_have_run && refusal.retry_after_ms.is_some() {
+            return DirectRefusal::lost(refusal.code, refusal.message);
+        }
+        refusal
+    }
+
+    /// Returns whether the call may be sent to one more endpoint, and takes it from the budget.
+    pub(crate) async fn may_retry(&self) -> bool {
+        let attempts = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
+        if attempts >= self.rule.max_attempts || self.time_left_ms() <= MIN_SERVICE_MS {
+            return false;
+        }
+        let (reply, answer) = oneshot::channel();
+        let command = DirectCommand::Retry {
+            service: self.service.clone(),
+            reply,
+        };
+        if let Err(error) = self.state.dispatch.submit(command) {
+            log::warn!("retry of request {}: {error}", self.call.request_id);
+            return false;
+        }
+        answer.await.unwrap_or(false)
+    }
+
+    /// Returns the time until the deadline.
+    pub(crate) fn time_left_ms(&self) -> u64 {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        u64::try_from(left.as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Returns the pause after which callers give up a stream of the route.
+    pub(crate) fn patience_ms(&self) -> u64 {
+        let rule = &self.rule;
+        MIN_PATIENCE_MS
+            .max(PATIENCE_TARGETS * rule.target_latency_ms)
+            .max(PATIENCE_PAUSES * rule.target_gap_ms)
+    }
+
+    fn is_worth_repeating(&self, status: StatusCode) -> bool {
+        status.is_server_error() && self.rule.repeatability.may_repeat()
+    }
+
+    /// Asks for a place at an endpoint, and waits for it.
+    async fn place(&mut self) -> Result<DirectPlace, DirectRefusal> {
+        let number = self.state.call_number();
+        let waiting = DirectPlace::waiting(self.state.dispatch.clone(), number);
+        let (reply, answer) = oneshot::channel();
+        let command = DirectCommand::Arrive {
+            query: self.query(number),
+            reply,
+        };
+        let overloaded = || {
+            DirectRefusal::not_run(
+                "entry-overloaded",
+                "entry has no room for the request",
+                OVERLOAD_RETRY_MS,
+            )
+        };
+        self.state
+            .dispatch
+            .submit(command)
+            .map_err(|_| overloaded())?;
+        match answer.await {
+            Ok(DispatchAnswer::Send(endpoint)) => Ok(waiting.at(endpoint)),
+            Ok(DispatchAnswer::Refuse {
+                code,
+                retry_after_ms,
+            }) => Err(self.refused(code.as_str(), retry_after_ms)),
+            Err(_) => Err(overloaded()),
+        }
+    }
+
+    /// A refusal of the dispatch; it promises nothing once the call has been written.
+    fn refused(&self, code: &'static str, retry_after_ms: u64) -> DirectRefusal {
+        event!(
+            CallRefused,
+            "request_id={} service={} code={code} retry_after_ms={retry_after_ms} waited_ms={}",
+            self.call.request_id,
+            self.service,
+            self.arrived.elapsed().as_millis()
+        );
+        let message = format!("service \"{}\" has no room for the request", self.service);
+        self.without_false_promise(DirectRefusal::not_run(code, message, retry_after_ms))
+    }
+
+    fn query(&self, number: u64) -> DispatchQuery {
+        let now_ms = self.state.clock.now_ms();
+        let waited_ms = u64::try_from(self.arrived.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let left_ms = self.time_left_ms();
+        let patience_ms = if self.rule.repeatability.is_stream() {
+            let patience_ms = self.patience_ms() * STREAM_WAIT_PERCENT / 100;
+            patience_ms.saturating_sub(waited_ms).min(left_ms)
+        } else {
+            left_ms
+        };
+        let target_left_ms = self.rule.target_latency_ms.saturating_sub(waited_ms);
+        DispatchQuery::builder()
+            .call(number)
+            .service(self.service.clone())
+            .urgency(self.urgency())
+            .is_stream(self.rule.repeatability.is_stream())
+            .is_returning(self.is_returning())
+            .on_time_until_ms(now_ms + target_left_ms)
+            .useful_until_ms(now_ms + patience_ms.saturating_sub(MIN_SERVICE_MS))
+            .exclude(self.tried.clone())
+            .build()
+    }
+
+    fn urgency(&self) -> u32 {
+        let organisation = self.organisation.as_ref();
+        let of_organisation = organisation.and_then(|organisation| organisation.urgency);
+        of_organisation.unwrap_or(self.rule.urgency)
+    }
+
+    fn is_returning(&self) -> bool {
+        let bound_ms = self.rule.timeout_ms * RETURNING_BELOW_PERCENT / 100;
+        self.call
+            .time_left_ms
+            .is_some_and(|left_ms| left_ms < bound_ms)
+    }
+
+    async fn whole_from(&mut self, place: &DirectPlace) -> Result<WholeAnswer, SendFailure> {
+        let until = self.send_deadline();
+        let response = self.open_at(place, until).await?;
+        let (head, body) = response.into_parts();
+        let reading = http_client::read_body(Response::new(body), MAX_ANSWER_BYTES);
+        match tokio::time::timeout_at(until, reading).await {
+            Ok(Ok(body)) => Ok(WholeAnswer { head, body }),
+            Ok(Err(error)) => Err(lost(
+                SendResult::Failed,
+                format!("answer broke off: {error}"),
+            )),
+            Err(_) => Err(late()),
+        }
+    }
+
+    /// Sends the call to the endpoint of `place` and waits for the head of its answer.
+    pub(crate) async fn open_at(
+        &mut self,
+        place: &DirectPlace,
+        until: Instant,
+    ) -> Result<Response<Incoming>, SendFailure> {
+        let Some(endpoint) = place.endpoint() else {
+            return Err(unwritten("the call has no endpoint".to_owned()));
+        };
+        event!(
+            CallSent,
+            "request_id={} service={} endpoint={} attempt={} waited_ms={} left_ms={}",
+            self.call.request_id,
+            self.service,
+            endpoint.id,
+            self.tried.len() + 1,
+            self.arrived.elapsed().as_millis(),
+            self.time_left_ms()
+        );
+        let exchange = DirectExchange {
+            wire: &self.state.wire,
+            call: &self.call,
+            head: &self.head,
+            body: &self.body,
+        };
+        let send = EndpointSend {
+            endpoint_id: &endpoint.id,
+            organisation: self.organisation.as_ref().map(|o| o.name.as_str()),
+            urgency: self.urgency(),
+            time_left_ms: self.time_left_ms(),
+            resume_after: self.resume_after,
+        };
+        let sending = exchange.send(&endpoint.address, &send);
+        let outcome = tokio::time::timeout_at(until, sending).await;
+        if !matches!(outcome, Ok(Sent::Unwritten { .. })) {
+            self.tried.push(endpoint.id.clone());
+        }
+        match outcome {
+            Ok(Sent::Answered(response)) => Ok(response),
+            Ok(Sent::Unwritten { reason }) => Err(unwritten(reason)),
+            Ok(Sent::NotRun { result, reason }) => Err(not_run(result, reason)),
+            Ok(Sent::Lost { result, reason }) => Err(lost(result, reason)),
+            Err(_) => Err(late()),
+        }
+    }
+
+    /// Returns until when a send waits for its answer; a call that may be repeated leaves time
+    /// for another endpoint.
+    fn send_deadline(&self) -> Instant {
+        let attempts = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
+        let is_last = attempts + 1 >= self.rule.max_attempts;
+        if is_last || self.rule.repeatability == Repeatability::Once {
+            return self.deadline;
+        }
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let patience = if self.rule.repeatability.is_stream() {
+            left.min(Duration::from_millis(self.patience_ms()))
+        } else {
+            left
+        };
+        Instant::now() + patience * RESEND_AFTER_PERCENT / 100
+    }
+
+    fn note_retry(&self, place: &DirectPlace, reason: &str) {
+        event!(
+            CallRetried,
+            "request_id={} endpoint={} attempts={} reason=\"{reason}\"",
+            self.call.request_id,
+            place.endpoint().map_or("", |endpoint| endpoint.id.as_str()),
+            self.tried.len()
+        );
+    }
+
+    fn note_failure(&self, place: &DirectPlace, reason: &str) {
+        event!(
+            CallFailed,
+            "request_id={} endpoint={} attempts={} left_ms={} reason=\"{reason}\"",
+            self.call.request_id,
+            place.endpoint().map_or("", |endpoint| endpoint.id.as_str()),
+            self.tried.len(),
+            self.time_left_ms()
+        );
+    }
+}
+
+fn unwritten(reason: String) -> SendFailure {
+    SendFailure {
+        result: SendResult::Unreachable,
+        refusal: DirectRefusal::not_run(
+            "endpoint-unreachable",
+            "no endpoint could be reached",
+            UNREACHABLE_RETRY_MS,
+        ),
+        reason,
+        is_not_run: true,
+        is_written: false,
+    }
+}
+
+fn not_run(result: SendResult, reason: String) -> SendFailure {
+    SendFailure {
+        result,
+        refusal: DirectRefusal::not_run(
+            "endpoint-full",
+            "the endpoint did not run the request",
+            OVERLOAD_RETRY_MS,
+        ),
+        reason,
+        is_not_run: true,
+        is_written: true,
+    }
+}
+
+pub(crate) fn lost(result: SendResult, reason: String) -> SendFailure {
+    SendFailure {
+        result,
+        refusal: DirectRefusal::lost("endpoint-lost", "the endpoint's answer was lost"),
+        reason,
+        is_not_run: false,
+        is_written: true,
+    }
+}
+
+pub(crate) fn late() -> SendFailure {
+    SendFailure {
+        result: SendResult::Unreachable,
+        refusal: DirectRefusal::late("the answer did not come within the deadline"),
+        reason: "no answer in time".to_owned(),
+        is_not_run: false,
+        is_written: true,
+    }
+}
--- /dev/null
+++ b/lib/src/direct_server.rs
@@ -0,0 +1,160 @@
+//! Serves callers whose requests go to endpoints directly.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Response;
+use http::StatusCode;
+use tokio::time::Instant;
+use volo_http::body::Body;
+use volo_http::request::Request;
+
+use crate::DirectCall;
+use crate::DirectRefusal;
+use crate::RouteRule;
+use crate::RouteTable;
+use crate::TableOrganisation;
+use crate::caller_body;
+use crate::caller_body::CallerBodyError;
+use crate::direct_relay::DirectRelay;
+use crate::direct_state::DirectState;
+use crate::direct_stream;
+use crate::event;
+
+/// When a caller may come back to an entry that has no configuration yet.
+const NO_CONFIG_RETRY_MS: u64 = 700;
+
+/// Answers one request.
+pub(crate) async fn handle(state: Arc<DirectState>, request: Request) -> Response<Body> {
+    match answer(&state, request).await {
+        Ok(response) => response,
+        Err(refusal) => (state.wire.refuse)(&refusal),
+    }
+}
+
+async fn answer(
+    state: &Arc<DirectState>,
+    request: Request,
+) -> Result<Response<Body>, DirectRefusal> {
+    let arrived = Instant::now();
+    let guard = state.in_flight.enter();
+    let table = state.table().ok_or_else(|| {
+        let message = "entry has no configuration yet";
+        DirectRefusal::not_run("configuration-missing", message, NO_CONFIG_RETRY_MS)
+    })?;
+    let (head, body) = request.into_parts();
+    let call = (state.wire.read_call)(&head).inspect_err(|refusal| {
+        event!(
+            CallRejected,
+            "code={} reason=\"{}\"",
+            refusal.code,
+            refusal.message
+        );
+    })?;
+    let checked = check(&table, &call, head.uri.path()).inspect_err(|refusal| {
+        event!(
+            CallRejected,
+            "request_id={} code={} config_revision={}",
+            call.request_id,
+            refusal.code,
+            table.revision()
+        );
+    });
+    let (rule, organisation) = checked?;
+    let limit_ms = call
+        .time_left_ms
+        .map_or(rule.timeout_ms, |left_ms| left_ms.min(rule.timeout_ms));
+    let deadline = arrived + Duration::from_millis(limit_ms);
+    let request = Request::from_parts(head.clone(), body);
+    let body = read_body(&table, request, deadline).await?;
+    let service = rule.target(rand::random()).unwrap_or_default().to_owned();
+    let relay = DirectRelay {
+        state: Arc::clone(state),
+        resume_after: call.resume_after,
+        call,
+        rule,
+        organisation,
+        service,
+        head,
+        body,
+        arrived,
+        deadline,
+        tried: Vec::new(),
+        unwritten_sends: 0,
+        may_have_run: false,
+        _guard: guard,
+    };
+    if relay.rule.repeatability.is_stream() {
+        direct_stream::respond(relay).await
+    } else {
+        whole(relay).await
+    }
+}
+
+/// Finds the route and the organisation of a call.
+fn check(
+    table: &RouteTable,
+    call: &DirectCall,
+    path: &str,
+) -> Result<(Arc<RouteRule>, Option<Arc<TableOrganisation>>), DirectRefusal> {
+    let rule = table.route(&call.host, path).ok_or_else(|| {
+        let message = format!("no route for path \"{path}\" of host \"{}\"", call.host);
+        DirectRefusal::rejected(StatusCode::NOT_FOUND, "route-unknown", message)
+    })?;
+    let credential = call.credential.as_deref();
+    let organisation = credential.and_then(|credential| table.organisation(credential));
+    if table.needs_credential() && !rule.is_public && organisation.is_none() {
+        let message = format!("credential is not declared for route \"{}\"", rule.name);
+        let status = StatusCode::UNAUTHORIZED;
+        return Err(DirectRefusal::rejected(
+            status,
+            "credential-unknown",
+            message,
+        ));
+    }
+    Ok((Arc::clone(rule), organisation.cloned()))
+}
+
+async fn read_body(
+    table: &RouteTable,
+    request: Request,
+    deadline: Instant,
+) -> Result<Bytes, DirectRefusal> {
+    let limit_bytes = table.bounds().max_body_bytes;
+    let timeout = deadline.saturating_duration_since(Instant::now());
+    let body = caller_body::read_body(request, limit_bytes, timeout).await;
+    body.map_err(|error| {
+        let (status, code) = match error {
+            CallerBodyError::TooLarge { .. } => (StatusCode::PAYLOAD_TOO_LARGE, "body-too-large"),
+            CallerBodyError::Timeout { .. } => (StatusCode::REQUEST_TIMEOUT, "body-timeout"),
+            CallerBodyError::Broken => (StatusCode::BAD_REQUEST, "body-malformed"),
+        };
+        DirectRefusal::rejected(status, code, error.to_string())
+    })
+}
+
+/// Answers a call whose answer is passed on whole.
+async fn whole(mut relay: DirectRelay) -> Result<Response<Body>, DirectRefusal> {
+    let answer = relay.whole().await;
+    let outcome = match &answer {
+        Ok(answer) => answer.head.status.as_u16(),
+        Err(refusal) => refusal.status.as_u16(),
+    };
+    let elapsed = relay.arrived.elapsed();
+    let organisation = relay.organisation.as_ref().map_or("", |o| o.name.as_str());
+    let metrics = &relay.state.metrics;
+    metrics.record_request(organisation, &outcome.to_string(), elapsed);
+    event!(
+        CallEnded,
+        "request_id={} outcome={outcome} attempts={} elapsed_ms={}",
+        relay.call.request_id,
+        relay.tried.len(),
+        elapsed.as_millis()
+    );
+    let answer = answer?;
+    let mut response = Response::new(Body::from(answer.body));
+    *response.status_mut() = answer.head.status;
+    *response.headers_mut() = (relay.state.wire.caller_head)(&answer.head.headers);
+    Ok(response)
+}
--- /dev/null
+++ b/lib/src/direct_service.rs
@@ -0,0 +1,349 @@
+//! The endpoints of one service, and the calls that wait for a place at one of them.
+//!
+//! Answers the load of a rush: a call that can't be served in time is refused at once, one that
+//! can still be on time goes before one that is late, and a caller that was refused and came back
+//! goes before a new one.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use rand::RngExt;
+use rand::rngs::SmallRng;
+
+use crate::DispatchAnswer;
+use crate::DispatchQuery;
+use crate::EndpointRecord;
+use crate::EngineModel;
+use crate::RefusalCode;
+use crate::SendResult;
+use crate::StreamPace;
+use crate::direct_endpoint::DirectEndpoint;
+use crate::short_hash::short_hash;
+
+/// Time for which a call holds its place, until some have ended.
+const FIRST_HOLD_MS: f64 = 300.0;
+const HOLD_WEIGHT: f64 = 0.05;
+/// Longest time that a call is let wait for a place.
+const MAX_WAIT_MS: u64 = 1_500;
+const MIN_RETRY_AFTER_MS: u64 = 150;
+const MAX_RETRY_AFTER_MS: u64 = 2_500;
+/// Slots of an endpoint that publishes none.
+const DEFAULT_SLOTS: u32 = 8;
+
+/// What other entries have in hand of one service, by their last words.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct OthersDemand {
+    /// Their calls, running and waiting.
+    pub calls: u32,
+    /// Their running calls by the short name of the endpoint.
+    pub by_endpoint: HashMap<u32, u32>,
+}
+
+/// The endpoints of one service and the calls that wait for them.
+#[derive(Debug)]
+pub(crate) struct DirectService {
+    availability_zone: String,
+    rng: SmallRng,
+    endpoints: BTreeMap<String, DirectEndpoint>,
+    running: HashMap<u64, Running>,
+    waiting: Vec<Waiting>,
+    pace: Option<StreamPace>,
+    others: OthersDemand,
+    /// Other entries that take new work.
+    other_entries: u32,
+    mean_hold_ms: f64,
+}
+
+#[derive(Debug)]
+struct Running {
+    endpoint: String,
+    since_ms: u64,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    query: DispatchQuery,
+    since_ms: u64,
+    until_ms: u64,
+}
+
+impl DirectService {
+    pub(crate) fn new(availability_zone: &str, rng: SmallRng) -> Self {
+        Self {
+            availability_zone: availability_zone.to_owned(),
+            rng,
+            endpoints: BTreeMap::new(),
+            running: HashMap::new(),
+            waiting: Vec::new(),
+            pace: None,
+            others: OthersDemand::default(),
+            other_entries: 0,
+            mean_hold_ms: FIRST_HOLD_MS,
+        }
+    }
+
+    /// Takes over the endpoints of the service; what is known of those that stay is kept.
+    pub(crate) fn set_endpoints(&mut self, records: Vec<Arc<EndpointRecord>>) {
+        let mut before = std::mem::take(&mut self.endpoints);
+        for record in records {
+            let known = before.remove(&record.id);
+            let known = known.filter(|known| known.record.born_ms == record.born_ms);
+            let is_local = record.availability_zone == self.availability_zone;
+            let mut endpoint =
+                known.unwrap_or_else(|| DirectEndpoint::new(Arc::clone(&record), is_local));
+            endpoint.record = record;
+            self.endpoints.insert(endpoint.record.id.clone(), endpoint);
+        }
+        self.set_others(self.other_entries, self.others.clone());
+    }
+
+    pub(crate) fn set_engine(&mut self, model: Option<&EngineModel>) {
+        match (&mut self.pace, model) {
+            (Some(pace), Some(model)) => pace.set_model(model.clone()),
+            (pace, model) => *pace = model.cloned().map(StreamPace::new),
+        }
+    }
+
+    pub(crate) fn set_target_pause_ms(&mut self, target_pause_ms: u64) {
+        if let Some(pace) = &mut self.pace {
+            pace.set_target_pause_ms(target_pause_ms);
+        }
+    }
+
+    pub(crate) fn set_others(&mut self, entries: u32, others: OthersDemand) {
+        for (id, endpoint) in &mut self.endpoints {
+            let calls = others.by_endpoint.get(&short_hash(id)).copied();
+            endpoint.others_calls = calls.unwrap_or(0);
+        }
+        self.others = others;
+        self.other_entries = entries;
+    }
+
+    /// Takes in the mean of the last pauses between events of streams.
+    pub(crate) fn observe_pauses(&mut self, mean_pause_ms: f64, count: u32) {
+        let requests = self.calls_per_endpoint();
+        if let Some(pace) = &mut self.pace {
+            pace.observe(mean_pause_ms, count, requests);
+        }
+    }
+
+    /// Answers a call at once, or lets it wait: then nothing is returned.
+    pub(crate) fn arrive(&mut self, query: DispatchQuery, now_ms: u64) -> Option<DispatchAnswer> {
+        if !self.endpoints.values().any(|e| !e.record.is_leaving) {
+            return Some(refuse(RefusalCode::NoEndpoint, MIN_RETRY_AFTER_MS));
+        }
+        let wait_ms = self.expected_wait_ms(&query, now_ms);
+        let until_ms = query.useful_until_ms.min(now_ms + MAX_WAIT_MS);
+        if wait_ms > 0 && now_ms + wait_ms > until_ms {
+            return Some(refuse(RefusalCode::Overloaded, wait_ms));
+        }
+        if wait_ms == 0
+            && let Some(answer) = self.place(&query, now_ms)
+        {
+            return Some(answer);
+        }
+        self.waiting.push(Waiting {
+            query,
+            since_ms: now_ms,
+            until_ms,
+        });
+        None
+    }
+
+    /// Ends a call that runs or waits; nothing happens when it does neither.
+    pub(crate) fn end(&mut self, call: u64, result: SendResult, now_ms: u64) {
+        self.waiting.retain(|waiting| waiting.query.call != call);
+        let Some(running) = self.running.remove(&call) else {
+            return;
+        };
+        let elapsed_ms = now_ms.saturating_sub(running.since_ms);
+        if result == SendResult::Answered {
+            let sample_ms = f64::from(u32::try_from(elapsed_ms).unwrap_or(u32::MAX));
+            self.mean_hold_ms += HOLD_WEIGHT * (sample_ms - self.mean_hold_ms);
+        }
+        if let Some(endpoint) = self.endpoints.get_mut(&running.endpoint) {
+            endpoint.own_calls = endpoint.own_calls.saturating_sub(1);
+            endpoint.note(result, elapsed_ms, now_ms);
+        }
+    }
+
+    /// Gives free places to waiting calls and refuses those that waited too long.
+    pub(crate) fn advance(&mut self, now_ms: u64) -> Vec<(u64, DispatchAnswer)> {
+        let mut answers = Vec::new();
+        while let Some(position) = self.next_waiting(now_ms) {
+            let waiting = self.waiting.swap_remove(position);
+            let Some(answer) = self.place(&waiting.query, now_ms) else {
+                self.waiting.push(waiting);
+                break;
+            };
+            answers.push((waiting.query.call, answer));
+        }
+        let retry_after_ms = self.hold_ms();
+        self.waiting.retain(|waiting| {
+            let is_over = now_ms >= waiting.until_ms;
+            if is_over {
+                let answer = refuse(RefusalCode::Overloaded, retry_after_ms);
+                answers.push((waiting.query.call, answer));
+            }
+            !is_over
+        });
+        answers
+    }
+
+    /// Calls of this entry, running and waiting.
+    pub(crate) fn demand(&self) -> u32 {
+        as_u32(self.running.len() + self.waiting.len())
+    }
+
+    /// Calls of this entry that run, by endpoint.
+    pub(crate) fn own_calls(&self) -> impl Iterator<Item = (&str, u32)> {
+        let endpoints = self.endpoints.iter();
+        let busy = endpoints.filter(|(_, endpoint)| endpoint.own_calls > 0);
+        busy.map(|(id, endpoint)| (id.as_str(), endpoint.own_calls))
+    }
+
+    fn place(&mut self, query: &DispatchQuery, now_ms: u64) -> Option<DispatchAnswer> {
+        if as_f64(self.running.len()) >= self.own_places() {
+            return None;
+        }
+        let id = self.choose(query, now_ms)?;
+        let endpoint = self.endpoints.get_mut(&id)?;
+        endpoint.own_calls += 1;
+        let record = Arc::clone(&endpoint.record);
+        self.running.insert(
+            query.call,
+            Running {
+                endpoint: id,
+                since_ms: now_ms,
+            },
+        );
+        Some(DispatchAnswer::Send(record))
+    }
+
+    /// Chooses the endpoint with the least burden; the local availability zone goes first among
+    /// equals, and one that is to be avoided is taken when all are.
+    fn choose(&mut self, query: &DispatchQuery, now_ms: u64) -> Option<String> {
+        let open = self.endpoints.values().filter(|endpoint| {
+            let slots = slots_of(&endpoint.record);
+            let is_excluded = query.exclude.contains(&endpoint.record.id);
+            !endpoint.record.is_leaving && !is_excluded && endpoint.calls() < slots
+        });
+        let mut best: Option<(bool, f64, bool, u32, &str)> = None;
+        for endpoint in open {
+            let rank = (
+                endpoint.is_avoided(now_ms),
+                endpoint.burden(query.is_stream),
+                !endpoint.is_local,
+                self.rng.random::<u32>(),
+                endpoint.record.id.as_str(),
+            );
+            if best.is_none_or(|best| is_before(&rank, &best)) {
+                best = Some(rank);
+            }
+        }
+        best.map(|(_, _, _, _, id)| id.to_owned())
+    }
+
+    /// The waiting call to be served next.
+    fn next_waiting(&self, now_ms: u64) -> Option<usize> {
+        let waiting = self.waiting.iter().enumerate();
+        let live = waiting.filter(|(_, waiting)| now_ms < waiting.until_ms);
+        let next = live.max_by_key(|(_, waiting)| precedence(waiting, now_ms));
+        next.map(|(position, _)| position)
+    }
+
+    /// Predicts how long a call waits for a place; zero when one is free.
+    fn expected_wait_ms(&self, query: &DispatchQuery, now_ms: u64) -> u64 {
+        let own = Waiting {
+            query: query.clone(),
+            since_ms: now_ms,
+            until_ms: query.useful_until_ms,
+        };
+        let own_precedence = precedence(&own, now_ms);
+        let ahead = self.waiting.iter();
+        let ahead = ahead.filter(|waiting| precedence(waiting, now_ms) > own_precedence);
+        let ahead = as_f64(ahead.count() + self.running.len()) + 1.0 - self.own_places();
+        if ahead <= 0.0 {
+            return 0;
+        }
+        let wait_ms = ahead * self.mean_hold_ms / self.own_places();
+        to_ms(wait_ms).max(1)
+    }
+
+    /// Places of all endpoints that are this entry's to use: a share by what it has in hand.
+    fn own_places(&self) -> f64 {
+        let own = f64::from(self.demand()) + 1.0;
+        let others = f64::from(self.others.calls) + f64::from(self.other_entries);
+        let share = own / (own + others);
+        (self.places() * share).max(1.0)
+    }
+
+    fn places(&self) -> f64 {
+        let open = self.endpoints.values();
+        let open = open.filter(|endpoint| !endpoint.record.is_leaving);
+        let limit = |endpoint: &DirectEndpoint| {
+            let slots = f64::from(slots_of(&endpoint.record));
+            let paced = self.pace.as_ref().map(StreamPace::places_per_endpoint);
+            paced.map_or(slots, |paced| paced.min(slots))
+        };
+        open.map(limit).sum()
+    }
+
+    fn calls_per_endpoint(&self) -> f64 {
+        let calls: u32 = self.endpoints.values().map(DirectEndpoint::calls).sum();
+        f64::from(calls) / as_f64(self.endpoints.len().max(1))
+    }
+
+    fn hold_ms(&self) -> u64 {
+        to_ms(self.mean_hold_ms)
+    }
+}
+
+/// Order in which waiting calls are served; the greatest goes first.
+fn precedence(waiting: &Waiting, now_ms: u64) -> (u32, bool, bool, Reverse<u64>, Reverse<u64>) {
+    let query = &waiting.query;
+    let is_on_time = now_ms <= query.on_time_until_ms;
+    (
+        query.urgency,
+        query.is_returning,
+        is_on_time,
+        Reverse(waiting.since_ms),
+        Reverse(query.call),
+    )
+}
+
+fn is_before(a: &(bool, f64, bool, u32, &str), b: &(bool, f64, bool, u32, &str)) -> bool {
+    let by_burden = a.0.cmp(&b.0).then(a.1.total_cmp(&b.1));
+    by_burden.then(a.2.cmp(&b.2)).then(a.3.cmp(&b.3)).is_lt()
+}
+
+fn refuse(code: RefusalCode, wait_ms: u64) -> DispatchAnswer {
+    DispatchAnswer::Refuse {
+        code,
+        retry_after_ms: wait_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS),
+    }
+}
+
+fn slots_of(record: &EndpointRecord) -> u32 {
+    match record.slots {
+        0 => DEFAULT_SLOTS,
+        slots => slots,
+    }
+}
+
+fn as_u32(count: usize) -> u32 {
+    u32::try_from(count).unwrap_or(u32::MAX)
+}
+
+fn as_f64(count: usize) -> f64 {
+    f64::from(as_u32(count))
+}
+
+/// Rounds milliseconds that are not negative.
+fn to_ms(value_ms: f64) -> u64 {
+    std::time::Duration::try_from_secs_f64(value_ms / 1e3).map_or(u64::MAX, |value| {
+        u64::try_from(value.as_millis()).unwrap_or(u64::MAX)
+    })
+}
--- /dev/null
+++ b/lib/src/direct_state.rs
@@ -0,0 +1,41 @@
+//! State shared by the handlers of directly sent calls.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use arc_swap::ArcSwapOption;
+
+use crate::Clock;
+use crate::DirectWire;
+use crate::Metrics;
+use crate::RouteTable;
+use crate::direct_duty::DirectCommand;
+use crate::direct_duty::PauseSamples;
+use crate::duty::Duty;
+use crate::in_flight::InFlight;
+
+/// State shared by the handlers of directly sent calls.
+pub(crate) struct DirectState {
+    pub(crate) clock: Clock,
+    /// The configuration in force; absent until one was read.
+    pub(crate) table: ArcSwapOption<RouteTable>,
+    pub(crate) dispatch: Duty<DirectCommand>,
+    pub(crate) pauses: PauseSamples,
+    pub(crate) wire: DirectWire,
+    pub(crate) metrics: Metrics,
+    pub(crate) in_flight: InFlight,
+    pub(crate) next_call: AtomicU64,
+}
+
+impl DirectState {
+    /// Returns a number for a call that no other has in this process.
+    pub(crate) fn call_number(&self) -> u64 {
+        self.next_call.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Returns the configuration in force.
+    pub(crate) fn table(&self) -> Option<Arc<RouteTable>> {
+        self.table.load_full()
+    }
+}
--- /dev/null
+++ b/lib/src/direct_stream.rs
@@ -0,0 +1,290 @@
+//! Relays a stream of events, and resumes it at another endpoint when it breaks.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::StreamExt;
+use http::Response;
+use http_body_util::BodyExt;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use snafu::Snafu;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use tokio_stream::wrappers::ReceiverStream;
+use volo_http::body::Body;
+
+use crate::DirectRefusal;
+use crate::EventSplitter;
+use crate::SendResult;
+use crate::StreamEvent;
+use crate::direct_place::DirectPlace;
+use crate::direct_relay::DirectRelay;
+use crate::direct_relay::OpenAnswer;
+use crate::direct_relay::SendFailure;
+use crate::direct_relay::late;
+use crate::direct_relay::lost;
+use crate::event;
+
+/// Events that wait for a caller who reads slowly, at most.
+const RING_CAPACITY: usize = 32;
+/// Part of a caller's patience after which a silent stream is resumed elsewhere, in percent.
+const SILENCE_PERCENT: u64 = 75;
+
+/// Why a stream towards a caller ended before its last event.
+#[derive(Debug, Snafu)]
+#[snafu(display("stream broke off: {reason}"))]
+struct StreamBroken {
+    reason: String,
+}
+
+/// What the relay of a stream passes to its caller's connection.
+enum Item {
+    Bytes(Bytes),
+    /// The endpoint ended the stream; without it the caller must see a broken answer.
+    End,
+    Broken(StreamBroken),
+}
+
+/// A stream at one endpoint.
+struct OpenStream {
+    place: DirectPlace,
+    body: Incoming,
+    splitter: EventSplitter,
+    last_event: Option<Instant>,
+}
+
+enum Step {
+    Event(StreamEvent),
+    End(Bytes),
+}
+
+/// Sends a call whose answer is a stream, and returns the answer with its first event.
+pub(crate) async fn respond(mut relay: DirectRelay) -> Result<Response<Body>, DirectRefusal> {
+    loop {
+        let OpenAnswer { place, response } = relay.open().await?;
+        let (head, body) = response.into_parts();
+        let mut open = OpenStream {
+            place,
+            body,
+            splitter: EventSplitter::default(),
+            last_event: None,
+        };
+        let status = head.status;
+        let first = match open.next(&relay).await {
+            Ok(first) => first,
+            Err(failure) => {
+                relay.after_failure(open.place, failure).await?;
+                continue;
+            }
+        };
+        if status.is_success() {
+            let organisation = relay.organisation.as_ref();
+            relay.state.metrics.record_first_token(
+                &relay.service,
+                organisation
+                    .and_then(|o| o.urgency)
+                    .unwrap_or(relay.rule.urgency),
+                relay.arrived.elapsed(),
+            );
+        }
+        let (sender, receiver) = mpsc::channel(RING_CAPACITY);
+        let headers = (relay.state.wire.caller_head)(&head.headers);
+        tokio::spawn(pump(relay, open, first, sender));
+        let mut response = Response::new(Body::from_stream(frames(receiver)));
+        *response.status_mut() = status;
+        *response.headers_mut() = headers;
+        return Ok(response);
+    }
+}
+
+/// Turns the relay's items into frames; a relay that ends without a last item breaks the answer.
+fn frames(
+    receiver: mpsc::Receiver<Item>,
+) -> impl futures::Stream<Item = Result<Frame<Bytes>, Box<dyn std::error::Error + Send + Sync>>> {
+    let lost = || StreamBroken {
+        reason: "relay ended early".to_owned(),
+    };
+    let items = ReceiverStream::new(receiver)
+        .chain(futures::stream::once(async move { Item::Broken(lost()) }));
+    let frames = items.map(|item| match item {
+        Item::Bytes(bytes) => Some(Ok(Frame::data(bytes))),
+        Item::Broken(error) => Some(Err(error.into())),
+        Item::End => None,
+    });
+    frames
+        .take_while(|item| std::future::ready(item.is_some()))
+        .filter_map(std::future::ready)
+}
+
+/// Relays events until the stream ends, its caller leaves, or it can't be resumed.
+async fn pump(
+    mut relay: DirectRelay,
+    mut open: OpenStream,
+    first: Step,
+    sender: mpsc::Sender<Item>,
+) {
+    let mut step = Ok(first);
+    loop {
+        match step {
+            Ok(Step::Event(event)) => {
+                relay.resume_after = event.id.or(relay.resume_after);
+                if sender.send(Item::Bytes(event.bytes)).await.is_err() {
+                    return abandoned(&relay, open);
+                }
+            }
+            Ok(Step::End(rest)) => {
+                finish(&relay, open);
+                if !rest.is_empty() {
+                    let _ = sender.send(Item::Bytes(rest)).await;
+                }
+                let _ = sender.send(Item::End).await;
+                return;
+            }
+            Err(failure) => {
+                let resumed = tokio::select! {
+                    resumed = resume(&mut relay, open, failure) => resumed,
+                    () = sender.closed() => return,
+                };
+                match resumed {
+                    Ok(resumed) => open = resumed,
+                    Err(reason) => {
+                        record_end(&relay, "broken");
+                        let _ = sender.send(Item::Broken(StreamBroken { reason })).await;
+                        return;
+                    }
+                }
+            }
+        }
+        step = tokio::select! {
+            step = open.next(&relay) => step,
+            () = sender.closed() => return abandoned(&relay, open),
+        };
+    }
+}
+
+/// Sends the call to another endpoint, which goes on after the last event that the caller has.
+async fn resume(
+    relay: &mut DirectRelay,
+    broken: OpenStream,
+    failure: SendFailure,
+) -> Result<OpenStream, String> {
+    let reason = failure.reason.clone();
+    let refused = |refusal: DirectRefusal| format!("{reason}; {}", refusal.message);
+    relay
+        .after_failure(broken.place, failure)
+        .await
+        .map_err(refused)?;
+    let OpenAnswer { place, response } = relay.open().await.map_err(refused)?;
+    let status = response.status();
+    if !status.is_success() {
+        place.end(SendResult::Failed);
+        return Err(format!("{reason}; resuming it ended with status {status}"));
+    }
+    event!(
+        StreamResumed,
+        "request_id={} endpoint={} after_event={}",
+        relay.call.request_id,
+        place.endpoint().map_or("", |endpoint| endpoint.id.as_str()),
+        relay.resume_after.unwrap_or(0)
+    );
+    Ok(OpenStream {
+        place,
+        body: response.into_body(),
+        splitter: EventSplitter::default(),
+        last_event: None,
+    })
+}
+
+impl OpenStream {
+    /// Reads the next event that the caller does not have yet.
+    async fn next(&mut self, relay: &DirectRelay) -> Result<Step, SendFailure> {
+        loop {
+            while let Some(event) = self.splitter.next_event() {
+                if let Some(event) = in_order(event, relay.resume_after)? {
+                    self.note_event(relay);
+                    return Ok(Step::Event(event));
+                }
+            }
+            if self.splitter.is_overlong() {
+                let reason = "an event grew too long".to_owned();
+                return Err(lost(SendResult::Failed, reason));
+            }
+            let frame = tokio::time::timeout_at(patience(relay), self.body.frame());
+            let Ok(frame) = frame.await else {
+                return Err(late());
+            };
+            match frame {
+                Some(Ok(frame)) => {
+                    if let Some(bytes) = frame.data_ref() {
+                        self.splitter.push(bytes);
+                    }
+                }
+                Some(Err(error)) => {
+                    let reason = format!("stream broke off: {error}");
+                    return Err(lost(SendResult::Failed, reason));
+                }
+                None => return Ok(Step::End(self.splitter.take_rest())),
+            }
+        }
+    }
+
+    fn note_event(&mut self, relay: &DirectRelay) {
+        let now = Instant::now();
+        if let Some(before) = self.last_event.replace(now) {
+            relay.state.pauses.add(&relay.service, now - before);
+        }
+    }
+}
+
+/// Returns until when the next event must come.
+fn patience(relay: &DirectRelay) -> Instant {
+    let attempts = u32::try_from(relay.tried.len()).unwrap_or(u32::MAX);
+    let is_last = attempts >= relay.rule.max_attempts;
+    if is_last || !relay.rule.repeatability.may_repeat() {
+        return relay.deadline;
+    }
+    let silence = Duration::from_millis(relay.patience_ms() * SILENCE_PERCENT / 100);
+    relay.deadline.min(Instant::now() + silence)
+}
+
+/// Drops an event that the caller has already; a missing one ends the stream.
+fn in_order(event: StreamEvent, last: Option<u64>) -> Result<Option<StreamEvent>, SendFailure> {
+    let (Some(id), Some(last)) = (event.id, last) else {
+        return Ok(Some(event));
+    };
+    if id <= last {
+        return Ok(None);
+    }
+    if id > last + 1 {
+        let reason = format!("event {id} came after event {last}");
+        return Err(lost(SendResult::Failed, reason));
+    }
+    Ok(Some(event))
+}
+
+fn finish(relay: &DirectRelay, open: OpenStream) {
+    open.place.end(SendResult::Answered);
+    record_end(relay, "ran");
+}
+
+fn abandoned(relay: &DirectRelay, open: OpenStream) {
+    open.place.end(SendResult::Abandoned);
+    record_end(relay, "abandoned");
+}
+
+fn record_end(relay: &DirectRelay, outcome: &str) {
+    let elapsed = relay.arrived.elapsed();
+    let organisation = relay.organisation.as_ref().map_or("", |o| o.name.as_str());
+    relay
+        .state
+        .metrics
+        .record_request(organisation, outcome, elapsed);
+    event!(
+        CallEnded,
+        "request_id={} outcome={outcome} attempts={} elapsed_ms={}",
+        relay.call.request_id,
+        relay.tried.len(),
+        elapsed.as_millis()
+    );
+}
--- /dev/null
+++ b/lib/src/dispatch_query.rs
@@ -0,0 +1,28 @@
+//! A call that asks for an endpoint.
+
+use bon::Builder;
+use pomeloramp_proc_macros::value;
+
+/// A call that asks for an endpoint of a service. Times are those of the process's own clock.
+#[value]
+#[derive(Builder)]
+pub struct DispatchQuery {
+    /// Number of the call, unique in its process.
+    pub call: u64,
+    /// Name of the service.
+    pub service: String,
+    /// 0 is the least urgent, [`MAX_URGENCY`](crate::MAX_URGENCY) the most.
+    pub urgency: u32,
+    /// Whether the answer is a stream of events.
+    pub is_stream: bool,
+    /// Whether the caller was refused before and came back.
+    #[builder(default)]
+    pub is_returning: bool,
+    /// Time until which the call must be sent so that its answer is on time.
+    pub on_time_until_ms: u64,
+    /// Time after which sending the call is of no use.
+    pub useful_until_ms: u64,
+    /// Endpoints that the call was already sent to.
+    #[builder(default)]
+    pub exclude: Vec<String>,
+}
--- /dev/null
+++ b/lib/src/endpoint_directory.rs
@@ -0,0 +1,121 @@
+//! The endpoints that the platform publishes, over outages of the platform.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::EndpointRecord;
+
+/// Time after an outage in which endpoints that live publish themselves again.
+const RETURN_GRACE_MS: u64 = 2_000;
+
+/// The endpoints that the platform publishes.
+///
+/// The records of live endpoints lapse while the platform is away and come back soon after it. So
+/// a record that is missing after an outage is kept for a while, unless its endpoint was leaving.
+#[derive(Debug, Default)]
+pub struct EndpointDirectory {
+    entries: BTreeMap<String, Entry>,
+    outage_ended_ms: Option<u64>,
+    /// An outage that no snapshot or change has ended yet.
+    is_away: bool,
+}
+
+#[derive(Debug)]
+struct Entry {
+    record: Arc<EndpointRecord>,
+    revision: u64,
+    missing_until_ms: Option<u64>,
+}
+
+impl EndpointDirectory {
+    /// Notes that the platform could not be read.
+    pub fn platform_lost(&mut self) {
+        self.is_away = true;
+    }
+
+    /// Notes that the platform was read again.
+    pub fn platform_reached(&mut self, now_ms: u64) {
+        if std::mem::take(&mut self.is_away) {
+            self.outage_ended_ms = Some(now_ms);
+        }
+    }
+
+    /// Takes over all published records, each with the revision of its last change.
+    pub fn replace(&mut self, records: Vec<(EndpointRecord, u64)>, now_ms: u64) {
+        self.platform_reached(now_ms);
+        let mut before = std::mem::take(&mut self.entries);
+        for (record, revision) in records {
+            before.remove(&record.id);
+            self.insert(record, revision);
+        }
+        for (id, mut entry) in before {
+            entry.missing_until_ms = entry.missing_until_ms.or_else(|| self.grace_end(now_ms));
+            if !entry.record.is_leaving && entry.is_kept(now_ms) {
+                self.entries.insert(id, entry);
+            }
+        }
+    }
+
+    /// Takes over one published record; one older than what is known is ignored.
+    pub fn change(&mut self, record: EndpointRecord, revision: u64, now_ms: u64) {
+        self.platform_reached(now_ms);
+        let known = self.entries.get(&record.id);
+        if known.is_none_or(|known| known.revision <= revision) {
+            self.insert(record, revision);
+        }
+    }
+
+    /// Notes that a record was removed, or that it can't be read any more.
+    pub fn remove(&mut self, id: &str, revision: u64, now_ms: u64) {
+        self.platform_reached(now_ms);
+        let grace_end = self.grace_end(now_ms);
+        let Some(entry) = self.entries.get_mut(id) else {
+            return;
+        };
+        if entry.revision > revision {
+            return;
+        }
+        entry.missing_until_ms = entry.missing_until_ms.or(grace_end);
+        if entry.record.is_leaving || !entry.is_kept(now_ms) {
+            self.entries.remove(id);
+        }
+    }
+
+    /// Forgets records that did not come back in time; returns whether there were any.
+    pub fn expire(&mut self, now_ms: u64) -> bool {
+        let count = self.entries.len();
+        self.entries
+            .retain(|_, entry| entry.missing_until_ms.is_none() || entry.is_kept(now_ms));
+        self.entries.len() != count
+    }
+
+    /// Returns all records.
+    #[must_use]
+    pub fn list(&self) -> Vec<Arc<EndpointRecord>> {
+        let entries = self.entries.values();
+        entries.map(|entry| Arc::clone(&entry.record)).collect()
+    }
+
+    fn insert(&mut self, record: EndpointRecord, revision: u64) {
+        let entry = Entry {
+            record: Arc::new(record),
+            revision,
+            missing_until_ms: None,
+        };
+        self.entries.insert(entry.record.id.clone(), entry);
+    }
+
+    /// Returns until when a record that goes missing now is kept.
+    fn grace_end(&self, now_ms: u64) -> Option<u64> {
+        let ended_ms = self.outage_ended_ms?;
+        let until_ms = ended_ms + RETURN_GRACE_MS;
+        (now_ms < until_ms).then_some(until_ms)
+    }
+}
+
+impl Entry {
+    fn is_kept(&self, now_ms: u64) -> bool {
+        self.missing_until_ms
+            .is_some_and(|until_ms| now_ms < until_ms)
+    }
+}
--- a/lib/src/entry_daemon.rs
+++ b/lib/src/entry_daemon.rs
@@ -33,6 +33,7 @@
 use crate::agent_reports::AgentReports;
 use crate::caller_error::CallerError;
 use crate::caller_server;
+use crate::caller_server::CallerClosing;
 use crate::caller_server::CallerLimits;
 use crate::clock::Clock;
 use crate::completion;
@@ -170,7 +171,13 @@
     });
     let (close, closing) = watch::channel(false);
     tokio::spawn(drain(draining, lifetime, in_flight, close));
-    caller_server::serve(listener, router(&state), limits, closing).await;
+    caller_server::serve(
+        listener,
+        router(&state),
+        limits,
+        CallerClosing::at_once(closing),
+    )
+    .await;
     Ok(())
 }
 
--- a/lib/src/entry_server.rs
+++ b/lib/src/entry_server.rs
@@ -8,9 +8,6 @@
 use http::Response;
 use http::StatusCode;
 use http::header::AUTHORIZATION;
-use http::header::CONTENT_LENGTH;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use tokio::sync::oneshot;
 use volo_http::body::Body;
 use volo_http::request::Request;
@@ -26,6 +23,8 @@
 use crate::agent_channels::AgentChannels;
 use crate::agent_reports::AgentReports;
 use crate::attempts::Attempts;
+use crate::caller_body;
+use crate::caller_body::CallerBodyError;
 use crate::caller_error::CallerError;
 use crate::config_duty::SharedConfig;
 use crate::config_view::ServiceView;
@@ -106,28 +105,17 @@
     /// Reads a request's body, up to the limit of the settings.
     pub(crate) async fn read_body(&self, request: Request) -> Result<Bytes, CallerError> {
         let limit_bytes = usize::try_from(self.settings.max_body_bytes).unwrap_or(usize::MAX);
-        let too_large = || {
-            let message = format!("body is larger than {limit_bytes} bytes");
-            CallerError::not_run(StatusCode::PAYLOAD_TOO_LARGE, "body-too-large", message)
-        };
-        let declared_bytes = request
-            .headers()
-            .get(CONTENT_LENGTH)
-            .and_then(|value| value.to_str().ok())
-            .and_then(|text| text.parse::<usize>().ok());
-        if declared_bytes.is_some_and(|length| length > limit_bytes) {
-            return Err(too_large());
-        }
         let timeout = Duration::from_millis(self.settings.header_timeout_ms);
-        let body = Limited::new(request.into_body(), limit_bytes).collect();
-        let collected = tokio::time::timeout(timeout, body)
-            .await
-            .map_err(|_| {
-                let message = format!("body did not arrive within {} ms", timeout.as_millis());
-                CallerError::not_run(StatusCode::REQUEST_TIMEOUT, "body-timeout", message)
-            })?
-            .map_err(|_| too_large())?;
-        Ok(collected.to_bytes())
+        let body = caller_body::read_body(request, limit_bytes, timeout).await;
+        body.map_err(|error| {
+            let (status, code) = match error {
+                CallerBodyError::Timeout { .. } => (StatusCode::REQUEST_TIMEOUT, "body-timeout"),
+                CallerBodyError::TooLarge { .. } | CallerBodyError::Broken => {
+                    (StatusCode::PAYLOAD_TOO_LARGE, "body-too-large")
+                }
+            };
+            CallerError::not_run(status, code, error.to_string())
+        })
     }
 
     /// Asks the routing duty for the agents that may run calls of `service`.
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -67,6 +67,7 @@
     ConfigAccepted = 101 Info "document accepted",
     ConfigRefused = 102 Warn "document refused",
     ConfigServiceFailed = 103 Warn "reading the configuration service failed",
+    ConfigFromPeer = 105 Info "configuration taken over from a peer",
     ConfigReaderStarted = 106 Info "this process reads the configuration service",
     ConfigReaderStopped = 107 Info "this process leaves reading to its peers",
 
@@ -100,6 +101,13 @@
     MapAborted = 507 Info "expert map aborted",
     PlanEnded = 508 Info "plan for an expert map ended",
     PlanFailed = 509 Warn "plan for an expert map failed",
+
+    CallSent = 601 Info "call sent to an endpoint",
+    CallRetried = 602 Info "call sent again",
+    CallFailed = 603 Warn "call given up",
+    CallRefused = 604 Info "call refused for lack of room",
+    CallRejected = 605 Info "call rejected as it is",
+    CallEnded = 606 Info "call ended",
 }
 
 impl fmt::Display for Event {
--- /dev/null
+++ b/lib/src/json_client.rs
@@ -0,0 +1,196 @@
+//! Asks one address for JSON documents over HTTP.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use http::Request;
+use http::header::CONTENT_TYPE;
+use http::header::HOST;
+use http_body_util::Full;
+use serde::de::DeserializeOwned;
+use snafu::Snafu;
+
+use crate::http_client;
+use crate::http_client::HttpError;
+
+/// Why a peer gave no usable document.
+#[derive(Debug, Snafu)]
+pub enum JsonError {
+    /// The exchange failed; what was asked for may have been done.
+    #[snafu(display("{step} {peer}: {source}"))]
+    Exchange {
+        /// What the peer was asked.
+        step: String,
+        /// Address of the peer.
+        peer: String,
+        /// What failed.
+        source: HttpError,
+    },
+    /// The peer answered with an error status.
+    #[snafu(display("{step} {peer}: status {status}"))]
+    Status {
+        /// What the peer was asked.
+        step: String,
+        /// Address of the peer.
+        peer: String,
+        /// HTTP status.
+        status: u16,
+    },
+    /// The answer could not be read or parsed.
+    #[snafu(display("{step} {peer}: unreadable body: {reason}"))]
+    Body {
+        /// What the peer was asked.
+        step: String,
+        /// Address of the peer.
+        peer: String,
+        /// What was wrong.
+        reason: String,
+    },
+    /// No answer came in time; what was asked for may have been done.
+    #[snafu(display("{step} {peer}: no answer within {timeout_ms} ms"))]
+    Timeout {
+        /// What the peer was asked.
+        step: String,
+        /// Address of the peer.
+        peer: String,
+        /// How long was waited.
+        timeout_ms: u128,
+    },
+}
+
+impl JsonError {
+    /// Returns the error status that the peer answered with.
+    #[must_use]
+    pub fn status(&self) -> Option<u16> {
+        match self {
+            Self::Status { status, .. } => Some(*status),
+            Self::Exchange { .. } | Self::Body { .. } | Self::Timeout { .. } => None,
+        }
+    }
+}
+
+/// Asks one address for JSON documents, each over a connection of its own.
+#[derive(Debug, Clone)]
+pub struct JsonClient {
+    address: String,
+    connect_timeout: Duration,
+    max_answer_bytes: usize,
+}
+
+impl JsonClient {
+    /// Creates a client of the peer at `address`, an IP address and port.
+    #[must_use]
+    pub fn new(address: &str, connect_timeout: Duration, max_answer_bytes: usize) -> Self {
+        Self {
+            address: address.to_owned(),
+            connect_timeout,
+            max_answer_bytes,
+        }
+    }
+
+    /// Reads the document at `path`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no valid document comes within `timeout`.
+    pub async fn get<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        timeout: Duration,
+    ) -> Result<T, JsonError> {
+        let body = self.bytes(Method::GET, path, Bytes::new(), timeout).await?;
+        self.parse(&Method::GET, path, &body)
+    }
+
+    /// Sends `body` to `path` and returns the document that comes back.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no valid document comes within `timeout`; the request may have been carried out.
+    pub async fn send<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<T, JsonError> {
+        let answer = self.bytes(method.clone(), path, body, timeout).await?;
+        self.parse(&method, path, &answer)
+    }
+
+    /// Makes a request and returns the body of a successful answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no whole answer with a success status comes within `timeout`.
+    pub async fn bytes(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<Bytes, JsonError> {
+        let step = step(&method, path);
+        let answer = self.exchange(method, path, body);
+        let answer = tokio::time::timeout(timeout, answer).await;
+        answer.unwrap_or_else(|_| {
+            Err(JsonError::Timeout {
+                step,
+                peer: self.address.clone(),
+                timeout_ms: timeout.as_millis(),
+            })
+        })
+    }
+
+    async fn exchange(&self, method: Method, path: &str, body: Bytes) -> Result<Bytes, JsonError> {
+        let step = step(&method, path);
+        let peer = self.address.clone();
+        let mut request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(HOST, &self.address);
+        if !body.is_empty() {
+            request = request.header(CONTENT_TYPE, "application/json");
+        }
+        let request = match request.body(Full::new(body)) {
+            Ok(request) => request,
+            Err(error) => {
+                let reason = error.to_string();
+                return Err(JsonError::Body { step, peer, reason });
+            }
+        };
+        let response = match http_client::send(&peer, self.connect_timeout, request).await {
+            Ok(response) => response,
+            Err(source) => return Err(JsonError::Exchange { step, peer, source }),
+        };
+        let status = response.status();
+        if !status.is_success() {
+            let status = status.as_u16();
+            return Err(JsonError::Status { step, peer, status });
+        }
+        let body = http_client::read_body(response, self.max_answer_bytes).await;
+        body.map_err(|error| {
+            let reason = error.to_string();
+            JsonError::Body { step, peer, reason }
+        })
+    }
+
+    /// Parses the body of an answer.
+    pub(crate) fn parse<T: DeserializeOwned>(
+        &self,
+        method: &Method,
+        path: &str,
+        body: &[u8],
+    ) -> Result<T, JsonError> {
+        serde_json::from_slice(body).map_err(|error| JsonError::Body {
+            step: step(method, path),
+            peer: self.address.clone(),
+            reason: error.to_string(),
+        })
+    }
+}
+
+fn step(method: &Method, path: &str) -> String {
+    format!("{method} {path} at")
+}
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -21,6 +21,7 @@
 use volo_http::server::route::get;
 
 use crate::caller_server;
+use crate::caller_server::CallerClosing;
 use crate::caller_server::CallerLimits;
 use crate::daemon_error::DaemonError;
 use crate::listener::announce;
@@ -185,7 +186,7 @@
         };
         let (keep_open, closing) = watch::channel(false);
         tokio::spawn(async move {
-            caller_server::serve(listener, router, limits, closing).await;
+            caller_server::serve(listener, router, limits, CallerClosing::at_once(closing)).await;
             drop(keep_open);
         });
         Ok(())
--- a/lib/src/platform_client.rs
+++ b/lib/src/platform_client.rs
@@ -3,62 +3,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::Request;
-use http_body_util::Full;
+use http::Method;
 use pomeloramp_proc_macros::document;
-use serde::de::DeserializeOwned;
-use snafu::Snafu;
 
-use crate::http_client;
-use crate::http_client::HttpError;
+use crate::JsonClient;
+use crate::JsonError;
 
 const MAX_ANSWER_BYTES: usize = 64 << 20;
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
 const WEIGHTS_TIMEOUT: Duration = Duration::from_mins(2);
 
-/// Why the platform gave no usable answer.
-#[derive(Debug, Snafu)]
-pub enum PlatformError {
-    /// The exchange failed.
-    #[snafu(display("platform {peer}: {source}"))]
-    Exchange {
-        /// Address of the platform.
-        peer: String,
-        /// What failed.
-        source: HttpError,
-    },
-    /// The platform answered with an error status.
-    #[snafu(display("platform {peer} answered {path} with status {status}"))]
-    Status {
-        /// Address of the platform.
-        peer: String,
-        /// Path that was read.
-        path: String,
-        /// HTTP status.
-        status: u16,
-    },
-    /// The answer could not be read or parsed.
-    #[snafu(display("platform {peer} answered {path} with an unreadable body: {reason}"))]
-    Body {
-        /// Address of the platform.
-        peer: String,
-        /// Path that was read.
-        path: String,
-        /// What was wrong.
-        reason: String,
-    },
-    /// No answer came in time.
-    #[snafu(display("platform {peer} did not answer {path} within {timeout_ms} ms"))]
-    Timeout {
-        /// Address of the platform.
-        peer: String,
-        /// Path that was read.
-        path: String,
-        /// How long was waited.
-        timeout_ms: u128,
-    },
-}
-
 /// A value of the configuration service.
 #[document]
 pub struct PublishedValue {
@@ -115,8 +69,7 @@
 /// Reads from one platform address.
 #[derive(Debug, Clone)]
 pub struct PlatformClient {
-    address: String,
-    connect_timeout: Duration,
+    client: JsonClient,
 }
 
 impl PlatformClient {
@@ -124,8 +77,7 @@
     #[must_use]
     pub fn new(address: &str, connect_timeout: Duration) -> Self {
         Self {
-            address: address.to_owned(),
-            connect_timeout,
+            client: JsonClient::new(address, connect_timeout, MAX_ANSWER_BYTES),
         }
     }
 
@@ -134,17 +86,12 @@
     /// # Errors
     ///
     /// Fails when the platform is down or answers nonsense.
-    pub async fn watch(
-        &self,
-        revision: u64,
-        wait: Duration,
-    ) -> Result<PublishedValues, PlatformError> {
+    pub async fn watch(&self, revision: u64, wait: Duration) -> Result<PublishedValues, JsonError> {
         let path = format!(
             "/config/watch?after={revision}&wait_ms={}",
             wait.as_millis()
         );
-        let body = self.get(&path, wait + ANSWER_TIMEOUT).await?;
-        self.parse(&path, &body)
+        self.client.get(&path, wait + ANSWER_TIMEOUT).await
     }
 
     /// Reads the list of VMs.
@@ -152,9 +99,12 @@
     /// # Errors
     ///
     /// Fails when the platform is down or answers nonsense.
-    pub async fn vms(&self) -> Result<VmList, PlatformError> {
-        let body = self.get("/vms", ANSWER_TIMEOUT).await?;
-        let list: VmList = self.parse("/vms", &body)?;
+    pub async fn vms(&self) -> Result<VmList, JsonError> {
+        let body = self
+            .client
+            .bytes(Method::GET, "/vms", Bytes::new(), ANSWER_TIMEOUT)
+            .await?;
+        let list: VmList = self.client.parse(&Method::GET, "/vms", &body)?;
         Ok(VmList {
             answer_bytes: body.len() as u64,
             ..list
@@ -166,54 +116,10 @@
     /// # Errors
     ///
     /// Fails when the platform is down or too slow.
-    pub(crate) async fn weights(&self, layer: u32, expert: u32) -> Result<Bytes, PlatformError> {
+    pub(crate) async fn weights(&self, layer: u32, expert: u32) -> Result<Bytes, JsonError> {
         let path = format!("/weights/{layer}-{expert}");
-        self.get(&path, WEIGHTS_TIMEOUT).await
-    }
-
-    async fn get(&self, path: &str, timeout: Duration) -> Result<Bytes, PlatformError> {
-        tokio::time::timeout(timeout, self.get_unbounded(path))
-            .await
-            .map_err(|_| PlatformError::Timeout {
-                peer: self.address.clone(),
-                path: path.to_owned(),
-                timeout_ms: timeout.as_millis(),
-            })?
-    }
-
-    async fn get_unbounded(&self, path: &str) -> Result<Bytes, PlatformError> {
-        let request = Request::get(path)
-            .header(http::header::HOST, &self.address)
-            .body(Full::new(Bytes::new()))
-            .expect("platform paths are valid URIs");
-        let response = http_client::send(&self.address, self.connect_timeout, request)
+        self.client
+            .bytes(Method::GET, &path, Bytes::new(), WEIGHTS_TIMEOUT)
             .await
-            .map_err(|source| PlatformError::Exchange {
-                peer: self.address.clone(),
-                source,
-            })?;
-        let status = response.status();
-        if !status.is_success() {
-            return Err(PlatformError::Status {
-                peer: self.address.clone(),
-                path: path.to_owned(),
-                status: status.as_u16(),
-            });
-        }
-        http_client::read_body(response, MAX_ANSWER_BYTES)
-            .await
-            .map_err(|error| self.body_error(path, error.to_string()))
-    }
-
-    fn parse<T: DeserializeOwned>(&self, path: &str, body: &[u8]) -> Result<T, PlatformError> {
-        serde_json::from_slice(body).map_err(|error| self.body_error(path, error.to_string()))
-    }
-
-    fn body_error(&self, path: &str, reason: String) -> PlatformError {
-        PlatformError::Body {
-            peer: self.address.clone(),
-            path: path.to_owned(),
-            reason,
-        }
     }
 }
--- a/lib/src/protos/pomeloramp.control.rs
+++ b/lib/src/protos/pomeloramp.control.rs
@@ -589,6 +589,57 @@
     #[prost(uint64, tag = "1")]
     pub loaded_bytes: u64,
 }
+/// One datagram from an entry to another entry of the direct path.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct GossipMessage {
+    #[prost(message, optional, tag = "1")]
+    pub word: ::core::option::Option<GossipWord>,
+    /// Gossip addresses of other entries that the sender has heard of late.
+    #[prost(string, repeated, tag = "2")]
+    pub known_addresses: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+}
+/// What an entry of the direct path says of itself.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct GossipWord {
+    /// IP address and port for datagrams.
+    #[prost(string, tag = "1")]
+    pub gossip_address: ::prost::alloc::string::String,
+    /// Run of the process; a later run has a higher number unless a clock was set back.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// Counts the words of a run.
+    #[prost(uint64, tag = "3")]
+    pub sequence: u64,
+    /// IP address and port on which callers connect.
+    #[prost(string, tag = "4")]
+    pub caller_address: ::prost::alloc::string::String,
+    /// IP address and port on which other entries ask for documents.
+    #[prost(string, tag = "5")]
+    pub control_address: ::prost::alloc::string::String,
+    /// The entry takes new work.
+    #[prost(bool, tag = "6")]
+    pub serves: bool,
+    /// Revision of the configuration in force; zero when there is none.
+    #[prost(uint64, tag = "7")]
+    pub config_revision: u64,
+    #[prost(message, repeated, tag = "8")]
+    pub demands: ::prost::alloc::vec::Vec<GossipDemand>,
+}
+/// What an entry has in hand of one service.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct GossipDemand {
+    /// Hash of the service's name.
+    #[prost(fixed32, tag = "1")]
+    pub service: u32,
+    /// Calls, running and waiting.
+    #[prost(uint32, tag = "2")]
+    pub calls: u32,
+    /// Hashes of the endpoints at which calls run, and their numbers of calls.
+    #[prost(fixed32, repeated, tag = "3")]
+    pub endpoints: ::prost::alloc::vec::Vec<u32>,
+    #[prost(uint32, repeated, tag = "4")]
+    pub endpoint_calls: ::prost::alloc::vec::Vec<u32>,
+}
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
 pub enum Outcome {
--- a/lib/src/rank_engine_client.rs
+++ b/lib/src/rank_engine_client.rs
@@ -4,20 +4,17 @@
 
 use bytes::Bytes;
 use http::Method;
-use http::Request;
 use http::StatusCode;
-use http::header::CONTENT_TYPE;
-use http::header::HOST;
-use http_body_util::Full;
 use pomeloramp_proc_macros::document;
 use serde::de::DeserializeOwned;
+use snafu::ResultExt;
 use snafu::Snafu;
 
+use crate::JsonClient;
+use crate::JsonError;
 use crate::MapEngineReport;
 use crate::MapOrder;
 use crate::StagedMap;
-use crate::http_client;
-use crate::http_client::HttpError;
 use crate::protos::control::ExpertReplica;
 use crate::protos::settings::RankGroupSettings;
 
@@ -28,12 +25,10 @@
 #[derive(Debug, Snafu)]
 pub(crate) enum RankEngineError {
     /// The exchange failed; an order may have taken effect.
-    #[snafu(display("engine {peer}: {source}"))]
+    #[snafu(display("engine: {source}"))]
     Exchange {
-        /// Address of the engine.
-        peer: String,
         /// What failed.
-        source: HttpError,
+        source: JsonError,
     },
     /// The engine gave the order to another run of the agent.
     #[snafu(display("engine {peer} refused fencing number {fencing}"))]
@@ -43,36 +38,6 @@
         /// Number that the order carried.
         fencing: u64,
     },
-    /// The engine answered with an error status.
-    #[snafu(display("engine {peer} answered {path} with status {status}"))]
-    Status {
-        /// Address of the engine.
-        peer: String,
-        /// Path that was asked.
-        path: String,
-        /// HTTP status.
-        status: u16,
-    },
-    /// The answer could not be read or parsed.
-    #[snafu(display("engine {peer} answered {path} with an unreadable body: {reason}"))]
-    Body {
-        /// Address of the engine.
-        peer: String,
-        /// Path that was asked.
-        path: String,
-        /// What was wrong.
-        reason: String,
-    },
-    /// No answer came in time; an order may have taken effect.
-    #[snafu(display("engine {peer} did not answer {path} within {timeout_ms} ms"))]
-    Timeout {
-        /// Address of the engine.
-        peer: String,
-        /// Path that was asked.
-        path: String,
-        /// How long was waited.
-        timeout_ms: u128,
-    },
 }
 
 /// The replica of an expert, as engines write it.
@@ -149,18 +114,16 @@
 /// Reaches the engine of one rank.
 #[derive(Debug, Clone)]
 pub(crate) struct RankEngineClient {
-    address: String,
+    client: JsonClient,
     path: String,
-    connect_timeout: Duration,
 }
 
 impl RankEngineClient {
     /// Creates a client for the engine that the settings name.
     pub(crate) fn new(settings: &RankGroupSettings, connect_timeout: Duration) -> Self {
         Self {
-            address: settings.engine_address.clone(),
+            client: JsonClient::new(&settings.engine_address, connect_timeout, MAX_ANSWER_BYTES),
             path: settings.engine_path.clone(),
-            connect_timeout,
         }
     }
 
@@ -178,15 +141,14 @@
         let answer: Result<ReportDocument, _> = self
             .exchange(Method::POST, "/orders", Bytes::from(body))
             .await;
-        match answer {
-            Ok(report) => Ok(EngineAnswer::from(report)),
-            Err(RankEngineError::Status { peer, status, .. })
-                if status == StatusCode::CONFLICT.as_u16() =>
-            {
-                Err(RankEngineError::Fenced { peer, fencing })
+        answer.map(EngineAnswer::from).map_err(|error| match error {
+            RankEngineError::Exchange {
+                source: JsonError::Status { peer, status, .. },
+            } if status == StatusCode::CONFLICT.as_u16() => {
+                RankEngineError::Fenced { peer, fencing }
             }
-            Err(error) => Err(error),
-        }
+            error => error,
+        })
     }
 
     /// Reads the map in use.
@@ -218,57 +180,10 @@
         body: Bytes,
     ) -> Result<T, RankEngineError> {
         let path = format!("{}{path}", self.path);
-        let answer = self.answer(method, &path, body);
-        let body = tokio::time::timeout(ANSWER_TIMEOUT, answer)
+        self.client
+            .send(method, &path, body, ANSWER_TIMEOUT)
             .await
-            .unwrap_or_else(|_| {
-                Err(RankEngineError::Timeout {
-                    peer: self.address.clone(),
-                    path: path.clone(),
-                    timeout_ms: ANSWER_TIMEOUT.as_millis(),
-                })
-            })?;
-        serde_json::from_slice(&body).map_err(|error| self.unreadable(&path, &error))
-    }
-
-    async fn answer(
-        &self,
-        method: Method,
-        path: &str,
-        body: Bytes,
-    ) -> Result<Bytes, RankEngineError> {
-        let request = Request::builder()
-            .method(method)
-            .uri(path)
-            .header(HOST, &self.address)
-            .header(CONTENT_TYPE, "application/json")
-            .body(Full::new(body))
-            .map_err(|error| self.unreadable(path, &error))?;
-        let response = http_client::send(&self.address, self.connect_timeout, request)
-            .await
-            .map_err(|source| RankEngineError::Exchange {
-                peer: self.address.clone(),
-                source,
-            })?;
-        let status = response.status();
-        if !status.is_success() {
-            return Err(RankEngineError::Status {
-                peer: self.address.clone(),
-                path: path.to_owned(),
-                status: status.as_u16(),
-            });
-        }
-        http_client::read_body(response, MAX_ANSWER_BYTES)
-            .await
-            .map_err(|error| self.unreadable(path, &error))
-    }
-
-    fn unreadable(&self, path: &str, reason: &impl ToString) -> RankEngineError {
-        RankEngineError::Body {
-            peer: self.address.clone(),
-            path: path.to_owned(),
-            reason: reason.to_string(),
-        }
+            .context(ExchangeSnafu)
     }
 }
 
--- a/lib/src/rank_weights.rs
+++ b/lib/src/rank_weights.rs
@@ -3,8 +3,8 @@
 use snafu::ResultExt;
 use snafu::Snafu;
 
+use crate::JsonError;
 use crate::platform_client::PlatformClient;
-use crate::platform_client::PlatformError;
 use crate::protos::control::ExpertMap;
 use crate::protos::control::ExpertReplica;
 use crate::protos::control::LayerLoad;
@@ -31,7 +31,7 @@
         /// The expert.
         expert: u32,
         /// What failed.
-        source: PlatformError,
+        source: JsonError,
     },
 }
 
--- /dev/null
+++ b/lib/src/route_rule.rs
@@ -0,0 +1,62 @@
+//! One route of a route table.
+
+use bon::Builder;
+use pomeloramp_proc_macros::value;
+
+use crate::Repeatability;
+
+/// A service that a route sends calls to, with its share of them.
+#[value]
+pub struct RouteTarget {
+    /// Name of the service.
+    pub service: String,
+    /// Share relative to the weights of the route's other targets.
+    pub weight: u32,
+}
+
+/// One route: which calls it takes, where they go and what they may cost.
+#[value]
+#[derive(Builder)]
+pub struct RouteRule {
+    /// Name of the route, for logs.
+    pub name: String,
+    /// Host name that selects the route, in lower case.
+    pub host: String,
+    /// Beginning of the paths of the route; begins and ends with a slash.
+    pub prefix: String,
+    /// Services that serve the route; never empty.
+    pub targets: Vec<RouteTarget>,
+    /// How often a call may run.
+    pub repeatability: Repeatability,
+    /// Longest time in which a call must have its final answer.
+    pub timeout_ms: u64,
+    /// Time within which an answer, or the first event of a stream, is on time.
+    pub target_latency_ms: u64,
+    /// Longest pause between events of a stream that is on time; zero when none is set.
+    #[builder(default)]
+    pub target_gap_ms: u64,
+    /// Number of endpoints that one call may be sent to.
+    pub max_attempts: u32,
+    /// 0 is the least urgent, [`MAX_URGENCY`](crate::MAX_URGENCY) the most.
+    pub urgency: u32,
+    /// Whether calls need no credential.
+    #[builder(default)]
+    pub is_public: bool,
+}
+
+impl RouteRule {
+    /// Returns the target for a number drawn uniformly from all 32-bit numbers.
+    #[must_use]
+    pub fn target(&self, draw: u32) -> Option<&str> {
+        let total: u64 = self.targets.iter().map(|t| u64::from(t.weight)).sum();
+        let point = (u64::from(draw) * total) >> u32::BITS;
+        let mut passed = 0;
+        let target = self.targets.iter().find(|target| {
+            passed += u64::from(target.weight);
+            point < passed
+        });
+        target
+            .or_else(|| self.targets.first())
+            .map(|target| target.service.as_str())
+    }
+}
--- /dev/null
+++ b/lib/src/route_table.rs
@@ -0,0 +1,126 @@
+//! Routes, services and organisations in force.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use bon::bon;
+use bytes::Bytes;
+
+use crate::CallerBounds;
+use crate::RouteRule;
+use crate::ServiceRule;
+
+/// An organisation as calls name it by their credential.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TableOrganisation {
+    /// Name of the organisation.
+    pub name: String,
+    /// Urgency of its calls, in place of that of their route.
+    pub urgency: Option<u32>,
+}
+
+/// Routes, services and organisations of one revision of the configuration.
+#[derive(Debug, Default)]
+pub struct RouteTable {
+    revision: u64,
+    /// Routes by host and prefix.
+    rules: HashMap<String, HashMap<String, Arc<RouteRule>>>,
+    services: HashMap<String, ServiceRule>,
+    /// Organisations by credential; none when calls need no credential.
+    organisations: Option<HashMap<String, Arc<TableOrganisation>>>,
+    bounds: CallerBounds,
+    /// The configuration as it was published.
+    document: Bytes,
+}
+
+#[bon]
+impl RouteTable {
+    /// Makes the table of one revision.
+    #[builder]
+    pub fn new(
+        revision: u64,
+        rules: Vec<RouteRule>,
+        services: Vec<ServiceRule>,
+        organisations: Option<HashMap<String, Arc<TableOrganisation>>>,
+        bounds: Option<CallerBounds>,
+        #[builder(default)] document: Bytes,
+    ) -> Self {
+        let mut by_host: HashMap<String, HashMap<String, Arc<RouteRule>>> = HashMap::new();
+        for rule in rules {
+            let prefixes = by_host.entry(rule.host.clone()).or_default();
+            prefixes.insert(rule.prefix.clone(), Arc::new(rule));
+        }
+        let services = services.into_iter();
+        Self {
+            revision,
+            rules: by_host,
+            services: services.map(|rule| (rule.name.clone(), rule)).collect(),
+            organisations,
+            bounds: bounds.unwrap_or_default(),
+            document,
+        }
+    }
+
+    /// Returns the revision of the configuration.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Returns the configuration as it was published.
+    #[must_use]
+    pub fn document(&self) -> &Bytes {
+        &self.document
+    }
+
+    /// Returns what callers may send.
+    #[must_use]
+    pub fn bounds(&self) -> CallerBounds {
+        self.bounds
+    }
+
+    /// Returns whether calls of routes that are not public need a credential.
+    #[must_use]
+    pub fn needs_credential(&self) -> bool {
+        self.organisations.is_some()
+    }
+
+    /// Returns the organisation that a credential names.
+    #[must_use]
+    pub fn organisation(&self, credential: &str) -> Option<&Arc<TableOrganisation>> {
+        self.organisations.as_ref()?.get(credential)
+    }
+
+    /// Returns the route with the longest prefix of `path` among those of `host`.
+    #[must_use]
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<RouteRule>> {
+        let host = without_port(host).to_ascii_lowercase();
+        let prefixes = self.rules.get(&host)?;
+        let slashes = path.rmatch_indices('/');
+        let mut matches = slashes.filter_map(|(at, _)| prefixes.get(&path[..=at]));
+        matches.next()
+    }
+
+    /// Returns all routes.
+    pub fn rules(&self) -> impl Iterator<Item = &Arc<RouteRule>> {
+        self.rules.values().flat_map(HashMap::values)
+    }
+
+    /// Returns what the table says of a service.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<&ServiceRule> {
+        self.services.get(name)
+    }
+
+    /// Returns all services.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceRule> {
+        self.services.values()
+    }
+}
+
+fn without_port(host: &str) -> &str {
+    match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
+        _ => host,
+    }
+}
--- /dev/null
+++ b/lib/src/stream_pace.rs
@@ -0,0 +1,74 @@
+//! How many requests an endpoint may run so that the pauses of streams stay short.
+//!
+//! Answers the load of a rank group with an uneven expert map: passes take longer than their model
+//! says, and each further request makes all of them later.
+
+use crate::EngineModel;
+
+/// Slowdown of the passes that is assumed before any were seen.
+const FIRST_SLOWDOWN: f64 = 1.6;
+const MIN_SLOWDOWN: f64 = 0.5;
+const MAX_SLOWDOWN: f64 = 6.0;
+/// Weight of a new mean pause in the estimate, for each pause that it stands for.
+const SAMPLE_WEIGHT: f64 = 0.03;
+const MAX_SAMPLE_WEIGHT: f64 = 0.5;
+/// Part of the longest allowed pause that passes are to take.
+const PAUSE_SHARE: f64 = 0.85;
+/// Pause that is aimed at where a route sets none.
+const DEFAULT_PAUSE_MS: f64 = 100.0;
+const MIN_PLACES: f64 = 1.0;
+
+/// Estimates from the pauses between events how much longer passes take than their model says.
+#[derive(Debug)]
+pub struct StreamPace {
+    model: EngineModel,
+    target_pause_ms: f64,
+    slowdown: f64,
+}
+
+impl StreamPace {
+    /// Makes an estimate for an engine whose streams have seen no pause yet.
+    #[must_use]
+    pub fn new(model: EngineModel) -> Self {
+        Self {
+            model,
+            target_pause_ms: DEFAULT_PAUSE_MS,
+            slowdown: FIRST_SLOWDOWN,
+        }
+    }
+
+    /// Takes over a changed model and keeps the estimate.
+    pub fn set_model(&mut self, model: EngineModel) {
+        self.model = model;
+    }
+
+    /// Sets the longest pause of a stream that is on time; zero leaves the one before.
+    pub fn set_target_pause_ms(&mut self, target_pause_ms: u64) {
+        if target_pause_ms > 0 {
+            let target_ms = u32::try_from(target_pause_ms).unwrap_or(u32::MAX);
+            self.target_pause_ms = f64::from(target_ms);
+        }
+    }
+
+    /// Takes in the mean of `count` pauses, seen while each endpoint ran `requests`.
+    pub fn observe(&mut self, mean_pause_ms: f64, count: u32, requests: f64) {
+        let modelled_ms = self.model.pass_ms(requests.max(1.0));
+        let sample = (mean_pause_ms / modelled_ms).clamp(MIN_SLOWDOWN, MAX_SLOWDOWN);
+        let weight = (SAMPLE_WEIGHT * f64::from(count)).min(MAX_SAMPLE_WEIGHT);
+        self.slowdown += weight * (sample - self.slowdown);
+    }
+
+    /// Returns how much longer passes take than their model says.
+    #[must_use]
+    pub fn slowdown(&self) -> f64 {
+        self.slowdown
+    }
+
+    /// Returns how many requests each endpoint may run.
+    #[must_use]
+    pub fn places_per_endpoint(&self) -> f64 {
+        let target_ms = self.target_pause_ms * PAUSE_SHARE;
+        let places = self.model.requests_within(target_ms, self.slowdown);
+        places.clamp(MIN_PLACES, f64::from(self.model.slots.max(1)))
+    }
+}
--- a/lib/tests/test_events.rs
+++ b/lib/tests/test_events.rs
@@ -61,7 +61,7 @@
 
 #[googletest::test]
 fn every_event_is_logged_somewhere() {
-    let text = sources("src") + &sources("../daemon/src");
+    let text = sources("src") + &sources("../daemon/src") + &sources("../platform/src");
     let packed: String = text.split_whitespace().collect();
     for event in Event::ALL {
         let is_logged = [",", ")"]
