platform: agents beside the ranks plan and switch expert maps

Cause: with the map of the start the most loaded server has 3.4 times the mean, and no admission helps. The present agreement between ranks is used as it is: a rank stages a map by holding for its switch step and commits by arming before it lets go; the copies are made before the proposal. The planner copies few experts at a time (search_map), on what the ranks chose in the last third of a second.

--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -31,7 +31,7 @@
 
 Options:
   --settings FILE  settings in YAML; their key role selects \"entry\" or \"endpoint\"
-  --platform ROLE  run \"entry\" with the settings file that the users' platform names
+  --platform ROLE  run \"entry\" or \"endpoint\" with the settings file that the users' platform names
   -h, --help       print this text
   -V, --version    print the version
 
@@ -109,7 +109,8 @@
     let runtime = Runtime::new().expect("the runtime starts its threads");
     let result = match DaemonRole::from_name(role) {
         Some(DaemonRole::Entry) => runtime.block_on(pomeloramp_platform::run_entry(settings)),
-        Some(DaemonRole::Endpoint) | None => {
+        Some(DaemonRole::Endpoint) => runtime.block_on(pomeloramp_platform::run_agent(settings)),
+        None => {
             return refuse(&format!("role \"{role}\" does not exist on the platform"));
         }
     };
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -101,6 +101,9 @@
     MapAborted = 507 Info "expert map aborted",
     PlanEnded = 508 Info "plan for an expert map ended",
     PlanFailed = 509 Warn "plan for an expert map failed",
+    PlannerStarted = 510 Info "this agent plans the expert maps of its group",
+    PlannerStopped = 511 Info "this agent leaves planning to a lower rank",
+    MapPlanned = 512 Info "expert map planned",
 
     CallSent = 601 Info "call sent to an endpoint",
     CallRetried = 602 Info "call sent again",
--- /dev/null
+++ b/lib/src/group_planner.rs
@@ -0,0 +1,303 @@
+//! Decides when a rank group of the direct path changes its expert map, and to which.
+//!
+//! Answers demand that shifts every few seconds. It plans on what the ranks chose of late and
+//! makes small plans one after another.
+
+use std::collections::BTreeMap;
+
+use crate::ExpertLayout;
+use crate::ExpertLoad;
+use crate::ExpertModel;
+use crate::ExpertSlots;
+use crate::MapOutcome;
+use crate::SearchBounds;
+use crate::map_ballot::next_ballot;
+use crate::map_search::search_map;
+use crate::protos::control::RankCounts;
+
+/// Time in which half of what the ranks chose is forgotten.
+const HALF_LIFE_MS: f64 = 350.0;
+/// Age of a rank's counts up to which the group is planned for.
+const MAX_COUNTS_AGE_MS: u64 = 600;
+/// Choices that a plan needs as its ground.
+const MIN_CHOICES: f64 = 2_000.0;
+/// Time after which the copying for a plan is given up.
+const COPY_TIMEOUT_MS: u64 = 3_000;
+const PROPOSAL_TIMEOUT_MS: u64 = 4_000;
+/// Time in which all ranks switch to a committed map, if the group runs passes.
+const SWITCH_TIMEOUT_MS: u64 = 2_000;
+/// Time without a plan after one that came to nothing.
+const FAILURE_PAUSE_MS: u64 = 250;
+/// Experts of all sets that one plan may add to a rank.
+const MAX_NEW_PER_RANK: usize = 3;
+/// Skew of a set that one copied expert has to win.
+const LEAST_GAIN_PER_COPY: f64 = 0.008;
+/// Skew, as the mean over the sets, that a plan has to win.
+const LEAST_GAIN_PER_PLAN: f64 = 0.06;
+
+/// What the driver of a [`GroupPlanner`] has to do.
+#[derive(Debug, Clone, PartialEq)]
+pub enum PlannerAction {
+    /// Tell every rank to copy the experts of a map that it lacks.
+    Copy {
+        /// Id of the map.
+        map_id: u64,
+        /// The experts of every rank.
+        slots: ExpertSlots,
+    },
+    /// Propose the map that every rank has copied.
+    Propose {
+        /// Id of the map.
+        map_id: u64,
+        /// The last pass that some rank has begun.
+        least_step: u64,
+    },
+}
+
+/// Decides when a rank group changes its expert map, and to which.
+#[derive(Debug)]
+pub struct GroupPlanner {
+    model: ExpertModel,
+    rank_count: usize,
+    nonce: u32,
+    ranks: BTreeMap<u32, RankView>,
+    demand: Vec<f64>,
+    demand_at_ms: u64,
+    /// The layout of the map in use, with its id.
+    known: Option<(u64, ExpertLayout)>,
+    plan: Option<Plan>,
+    /// A committed map that not all ranks use yet, and until when they are waited for.
+    switching: Option<(u64, u64)>,
+    not_before_ms: u64,
+}
+
+#[derive(Debug)]
+struct RankView {
+    counts: RankCounts,
+    heard_ms: u64,
+}
+
+#[derive(Debug)]
+struct Plan {
+    map_id: u64,
+    layout: ExpertLayout,
+    slots: ExpertSlots,
+    made_at_ms: u64,
+    told_at_ms: u64,
+    proposed_at_ms: Option<u64>,
+}
+
+impl GroupPlanner {
+    /// Makes the planner of a group; `nonce` is a random number that makes its maps' ids unique.
+    #[must_use]
+    pub fn new(model: ExpertModel, rank_count: usize, nonce: u32) -> Self {
+        let sets = model.set_count as usize;
+        let experts = model.expert_count as usize;
+        Self {
+            demand: vec![0.0; sets * experts],
+            model,
+            rank_count,
+            nonce,
+            ranks: BTreeMap::new(),
+            demand_at_ms: 0,
+            known: None,
+            plan: None,
+            switching: None,
+            not_before_ms: 0,
+        }
+    }
+
+    /// Returns the map whose layout is known; ranks need not tell it.
+    #[must_use]
+    pub fn known_map_id(&self) -> Option<u64> {
+        self.known.as_ref().map(|(map_id, _)| *map_id)
+    }
+
+    /// Takes in what a rank chose since its counts before.
+    pub fn on_counts(&mut self, rank: u32, counts: RankCounts, now_ms: u64) {
+        self.forget(now_ms);
+        if counts.choices.len() == self.demand.len() {
+            for (demand, chosen) in self.demand.iter_mut().zip(&counts.choices) {
+                *demand += f64::from(*chosen);
+            }
+        }
+        let heard_ms = now_ms;
+        let mut counts = counts;
+        if counts.slots.is_empty()
+            && let Some(before) = self.ranks.get_mut(&rank)
+            && before.counts.active_map_id == counts.active_map_id
+        {
+            counts.slots = std::mem::take(&mut before.counts.slots);
+        }
+        counts.choices.clear();
+        self.ranks.insert(rank, RankView { counts, heard_ms });
+    }
+
+    /// Takes in how the proposal of a map ended; `None` when it was given up.
+    pub fn on_outcome(&mut self, outcome: Option<MapOutcome>, now_ms: u64) {
+        let Some(plan) = self.plan.take() else {
+            return;
+        };
+        match outcome {
+            Some(MapOutcome::Committed { map_id }) if map_id == plan.map_id => {
+                self.known = Some((map_id, plan.layout));
+                self.switching = Some((map_id, now_ms + SWITCH_TIMEOUT_MS));
+            }
+            _ => self.not_before_ms = now_ms + FAILURE_PAUSE_MS,
+        }
+    }
+
+    /// Lets time pass and returns what to do.
+    pub fn advance(&mut self, now_ms: u64) -> Option<PlannerAction> {
+        self.forget(now_ms);
+        if self.plan.is_some() {
+            return self.advance_plan(now_ms);
+        }
+        if now_ms < self.not_before_ms {
+            return None;
+        }
+        let active_map_id = self.common_map(now_ms)?;
+        if let Some((map_id, until_ms)) = self.switching
+            && map_id != active_map_id
+            && now_ms < until_ms
+        {
+            return None;
+        }
+        self.switching = None;
+        self.learn_layout(active_map_id)?;
+        self.make_plan(now_ms)
+    }
+
+    /// Returns the skew of the map in use under the recent demand, as the mean over the sets.
+    #[must_use]
+    pub fn skew(&self) -> Option<f64> {
+        let (_, layout) = self.known.as_ref()?;
+        Some(layout.skew(&self.load()))
+    }
+
+    fn advance_plan(&mut self, now_ms: u64) -> Option<PlannerAction> {
+        const TELL_AGAIN_MS: u64 = 150;
+        let ranks = &self.ranks;
+        let plan = self.plan.as_mut()?;
+        if let Some(proposed_at_ms) = plan.proposed_at_ms {
+            if now_ms.saturating_sub(proposed_at_ms) > PROPOSAL_TIMEOUT_MS {
+                self.plan = None;
+            }
+            return None;
+        }
+        let has_copied = |view: &RankView| view.counts.copied_map_id == plan.map_id;
+        if ranks.len() == self.rank_count && ranks.values().all(has_copied) {
+            plan.proposed_at_ms = Some(now_ms);
+            let steps = ranks.values().map(|view| view.counts.step);
+            return Some(PlannerAction::Propose {
+                map_id: plan.map_id,
+                least_step: steps.max().unwrap_or(0),
+            });
+        }
+        if now_ms.saturating_sub(plan.made_at_ms) > COPY_TIMEOUT_MS {
+            self.plan = None;
+            self.not_before_ms = now_ms + FAILURE_PAUSE_MS;
+            return None;
+        }
+        if now_ms.saturating_sub(plan.told_at_ms) < TELL_AGAIN_MS {
+            return None;
+        }
+        plan.told_at_ms = now_ms;
+        Some(PlannerAction::Copy {
+            map_id: plan.map_id,
+            slots: plan.slots.clone(),
+        })
+    }
+
+    /// Returns the map that all ranks use, if all were heard of late.
+    fn common_map(&self, now_ms: u64) -> Option<u64> {
+        if self.ranks.len() != self.rank_count {
+            return None;
+        }
+        let is_fresh = |view: &RankView| now_ms.saturating_sub(view.heard_ms) <= MAX_COUNTS_AGE_MS;
+        let mut views = self.ranks.values();
+        if !self.ranks.values().all(is_fresh) {
+            return None;
+        }
+        let map_id = views.next()?.counts.active_map_id;
+        views
+            .all(|view| view.counts.active_map_id == map_id)
+            .then_some(map_id)
+    }
+
+    /// Puts the layout of the map in use together from what the ranks tell, unless it is known.
+    fn learn_layout(&mut self, map_id: u64) -> Option<()> {
+        if self.known_map_id() == Some(map_id) {
+            return Some(());
+        }
+        let sets = self.model.set_count as usize;
+        let slots_per_rank = self.model.slots_per_rank as usize;
+        let mut slots = vec![0; sets * self.rank_count * slots_per_rank];
+        for (rank, view) in &self.ranks {
+            let told = &view.counts.slots;
+            if told.len() != sets * slots_per_rank {
+                return None;
+            }
+            for (set, experts) in told.chunks(slots_per_rank).enumerate() {
+                let first = (set * self.rank_count + *rank as usize) * slots_per_rank;
+                slots
+                    .get_mut(first..first + slots_per_rank)?
+                    .copy_from_slice(experts);
+            }
+        }
+        let slots = ExpertSlots::new(self.rank_count, slots_per_rank, slots)?;
+        self.known = Some((map_id, slots.layout()?));
+        Some(())
+    }
+
+    fn make_plan(&mut self, now_ms: u64) -> Option<PlannerAction> {
+        if self.demand.iter().sum::<f64>() < MIN_CHOICES {
+            return None;
+        }
+        let (_, current) = self.known.as_ref()?;
+        let load = self.load();
+        let bounds = SearchBounds::builder()
+            .max_new_per_rank_and_set(self.model.max_new_per_rank as usize)
+            .max_new_per_rank(MAX_NEW_PER_RANK)
+            .least_gain(LEAST_GAIN_PER_COPY)
+            .build();
+        let layout = search_map(current, &load, bounds)?;
+        if current.skew(&load) - layout.skew(&load) < LEAST_GAIN_PER_PLAN {
+            return None;
+        }
+        let highest = self.ranks.values().map(|view| {
+            let counts = &view.counts;
+            counts.highest_map_id.max(counts.active_map_id)
+        });
+        let map_id = next_ballot(highest.max().unwrap_or(0), self.nonce);
+        let slots = ExpertSlots::of_layout(&layout)?;
+        self.plan = Some(Plan {
+            map_id,
+            layout,
+            slots: slots.clone(),
+            made_at_ms: now_ms,
+            told_at_ms: now_ms,
+            proposed_at_ms: None,
+        });
+        Some(PlannerAction::Copy { map_id, slots })
+    }
+
+    fn load(&self) -> ExpertLoad {
+        let experts = (self.model.expert_count as usize).max(1);
+        ExpertLoad::new(self.demand.chunks(experts).map(<[f64]>::to_vec).collect())
+    }
+
+    /// Lets older choices count less.
+    fn forget(&mut self, now_ms: u64) {
+        let elapsed_ms = now_ms.saturating_sub(self.demand_at_ms);
+        if elapsed_ms == 0 {
+            return;
+        }
+        self.demand_at_ms = now_ms;
+        let elapsed_ms = f64::from(u32::try_from(elapsed_ms).unwrap_or(u32::MAX));
+        let kept = 0.5_f64.powf(elapsed_ms / HALF_LIFE_MS);
+        for demand in &mut self.demand {
+            *demand *= kept;
+        }
+    }
+}
--- a/lib/src/map_coordinator.rs
+++ b/lib/src/map_coordinator.rs
@@ -37,6 +37,11 @@
     lead_steps: u64,
     /// The replicas of the map to propose; without them the run only settles.
     proposal: Option<Vec<ExpertReplica>>,
+    /// Id of the proposed map where the ranks have copied it before; else the run picks one.
+    map_id: Option<u64>,
+    /// Step that some rank has begun, by the proposer's own knowledge.
+    #[builder(default)]
+    least_step: u64,
     #[builder(skip)]
     own_map: Option<OwnMap>,
     #[builder(skip)]
@@ -295,7 +300,10 @@
         let undecided = states.iter().map(|state| state.prepared_map_id);
         let undecided = undecided.filter(|map_id| *map_id != 0).min();
         let has_staged = states.iter().any(|state| state.switch_step != 0);
-        let furthest_step = states.iter().map(|state| state.current_step).max();
+        let steps = states
+            .iter()
+            .map(|state| state.current_step.max(state.highest_switch_step));
+        let furthest_step = steps.max().unwrap_or(0).max(self.least_step);
         self.agent_incarnations = agent_incarnations;
         if let Some(map_id) = self.proposed_map_id().or(undecided) {
             return self.recover(map_id, now_ms);
@@ -307,14 +315,18 @@
             self.wait(now_ms);
             return Vec::new();
         }
-        self.ballot = next_ballot(self.highest_ballot, self.nonce);
+        self.ballot = match self.map_id {
+            None => next_ballot(self.highest_ballot, self.nonce),
+            Some(map_id) if map_id > self.highest_ballot => map_id,
+            Some(map_id) => return self.finish(MapOutcome::Aborted { map_id }),
+        };
         self.highest_ballot = self.ballot;
         self.own_map = Some(OwnMap {
             map: ExpertMap {
                 map_id: self.ballot,
                 replicas,
             },
-            switch_step: furthest_step.unwrap_or(0) + self.lead_steps,
+            switch_step: furthest_step + self.lead_steps,
         });
         self.begin(Phase::Preparing, now_ms)
     }
--- a/lib/src/map_participant.rs
+++ b/lib/src/map_participant.rs
@@ -78,6 +78,7 @@
         let pending = self.pending.take();
         self.memory.engine = Some(report);
         if is_new_group {
+            self.memory.highest_switch_step = 0;
             self.memory.read_back(report);
         }
         let mut actions = match pending {
@@ -235,6 +236,12 @@
         if engine.step >= request.switch_step {
             return MapRefusal::StepPassed;
         }
+        // An order of an earlier proposal may still be under way for its switch step, so that no
+        // later one uses it again.
+        if self.memory.highest_switch_step >= request.switch_step {
+            return MapRefusal::StepPassed;
+        }
+        self.memory.highest_switch_step = request.switch_step;
         MapRefusal::Unspecified
     }
 
--- a/lib/src/map_rank_memory.rs
+++ b/lib/src/map_rank_memory.rs
@@ -19,6 +19,8 @@
     pub(crate) known_staged_map_id: u64,
     pub(crate) committed_map_id: u64,
     pub(crate) aborted_map_id: u64,
+    /// Highest switch step that was ordered in this formation of the group.
+    pub(crate) highest_switch_step: u64,
     pub(crate) undecided_since_ms: Option<u64>,
     held_since_ms: Option<u64>,
     pub(crate) now_ms: u64,
@@ -33,6 +35,7 @@
             known_staged_map_id: 0,
             committed_map_id: 0,
             aborted_map_id: 0,
+            highest_switch_step: 0,
             undecided_since_ms: None,
             held_since_ms: None,
             now_ms: 0,
@@ -126,6 +129,7 @@
             group_incarnation: self.engine.map_or(0, |engine| engine.group_incarnation),
             reason: reason.into(),
             held_ms,
+            highest_switch_step: self.highest_switch_step,
         }
     }
 }
--- /dev/null
+++ b/lib/src/map_search.rs
@@ -0,0 +1,281 @@
+//! Search for few copies of experts that even out the load of a rank group.
+//!
+//! Answers demand that shifts every few seconds: the search takes a millisecond, and each plan
+//! copies little, so that the next one can follow soon.
+
+use crate::ExpertLayout;
+use crate::ExpertLoad;
+use crate::LayerLayout;
+
+/// Exponent of the smooth maximum of the ranks' loads; the higher, the more the highest one counts.
+const SMOOTH_EXPONENT: i32 = 10;
+const MAX_CHANGES: usize = 200;
+/// Ranks with the highest loads whose experts are moved or replicated.
+const HOT_RANKS: usize = 2;
+
+/// Bounds of one plan.
+#[derive(Debug, Clone, Copy, bon::Builder)]
+pub struct SearchBounds {
+    /// Experts of one set that may be new to a rank.
+    pub max_new_per_rank_and_set: usize,
+    /// Experts of all sets that may be new to a rank; they set the time of the copying.
+    pub max_new_per_rank: usize,
+    /// Skew of a set that one copied expert has to win.
+    pub least_gain: f64,
+}
+
+/// Returns a layout that is reached from `current` with few copies, or nothing when no copy pays.
+#[must_use]
+pub fn search_map(
+    current: &ExpertLayout,
+    load: &ExpertLoad,
+    bounds: SearchBounds,
+) -> Option<ExpertLayout> {
+    let pairs = current.layers().iter().zip(load.layers());
+    let mut sets: Vec<SetSearch> = pairs
+        .map(|(layer, loads)| SetSearch::new(layer, loads))
+        .collect();
+    let rank_count = current.layers().first()?.rank_count();
+    let mut new_of_rank = vec![0; rank_count];
+    let mut best: Vec<Option<Change>> = Vec::new();
+    for set in &sets {
+        best.push(set.best_change(&new_of_rank, bounds));
+    }
+    let mut changes = 0;
+    while changes < MAX_CHANGES {
+        let open = best.iter().enumerate();
+        let open = open.filter_map(|(set, change)| change.map(|change| (set, change)));
+        let next = open.max_by(|a, b| a.1.gain_per_copy().total_cmp(&b.1.gain_per_copy()));
+        let Some((set, change)) = next else {
+            break;
+        };
+        changes += 1;
+        sets[set].apply(change, &mut new_of_rank);
+        for (set, best) in sets.iter().zip(&mut best) {
+            *best = set.best_change(&new_of_rank, bounds);
+        }
+    }
+    if changes == 0 {
+        return None;
+    }
+    let mut layout = current.clone();
+    for (index, set) in sets.into_iter().enumerate() {
+        layout.set_layer(index, set.layout);
+    }
+    Some(layout)
+}
+
+/// A change of up to two slots, each with the expert that it gets.
+#[derive(Debug, Clone, Copy)]
+struct Change {
+    writes: [Option<(usize, usize)>; 2],
+    copies: usize,
+    gain: f64,
+}
+
+impl Change {
+    fn gain_per_copy(&self) -> f64 {
+        let copies = u32::try_from(self.copies.max(1)).unwrap_or(u32::MAX);
+        self.gain / f64::from(copies)
+    }
+}
+
+struct SetSearch<'a> {
+    origin: &'a LayerLayout,
+    loads: &'a [f64],
+    layout: LayerLayout,
+    replicas: Vec<u32>,
+    rank_loads: Vec<f64>,
+    mean: f64,
+}
+
+impl<'a> SetSearch<'a> {
+    fn new(origin: &'a LayerLayout, loads: &'a [f64]) -> Self {
+        let rank_loads = origin.rank_loads(loads);
+        let total: f64 = rank_loads.iter().sum();
+        let rank_count = u32::try_from(rank_loads.len().max(1)).unwrap_or(u32::MAX);
+        Self {
+            origin,
+            loads,
+            layout: origin.clone(),
+            replicas: origin.replica_counts(loads.len()),
+            rank_loads,
+            mean: total / f64::from(rank_count),
+        }
+    }
+
+    /// Returns the change that wins most for each expert that it copies.
+    fn best_change(&self, new_of_rank: &[usize], bounds: SearchBounds) -> Option<Change> {
+        if self.mean <= 0.0 {
+            return None;
+        }
+        let before = self.smooth_skew(&self.rank_loads);
+        let mut best: Option<Change> = None;
+        let mut loads = self.rank_loads.clone();
+        for hot in self.hot_ranks() {
+            for from in self.layout.rank_slots(hot) {
+                let Some(expert) = self.layout.slots()[from] else {
+                    continue;
+                };
+                for change in self.changes(from, expert, new_of_rank, bounds) {
+                    self.loads_after(&change, &mut loads);
+                    let gain = before - self.smooth_skew(&loads);
+                    let change = Change { gain, ..change };
+                    let is_worth = change.gain_per_copy() >= bounds.least_gain;
+                    let is_better =
+                        best.is_none_or(|best| change.gain_per_copy() > best.gain_per_copy());
+                    if is_worth && is_better {
+                        best = Some(change);
+                    }
+                }
+            }
+        }
+        best
+    }
+
+    fn hot_ranks(&self) -> Vec<usize> {
+        let mut ranks: Vec<usize> = (0..self.rank_loads.len()).collect();
+        ranks.sort_by(|a, b| self.rank_loads[*b].total_cmp(&self.rank_loads[*a]));
+        ranks.truncate(HOT_RANKS);
+        ranks
+    }
+
+    /// Returns the changes that take load off the replica of `expert` in slot `from`.
+    fn changes(
+        &self,
+        from: usize,
+        expert: usize,
+        new_of_rank: &[usize],
+        bounds: SearchBounds,
+    ) -> Vec<Change> {
+        let hot = self.layout.rank_of(from);
+        let mut changes = Vec::new();
+        for (slot, other) in self.layout.slots().iter().enumerate() {
+            let rank = self.layout.rank_of(slot);
+            let is_cool = self.rank_loads[rank] < self.rank_loads[hot];
+            if rank == hot || !is_cool || self.layout.holds(rank, expert) {
+                continue;
+            }
+            if !self.may_add(rank, expert, new_of_rank, bounds) {
+                continue;
+            }
+            let replicate = Change {
+                writes: [Some((slot, expert)), None],
+                copies: self.copies(rank, expert),
+                gain: 0.0,
+            };
+            let is_free = other.is_none_or(|other| self.replicas[other] > 1);
+            if is_free {
+                changes.push(replicate);
+            }
+            let Some(other) = *other else {
+                continue;
+            };
+            let swaps =
+                !self.layout.holds(hot, other) && self.may_add(hot, other, new_of_rank, bounds);
+            if swaps {
+                changes.push(Change {
+                    writes: [Some((slot, expert)), Some((from, other))],
+                    copies: replicate.copies + self.copies(hot, other),
+                    gain: 0.0,
+                });
+            }
+        }
+        changes
+    }
+
+    /// Returns whether the bounds allow an expert that may be new to a rank.
+    fn may_add(
+        &self,
+        rank: usize,
+        expert: usize,
+        new_of_rank: &[usize],
+        bounds: SearchBounds,
+    ) -> bool {
+        if self.origin.holds(rank, expert) {
+            return true;
+        }
+        let slots = self.layout.rank_slots(rank);
+        let experts = self.layout.slots()[slots].iter().flatten();
+        let new_in_set = experts.filter(|held| !self.origin.holds(rank, **held));
+        new_in_set.count() < bounds.max_new_per_rank_and_set
+            && new_of_rank[rank] < bounds.max_new_per_rank
+    }
+
+    fn copies(&self, rank: usize, expert: usize) -> usize {
+        usize::from(!self.origin.holds(rank, expert))
+    }
+
+    /// Computes the ranks' loads after a change into `loads`.
+    fn loads_after(&self, change: &Change, loads: &mut [f64]) {
+        loads.copy_from_slice(&self.rank_loads);
+        let mut layout_delta: [(usize, i32); 4] = [(usize::MAX, 0); 4];
+        for (slot, expert) in change.writes.iter().flatten() {
+            note_delta(&mut layout_delta, self.layout.slots()[*slot], -1);
+            note_delta(&mut layout_delta, Some(*expert), 1);
+        }
+        let replicas_after = |expert: usize| {
+            let delta = layout_delta.iter().find(|(changed, _)| *changed == expert);
+            let delta = delta.map_or(0, |(_, delta)| *delta);
+            f64::from(self.replicas[expert].saturating_add_signed(delta).max(1))
+        };
+        for (expert, delta) in layout_delta {
+            if expert == usize::MAX || delta == 0 {
+                continue;
+            }
+            let before = self.loads[expert] / f64::from(self.replicas[expert].max(1));
+            let after = self.loads[expert] / replicas_after(expert);
+            for (rank, load) in loads.iter_mut().enumerate() {
+                if self.layout.holds(rank, expert) {
+                    *load += after - before;
+                }
+            }
+        }
+        for (slot, expert) in change.writes.iter().flatten() {
+            let rank = self.layout.rank_of(*slot);
+            if let Some(lost) = self.layout.slots()[*slot] {
+                loads[rank] -= self.loads[lost] / replicas_after(lost);
+            }
+            loads[rank] += self.loads[*expert] / replicas_after(*expert);
+        }
+    }
+
+    fn apply(&mut self, change: Change, new_of_rank: &mut [usize]) {
+        for (slot, expert) in change.writes.iter().flatten() {
+            let rank = self.layout.rank_of(*slot);
+            let lost = self.layout.slots()[*slot];
+            if lost.is_some_and(|lost| !self.origin.holds(rank, lost)) {
+                new_of_rank[rank] = new_of_rank[rank].saturating_sub(1);
+            }
+            if !self.origin.holds(rank, *expert) {
+                new_of_rank[rank] += 1;
+            }
+        }
+        for (slot, expert) in change.writes.iter().flatten() {
+            self.layout.set(*slot, Some(*expert));
+        }
+        self.replicas = self.layout.replica_counts(self.loads.len());
+        self.rank_loads = self.layout.rank_loads(self.loads);
+    }
+
+    /// Returns the highest load over the mean, smoothed so that other high ones count too.
+    fn smooth_skew(&self, rank_loads: &[f64]) -> f64 {
+        let powers = rank_loads
+            .iter()
+            .map(|load| (load / self.mean).max(0.0).powi(SMOOTH_EXPONENT));
+        powers.sum::<f64>().powf(1.0 / f64::from(SMOOTH_EXPONENT))
+    }
+}
+
+fn note_delta(deltas: &mut [(usize, i32); 4], expert: Option<usize>, delta: i32) {
+    let Some(expert) = expert else {
+        return;
+    };
+    let known = deltas.iter().position(|(changed, _)| *changed == expert);
+    let free = deltas
+        .iter()
+        .position(|(changed, _)| *changed == usize::MAX);
+    if let Some(position) = known.or(free) {
+        deltas[position] = (expert, deltas[position].1 + delta);
+    }
+}
--- a/lib/src/protos/pomeloramp.control.rs
+++ b/lib/src/protos/pomeloramp.control.rs
@@ -551,6 +551,9 @@
     /// Milliseconds that the engine has waited at the switch step.
     #[prost(uint64, tag = "11")]
     pub held_ms: u64,
+    /// Highest switch step that the rank has promised in this formation of the group.
+    #[prost(uint64, tag = "12")]
+    pub highest_switch_step: u64,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct RankLoadRequest {
@@ -640,6 +643,123 @@
     #[prost(uint32, repeated, tag = "4")]
     pub endpoint_calls: ::prost::alloc::vec::Vec<u32>,
 }
+/// One datagram between the agents of a rank group of the direct path.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RankDatagram {
+    #[prost(string, tag = "1")]
+    pub group: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub group_incarnation: u64,
+    /// The rank of the sender.
+    #[prost(uint32, tag = "3")]
+    pub rank: u32,
+    #[prost(oneof = "rank_datagram::Content", tags = "4, 5, 6, 7, 8")]
+    pub content: ::core::option::Option<rank_datagram::Content>,
+}
+/// Nested message and enum types in `RankDatagram`.
+pub mod rank_datagram {
+    #[derive(Clone, PartialEq, ::prost::Oneof)]
+    pub enum Content {
+        #[prost(message, tag = "4")]
+        Ask(super::RankAsk),
+        #[prost(message, tag = "5")]
+        Answer(super::RankAnswer),
+        #[prost(message, tag = "6")]
+        Counts(super::RankCounts),
+        #[prost(message, tag = "7")]
+        Copy(super::MapCopy),
+        #[prost(message, tag = "8")]
+        Planner(super::PlannerBeacon),
+    }
+}
+/// A request about expert maps.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RankAsk {
+    #[prost(message, optional, tag = "1")]
+    pub origin: ::core::option::Option<RankOrigin>,
+    #[prost(oneof = "rank_ask::Request", tags = "2, 3, 4")]
+    pub request: ::core::option::Option<rank_ask::Request>,
+}
+/// Nested message and enum types in `RankAsk`.
+pub mod rank_ask {
+    #[derive(Clone, PartialEq, ::prost::Oneof)]
+    pub enum Request {
+        #[prost(message, tag = "2")]
+        Prepare(super::PrepareMapRequest),
+        #[prost(message, tag = "3")]
+        Decide(super::DecideMapRequest),
+        #[prost(message, tag = "4")]
+        State(super::MapStateRequest),
+    }
+}
+/// The answer to a RankAsk.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RankAnswer {
+    #[prost(message, optional, tag = "1")]
+    pub origin: ::core::option::Option<RankOrigin>,
+    #[prost(oneof = "rank_answer::Reply", tags = "2, 3, 4")]
+    pub reply: ::core::option::Option<rank_answer::Reply>,
+}
+/// Nested message and enum types in `RankAnswer`.
+pub mod rank_answer {
+    #[derive(Clone, PartialEq, Eq, Hash, ::prost::Oneof)]
+    pub enum Reply {
+        #[prost(message, tag = "2")]
+        Prepare(super::PrepareMapReply),
+        #[prost(message, tag = "3")]
+        Decide(super::DecideMapReply),
+        #[prost(message, tag = "4")]
+        State(super::MapStateReply),
+    }
+}
+/// What of the asking agent a request comes from; answers carry it back.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RankOrigin {
+    /// A coordinator's run, and not the rank itself.
+    #[prost(bool, tag = "1")]
+    pub is_run: bool,
+    #[prost(fixed32, tag = "2")]
+    pub nonce: u32,
+    #[prost(uint64, tag = "3")]
+    pub call: u64,
+}
+/// What a rank tells the planner of its group.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RankCounts {
+    #[prost(uint64, tag = "1")]
+    pub step: u64,
+    #[prost(uint64, tag = "2")]
+    pub active_map_id: u64,
+    /// The map whose copies are complete; zero for none.
+    #[prost(uint64, tag = "3")]
+    pub copied_map_id: u64,
+    /// Highest id of a map that the rank has been told of.
+    #[prost(uint64, tag = "4")]
+    pub highest_map_id: u64,
+    /// Choices of each expert since the counts before, set by set.
+    #[prost(uint32, repeated, tag = "5")]
+    pub choices: ::prost::alloc::vec::Vec<u32>,
+    /// Experts of the rank in the map in use, slot by slot and set by set, each plus one; zero for a
+    /// free slot. Empty when the planner knows them.
+    #[prost(uint32, repeated, tag = "6")]
+    pub slots: ::prost::alloc::vec::Vec<u32>,
+}
+/// Asks a rank to copy the experts of a map that it lacks.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct MapCopy {
+    #[prost(uint64, tag = "1")]
+    pub map_id: u64,
+    /// Experts by set, rank and slot, each plus one; zero for a free slot.
+    #[prost(uint32, repeated, tag = "2")]
+    pub slots: ::prost::alloc::vec::Vec<u32>,
+}
+/// Tells the ranks who plans.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PlannerBeacon {
+    /// The map whose layout the planner knows.
+    #[prost(uint64, tag = "1")]
+    pub known_map_id: u64,
+}
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
 pub enum Outcome {
--- a/lib/src/rank_command.rs
+++ b/lib/src/rank_command.rs
@@ -30,13 +30,24 @@
     },
     /// Starts a run that proposes a map; the sender is dropped when the run is given up.
     Propose {
-        replicas: Vec<ExpertReplica>,
+        proposal: MapProposal,
         ended: oneshot::Sender<MapOutcome>,
     },
     /// Asks for what operators see.
     Status { reply: oneshot::Sender<RankStatus> },
 }
 
+/// A map that a planner proposes.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct MapProposal {
+    /// Id of a map that the ranks have copied; absent where the run is to pick one.
+    pub(crate) map_id: Option<u64>,
+    /// Step that some rank has begun.
+    pub(crate) least_step: u64,
+    /// Where the map's replicas are; empty where the ranks know it by its id.
+    pub(crate) replicas: Vec<ExpertReplica>,
+}
+
 /// What of this agent sent a message.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum MapOrigin {
--- a/lib/src/rank_duty.rs
+++ b/lib/src/rank_duty.rs
@@ -21,11 +21,11 @@
 use crate::duty::Duty;
 use crate::duty::Wake;
 use crate::event;
-use crate::protos::control::ExpertReplica;
 use crate::protos::control::MapStateRequest;
 use crate::protos::control::RankStatus;
 use crate::protos::settings::RankGroupSettings;
 use crate::rank_command::MapOrigin;
+use crate::rank_command::MapProposal;
 use crate::rank_command::RankCommand;
 use crate::rank_command::RankSend;
 
@@ -139,7 +139,7 @@
                 origin,
                 reply,
             } => self.answered(rank, origin, &reply, now_ms),
-            RankCommand::Propose { replicas, ended } => self.propose(replicas, ended, now_ms),
+            RankCommand::Propose { proposal, ended } => self.propose(proposal, ended, now_ms),
             RankCommand::Status { reply } => {
                 let _ = reply.send(self.status(now_ms));
             }
@@ -248,21 +248,16 @@
         }
     }
 
-    fn propose(
-        &mut self,
-        replicas: Vec<ExpertReplica>,
-        ended: oneshot::Sender<MapOutcome>,
-        now_ms: u64,
-    ) {
+    fn propose(&mut self, proposal: MapProposal, ended: oneshot::Sender<MapOutcome>, now_ms: u64) {
         // Without a sender the proposer learns that the run was not started.
         if self.run.is_none() {
-            self.start_run(Some(replicas), Some(ended), now_ms);
+            self.start_run(Some(proposal), Some(ended), now_ms);
         }
     }
 
     fn start_run(
         &mut self,
-        proposal: Option<Vec<ExpertReplica>>,
+        proposal: Option<MapProposal>,
         ended: Option<oneshot::Sender<MapOutcome>>,
         now_ms: u64,
     ) {
@@ -275,7 +270,9 @@
             .rank_count(self.heard_ms.len())
             .nonce(nonce)
             .lead_steps(self.lead_steps)
-            .maybe_proposal(proposal)
+            .least_step(proposal.as_ref().map_or(0, |proposal| proposal.least_step))
+            .maybe_map_id(proposal.as_ref().and_then(|proposal| proposal.map_id))
+            .maybe_proposal(proposal.map(|proposal| proposal.replicas))
             .build();
         let sends = coordinator.start(now_ms);
         self.run = Some(CoordinatorRun {
--- a/lib/src/rank_planner.rs
+++ b/lib/src/rank_planner.rs
@@ -35,6 +35,7 @@
 use crate::protos::control::RankLoadRequest;
 use crate::protos::settings::RankGroupSettings;
 use crate::protos::template::RebalanceParameters;
+use crate::rank_command::MapProposal;
 use crate::rank_command::RankCommand;
 use crate::rank_links::RankPeers;
 
@@ -295,8 +296,11 @@
 
     async fn propose(&self, plan: &RebalancePlan) -> Result<MapOutcome, PlanError> {
         let (ended, outcome) = oneshot::channel();
-        let replicas = plan.layout.replicas();
-        let proposal = RankCommand::Propose { replicas, ended };
+        let proposal = MapProposal {
+            replicas: plan.layout.replicas(),
+            ..MapProposal::default()
+        };
+        let proposal = RankCommand::Propose { proposal, ended };
         self.peers
             .duty
             .submit(proposal)
--- a/lib/src/shutdown.rs
+++ b/lib/src/shutdown.rs
@@ -18,7 +18,8 @@
 /// # Panics
 ///
 /// Panics when the operating system takes no signal handler.
-pub(crate) fn listen() -> watch::Receiver<bool> {
+#[must_use]
+pub fn listen() -> watch::Receiver<bool> {
     let (sender, receiver) = watch::channel(false);
     let mut terminate = signal(SignalKind::terminate()).expect("SIGTERM handler is installed");
     let mut interrupt = signal(SignalKind::interrupt()).expect("SIGINT handler is installed");
