--- a/lib/src/direct_engine.rs
+++ b/lib/src/direct_engine.rs
@@ -5,7 +5,7 @@
 use futures::future::BoxFuture;
 
 use crate::EngineOrder;
-use crate::ExpertModel;
+use crate::GroupModel;
 use crate::OrderResult;
 use crate::RankReport;
 
@@ -28,7 +28,7 @@
 /// Gives an order for a formation of the group, with a fencing number.
 pub type GiveOrder = dyn Fn(EngineOrder, u64, u64) -> BoxFuture<'static, OrderResult> + Send + Sync;
 /// Reads the published sizes of the experts; absent for an endpoint without them.
-pub type ReadModel = dyn Fn() -> EngineReply<Option<ExpertModel>> + Send + Sync;
+pub type ReadModel = dyn Fn() -> EngineReply<Option<GroupModel>> + Send + Sync;
 
 /// How an agent of the direct path reaches the engine beside it, as functions of the adapter.
 #[derive(Clone)]
--- a/lib/src/engine_model.rs
+++ b/lib/src/engine_model.rs
@@ -43,6 +43,15 @@
     pub work_share: f64,
 }
 
+/// What a planner of expert maps needs to know of its group.
+#[document]
+pub struct GroupModel {
+    /// The sizes of the group's experts.
+    pub experts: ExpertModel,
+    /// Longest pause between events of a stream that is on time; zero when none is set.
+    pub target_pause_ms: u64,
+}
+
 impl EngineModel {
     /// Returns the time of a pass with `requests` writing on each endpoint and no skew.
     #[must_use]
--- a/lib/src/group_agent.rs
+++ b/lib/src/group_agent.rs
@@ -16,8 +16,8 @@
 use crate::DaemonError;
 use crate::DirectEngine;
 use crate::EngineOrder;
-use crate::ExpertModel;
 use crate::ExpertSlots;
+use crate::GroupModel;
 use crate::GroupPlanner;
 use crate::Incarnation;
 use crate::MapOutcome;
@@ -91,7 +91,7 @@
     choices_before: Vec<u64>,
     highest_map_id: u64,
     planner: Option<GroupPlanner>,
-    model: Option<ExpertModel>,
+    model: Option<GroupModel>,
     heard_planner: Option<HeardPlanner>,
     /// Tasks that end with the run.
     _tasks: JoinSet<()>,
@@ -323,7 +323,7 @@
         };
         match (self.link.engine.experts)().await {
             Ok((read, experts)) => {
-                let slots = slots_of(&experts, model.slots_per_rank as usize);
+                let slots = slots_of(&experts, model.experts.slots_per_rank as usize);
                 self.own_slots = Some((read, slots.clone()));
                 if read == map_id { slots } else { Vec::new() }
             }
@@ -334,7 +334,7 @@
         }
     }
 
-    async fn model(&mut self) -> Option<ExpertModel> {
+    async fn model(&mut self) -> Option<GroupModel> {
         if self.model.is_none() {
             let read = (self.link.engine.model)().await;
             self.model = read
@@ -498,7 +498,7 @@
         let Some(model) = self.model().await else {
             return;
         };
-        let slots_per_rank = model.slots_per_rank as usize;
+        let slots_per_rank = model.experts.slots_per_rank as usize;
         let slots = ExpertSlots::new(self.rank_count as usize, slots_per_rank, copy.slots);
         let Some(slots) = slots else {
             log::warn!("map {:#x} does not fit the group", copy.map_id);
--- a/lib/src/group_planner.rs
+++ b/lib/src/group_planner.rs
@@ -9,6 +9,7 @@
 use crate::ExpertLoad;
 use crate::ExpertModel;
 use crate::ExpertSlots;
+use crate::GroupModel;
 use crate::MapOutcome;
 use crate::SearchBounds;
 use crate::map_ballot::next_ballot;
@@ -30,10 +31,17 @@
 const FAILURE_PAUSE_MS: u64 = 250;
 /// Experts of all sets that one plan may add to a rank.
 const MAX_NEW_PER_RANK: usize = 3;
-/// Skew of a set that one copied expert has to win.
+/// Skew of a set that one copied expert has to win, where passes take the usual time.
 const LEAST_GAIN_PER_COPY: f64 = 0.008;
-/// Skew, as the mean over the sets, that a plan has to win.
+/// Skew, as the mean over the sets, that a plan has to win, where passes take the usual time.
 const LEAST_GAIN_PER_PLAN: f64 = 0.06;
+/// Part of the longest pause that passes usually take. Where they take less, streams are on time
+/// with more skew, and a plan has to win more.
+const USUAL_PASS_SHARE: f64 = 0.5;
+const MIN_NEED: f64 = 0.15;
+const MAX_NEED: f64 = 1.5;
+/// Weight of one rank's last counts in the mean time of a pass.
+const PASS_WEIGHT: f64 = 0.04;
 
 /// What the driver of a [`GroupPlanner`] has to do.
 #[derive(Debug, Clone, PartialEq)]
@@ -61,6 +69,10 @@
     rank_count: usize,
     nonce: u32,
     ranks: BTreeMap<u32, RankView>,
+    /// Longest pause between events of a stream that is on time; zero when none is set.
+    target_pause_ms: f64,
+    /// Mean time of a pass of late.
+    pass_ms: Option<f64>,
     demand: Vec<f64>,
     demand_at_ms: u64,
     /// The layout of the map in use, with its id.
@@ -90,10 +102,14 @@
 impl GroupPlanner {
     /// Makes the planner of a group; `nonce` is a random number that makes its maps' ids unique.
     #[must_use]
-    pub fn new(model: ExpertModel, rank_count: usize, nonce: u32) -> Self {
+    pub fn new(model: GroupModel, rank_count: usize, nonce: u32) -> Self {
+        let target_pause_ms = u32::try_from(model.target_pause_ms).unwrap_or(u32::MAX);
+        let model = model.experts;
         let sets = model.set_count as usize;
         let experts = model.expert_count as usize;
         Self {
+            target_pause_ms: f64::from(target_pause_ms),
+            pass_ms: None,
             demand: vec![0.0; sets * experts],
             model,
             rank_count,
@@ -122,6 +138,7 @@
             }
         }
         let heard_ms = now_ms;
+        self.note_steps(rank, counts.step, now_ms);
         let mut counts = counts;
         if counts.slots.is_empty()
             && let Some(before) = self.ranks.get_mut(&rank)
@@ -259,10 +276,10 @@
         let bounds = SearchBounds::builder()
             .max_new_per_rank_and_set(self.model.max_new_per_rank as usize)
             .max_new_per_rank(MAX_NEW_PER_RANK)
-            .least_gain(LEAST_GAIN_PER_COPY)
+            .least_gain(LEAST_GAIN_PER_COPY / self.need())
             .build();
         let layout = search_map(current, &load, bounds)?;
-        if current.skew(&load) - layout.skew(&load) < LEAST_GAIN_PER_PLAN {
+        if current.skew(&load) - layout.skew(&load) < LEAST_GAIN_PER_PLAN / self.need() {
             return None;
         }
         let highest = self.ranks.values().map(|view| {
@@ -282,6 +299,31 @@
         Some(PlannerAction::Copy { map_id, slots })
     }
 
+    /// Takes note of how many passes a rank has begun since its counts before.
+    fn note_steps(&mut self, rank: u32, step: u64, now_ms: u64) {
+        let Some(before) = self.ranks.get(&rank) else {
+            return;
+        };
+        let elapsed_ms = now_ms.saturating_sub(before.heard_ms);
+        let steps = step.saturating_sub(before.counts.step);
+        if steps == 0 || elapsed_ms > MAX_COUNTS_AGE_MS {
+            return;
+        }
+        let as_f64 = |value: u64| f64::from(u32::try_from(value).unwrap_or(u32::MAX));
+        let sample_ms = as_f64(elapsed_ms) / as_f64(steps);
+        let pass_ms = self.pass_ms.get_or_insert(sample_ms);
+        *pass_ms += PASS_WEIGHT * (sample_ms - *pass_ms);
+    }
+
+    /// Returns how much a lower skew is needed, 1 where passes take the usual time.
+    fn need(&self) -> f64 {
+        let Some(pass_ms) = self.pass_ms.filter(|_| self.target_pause_ms > 0.0) else {
+            return 1.0;
+        };
+        let share = pass_ms / (self.target_pause_ms * USUAL_PASS_SHARE);
+        (share * share).clamp(MIN_NEED, MAX_NEED)
+    }
+
     fn load(&self) -> ExpertLoad {
         let experts = (self.model.expert_count as usize).max(1);
         ExpertLoad::new(self.demand.chunks(experts).map(<[f64]>::to_vec).collect())
--- a/lib/src/http_client.rs
+++ b/lib/src/http_client.rs
@@ -68,29 +68,70 @@
     connect_timeout: Duration,
     request: Request<Full<Bytes>>,
 ) -> Result<Response<Incoming>, HttpError> {
-    let stream = connect(peer, connect_timeout).await?;
-    let written_bytes = Arc::new(AtomicU64::new(0));
-    let counted = CountedStream {
-        inner: stream,
-        written_bytes: Arc::clone(&written_bytes),
-    };
-    let classify = |step: &'static str, error: &hyper::Error| {
-        let reason = error.to_string();
-        let peer = peer.to_owned();
-        if written_bytes.load(Ordering::Acquire) == 0 {
-            HttpError::NotWritten { step, peer, reason }
-        } else {
-            HttpError::Written { step, peer, reason }
-        }
-    };
-    let (mut sender, connection) = http1::handshake(TokioIo::new(counted))
-        .await
-        .map_err(|error| classify("handshake with", &error))?;
-    tokio::spawn(connection);
-    sender
-        .send_request(request)
-        .await
-        .map_err(|error| classify("request to", &error))
+    let mut connection = HttpConnection::open(peer, connect_timeout).await?;
+    connection.send(request).await
+}
+
+/// A connection that may serve several requests, one after another.
+#[derive(Debug)]
+pub(crate) struct HttpConnection {
+    peer: String,
+    sender: http1::SendRequest<Full<Bytes>>,
+    written_bytes: Arc<AtomicU64>,
+}
+
+impl HttpConnection {
+    /// Connects to `peer`.
+    pub(crate) async fn open(peer: &str, connect_timeout: Duration) -> Result<Self, HttpError> {
+        let stream = connect(peer, connect_timeout).await?;
+        let written_bytes = Arc::new(AtomicU64::new(0));
+        let counted = CountedStream {
+            inner: stream,
+            written_bytes: Arc::clone(&written_bytes),
+        };
+        let (sender, connection) =
+            http1::handshake(TokioIo::new(counted))
+                .await
+                .map_err(|error| HttpError::NotWritten {
+                    step: "handshake with",
+                    peer: peer.to_owned(),
+                    reason: error.to_string(),
+                })?;
+        tokio::spawn(connection);
+        Ok(Self {
+            peer: peer.to_owned(),
+            sender,
+            written_bytes,
+        })
+    }
+
+    /// Returns whether the connection takes another request now.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Sends a request; the connection is free again once the response's body was read.
+    ///
+    /// # Errors
+    ///
+    /// Tells whether any byte of the request was written.
+    pub(crate) async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, HttpError> {
+        let before_bytes = self.written_bytes.load(Ordering::Acquire);
+        let sent = self.sender.send_request(request).await;
+        sent.map_err(|error| {
+            let step = "request to";
+            let peer = self.peer.clone();
+            let reason = error.to_string();
+            if self.written_bytes.load(Ordering::Acquire) == before_bytes {
+                HttpError::NotWritten { step, peer, reason }
+            } else {
+                HttpError::Written { step, peer, reason }
+            }
+        })
+    }
 }
 
 /// Reads the body of a response, up to `max_bytes`.
--- a/lib/src/json_client.rs
+++ b/lib/src/json_client.rs
@@ -1,17 +1,23 @@
 //! Asks one address for JSON documents over HTTP.
 
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::Method;
 use http::Request;
+use http::Response;
 use http::header::CONTENT_TYPE;
 use http::header::HOST;
 use http_body_util::Full;
+use hyper::body::Incoming;
 use serde::de::DeserializeOwned;
 use snafu::Snafu;
 
 use crate::http_client;
+use crate::http_client::HttpConnection;
 use crate::http_client::HttpError;
 
 /// Why a peer gave no usable document.
@@ -70,12 +76,18 @@
     }
 }
 
-/// Asks one address for JSON documents, each over a connection of its own.
+/// Connections that a client keeps while they are idle, at most.
+const MAX_IDLE_CONNECTIONS: usize = 4;
+
+/// Asks one address for JSON documents, each over a connection of its own unless connections are
+/// kept.
 #[derive(Debug, Clone)]
 pub struct JsonClient {
     address: String,
     connect_timeout: Duration,
     max_answer_bytes: usize,
+    /// Connections that wait for a request; absent when none are kept.
+    idle: Option<Arc<Mutex<Vec<HttpConnection>>>>,
 }
 
 impl JsonClient {
@@ -86,9 +98,17 @@
             address: address.to_owned(),
             connect_timeout,
             max_answer_bytes,
+            idle: None,
         }
     }
 
+    /// Keeps connections for later requests; for a peer that is asked many times a second.
+    #[must_use]
+    pub fn keeping_connections(mut self) -> Self {
+        self.idle = Some(Arc::default());
+        self
+    }
+
     /// Reads the document at `path`.
     ///
     /// # Errors
@@ -160,8 +180,8 @@
                 return Err(JsonError::Body { step, peer, reason });
             }
         };
-        let response = match http_client::send(&peer, self.connect_timeout, request).await {
-            Ok(response) => response,
+        let (connection, response) = match self.request(request).await {
+            Ok(answered) => answered,
             Err(source) => return Err(JsonError::Exchange { step, peer, source }),
         };
         let status = response.status();
@@ -170,10 +190,47 @@
             return Err(JsonError::Status { step, peer, status });
         }
         let body = http_client::read_body(response, self.max_answer_bytes).await;
-        body.map_err(|error| {
+        let body = body.map_err(|error| {
             let reason = error.to_string();
             JsonError::Body { step, peer, reason }
-        })
+        })?;
+        self.keep(connection);
+        Ok(body)
+    }
+
+    /// Sends a request over an idle connection, or over a new one when there is none that works.
+    async fn request(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(HttpConnection, Response<Incoming>), HttpError> {
+        while let Some(mut connection) = self.take_idle() {
+            if !connection.is_ready() {
+                continue;
+            }
+            match connection.send(request.clone()).await {
+                Ok(response) => return Ok((connection, response)),
+                Err(HttpError::NotWritten { .. }) => {}
+                Err(error) => return Err(error),
+            }
+        }
+        let mut connection = HttpConnection::open(&self.address, self.connect_timeout).await?;
+        let response = connection.send(request).await?;
+        Ok((connection, response))
+    }
+
+    fn take_idle(&self) -> Option<HttpConnection> {
+        let idle = self.idle.as_ref()?.lock();
+        idle.unwrap_or_else(PoisonError::into_inner).pop()
+    }
+
+    fn keep(&self, connection: HttpConnection) {
+        let Some(idle) = &self.idle else {
+            return;
+        };
+        let mut idle = idle.lock().unwrap_or_else(PoisonError::into_inner);
+        if idle.len() < MAX_IDLE_CONNECTIONS {
+            idle.push(connection);
+        }
     }
 
     /// Parses the body of an answer.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -282,6 +282,7 @@
 pub use endpoint_subset::EndpointSubset;
 pub use engine_model::EngineModel;
 pub use engine_model::ExpertModel;
+pub use engine_model::GroupModel;
 pub use engine_order::EngineOrder;
 pub use engine_order::OrderResult;
 pub use engine_sequencer::EngineSequencer;
--- a/lib/src/rank_duty.rs
+++ b/lib/src/rank_duty.rs
@@ -30,7 +30,7 @@
 use crate::rank_command::RankSend;
 
 const RING_CAPACITY: usize = 1024;
-const TICK: Duration = Duration::from_millis(10);
+const TICK: Duration = Duration::from_millis(20);
 /// Time between two reads of the engine's state while no map is staged.
 const IDLE_POLL_INTERVAL_MS: u64 = 100;
 /// Time between two reads while a map is staged.
