planner: forget old choices when demand jumps, and search only where a plan can win enough

Cause: after a shift the estimate mixed old and new choices (planned skew 1.42, 1.79, 2.18 while the ranks saw 3.05 at once), plans against noise of the streams stood in the way of the one that mattered, and a search at each tick took the planner's share of the processor, so that counts came late. The time of a pass is a ratio of sums, since its mean of ratios read 150 ms at 45 ms.

Ruled out: more smoothing (noise of single rounds is 1.2 to 1.5 whatever the map).

A plan dropped for a jump had lent its id to the next one; each plan now has its own, with a test that failed first.

--- a/lib/src/group_agent.rs
+++ b/lib/src/group_agent.rs
@@ -518,16 +518,24 @@
         let Some(planner) = &mut self.planner else {
             return;
         };
-        let before = planner.skew();
         match planner.advance(now_ms) {
             None => {}
-            Some(PlannerAction::Copy { map_id, slots }) => {
-                event!(
-                    MapPlanned,
-                    "group={} map={map_id:#x} skew_before={:.3}",
-                    self.group,
-                    before.unwrap_or(0.0)
-                );
+            Some(PlannerAction::Copy {
+                map_id,
+                slots,
+                reckoning,
+            }) => {
+                if let Some(reckoning) = reckoning {
+                    event!(
+                        MapPlanned,
+                        "group={} map={map_id:#x} skew_before={:.3} skew_after={:.3} copies={} pass_ms={:.1}",
+                        self.group,
+                        reckoning.skew_before,
+                        reckoning.skew_after,
+                        reckoning.copies,
+                        reckoning.pass_ms
+                    );
+                }
                 let copy = MapCopy {
                     map_id,
                     slots: slots.as_message().to_vec(),
--- a/lib/src/group_planner.rs
+++ b/lib/src/group_planner.rs
@@ -20,6 +20,12 @@
 const HALF_LIFE_MS: f64 = 350.0;
 /// Age of a rank's counts up to which the group is planned for.
 const MAX_COUNTS_AGE_MS: u64 = 600;
+/// Share of the choices that lies on other experts when demand has jumped, not drifted.
+const JUMP_SHARE: f64 = 0.25;
+/// Part of the choices reckoned with that a look for a jump needs.
+const JUMP_SAMPLE: f64 = 0.06;
+/// Time between two looks for a jump of the demand.
+const JUMP_INTERVAL_MS: u64 = 60;
 /// Choices that a plan needs as its ground.
 const MIN_CHOICES: f64 = 2_000.0;
 /// Time after which the copying for a plan is given up.
@@ -32,16 +38,22 @@
 /// Experts of all sets that one plan may add to a rank.
 const MAX_NEW_PER_RANK: usize = 3;
 /// Skew of a set that one copied expert has to win, where passes take the usual time.
-const LEAST_GAIN_PER_COPY: f64 = 0.008;
+const LEAST_GAIN_PER_COPY: f64 = 0.015;
 /// Skew, as the mean over the sets, that a plan has to win, where passes take the usual time.
-const LEAST_GAIN_PER_PLAN: f64 = 0.06;
+const LEAST_GAIN_PER_PLAN: f64 = 0.15;
+/// Skew below which few copies hardly ever bring a set.
+const REACHABLE_SKEW: f64 = 1.08;
+/// Time between two searches that come to nothing.
+const SEARCH_INTERVAL_MS: u64 = 100;
 /// Part of the longest pause that passes usually take. Where they take less, streams are on time
 /// with more skew, and a plan has to win more.
 const USUAL_PASS_SHARE: f64 = 0.5;
 const MIN_NEED: f64 = 0.15;
 const MAX_NEED: f64 = 1.5;
-/// Weight of one rank's last counts in the mean time of a pass.
-const PASS_WEIGHT: f64 = 0.04;
+/// Part of the time and passes so far that is kept with the next counts of a rank.
+const PASS_KEPT: f64 = 0.98;
+/// Passes that the mean time of a pass needs as its ground.
+const MIN_RECENT_STEPS: f64 = 4.0;
 
 /// What the driver of a [`GroupPlanner`] has to do.
 #[derive(Debug, Clone, PartialEq)]
@@ -52,6 +64,8 @@
         map_id: u64,
         /// The experts of every rank.
         slots: ExpertSlots,
+        /// The reckoning behind a new plan; absent when the ranks are told again.
+        reckoning: Option<PlanReckoning>,
     },
     /// Propose the map that every rank has copied.
     Propose {
@@ -62,6 +76,19 @@
     },
 }
 
+/// The reckoning behind a plan.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PlanReckoning {
+    /// Mean skew over the sets of the map in use, under the recent demand.
+    pub skew_before: f64,
+    /// Mean skew over the sets of the planned map, under the same demand.
+    pub skew_after: f64,
+    /// Experts that have to be copied.
+    pub copies: usize,
+    /// Mean time of a pass of late, in milliseconds; zero when not known.
+    pub pass_ms: f64,
+}
+
 /// Decides when a rank group changes its expert map, and to which.
 #[derive(Debug)]
 pub struct GroupPlanner {
@@ -71,16 +98,22 @@
     ranks: BTreeMap<u32, RankView>,
     /// Longest pause between events of a stream that is on time; zero when none is set.
     target_pause_ms: f64,
-    /// Mean time of a pass of late.
-    pass_ms: Option<f64>,
+    /// Time and passes of late, summed over the ranks.
+    recent_ms: f64,
+    recent_steps: f64,
     demand: Vec<f64>,
     demand_at_ms: u64,
+    /// Choices since the last look for a jump, and when that was.
+    fresh: Vec<f64>,
+    fresh_since_ms: u64,
     /// The layout of the map in use, with its id.
     known: Option<(u64, ExpertLayout)>,
     plan: Option<Plan>,
     /// A committed map that not all ranks use yet, and until when they are waited for.
     switching: Option<(u64, u64)>,
     not_before_ms: u64,
+    /// The last id that was given to a plan; each plan has another, also one that was dropped.
+    last_map_id: u64,
 }
 
 #[derive(Debug)]
@@ -109,8 +142,11 @@
         let experts = model.expert_count as usize;
         Self {
             target_pause_ms: f64::from(target_pause_ms),
-            pass_ms: None,
+            recent_ms: 0.0,
+            recent_steps: 0.0,
             demand: vec![0.0; sets * experts],
+            fresh: vec![0.0; sets * experts],
+            fresh_since_ms: 0,
             model,
             rank_count,
             nonce,
@@ -120,6 +156,7 @@
             plan: None,
             switching: None,
             not_before_ms: 0,
+            last_map_id: 0,
         }
     }
 
@@ -133,10 +170,13 @@
     pub fn on_counts(&mut self, rank: u32, counts: RankCounts, now_ms: u64) {
         self.forget(now_ms);
         if counts.choices.len() == self.demand.len() {
-            for (demand, chosen) in self.demand.iter_mut().zip(&counts.choices) {
+            let values = self.demand.iter_mut().zip(&mut self.fresh);
+            for ((demand, fresh), chosen) in values.zip(&counts.choices) {
                 *demand += f64::from(*chosen);
+                *fresh += f64::from(*chosen);
             }
         }
+        self.look_for_jump(now_ms);
         let heard_ms = now_ms;
         self.note_steps(rank, counts.step, now_ms);
         let mut counts = counts;
@@ -185,13 +225,6 @@
         self.make_plan(now_ms)
     }
 
-    /// Returns the skew of the map in use under the recent demand, as the mean over the sets.
-    #[must_use]
-    pub fn skew(&self) -> Option<f64> {
-        let (_, layout) = self.known.as_ref()?;
-        Some(layout.skew(&self.load()))
-    }
-
     fn advance_plan(&mut self, now_ms: u64) -> Option<PlannerAction> {
         const TELL_AGAIN_MS: u64 = 150;
         let ranks = &self.ranks;
@@ -223,6 +256,7 @@
         Some(PlannerAction::Copy {
             map_id: plan.map_id,
             slots: plan.slots.clone(),
+            reckoning: None,
         })
     }
 
@@ -273,20 +307,33 @@
         }
         let (_, current) = self.known.as_ref()?;
         let load = self.load();
+        let least_gain = LEAST_GAIN_PER_PLAN / self.need();
+        if current.skew(&load) - REACHABLE_SKEW < least_gain {
+            return None;
+        }
+        self.not_before_ms = now_ms + SEARCH_INTERVAL_MS;
         let bounds = SearchBounds::builder()
             .max_new_per_rank_and_set(self.model.max_new_per_rank as usize)
             .max_new_per_rank(MAX_NEW_PER_RANK)
             .least_gain(LEAST_GAIN_PER_COPY / self.need())
             .build();
         let layout = search_map(current, &load, bounds)?;
-        if current.skew(&load) - layout.skew(&load) < LEAST_GAIN_PER_PLAN / self.need() {
+        let reckoning = PlanReckoning {
+            skew_before: current.skew(&load),
+            skew_after: layout.skew(&load),
+            copies: layout.moves_from(current),
+            pass_ms: self.pass_ms().unwrap_or(0.0),
+        };
+        if reckoning.skew_before - reckoning.skew_after < least_gain {
             return None;
         }
         let highest = self.ranks.values().map(|view| {
             let counts = &view.counts;
             counts.highest_map_id.max(counts.active_map_id)
         });
-        let map_id = next_ballot(highest.max().unwrap_or(0), self.nonce);
+        let highest = highest.max().unwrap_or(0).max(self.last_map_id);
+        let map_id = next_ballot(highest, self.nonce);
+        self.last_map_id = map_id;
         let slots = ExpertSlots::of_layout(&layout)?;
         self.plan = Some(Plan {
             map_id,
@@ -296,7 +343,29 @@
             told_at_ms: now_ms,
             proposed_at_ms: None,
         });
-        Some(PlannerAction::Copy { map_id, slots })
+        Some(PlannerAction::Copy {
+            map_id,
+            slots,
+            reckoning: Some(reckoning),
+        })
+    }
+
+    /// Forgets what was chosen before the demand jumped, and a plan that was made for it.
+    fn look_for_jump(&mut self, now_ms: u64) {
+        let is_due = now_ms.saturating_sub(self.fresh_since_ms) >= JUMP_INTERVAL_MS;
+        let fresh_total: f64 = self.fresh.iter().sum();
+        let total: f64 = self.demand.iter().sum();
+        if !is_due || fresh_total < total * JUMP_SAMPLE || fresh_total < MIN_CHOICES {
+            return;
+        }
+        let fresh = self.as_load(&self.fresh);
+        if fresh.moved_share(&self.load()) > JUMP_SHARE {
+            self.demand.copy_from_slice(&self.fresh);
+            self.plan.take_if(|plan| plan.proposed_at_ms.is_none());
+            self.not_before_ms = now_ms;
+        }
+        self.fresh.fill(0.0);
+        self.fresh_since_ms = now_ms;
     }
 
     /// Takes note of how many passes a rank has begun since its counts before.
@@ -306,18 +375,19 @@
         };
         let elapsed_ms = now_ms.saturating_sub(before.heard_ms);
         let steps = step.saturating_sub(before.counts.step);
-        if steps == 0 || elapsed_ms > MAX_COUNTS_AGE_MS {
-            return;
-        }
         let as_f64 = |value: u64| f64::from(u32::try_from(value).unwrap_or(u32::MAX));
-        let sample_ms = as_f64(elapsed_ms) / as_f64(steps);
-        let pass_ms = self.pass_ms.get_or_insert(sample_ms);
-        *pass_ms += PASS_WEIGHT * (sample_ms - *pass_ms);
+        self.recent_ms = self.recent_ms * PASS_KEPT + as_f64(elapsed_ms);
+        self.recent_steps = self.recent_steps * PASS_KEPT + as_f64(steps);
+    }
+
+    /// Returns the mean time of a pass of late.
+    fn pass_ms(&self) -> Option<f64> {
+        (self.recent_steps >= MIN_RECENT_STEPS).then_some(self.recent_ms / self.recent_steps)
     }
 
     /// Returns how much a lower skew is needed, 1 where passes take the usual time.
     fn need(&self) -> f64 {
-        let Some(pass_ms) = self.pass_ms.filter(|_| self.target_pause_ms > 0.0) else {
+        let Some(pass_ms) = self.pass_ms().filter(|_| self.target_pause_ms > 0.0) else {
             return 1.0;
         };
         let share = pass_ms / (self.target_pause_ms * USUAL_PASS_SHARE);
@@ -325,8 +395,12 @@
     }
 
     fn load(&self) -> ExpertLoad {
+        self.as_load(&self.demand)
+    }
+
+    fn as_load(&self, choices: &[f64]) -> ExpertLoad {
         let experts = (self.model.expert_count as usize).max(1);
-        ExpertLoad::new(self.demand.chunks(experts).map(<[f64]>::to_vec).collect())
+        ExpertLoad::new(choices.chunks(experts).map(<[f64]>::to_vec).collect())
     }
 
     /// Lets older choices count less.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -309,6 +309,7 @@
 pub use frame_writer::FrameWriter;
 pub use group_agent::GroupAgent;
 pub use group_planner::GroupPlanner;
+pub use group_planner::PlanReckoning;
 pub use group_planner::PlannerAction;
 pub use heartbeat_pace::HeartbeatPace;
 pub use idle_account::IdleAccount;
--- /dev/null
+++ b/lib/tests/test_group_planner.rs
@@ -0,0 +1,153 @@
+//! Tests of the plans for expert maps on the direct path, without a group.
+
+use googletest::prelude::*;
+use pomeloramp_lib::ExpertLayout;
+use pomeloramp_lib::ExpertLoad;
+use pomeloramp_lib::ExpertModel;
+use pomeloramp_lib::ExpertSlots;
+use pomeloramp_lib::GroupModel;
+use pomeloramp_lib::GroupPlanner;
+use pomeloramp_lib::MapOutcome;
+use pomeloramp_lib::PlannerAction;
+use pomeloramp_lib::SearchBounds;
+use pomeloramp_lib::protos::control::RankCounts;
+use pomeloramp_lib::search_map;
+
+const RANKS: usize = 4;
+const EXPERTS: usize = 8;
+const SLOTS_PER_RANK: usize = 3;
+const NONCE: u32 = 7;
+const ROUND_MS: u64 = 100;
+
+fn model() -> GroupModel {
+    GroupModel {
+        experts: ExpertModel {
+            set_count: 1,
+            expert_count: 8,
+            slots_per_rank: 3,
+            max_new_per_rank: 2,
+            expert_mb: 1.0,
+            link_mbit_per_s: 1_000.0,
+            work_share: 0.85,
+        },
+        target_pause_ms: 120,
+    }
+}
+
+/// The slots of a rank in the map of the start, which assigns experts in turn.
+fn first_slots(rank: usize) -> Vec<u32> {
+    let experts = (rank..EXPERTS).step_by(RANKS);
+    let mut slots: Vec<u32> = experts.map(|e| u32::try_from(e + 1).unwrap()).collect();
+    slots.resize(SLOTS_PER_RANK, 0);
+    slots
+}
+
+fn counts(
+    rank: usize,
+    hot: usize,
+    step: u64,
+    active_map_id: u64,
+    copied_map_id: u64,
+) -> RankCounts {
+    let mut choices = vec![1_000; EXPERTS];
+    choices[hot] = 20_000;
+    RankCounts {
+        step,
+        active_map_id,
+        copied_map_id,
+        highest_map_id: copied_map_id,
+        choices,
+        slots: first_slots(rank),
+    }
+}
+
+/// Tells the planner of one round in which every rank chose `hot` most.
+fn round(planner: &mut GroupPlanner, hot: usize, step: u64, maps: (u64, u64), now_ms: u64) {
+    for rank in 0..RANKS {
+        let told = counts(rank, hot, step, maps.0, maps.1);
+        planner.on_counts(u32::try_from(rank).unwrap(), told, now_ms);
+    }
+}
+
+fn copied_map(action: Option<PlannerAction>) -> Option<(u64, ExpertSlots)> {
+    match action {
+        Some(PlannerAction::Copy { map_id, slots, .. }) => Some((map_id, slots)),
+        Some(PlannerAction::Propose { .. }) | None => None,
+    }
+}
+
+#[googletest::test]
+fn a_hot_expert_is_replicated_and_proposed_once_copied() {
+    let mut planner = GroupPlanner::new(model(), RANKS, NONCE);
+    round(&mut planner, 0, 1, (0, 0), ROUND_MS);
+    let (map_id, slots) = copied_map(planner.advance(ROUND_MS)).unwrap();
+    let layout = slots.layout().unwrap();
+    let holders = (0..RANKS).filter(|rank| layout.layers()[0].holds(*rank, 0));
+    expect_that!(holders.count(), ge(2));
+    expect_that!(planner.advance(ROUND_MS + 1), none());
+
+    round(&mut planner, 0, 4, (0, map_id), 2 * ROUND_MS);
+    let proposed = planner.advance(2 * ROUND_MS);
+    let least_step = 4;
+    expect_that!(
+        proposed,
+        some(eq(&PlannerAction::Propose { map_id, least_step }))
+    );
+}
+
+#[googletest::test]
+fn a_map_id_is_not_used_again_when_a_jump_of_demand_drops_its_plan() {
+    let mut planner = GroupPlanner::new(model(), RANKS, NONCE);
+    round(&mut planner, 0, 1, (0, 0), ROUND_MS);
+    let (first_id, first) = copied_map(planner.advance(ROUND_MS)).unwrap();
+    round(&mut planner, 5, 3, (0, 0), 2 * ROUND_MS);
+    round(&mut planner, 5, 5, (0, 0), 3 * ROUND_MS);
+    let (second_id, second) = copied_map(planner.advance(3 * ROUND_MS)).unwrap();
+    expect_that!(second, not(eq(&first)));
+    expect_that!(second_id, gt(first_id));
+}
+
+#[googletest::test]
+fn nothing_is_planned_before_all_ranks_use_the_committed_map() {
+    let mut planner = GroupPlanner::new(model(), RANKS, NONCE);
+    round(&mut planner, 0, 1, (0, 0), ROUND_MS);
+    let (map_id, _) = copied_map(planner.advance(ROUND_MS)).unwrap();
+    round(&mut planner, 0, 4, (0, map_id), 2 * ROUND_MS);
+    assert_that!(planner.advance(2 * ROUND_MS), some(anything()));
+    planner.on_outcome(Some(MapOutcome::Committed { map_id }), 2 * ROUND_MS + 10);
+
+    // The demand has jumped, but the ranks still use the map before.
+    round(&mut planner, 5, 6, (0, map_id), 4 * ROUND_MS);
+    expect_that!(planner.advance(4 * ROUND_MS), none());
+    round(&mut planner, 5, 8, (map_id, map_id), 5 * ROUND_MS);
+    expect_that!(copied_map(planner.advance(5 * ROUND_MS)), some(anything()));
+}
+
+#[googletest::test]
+fn a_search_keeps_to_its_bounds() {
+    let loads: Vec<f64> = (0..EXPERTS)
+        .map(|e| if e == 1 { 50.0 } else { 5.0 })
+        .collect();
+    let load = ExpertLoad::new(vec![loads]);
+    let slots = (0..RANKS).flat_map(first_slots).collect();
+    let current: ExpertLayout = ExpertSlots::new(RANKS, SLOTS_PER_RANK, slots)
+        .unwrap()
+        .layout()
+        .unwrap();
+    let bounds = SearchBounds::builder()
+        .max_new_per_rank_and_set(1)
+        .max_new_per_rank(1)
+        .least_gain(0.01)
+        .build();
+    let found = search_map(&current, &load, bounds).unwrap();
+    expect_that!(found.skew(&load), lt(current.skew(&load)));
+    for rank in 0..RANKS {
+        let held = (0..EXPERTS).filter(|expert| found.layers()[0].holds(rank, *expert));
+        let new = held.filter(|expert| !current.layers()[0].holds(rank, *expert));
+        expect_that!(new.count(), le(1));
+    }
+    for expert in 0..EXPERTS {
+        let holders = (0..RANKS).filter(|rank| found.layers()[0].holds(*rank, expert));
+        expect_that!(holders.count(), ge(1));
+    }
+}
