direct path: recover from a power loss

Ranks tell the planner the highest ballot they have seen; of several records with one address the last published counts; while a group is down one call at a time is sent to see and the others wait.

--- a/lib/src/direct_dispatch.rs
+++ b/lib/src/direct_dispatch.rs
@@ -143,6 +143,19 @@
         answers
     }
 
+    /// Notes that an endpoint has begun to answer a call; returns the calls that have an answer
+    /// now.
+    pub fn answering(&mut self, call: u64, now_ms: u64) -> Vec<(u64, DispatchAnswer)> {
+        let Some(name) = self.service_of.get(&call).cloned() else {
+            return Vec::new();
+        };
+        let service = self.service(&name);
+        service.answering(call);
+        let answers = service.advance(now_ms);
+        self.forget_refused(&answers);
+        answers
+    }
+
     /// Lets time pass; returns the calls that have an answer now.
     pub fn advance(&mut self, now_ms: u64) -> Vec<(u64, DispatchAnswer)> {
         let services = self.services.values_mut();
--- a/lib/src/direct_duty.rs
+++ b/lib/src/direct_duty.rs
@@ -46,6 +46,8 @@
         service: String,
         reply: oneshot::Sender<bool>,
     },
+    /// An endpoint has begun to answer a call.
+    Answering { call: u64 },
     /// A call that ran or waited has ended.
     End { call: u64, result: SendResult },
     /// The word to other entries asks what this one has in hand.
@@ -149,6 +151,10 @@
             DirectCommand::Retry { service, reply } => {
                 let _ = reply.send(self.dispatch.try_retry(&service, now_ms));
             }
+            DirectCommand::Answering { call } => {
+                let answers = self.dispatch.answering(call, now_ms);
+                self.answer(answers);
+            }
             DirectCommand::End { call, result } => {
                 self.replies.remove(&call);
                 let answers = self.dispatch.end(call, result, now_ms);
--- a/lib/src/direct_endpoint.rs
+++ b/lib/src/direct_endpoint.rs
@@ -70,7 +70,7 @@
     /// Takes note of how a send ended that took `elapsed_ms`.
     pub(crate) fn note(&mut self, result: SendResult, elapsed_ms: u64, now_ms: u64) {
         let is_failure = match result {
-            SendResult::Abandoned => return,
+            SendResult::Abandoned | SendResult::GroupDown => return,
             SendResult::Answered => false,
             SendResult::Full => {
                 self.avoid_for(FULL_PAUSE_MS, now_ms);
--- a/lib/src/direct_exchange.rs
+++ b/lib/src/direct_exchange.rs
@@ -73,11 +73,12 @@
         let answer = (self.wire.read_answer)(&head);
         let status = head.status;
         if answer.is_not_run || status == StatusCode::MISDIRECTED_REQUEST {
+            let is_misdirected = status == StatusCode::MISDIRECTED_REQUEST;
             return Sent::NotRun {
-                result: if status == StatusCode::MISDIRECTED_REQUEST {
-                    SendResult::Misdirected
-                } else {
-                    SendResult::Full
+                result: match (is_misdirected, answer.is_fault_elsewhere) {
+                    (true, _) => SendResult::Misdirected,
+                    (false, true) => SendResult::GroupDown,
+                    (false, false) => SendResult::Full,
                 },
                 reason: format!("endpoint did not run the call: status {status}"),
             };
--- a/lib/src/direct_place.rs
+++ b/lib/src/direct_place.rs
@@ -37,6 +37,17 @@
         self.endpoint.as_deref()
     }
 
+    /// Notes that the endpoint has begun to answer.
+    pub(crate) fn answering(&self) {
+        self.submit(DirectCommand::Answering { call: self.call });
+    }
+
+    fn submit(&self, command: DirectCommand) {
+        if let Err(error) = self.dispatch.submit(command) {
+            log::warn!("place of call {}: {error}", self.call);
+        }
+    }
+
     /// Gives the place back with what was learnt of the endpoint.
     pub(crate) fn end(mut self, result: SendResult) {
         self.result = result;
@@ -49,8 +60,6 @@
             call: self.call,
             result: self.result,
         };
-        if let Err(error) = self.dispatch.submit(command) {
-            log::warn!("place of call {}: {error}", self.call);
-        }
+        self.submit(command);
     }
 }
--- a/lib/src/direct_service.rs
+++ b/lib/src/direct_service.rs
@@ -27,6 +27,8 @@
 const HOLD_WEIGHT: f64 = 0.05;
 /// Longest time that a call is let wait for a place.
 const MAX_WAIT_MS: u64 = 1_500;
+/// Time between two calls that are sent to see whether a rank group is up again.
+const GROUP_DOWN_PAUSE_MS: u64 = 150;
 const MIN_RETRY_AFTER_MS: u64 = 150;
 const MAX_RETRY_AFTER_MS: u64 = 2_500;
 /// Slots of an endpoint that publishes none.
@@ -54,6 +56,10 @@
     /// Other entries that take new work.
     other_entries: u32,
     mean_hold_ms: f64,
+    /// Until when no call is sent, since a rank group of the service is down.
+    closed_until_ms: u64,
+    /// The group was down when last heard of: one call at a time is sent to see.
+    is_down: bool,
 }
 
 #[derive(Debug)]
@@ -81,6 +87,8 @@
             others: OthersDemand::default(),
             other_entries: 0,
             mean_hold_ms: FIRST_HOLD_MS,
+            closed_until_ms: 0,
+            is_down: false,
         }
     }
 
@@ -159,6 +167,14 @@
             return;
         };
         let elapsed_ms = now_ms.saturating_sub(running.since_ms);
+        match result {
+            SendResult::GroupDown => {
+                self.is_down = true;
+                self.closed_until_ms = now_ms + GROUP_DOWN_PAUSE_MS;
+            }
+            SendResult::Answered => self.is_down = false,
+            _ => {}
+        }
         if result == SendResult::Answered {
             let sample_ms = f64::from(u32::try_from(elapsed_ms).unwrap_or(u32::MAX));
             self.mean_hold_ms += HOLD_WEIGHT * (sample_ms - self.mean_hold_ms);
@@ -205,7 +221,7 @@
     }
 
     fn place(&mut self, query: &DispatchQuery, now_ms: u64) -> Option<DispatchAnswer> {
-        if as_f64(self.running.len()) >= self.own_places() {
+        if as_f64(self.running.len()) >= self.own_places() || self.is_closed(now_ms) {
             return None;
         }
         let id = self.choose(query, now_ms)?;
@@ -222,6 +238,23 @@
         Some(DispatchAnswer::Send(record))
     }
 
+    /// Returns whether no call is sent now: while a rank group is down, one is sent from time to
+    /// time, and the others wait for what becomes of it.
+    fn is_closed(&self, now_ms: u64) -> bool {
+        if now_ms < self.closed_until_ms {
+            return true;
+        }
+        let is_probing = |running: &Running| running.since_ms >= self.closed_until_ms;
+        self.is_down && self.running.values().any(is_probing)
+    }
+
+    /// Notes that an endpoint has begun to answer.
+    pub(crate) fn answering(&mut self, call: u64) {
+        if self.running.contains_key(&call) {
+            self.is_down = false;
+        }
+    }
+
     /// Chooses the endpoint with the least burden; the local availability zone goes first among
     /// equals, and one that is to be avoided is taken when all are.
     fn choose(&mut self, query: &DispatchQuery, now_ms: u64) -> Option<String> {
--- a/lib/src/direct_stream.rs
+++ b/lib/src/direct_stream.rs
@@ -71,6 +71,7 @@
             last_event: None,
         };
         let status = head.status;
+        open.place.answering();
         let first = match open.next(&relay).await {
             Ok(first) => first,
             Err(failure) => {
--- a/lib/src/endpoint_directory.rs
+++ b/lib/src/endpoint_directory.rs
@@ -89,11 +89,19 @@
         self.entries.len() != count
     }
 
-    /// Returns all records.
+    /// Returns all records; of those with one address only the last published one, since a
+    /// process that took over an address answers for no other.
     #[must_use]
     pub fn list(&self) -> Vec<Arc<EndpointRecord>> {
-        let entries = self.entries.values();
-        entries.map(|entry| Arc::clone(&entry.record)).collect()
+        let mut newest: BTreeMap<&str, &Entry> = BTreeMap::new();
+        for entry in self.entries.values() {
+            let known = newest.entry(&entry.record.address).or_insert(entry);
+            if (entry.record.born_ms, entry.revision) > (known.record.born_ms, known.revision) {
+                *known = entry;
+            }
+        }
+        let records = newest.into_values();
+        records.map(|entry| Arc::clone(&entry.record)).collect()
     }
 
     fn insert(&mut self, record: EndpointRecord, revision: u64) {
--- a/lib/src/group_agent.rs
+++ b/lib/src/group_agent.rs
@@ -90,6 +90,7 @@
     peers: Vec<SocketAddr>,
     choices_before: Vec<u64>,
     highest_map_id: u64,
+    ballot: watch::Sender<u64>,
     planner: Option<GroupPlanner>,
     model: Option<GroupModel>,
     heard_planner: Option<HeardPlanner>,
@@ -167,7 +168,12 @@
         };
         let (orders, order_queue) = mpsc::channel(ORDER_QUEUE_LENGTH);
         let (sends, send_queue) = mpsc::channel(MESSAGE_QUEUE_LENGTH);
-        let outlets = RankOutlets { orders, sends };
+        let ballot = watch::channel(0).0;
+        let outlets = RankOutlets {
+            orders,
+            sends,
+            ballot: ballot.clone(),
+        };
         let duty = RankDuty::new(clock, Incarnation::random(), &settings, outlets).spawn();
         let mut tasks = JoinSet::new();
         tasks.spawn(direct_orders::run_orders(
@@ -198,6 +204,7 @@
             peers: Vec::new(),
             choices_before: Vec::new(),
             highest_map_id: 0,
+            ballot,
             planner: None,
             model: None,
             heard_planner: None,
@@ -271,7 +278,7 @@
             step: report.step,
             active_map_id: report.active_map_id,
             copied_map_id: report.copied_map_id.unwrap_or(0),
-            highest_map_id: self.highest_map_id,
+            highest_map_id: self.highest_map_id.max(*self.ballot.borrow()),
             choices,
             slots,
         };
--- a/lib/src/map_participant.rs
+++ b/lib/src/map_participant.rs
@@ -170,6 +170,12 @@
         self.memory.engine
     }
 
+    /// Returns the highest ballot that the rank has seen; it outlives formations of the group.
+    #[must_use]
+    pub fn highest_ballot(&self) -> u64 {
+        self.memory.highest_ballot
+    }
+
     /// Returns what the rank answers to a question without a ballot.
     #[must_use]
     pub fn state(&self) -> MapStateReply {
--- a/lib/src/rank_agent.rs
+++ b/lib/src/rank_agent.rs
@@ -52,7 +52,11 @@
         }
         let (orders, order_queue) = mpsc::channel(ORDER_QUEUE_LENGTH);
         let (sends, send_queue) = mpsc::channel(MESSAGE_QUEUE_LENGTH);
-        let outlets = RankOutlets { orders, sends };
+        let outlets = RankOutlets {
+            orders,
+            sends,
+            ballot: watch::channel(0).0,
+        };
         let duty = RankDuty::new(self.clock, self.incarnation, &settings, outlets).spawn();
         let engine = RankEngineClient::new(&settings, self.connect_timeout);
         let peers = RankPeers {
--- a/lib/src/rank_duty.rs
+++ b/lib/src/rank_duty.rs
@@ -6,6 +6,7 @@
 
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio::sync::watch;
 
 use crate::Clock;
 use crate::Incarnation;
@@ -47,6 +48,8 @@
 pub(crate) struct RankOutlets {
     pub(crate) orders: mpsc::Sender<MapOrder>,
     pub(crate) sends: mpsc::Sender<RankSend>,
+    /// The highest ballot that the rank has seen.
+    pub(crate) ballot: watch::Sender<u64>,
 }
 
 /// State of the duty.
@@ -155,6 +158,7 @@
             self.note_wait(now_ms);
         }
         self.drop_run_of_other_formation();
+        self.tell_ballot();
         if let Some(run) = &mut self.run {
             let sends = run.coordinator.tick(now_ms);
             self.send_of_run(sends);
@@ -162,6 +166,15 @@
         }
     }
 
+    fn tell_ballot(&self) {
+        let ballot = self.participant.highest_ballot();
+        self.outlets.ballot.send_if_modified(|told| {
+            let is_news = *told != ballot;
+            *told = ballot;
+            is_news
+        });
+    }
+
     fn poll_interval_ms(&self) -> u64 {
         let engine = self.participant.engine();
         let is_changing = engine.is_some_and(|engine| engine.staged.is_some());
--- a/lib/src/send_result.rs
+++ b/lib/src/send_result.rs
@@ -11,6 +11,8 @@
     Failed,
     /// The endpoint did not run the call because it is full.
     Full,
+    /// The endpoint did not run the call because another one of its rank group is down.
+    GroupDown,
     /// Another process has the endpoint's address.
     Misdirected,
     /// No connection could be made, or the connection broke.
