--- a/lib/src/direct_orders.rs
+++ b/lib/src/direct_orders.rs
@@ -87,7 +87,7 @@
     }
 }
 
-async fn carry_out(
+pub(crate) async fn carry_out(
     order: &MapOrder,
     link: &RankLink,
     fencing: &mut FencingNumber,
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -104,6 +104,7 @@
     PlannerStarted = 510 Info "this agent plans the expert maps of its group",
     PlannerStopped = 511 Info "this agent leaves planning to a lower rank",
     MapPlanned = 512 Info "expert map planned",
+    DecisionCarriedOut = 513 Warn "decision on an expert map carried out for a silent agent",
 
     CallSent = 601 Info "call sent to an endpoint",
     CallRetried = 602 Info "call sent again",
--- a/lib/src/group_agent.rs
+++ b/lib/src/group_agent.rs
@@ -1,5 +1,6 @@
 //! The agent of a rank on the direct path: counts, expert maps and the plans for them.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,7 +21,10 @@
 use crate::GroupModel;
 use crate::GroupPlanner;
 use crate::Incarnation;
+use crate::MapOrder;
 use crate::MapOutcome;
+use crate::MapReply;
+use crate::MapRequest;
 use crate::OrderResult;
 use crate::PlannerAction;
 use crate::RankReport;
@@ -30,12 +34,15 @@
 use crate::direct_orders::RankLink;
 use crate::duty::Duty;
 use crate::event;
+use crate::protos::control::DecideMapReply;
+use crate::protos::control::DecideMapRequest;
 use crate::protos::control::MapCopy;
 use crate::protos::control::PlannerBeacon;
 use crate::protos::control::RankCounts;
 use crate::protos::control::RankDatagram;
 use crate::protos::control::rank_datagram::Content;
 use crate::protos::settings::RankGroupSettings;
+use crate::rank_command::MapOrigin;
 use crate::rank_command::MapProposal;
 use crate::rank_command::RankCommand;
 use crate::rank_command::RankSend;
@@ -62,15 +69,31 @@
 /// Passes between the furthest known one and that of a switch.
 const LEAD_STEPS: u64 = 2;
 
-/// Reads the addresses of all agents of the group's service.
-pub type ReadPeers = dyn Fn() -> EngineReply<Vec<SocketAddr>> + Send + Sync;
+/// Sends of a decision without an answer after which it is carried out for the silent agent.
+const SILENT_SENDS: u32 = 3;
+
+/// Where a rank of the group's service is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RankPlace {
+    /// Address of the agent for datagrams.
+    pub agent: SocketAddr,
+    /// Address of the engine.
+    pub engine: String,
+}
+
+/// Reads where all ranks of the group's service are.
+pub type ReadPeers = dyn Fn() -> EngineReply<Vec<RankPlace>> + Send + Sync;
+/// Returns how to reach the engine at an address.
+pub type EngineAt = dyn Fn(&str) -> DirectEngine + Send + Sync;
 
 /// The agent of a rank on the direct path.
 pub struct GroupAgent {
     /// The engine beside the agent.
     pub engine: DirectEngine,
-    /// Reads the addresses of all agents of the group's service.
+    /// Reads where all ranks of the group's service are.
     pub peers: Arc<ReadPeers>,
+    /// Returns how to reach the engine of another rank.
+    pub engine_at: Arc<EngineAt>,
     /// IP address and port for datagrams.
     pub address: SocketAddr,
 }
@@ -86,8 +109,8 @@
     group: String,
     rank: u32,
     rank_count: u32,
-    /// Addresses of all other agents.
-    peers: Vec<SocketAddr>,
+    /// Where all other ranks are.
+    peers: watch::Sender<Vec<RankPlace>>,
     choices_before: Vec<u64>,
     highest_map_id: u64,
     ballot: watch::Sender<u64>,
@@ -181,11 +204,15 @@
             link.clone(),
             duty.clone(),
         ));
+        let peers = watch::channel(Vec::new()).0;
         let sender = MessageSender {
             datagrams: datagrams.clone(),
             duty: duty.clone(),
             group: report.group.clone(),
             rank: report.rank,
+            peers: peers.subscribe(),
+            engine_at: Arc::clone(&self.engine_at),
+            decisions: HashMap::new(),
         };
         tasks.spawn(sender.run(send_queue));
         let (copies, waiting) = mpsc::channel(ORDER_QUEUE_LENGTH);
@@ -201,7 +228,7 @@
             group: report.group,
             rank: report.rank,
             rank_count: report.rank_count,
-            peers: Vec::new(),
+            peers,
             choices_before: Vec::new(),
             highest_map_id: 0,
             ballot,
@@ -354,18 +381,18 @@
 
     /// Reads where the other agents are until all are known.
     async fn find_peers(&mut self, now_ms: u64) {
-        let is_complete = self.peers.len() + 1 >= self.rank_count as usize;
+        let is_complete = self.peers.borrow().len() + 1 >= self.rank_count as usize;
         if is_complete || now_ms < self.next_peers_ms {
             return;
         }
         self.next_peers_ms = now_ms + PEERS_INTERVAL_MS;
         match (self.read_peers)().await {
             Ok(mut peers) => {
-                peers.retain(|peer| *peer != self.own_address);
-                if peers != self.peers {
+                peers.retain(|peer| peer.agent != self.own_address);
+                if peers != *self.peers.borrow() {
                     self.next_hello_ms = now_ms;
                 }
-                self.peers = peers;
+                self.peers.send_replace(peers);
             }
             Err(error) => log::debug!("addresses of agents: {error}"),
         }
@@ -414,8 +441,9 @@
     }
 
     async fn tell_all(&self, datagram: &RankDatagram) {
-        for peer in &self.peers {
-            self.datagrams.send_to(*peer, datagram).await;
+        let agents: Vec<SocketAddr> = self.peers.borrow().iter().map(|peer| peer.agent).collect();
+        for agent in agents {
+            self.datagrams.send_to(agent, datagram).await;
         }
     }
 
@@ -587,11 +615,16 @@
     duty: Duty<RankCommand>,
     group: String,
     rank: u32,
+    peers: watch::Receiver<Vec<RankPlace>>,
+    engine_at: Arc<EngineAt>,
+    /// The last decision that was sent to each rank, and how often.
+    decisions: HashMap<u32, (DecideMapRequest, u32)>,
 }
 
 impl MessageSender {
-    async fn run(self, mut sends: mpsc::Receiver<RankSend>) {
+    async fn run(mut self, mut sends: mpsc::Receiver<RankSend>) {
         while let Some(send) = sends.recv().await {
+            self.stand_in(&send);
             let rank = u32::try_from(send.rank).unwrap_or(u32::MAX);
             if rank == self.rank {
                 tokio::spawn(answer_own(self.duty.clone(), send));
@@ -608,6 +641,110 @@
     }
 }
 
+impl MessageSender {
+    /// Carries a decision out for a rank whose agent does not answer.
+    ///
+    /// A decision is final, so that it does no harm when the agent carries it out as well. Until
+    /// it is carried out the whole group waits for the rank.
+    fn stand_in(&mut self, send: &RankSend) {
+        let MapRequest::Decide(decision) = &send.request else {
+            return;
+        };
+        let rank = u32::try_from(send.rank).unwrap_or(u32::MAX);
+        let (before, count) = self.decisions.entry(rank).or_insert((*decision, 0));
+        let is_same = before.map_id == decision.map_id && before.commit == decision.commit;
+        *count = if is_same { *count + 1 } else { 1 };
+        *before = *decision;
+        if rank == self.rank || !count.is_multiple_of(SILENT_SENDS) {
+            return;
+        }
+        let Some(agent) = self.datagrams.address(rank) else {
+            return;
+        };
+        let peers = self.peers.borrow();
+        let place = peers.iter().find(|peer| peer.agent.ip() == agent.ip());
+        let Some(place) = place else {
+            return;
+        };
+        let stand_in = StandIn {
+            rank: send.rank,
+            origin: send.origin,
+            decision: *decision,
+            link: RankLink {
+                engine: (self.engine_at)(&place.engine),
+                report: watch::channel(None).0,
+            },
+            duty: self.duty.clone(),
+        };
+        tokio::spawn(stand_in.run());
+    }
+}
+
+/// Carries one decision out at the engine of another rank.
+struct StandIn {
+    rank: usize,
+    origin: MapOrigin,
+    decision: DecideMapRequest,
+    link: RankLink,
+    duty: Duty<RankCommand>,
+}
+
+impl StandIn {
+    async fn run(self) {
+        match self.carry_out().await {
+            Ok(true) => {
+                event!(
+                    DecisionCarriedOut,
+                    "rank={} map={:#x} commit={}",
+                    self.rank,
+                    self.decision.map_id,
+                    self.decision.commit
+                );
+                let reply = MapReply::Decide(DecideMapReply {
+                    accepted: true,
+                    ..DecideMapReply::default()
+                });
+                let command = RankCommand::Answer {
+                    rank: self.rank,
+                    origin: self.origin,
+                    reply,
+                };
+                if let Err(error) = self.duty.submit(command) {
+                    log::warn!("decision for rank {}: {error}", self.rank);
+                }
+            }
+            Ok(false) => log::info!("rank {} has nothing to decide", self.rank),
+            Err(reason) => log::info!("decision for rank {}: {reason}", self.rank),
+        }
+    }
+
+    /// Returns whether the decision has taken effect at the engine.
+    async fn carry_out(&self) -> Result<bool, String> {
+        let map_id = self.decision.map_id;
+        let report = self.link.read().await?;
+        if report.group_incarnation != self.decision.group_incarnation {
+            return Ok(false);
+        }
+        let staged = report.for_agreement().staged;
+        let is_staged = staged.is_some_and(|staged| staged.map_id == map_id);
+        if !is_staged {
+            return Ok(report.for_agreement().has_committed(map_id) == self.decision.commit);
+        }
+        let order = if self.decision.commit {
+            MapOrder::Commit { map_id }
+        } else {
+            MapOrder::Release { map_id }
+        };
+        let mut fencing = FencingNumber::default();
+        let after = direct_orders::carry_out(&order, &self.link, &mut fencing).await?;
+        Ok(if self.decision.commit {
+            after.has_committed(map_id) && !after.held
+        } else {
+            after.staged.is_none()
+        })
+    }
+}
+
 async fn answer_own(duty: Duty<RankCommand>, send: RankSend) {
     let Ok(reply) = rank_server::ask(&duty, send.request).await else {
         return;
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -308,6 +308,7 @@
 pub use frame_event::FrameEvent;
 pub use frame_writer::FrameWriter;
 pub use group_agent::GroupAgent;
+pub use group_agent::RankPlace;
 pub use group_planner::GroupPlanner;
 pub use group_planner::PlanReckoning;
 pub use group_planner::PlannerAction;
--- a/lib/src/map_coordinator.rs
+++ b/lib/src/map_coordinator.rs
@@ -16,7 +16,7 @@
 use crate::protos::control::PrepareMapRequest;
 
 const RESEND_AFTER_MS: u64 = 100;
-const PREPARE_TIMEOUT_MS: u64 = 1_000;
+const PREPARE_TIMEOUT_MS: u64 = 600;
 const RETRY_AFTER_MS: u64 = 50;
 const MAX_RETRY_STEPS: u64 = 6;
 const RETRY_JITTER_MS: u64 = 97;
@@ -142,7 +142,7 @@
         }
         let phase_ms = now_ms.saturating_sub(self.phase_began_ms);
         if self.phase == Phase::Preparing && phase_ms >= PREPARE_TIMEOUT_MS {
-            return self.recover_own(now_ms);
+            return self.abort_own(now_ms);
         }
         if !self.is_collecting() || now_ms < self.resend_at_ms {
             return Vec::new();
@@ -257,6 +257,14 @@
         };
     }
 
+    /// Aborts the own map, which no run has committed: this one has not, and another one commits
+    /// only under a higher ballot, whose ranks refuse this abort.
+    fn abort_own(&mut self, now_ms: u64) -> Vec<MapSend> {
+        let map_id = self.ballot;
+        let commit = false;
+        self.begin(Phase::Deciding { map_id, commit }, now_ms)
+    }
+
     fn recover_own(&mut self, now_ms: u64) -> Vec<MapSend> {
         let Some(map_id) = self.proposed_map_id() else {
             return Vec::new();
--- a/lib/src/rank_datagrams.rs
+++ b/lib/src/rank_datagrams.rs
@@ -62,10 +62,14 @@
         self.lock().clear();
     }
 
+    /// Returns where the agent of a rank is, if it is known.
+    pub(crate) fn address(&self, rank: u32) -> Option<SocketAddr> {
+        self.lock().get(&rank).copied()
+    }
+
     /// Sends to the agent of a rank, if it is known.
     pub(crate) async fn send(&self, rank: u32, datagram: &RankDatagram) {
-        let address = self.lock().get(&rank).copied();
-        match address {
+        match self.address(rank) {
             Some(address) => self.send_to(address, datagram).await,
             None => log::debug!("agent of rank {rank} is not known"),
         }
--- /dev/null
+++ b/lib/tests/test_direct_dispatch.rs
@@ -0,0 +1,183 @@
+//! Tests of where calls of the direct path go, wait and are turned away, each with its load.
+
+use std::sync::Arc;
+
+use googletest::prelude::*;
+use pomeloramp_lib::DirectDispatch;
+use pomeloramp_lib::DispatchAnswer;
+use pomeloramp_lib::DispatchQuery;
+use pomeloramp_lib::EndpointRecord;
+use pomeloramp_lib::RefusalCode;
+use pomeloramp_lib::SendResult;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const SERVICE: &str = "drafts";
+const ZONE: &str = "zone-1";
+const RETRY_PERCENT: u32 = 15;
+const SLOTS: u32 = 2;
+
+fn endpoint(id: &str) -> Arc<EndpointRecord> {
+    Arc::new(EndpointRecord {
+        id: id.to_owned(),
+        service: SERVICE.to_owned(),
+        address: format!("{id}:80"),
+        availability_zone: ZONE.to_owned(),
+        slots: SLOTS,
+        is_leaving: false,
+        born_ms: 1,
+    })
+}
+
+fn dispatch(ids: &[&str]) -> DirectDispatch {
+    let rng = SmallRng::seed_from_u64(1);
+    let mut dispatch = DirectDispatch::new(ZONE, RETRY_PERCENT, rng);
+    let endpoints: Vec<_> = ids.iter().map(|id| endpoint(id)).collect();
+    dispatch.set_endpoints(&endpoints, 0);
+    dispatch
+}
+
+fn query(call: u64, now_ms: u64) -> DispatchQuery {
+    DispatchQuery::builder()
+        .call(call)
+        .service(SERVICE.to_owned())
+        .urgency(5)
+        .is_stream(true)
+        .on_time_until_ms(now_ms + 400)
+        .useful_until_ms(now_ms + 1_200)
+        .build()
+}
+
+fn sent_to(answer: Option<&DispatchAnswer>) -> Option<&str> {
+    match answer {
+        Some(DispatchAnswer::Send(record)) => Some(record.id.as_str()),
+        Some(DispatchAnswer::Refuse { .. }) | None => None,
+    }
+}
+
+#[googletest::test]
+fn calls_are_spread_evenly_and_wait_when_all_places_are_taken() {
+    let mut dispatch = dispatch(&["a", "b"]);
+    let answers: Vec<_> = (0..4)
+        .map(|call| dispatch.arrive(query(call, 0), 0))
+        .collect();
+    let count = |id: &str| {
+        let sent = answers
+            .iter()
+            .filter(|answer| sent_to(answer.as_ref()) == Some(id));
+        sent.count()
+    };
+    expect_that!(count("a"), eq(2));
+    expect_that!(count("b"), eq(2));
+    expect_that!(dispatch.arrive(query(4, 0), 0), none());
+
+    let freed = dispatch.end(0, SendResult::Answered, 100);
+    expect_that!(freed.len(), eq(1));
+    expect_that!(freed[0].0, eq(4));
+}
+
+#[googletest::test]
+fn a_rush_that_cannot_be_served_in_time_is_refused_at_once() {
+    let mut dispatch = dispatch(&["a"]);
+    let mut refused = 0;
+    for call in 0..40 {
+        if let Some(DispatchAnswer::Refuse { retry_after_ms, .. }) =
+            dispatch.arrive(query(call, 0), 0)
+        {
+            expect_that!(retry_after_ms, ge(150));
+            refused += 1;
+        }
+    }
+    expect_that!(refused, ge(25));
+    let late = dispatch.advance(1_600);
+    let is_refused = |answer: &(u64, DispatchAnswer)| sent_to(Some(&answer.1)).is_none();
+    expect_that!(
+        late.iter().filter(|answer| is_refused(answer)).count(),
+        eq(late.len())
+    );
+}
+
+#[googletest::test]
+fn a_caller_that_came_back_goes_before_a_new_one() {
+    let mut dispatch = dispatch(&["a"]);
+    for call in 0..2 {
+        assert_that!(dispatch.arrive(query(call, 0), 0), some(anything()));
+    }
+    assert_that!(dispatch.arrive(query(2, 10), 10), none());
+    let back = DispatchQuery {
+        is_returning: true,
+        ..query(3, 20)
+    };
+    assert_that!(dispatch.arrive(back, 20), none());
+    let freed = dispatch.end(0, SendResult::Answered, 50);
+    expect_that!(freed[0].0, eq(3));
+}
+
+#[googletest::test]
+fn while_a_group_is_down_one_call_at_a_time_is_sent_to_see() {
+    let mut dispatch = dispatch(&["a", "b"]);
+    assert_that!(dispatch.arrive(query(0, 0), 0), some(anything()));
+    dispatch.end(0, SendResult::GroupDown, 10);
+    for call in 1..4 {
+        expect_that!(dispatch.arrive(query(call, 20), 20), none());
+    }
+    expect_that!(dispatch.advance(100), is_empty());
+
+    let sent = dispatch.advance(170);
+    expect_that!(sent.len(), eq(1));
+    expect_that!(dispatch.advance(300), is_empty());
+    let others = dispatch.answering(sent[0].0, 320);
+    expect_that!(others.len(), eq(2));
+}
+
+#[googletest::test]
+fn an_endpoint_that_is_leaving_or_was_tried_gets_no_call() {
+    let mut dispatch = dispatch(&["a", "b"]);
+    let leaving = Arc::new(EndpointRecord {
+        is_leaving: true,
+        ..(*endpoint("a")).clone()
+    });
+    dispatch.set_endpoints(&[leaving, endpoint("b")], 0);
+    expect_that!(
+        sent_to(dispatch.arrive(query(0, 0), 0).as_ref()),
+        some(eq("b"))
+    );
+    let again = DispatchQuery {
+        exclude: vec!["b".to_owned()],
+        ..query(1, 0)
+    };
+    expect_that!(dispatch.arrive(again, 0), none());
+}
+
+#[googletest::test]
+fn a_service_without_endpoints_is_refused_at_once() {
+    let mut dispatch = dispatch(&[]);
+    let answer = dispatch.arrive(query(0, 0), 0);
+    let code = RefusalCode::NoEndpoint;
+    expect_that!(
+        answer,
+        some(matches_pattern!(DispatchAnswer::Refuse {
+            code: eq(&code),
+            ..
+        }))
+    );
+}
+
+#[googletest::test]
+fn failing_endpoints_are_left_to_rest() {
+    let mut dispatch = dispatch(&["a", "b"]);
+    let mut at_a = 0;
+    for call in 0..40 {
+        let now_ms = call * 50;
+        let answer = dispatch.arrive(query(call, now_ms), now_ms);
+        let is_a = sent_to(answer.as_ref()) == Some("a");
+        at_a += u32::from(is_a);
+        let result = if is_a {
+            SendResult::Failed
+        } else {
+            SendResult::Answered
+        };
+        dispatch.end(call, result, now_ms + 20);
+    }
+    expect_that!(at_a, le(10));
+}
