agents: an armed rank that still holds is undecided; one order at a time

Fuzzing over late orders found a second fault: an order to copy could come between the report that a hold rests on and the hold.

Ruled out by the fuzz: reuse of a switch step (planted, caught), letting go without an answer to the order to arm (planted, caught).

--- a/lib/src/direct_orders.rs
+++ b/lib/src/direct_orders.rs
@@ -1,7 +1,9 @@
 //! Gives a rank's engine the orders of the agreement on maps, on the direct path.
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::sync::Mutex;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
@@ -27,9 +29,21 @@
     pub(crate) engine: DirectEngine,
     /// The last report; absent until there was one.
     pub(crate) report: watch::Sender<Option<RankReport>>,
+    /// Held from the report that an order rests on until the order is answered, so that no other
+    /// order comes between.
+    pub(crate) turn: Arc<Mutex<()>>,
 }
 
 impl RankLink {
+    /// Makes the link to an engine.
+    pub(crate) fn new(engine: DirectEngine) -> Self {
+        Self {
+            engine,
+            report: watch::channel(None).0,
+            turn: Arc::default(),
+        }
+    }
+
     /// Reads the engine's report.
     pub(crate) async fn read(&self) -> Result<RankReport, String> {
         let report = (self.engine.report)().await?;
@@ -92,6 +106,7 @@
     link: &RankLink,
     fencing: &mut FencingNumber,
 ) -> Result<MapEngineReport, String> {
+    let _turn = link.turn.lock().await;
     let mut sequencer = EngineSequencer::new(order.clone());
     let mut step = sequencer.start();
     loop {
--- a/lib/src/group_agent.rs
+++ b/lib/src/group_agent.rs
@@ -173,10 +173,7 @@
 
     /// Starts on the rank that the engine reports to be.
     async fn start_run(&self, clock: Clock, datagrams: &RankDatagrams) -> Option<RankRun> {
-        let link = RankLink {
-            engine: self.engine.clone(),
-            report: watch::channel(None).0,
-        };
+        let link = RankLink::new(self.engine.clone());
         let report = link
             .read()
             .await
@@ -670,10 +667,7 @@
             rank: send.rank,
             origin: send.origin,
             decision: *decision,
-            link: RankLink {
-                engine: (self.engine_at)(&place.engine),
-                report: watch::channel(None).0,
-            },
+            link: RankLink::new((self.engine_at)(&place.engine)),
             duty: self.duty.clone(),
         };
         tokio::spawn(stand_in.run());
@@ -788,6 +782,7 @@
     let began = Instant::now();
     let mut is_ordered = false;
     while began.elapsed() < COPY_TIMEOUT {
+        let turn = link.turn.lock().await;
         let report = link.read().await?;
         if report.copied_map_id == Some(map_id) || report.active_map_id == map_id {
             return Ok(());
@@ -804,6 +799,7 @@
                 OrderResult::Fenced | OrderResult::Unknown => continue,
             }
         }
+        drop(turn);
         tokio::time::sleep(COPY_POLL_INTERVAL).await;
     }
     Err("the copy took too long".to_owned())
--- a/lib/src/rank_report.rs
+++ b/lib/src/rank_report.rs
@@ -42,7 +42,9 @@
 impl RankReport {
     /// Returns the report in the terms of the agreement on maps.
     ///
-    /// A map is staged while the rank holds for it. It is committed once the rank is armed.
+    /// A map is staged while the rank holds for it. It is committed once the rank is armed and has
+    /// let go: an agent that was restarted between the two finds the map undecided, and learns
+    /// from the others that it was committed.
     #[must_use]
     pub fn for_agreement(&self) -> MapEngineReport {
         MapEngineReport {
@@ -55,7 +57,7 @@
     }
 
     fn staged(&self) -> Option<StagedMap> {
-        let committed = self.armed_map_id.is_some();
+        let committed = self.armed_map_id.is_some() && self.held_step.is_none();
         let switch_step = self.held_step.or(self.armed_step)?;
         let map_id = self.armed_map_id.or(self.copied_map_id);
         Some(StagedMap {
