--- /dev/null
+++ b/lib/tests/test_json_client.rs
@@ -0,0 +1,78 @@
+//! Tests of the client for JSON documents.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use pomeloramp_lib::JsonClient;
+use pomeloramp_lib::JsonError;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::runtime::Builder;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const TIMEOUT: Duration = Duration::from_millis(100);
+const MAX_ANSWER_BYTES: usize = 1 << 16;
+
+fn block_on<F: Future>(future: F) -> F::Output {
+    let runtime = Builder::new_current_thread().enable_all().build();
+    runtime.unwrap().block_on(future)
+}
+
+async fn listener() -> (TcpListener, String) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    (listener, address)
+}
+
+#[googletest::test]
+fn a_request_that_is_given_up_closes_its_connection() {
+    block_on(async {
+        let (listener, address) = listener().await;
+        let client = JsonClient::new(&address, CONNECT_TIMEOUT, MAX_ANSWER_BYTES);
+        let asking = client.get::<u64>("/slow", TIMEOUT);
+        let serving = async {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut received = Vec::new();
+            let reading = stream.read_to_end(&mut received);
+            tokio::time::timeout(TIMEOUT * 20, reading).await.is_ok()
+        };
+        let (answer, is_closed) = tokio::join!(asking, serving);
+        expect_that!(answer, err(matches_pattern!(JsonError::Timeout { .. })));
+        expect_that!(is_closed, eq(true));
+    });
+}
+
+#[googletest::test]
+fn a_kept_connection_serves_several_requests_and_is_replaced_when_it_ended() {
+    block_on(async {
+        let (listener, address) = listener().await;
+        let client = JsonClient::new(&address, CONNECT_TIMEOUT, MAX_ANSWER_BYTES);
+        let client = client.keeping_connections();
+        let asking = async {
+            let mut answers = Vec::new();
+            for _ in 0..4 {
+                answers.push(client.get::<u64>("/number", TIMEOUT * 20).await.ok());
+                tokio::time::sleep(TIMEOUT / 10).await;
+            }
+            answers
+        };
+        let serving = async {
+            let mut connections = 0;
+            for _ in 0..2 {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                connections += 1;
+                for _ in 0..2 {
+                    let mut buffer = [0; 1024];
+                    stream.read(&mut buffer).await.unwrap();
+                    let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n7";
+                    stream.write_all(answer).await.unwrap();
+                }
+            }
+            connections
+        };
+        let (answers, connections) = tokio::join!(asking, serving);
+        expect_that!(answers, each(some(eq(&7))));
+        expect_that!(connections, eq(2));
+    });
+}
