--- a/lib/src/group_agent.rs
+++ b/lib/src/group_agent.rs
@@ -305,6 +305,7 @@
             highest_map_id: self.highest_map_id.max(*self.ballot.borrow()),
             choices,
             slots,
+            pace_percent: report.pace_percent,
         };
         if let Some(planner) = &mut self.planner {
             planner.on_counts(self.rank, counts, now_ms);
--- a/lib/src/group_planner.rs
+++ b/lib/src/group_planner.rs
@@ -13,6 +13,7 @@
 use crate::MapOutcome;
 use crate::SearchBounds;
 use crate::map_ballot::next_ballot;
+use crate::map_search::paced_skew;
 use crate::map_search::search_map;
 use crate::protos::control::RankCounts;
 
@@ -50,6 +51,8 @@
 const USUAL_PASS_SHARE: f64 = 0.5;
 const MIN_NEED: f64 = 0.15;
 const MAX_NEED: f64 = 1.5;
+/// Pace of an engine that takes the usual time.
+const USUAL_PACE_PERCENT: u32 = 100;
 /// Part of the time and passes so far that is kept with the next counts of a rank.
 const PASS_KEPT: f64 = 0.98;
 /// Passes that the mean time of a pass needs as its ground.
@@ -308,7 +311,9 @@
         let (_, current) = self.known.as_ref()?;
         let load = self.load();
         let least_gain = LEAST_GAIN_PER_PLAN / self.need();
-        if current.skew(&load) - REACHABLE_SKEW < least_gain {
+        let paces = self.paces();
+        let skew_before = paced_skew(current, &load, &paces);
+        if skew_before - REACHABLE_SKEW < least_gain {
             return None;
         }
         self.not_before_ms = now_ms + SEARCH_INTERVAL_MS;
@@ -317,10 +322,10 @@
             .max_new_per_rank(MAX_NEW_PER_RANK)
             .least_gain(LEAST_GAIN_PER_COPY / self.need())
             .build();
-        let layout = search_map(current, &load, bounds)?;
+        let layout = search_map(current, &load, &paces, bounds)?;
         let reckoning = PlanReckoning {
-            skew_before: current.skew(&load),
-            skew_after: layout.skew(&load),
+            skew_before,
+            skew_after: paced_skew(&layout, &load, &paces),
             copies: layout.moves_from(current),
             pass_ms: self.pass_ms().unwrap_or(0.0),
         };
@@ -394,6 +399,17 @@
         (share * share).clamp(MIN_NEED, MAX_NEED)
     }
 
+    /// Returns how many times as long as usual each rank takes.
+    fn paces(&self) -> Vec<f64> {
+        let pace = |rank: u32| {
+            let view = self.ranks.get(&rank);
+            let percent = view.map_or(0, |view| view.counts.pace_percent);
+            f64::from(percent.max(USUAL_PACE_PERCENT)) / f64::from(USUAL_PACE_PERCENT)
+        };
+        let rank_count = u32::try_from(self.rank_count).unwrap_or(u32::MAX);
+        (0..rank_count).map(pace).collect()
+    }
+
     fn load(&self) -> ExpertLoad {
         self.as_load(&self.demand)
     }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -332,6 +332,7 @@
 pub use map_reply::MapReply;
 pub use map_request::MapRequest;
 pub use map_search::SearchBounds;
+pub use map_search::paced_skew;
 pub use map_search::search_map;
 pub use map_send::MapSend;
 pub use member::Member;
--- a/lib/src/map_search.rs
+++ b/lib/src/map_search.rs
@@ -24,16 +24,38 @@
     pub least_gain: f64,
 }
 
+/// Returns the mean over the sets of the highest rank load over the mean load, where a rank that
+/// takes `paces` times as long as usual counts as loaded that much more.
+#[must_use]
+pub fn paced_skew(layout: &ExpertLayout, load: &ExpertLoad, paces: &[f64]) -> f64 {
+    let pairs = layout.layers().iter().zip(load.layers());
+    let skews = pairs.map(|(layer, loads)| {
+        let rank_loads = layer.rank_loads(loads);
+        let total: f64 = rank_loads.iter().sum();
+        let paced = rank_loads.iter().zip(paces).map(|(load, pace)| load * pace);
+        let highest = paced.fold(0.0, f64::max);
+        if total > 0.0 {
+            highest * as_f64(rank_loads.len()) / total
+        } else {
+            1.0
+        }
+    });
+    skews.sum::<f64>() / as_f64(layout.layers().len().max(1))
+}
+
 /// Returns a layout that is reached from `current` with few copies, or nothing when no copy pays.
+///
+/// A rank that takes `paces` times as long as usual is given that much less.
 #[must_use]
 pub fn search_map(
     current: &ExpertLayout,
     load: &ExpertLoad,
+    paces: &[f64],
     bounds: SearchBounds,
 ) -> Option<ExpertLayout> {
     let pairs = current.layers().iter().zip(load.layers());
     let mut sets: Vec<SetSearch> = pairs
-        .map(|(layer, loads)| SetSearch::new(layer, loads))
+        .map(|(layer, loads)| SetSearch::new(layer, loads, paces))
         .collect();
     let rank_count = current.layers().first()?.rank_count();
     let mut new_of_rank = vec![0; rank_count];
@@ -83,6 +105,7 @@
 struct SetSearch<'a> {
     origin: &'a LayerLayout,
     loads: &'a [f64],
+    paces: &'a [f64],
     layout: LayerLayout,
     replicas: Vec<u32>,
     rank_loads: Vec<f64>,
@@ -90,13 +113,14 @@
 }
 
 impl<'a> SetSearch<'a> {
-    fn new(origin: &'a LayerLayout, loads: &'a [f64]) -> Self {
+    fn new(origin: &'a LayerLayout, loads: &'a [f64], paces: &'a [f64]) -> Self {
         let rank_loads = origin.rank_loads(loads);
         let total: f64 = rank_loads.iter().sum();
         let rank_count = u32::try_from(rank_loads.len().max(1)).unwrap_or(u32::MAX);
         Self {
             origin,
             loads,
+            paces,
             layout: origin.clone(),
             replicas: origin.replica_counts(loads.len()),
             rank_loads,
@@ -135,11 +159,15 @@
 
     fn hot_ranks(&self) -> Vec<usize> {
         let mut ranks: Vec<usize> = (0..self.rank_loads.len()).collect();
-        ranks.sort_by(|a, b| self.rank_loads[*b].total_cmp(&self.rank_loads[*a]));
+        ranks.sort_by(|a, b| self.paced_load(*b).total_cmp(&self.paced_load(*a)));
         ranks.truncate(HOT_RANKS);
         ranks
     }
 
+    fn paced_load(&self, rank: usize) -> f64 {
+        self.rank_loads[rank] * self.paces[rank]
+    }
+
     /// Returns the changes that take load off the replica of `expert` in slot `from`.
     fn changes(
         &self,
@@ -152,7 +180,7 @@
         let mut changes = Vec::new();
         for (slot, other) in self.layout.slots().iter().enumerate() {
             let rank = self.layout.rank_of(slot);
-            let is_cool = self.rank_loads[rank] < self.rank_loads[hot];
+            let is_cool = self.paced_load(rank) < self.paced_load(hot);
             if rank == hot || !is_cool || self.layout.holds(rank, expert) {
                 continue;
             }
@@ -260,13 +288,17 @@
 
     /// Returns the highest load over the mean, smoothed so that other high ones count too.
     fn smooth_skew(&self, rank_loads: &[f64]) -> f64 {
-        let powers = rank_loads
-            .iter()
-            .map(|load| (load / self.mean).max(0.0).powi(SMOOTH_EXPONENT));
+        let paced = rank_loads.iter().zip(self.paces);
+        let powers =
+            paced.map(|(load, pace)| (load * pace / self.mean).max(0.0).powi(SMOOTH_EXPONENT));
         powers.sum::<f64>().powf(1.0 / f64::from(SMOOTH_EXPONENT))
     }
 }
 
+fn as_f64(count: usize) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+}
+
 fn note_delta(deltas: &mut [(usize, i32); 4], expert: Option<usize>, delta: i32) {
     let Some(expert) = expert else {
         return;
--- a/lib/src/protos/pomeloramp.control.rs
+++ b/lib/src/protos/pomeloramp.control.rs
@@ -743,6 +743,9 @@
     /// free slot. Empty when the planner knows them.
     #[prost(uint32, repeated, tag = "6")]
     pub slots: ::prost::alloc::vec::Vec<u32>,
+    /// How much longer than usual the engine takes, in percent; zero counts as 100.
+    #[prost(uint32, tag = "7")]
+    pub pace_percent: u32,
 }
 /// Asks a rank to copy the experts of a map that it lacks.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/lib/src/rank_report.rs
+++ b/lib/src/rank_report.rs
@@ -35,6 +35,8 @@
     pub armed_map_id: Option<u64>,
     /// The step at which it switches, where the engine says so.
     pub armed_step: Option<u64>,
+    /// How much longer than usual the engine takes, in percent.
+    pub pace_percent: u32,
     /// The step that the group does not begin before the rank lets it.
     pub held_step: Option<u64>,
 }
--- a/lib/tests/test_group_planner.rs
+++ b/lib/tests/test_group_planner.rs
@@ -10,6 +10,7 @@
 use pomeloramp_lib::MapOutcome;
 use pomeloramp_lib::PlannerAction;
 use pomeloramp_lib::SearchBounds;
+use pomeloramp_lib::paced_skew;
 use pomeloramp_lib::protos::control::RankCounts;
 use pomeloramp_lib::search_map;
 
@@ -58,6 +59,7 @@
         highest_map_id: copied_map_id,
         choices,
         slots: first_slots(rank),
+        pace_percent: 100,
     }
 }
 
@@ -139,7 +141,7 @@
         .max_new_per_rank(1)
         .least_gain(0.01)
         .build();
-    let found = search_map(&current, &load, bounds).unwrap();
+    let found = search_map(&current, &load, &[1.0; RANKS], bounds).unwrap();
     expect_that!(found.skew(&load), lt(current.skew(&load)));
     for rank in 0..RANKS {
         let held = (0..EXPERTS).filter(|expert| found.layers()[0].holds(rank, *expert));
@@ -151,3 +153,25 @@
         expect_that!(holders.count(), ge(1));
     }
 }
+
+#[googletest::test]
+fn a_slow_rank_is_given_less() {
+    let load = ExpertLoad::new(vec![vec![10.0; EXPERTS]]);
+    let slots = (0..RANKS).flat_map(first_slots).collect();
+    let slots = ExpertSlots::new(RANKS, SLOTS_PER_RANK, slots).unwrap();
+    let current = slots.layout().unwrap();
+    let bounds = SearchBounds::builder()
+        .max_new_per_rank_and_set(2)
+        .max_new_per_rank(2)
+        .least_gain(0.01)
+        .build();
+    expect_that!(search_map(&current, &load, &[1.0; RANKS], bounds), none());
+    let paces = [3.0, 1.0, 1.0, 1.0];
+    let found = search_map(&current, &load, &paces, bounds).unwrap();
+    let loads = found.layers()[0].rank_loads(load.layer(0));
+    expect_that!(loads[0], lt(15.0));
+    expect_that!(
+        paced_skew(&found, &load, &paces),
+        lt(paced_skew(&current, &load, &paces))
+    );
+}
--- a/lib/tests/test_json_client.rs
+++ b/lib/tests/test_json_client.rs
@@ -64,7 +64,7 @@
                 connections += 1;
                 for _ in 0..2 {
                     let mut buffer = [0; 1024];
-                    stream.read(&mut buffer).await.unwrap();
+                    assert_that!(stream.read(&mut buffer).await.unwrap(), gt(0));
                     let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n7";
                     stream.write_all(answer).await.unwrap();
                 }
--- a/lib/tests/test_late_map_orders.rs
+++ b/lib/tests/test_late_map_orders.rs
@@ -95,6 +95,7 @@
             copied_map_id: self.copied,
             armed_map_id: self.armed.map(|(map_id, _)| map_id),
             armed_step: self.armed.map(|(_, at)| at),
+            pace_percent: 100,
             held_step: self.held,
         }
     }
