--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,8 +1,13 @@
 //! The pomeloramp daemon.
 
+mod log_ring;
+
 use std::env;
 use std::fs;
+use std::io::Write;
 use std::process::ExitCode;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use pico_args::Arguments;
 use pomeloramp_lib::DaemonRole;
@@ -10,6 +15,7 @@
 use pomeloramp_lib::USAGE_EXIT_CODE;
 use pomeloramp_lib::event;
 use pomeloramp_lib::load_settings;
+use pomeloramp_lib::log_line;
 use pomeloramp_lib::run_endpoint;
 use pomeloramp_lib::run_entry;
 use pomeloramp_lib::settings_role;
@@ -17,6 +23,8 @@
 use pomeloramp_platform::PlatformSettings;
 use tokio::runtime::Runtime;
 
+use crate::log_ring::LogRing;
+
 const LOG_VARIABLE: &str = "RUST_LOG";
 const DEFAULT_LOG_FILTER: &str = "pomeloramp=info,warn";
 
@@ -46,8 +54,6 @@
 };
 
 fn main() -> ExitCode {
-    let default_filter = env_logger::Env::default().filter_or(LOG_VARIABLE, DEFAULT_LOG_FILTER);
-    env_logger::init_from_env(default_filter);
     let mut arguments = Arguments::from_env();
     if let Some(text) = TEXT.answer(&mut arguments) {
         print!("{text}");
@@ -57,6 +63,7 @@
         Ok(role) => role,
         Err(error) => return refuse(&error.to_string()),
     };
+    start_log(platform_role.is_some());
     if let Some(role) = platform_role {
         return match TEXT.refuse_rest(arguments) {
             Ok(()) => run_on_platform(&role),
@@ -73,6 +80,28 @@
     }
 }
 
+/// Starts logging: lines of JSON on standard output for the users' platform, else text for people
+/// on standard error.
+fn start_log(is_structured: bool) {
+    let filter = env_logger::Env::default().filter_or(LOG_VARIABLE, DEFAULT_LOG_FILTER);
+    let mut builder = env_logger::Builder::from_env(filter);
+    if is_structured {
+        builder
+            .target(env_logger::Target::Pipe(Box::new(LogRing::start())))
+            .format(|output, record| {
+                let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+                let line = log_line(
+                    since_epoch.unwrap_or_default(),
+                    record.level().as_str(),
+                    record.target(),
+                    &record.args().to_string(),
+                );
+                writeln!(output, "{line}")
+            });
+    }
+    builder.init();
+}
+
 fn run(path: &str) -> ExitCode {
     let text = match fs::read_to_string(path) {
         Ok(text) => text,
--- a/lib/src/direct_entry.rs
+++ b/lib/src/direct_entry.rs
@@ -30,7 +30,6 @@
 use crate::direct_state::DirectState;
 use crate::event;
 use crate::in_flight::InFlight;
-use crate::listener::announce;
 use crate::listener::listen;
 use crate::shutdown;
 
@@ -188,7 +187,6 @@
             async move { direct_server::handle(state, request).await }
         });
         let listener = listen("caller_address", &self.settings.caller_address).await?;
-        announce("callers", &listener);
         event!(
             EntryStarted,
             "caller_address={}",
@@ -212,7 +210,7 @@
         router: Router,
     ) -> Result<(), DaemonError> {
         let listener = listen(name, address).await?;
-        announce(name, &listener);
+        event!(Listening, "name={name} address={address}");
         let limits = self.limits();
         let (keep_open, closing) = watch::channel(false);
         tokio::spawn(async move {
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -63,6 +63,7 @@
     DrainStarted = 5 Info "drain started",
     DrainFinished = 6 Info "drain finished",
     StoppedAtOnce = 7 Warn "stopped with requests in flight",
+    Listening = 8 Info "interface opened",
 
     ConfigAccepted = 101 Info "document accepted",
     ConfigRefused = 102 Warn "document refused",
--- a/lib/src/map_search.rs
+++ b/lib/src/map_search.rs
@@ -32,8 +32,8 @@
     let skews = pairs.map(|(layer, loads)| {
         let rank_loads = layer.rank_loads(loads);
         let total: f64 = rank_loads.iter().sum();
-        let paced = rank_loads.iter().zip(paces).map(|(load, pace)| load * pace);
-        let highest = paced.fold(0.0, f64::max);
+        let slowed = rank_loads.iter().zip(paces).map(|(load, pace)| load * pace);
+        let highest = slowed.fold(0.0, f64::max);
         if total > 0.0 {
             highest * as_f64(rank_loads.len()) / total
         } else {
