--- a/lib/src/group_agent.rs
+++ b/lib/src/group_agent.rs
@@ -10,46 +10,37 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::Instant;
 use tokio::time::MissedTickBehavior;
 
 use crate::Clock;
 use crate::DaemonError;
 use crate::DirectEngine;
-use crate::EngineOrder;
 use crate::ExpertSlots;
 use crate::GroupModel;
 use crate::GroupPlanner;
 use crate::Incarnation;
-use crate::MapOrder;
 use crate::MapOutcome;
-use crate::MapReply;
-use crate::MapRequest;
-use crate::OrderResult;
 use crate::PlannerAction;
 use crate::RankReport;
 use crate::direct_engine::EngineReply;
 use crate::direct_orders;
-use crate::direct_orders::FencingNumber;
 use crate::direct_orders::RankLink;
 use crate::duty::Duty;
 use crate::event;
-use crate::protos::control::DecideMapReply;
-use crate::protos::control::DecideMapRequest;
+use crate::map_copies;
 use crate::protos::control::MapCopy;
 use crate::protos::control::PlannerBeacon;
 use crate::protos::control::RankCounts;
 use crate::protos::control::RankDatagram;
 use crate::protos::control::rank_datagram::Content;
 use crate::protos::settings::RankGroupSettings;
-use crate::rank_command::MapOrigin;
 use crate::rank_command::MapProposal;
 use crate::rank_command::RankCommand;
-use crate::rank_command::RankSend;
 use crate::rank_datagrams;
 use crate::rank_datagrams::RankDatagrams;
 use crate::rank_duty::RankDuty;
 use crate::rank_duty::RankOutlets;
+use crate::rank_messages::RankMessages;
 use crate::rank_server;
 
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
@@ -62,16 +53,11 @@
 const START_RETRY: Duration = Duration::from_millis(250);
 /// Time between two reads of the agents' addresses while ranks are missing.
 const PEERS_INTERVAL_MS: u64 = 1_000;
-const COPY_POLL_INTERVAL: Duration = Duration::from_millis(30);
-const COPY_TIMEOUT: Duration = Duration::from_secs(3);
 const ORDER_QUEUE_LENGTH: usize = 1;
 const MESSAGE_QUEUE_LENGTH: usize = 256;
 /// Passes between the furthest known one and that of a switch.
 const LEAD_STEPS: u64 = 2;
 
-/// Sends of a decision without an answer after which it is carried out for the silent agent.
-const SILENT_SENDS: u32 = 3;
-
 /// Where a rank of the group's service is.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RankPlace {
@@ -202,7 +188,7 @@
             duty.clone(),
         ));
         let peers = watch::channel(Vec::new()).0;
-        let sender = MessageSender {
+        let sender = RankMessages {
             datagrams: datagrams.clone(),
             duty: duty.clone(),
             group: report.group.clone(),
@@ -214,7 +200,7 @@
         tasks.spawn(sender.run(send_queue));
         let (copies, waiting) = mpsc::channel(ORDER_QUEUE_LENGTH);
         let (done, completed) = mpsc::channel(ORDER_QUEUE_LENGTH);
-        tasks.spawn(run_copies(waiting, done, link.clone()));
+        tasks.spawn(map_copies::run_copies(waiting, done, link.clone()));
         Some(RankRun {
             clock,
             link,
@@ -607,205 +593,6 @@
     }
 }
 
-/// Passes the messages of the duty to other ranks' agents, and those to its own rank back.
-struct MessageSender {
-    datagrams: RankDatagrams,
-    duty: Duty<RankCommand>,
-    group: String,
-    rank: u32,
-    peers: watch::Receiver<Vec<RankPlace>>,
-    engine_at: Arc<EngineAt>,
-    /// The last decision that was sent to each rank, and how often.
-    decisions: HashMap<u32, (DecideMapRequest, u32)>,
-}
-
-impl MessageSender {
-    async fn run(mut self, mut sends: mpsc::Receiver<RankSend>) {
-        while let Some(send) = sends.recv().await {
-            self.stand_in(&send);
-            let rank = u32::try_from(send.rank).unwrap_or(u32::MAX);
-            if rank == self.rank {
-                tokio::spawn(answer_own(self.duty.clone(), send));
-                continue;
-            }
-            let datagram = RankDatagram {
-                group: self.group.clone(),
-                group_incarnation: 0,
-                rank: self.rank,
-                content: Some(rank_datagrams::ask_content(&send)),
-            };
-            self.datagrams.send(rank, &datagram).await;
-        }
-    }
-}
-
-impl MessageSender {
-    /// Carries a decision out for a rank whose agent does not answer.
-    ///
-    /// A decision is final, so that it does no harm when the agent carries it out as well. Until
-    /// it is carried out the whole group waits for the rank.
-    fn stand_in(&mut self, send: &RankSend) {
-        let MapRequest::Decide(decision) = &send.request else {
-            return;
-        };
-        let rank = u32::try_from(send.rank).unwrap_or(u32::MAX);
-        let (before, count) = self.decisions.entry(rank).or_insert((*decision, 0));
-        let is_same = before.map_id == decision.map_id && before.commit == decision.commit;
-        *count = if is_same { *count + 1 } else { 1 };
-        *before = *decision;
-        if rank == self.rank || !count.is_multiple_of(SILENT_SENDS) {
-            return;
-        }
-        let Some(agent) = self.datagrams.address(rank) else {
-            return;
-        };
-        let peers = self.peers.borrow();
-        let place = peers.iter().find(|peer| peer.agent.ip() == agent.ip());
-        let Some(place) = place else {
-            return;
-        };
-        let stand_in = StandIn {
-            rank: send.rank,
-            origin: send.origin,
-            decision: *decision,
-            link: RankLink::new((self.engine_at)(&place.engine)),
-            duty: self.duty.clone(),
-        };
-        tokio::spawn(stand_in.run());
-    }
-}
-
-/// Carries one decision out at the engine of another rank.
-struct StandIn {
-    rank: usize,
-    origin: MapOrigin,
-    decision: DecideMapRequest,
-    link: RankLink,
-    duty: Duty<RankCommand>,
-}
-
-impl StandIn {
-    async fn run(self) {
-        match self.carry_out().await {
-            Ok(true) => {
-                event!(
-                    DecisionCarriedOut,
-                    "rank={} map={:#x} commit={}",
-                    self.rank,
-                    self.decision.map_id,
-                    self.decision.commit
-                );
-                let reply = MapReply::Decide(DecideMapReply {
-                    accepted: true,
-                    ..DecideMapReply::default()
-                });
-                let command = RankCommand::Answer {
-                    rank: self.rank,
-                    origin: self.origin,
-                    reply,
-                };
-                if let Err(error) = self.duty.submit(command) {
-                    log::warn!("decision for rank {}: {error}", self.rank);
-                }
-            }
-            Ok(false) => log::info!("rank {} has nothing to decide", self.rank),
-            Err(reason) => log::info!("decision for rank {}: {reason}", self.rank),
-        }
-    }
-
-    /// Returns whether the decision has taken effect at the engine.
-    async fn carry_out(&self) -> Result<bool, String> {
-        let map_id = self.decision.map_id;
-        let report = self.link.read().await?;
-        if report.group_incarnation != self.decision.group_incarnation {
-            return Ok(false);
-        }
-        let staged = report.for_agreement().staged;
-        let is_staged = staged.is_some_and(|staged| staged.map_id == map_id);
-        if !is_staged {
-            return Ok(report.for_agreement().has_committed(map_id) == self.decision.commit);
-        }
-        let order = if self.decision.commit {
-            MapOrder::Commit { map_id }
-        } else {
-            MapOrder::Release { map_id }
-        };
-        let mut fencing = FencingNumber::default();
-        let after = direct_orders::carry_out(&order, &self.link, &mut fencing).await?;
-        Ok(if self.decision.commit {
-            after.has_committed(map_id) && !after.held
-        } else {
-            after.staged.is_none()
-        })
-    }
-}
-
-async fn answer_own(duty: Duty<RankCommand>, send: RankSend) {
-    let Ok(reply) = rank_server::ask(&duty, send.request).await else {
-        return;
-    };
-    let command = RankCommand::Answer {
-        rank: send.rank,
-        origin: send.origin,
-        reply,
-    };
-    if let Err(error) = duty.submit(command) {
-        log::warn!("answer of the own rank: {error}");
-    }
-}
-
-/// Copies maps one after another; tells each that is complete.
-async fn run_copies(
-    mut copies: mpsc::Receiver<(u64, ExpertSlots)>,
-    done: mpsc::Sender<()>,
-    link: RankLink,
-) {
-    let mut fencing = FencingNumber::default();
-    while let Some((map_id, slots)) = copies.recv().await {
-        match copy_map(map_id, &slots, &link, &mut fencing).await {
-            Ok(()) => {
-                let _ = done.send(()).await;
-            }
-            Err(reason) => log::info!("copy of map {map_id:#x}: {reason}"),
-        }
-    }
-}
-
-/// Orders the copy of a map and waits until it is complete.
-///
-/// A rank that holds or is armed gets no other map: its own could not be switched to any more.
-async fn copy_map(
-    map_id: u64,
-    slots: &ExpertSlots,
-    link: &RankLink,
-    fencing: &mut FencingNumber,
-) -> Result<(), String> {
-    let began = Instant::now();
-    let mut is_ordered = false;
-    while began.elapsed() < COPY_TIMEOUT {
-        let turn = link.turn.lock().await;
-        let report = link.read().await?;
-        if report.copied_map_id == Some(map_id) || report.active_map_id == map_id {
-            return Ok(());
-        }
-        if report.held_step.is_some() || report.armed_map_id.is_some() {
-            return Err("the rank is about to switch maps".to_owned());
-        }
-        if !is_ordered {
-            let slots = slots.clone();
-            let order = EngineOrder::Copy { map_id, slots };
-            match direct_orders::give(order, link, fencing, map_id).await {
-                OrderResult::Done => is_ordered = true,
-                OrderResult::Refused => return Err("the engine refused it".to_owned()),
-                OrderResult::Fenced | OrderResult::Unknown => continue,
-            }
-        }
-        drop(turn);
-        tokio::time::sleep(COPY_POLL_INTERVAL).await;
-    }
-    Err("the copy took too long".to_owned())
-}
-
 /// Returns the experts of a rank, slot by slot and set by set.
 fn slots_of(experts: &[Vec<u32>], slots_per_rank: usize) -> Vec<u32> {
     let sets = experts.iter().map(|set| {
