relay: a call that ran and failed is not said to have not run

Found on reading the change: after a server error the call is sent again, and when no place was found for that, or the ring was full, the caller heard 503 with Retry-After, which promises that it has not run.

--- a/lib/src/direct_relay.rs
+++ b/lib/src/direct_relay.rs
@@ -105,8 +105,7 @@
                         place.end(SendResult::Failed);
                         return Ok(answer);
                     }
-                    self.note_retry(&place, "endpoint answered with a failure");
-                    place.end(SendResult::Failed);
+                    self.repeat_after_run(place);
                     continue;
                 }
                 Ok(answer) => {
@@ -133,8 +132,7 @@
                     if !self.may_retry().await {
                         return Ok(OpenAnswer { place, response });
                     }
-                    self.note_retry(&place, "endpoint answered with a failure");
-                    place.end(SendResult::Failed);
+                    self.repeat_after_run(place);
                     continue;
                 }
                 Ok(response) => return Ok(OpenAnswer { place, response }),
@@ -144,6 +142,13 @@
         }
     }
 
+    /// Gives the place back of a send that ran and failed; the call is sent once more.
+    fn repeat_after_run(&mut self, place: DirectPlace) {
+        self.may_have_run = true;
+        self.note_retry(&place, "endpoint answered with a failure");
+        place.end(SendResult::Failed);
+    }
+
     /// Gives the place back, and decides whether the call is sent once more.
     pub(crate) async fn after_failure(
         &mut self,
@@ -224,28 +229,27 @@
             query: self.query(number),
             reply,
         };
-        let overloaded = || {
-            DirectRefusal::not_run(
-                "entry-overloaded",
-                "entry has no room for the request",
-                OVERLOAD_RETRY_MS,
-            )
-        };
-        self.state
-            .dispatch
-            .submit(command)
-            .map_err(|_| overloaded())?;
+        if self.state.dispatch.submit(command).is_err() {
+            return Err(self.overloaded());
+        }
         match answer.await {
             Ok(DispatchAnswer::Send(endpoint)) => Ok(waiting.at(endpoint)),
             Ok(DispatchAnswer::Refuse {
                 code,
                 retry_after_ms,
             }) => Err(self.refused(code.as_str(), retry_after_ms)),
-            Err(_) => Err(overloaded()),
+            Err(_) => Err(self.overloaded()),
         }
     }
 
-    /// A refusal of the dispatch; it promises nothing once the call has been written.
+    /// The refusal of an entry whose rings are full.
+    fn overloaded(&self) -> DirectRefusal {
+        let message = "entry has no room for the request";
+        let refusal = DirectRefusal::not_run("entry-overloaded", message, OVERLOAD_RETRY_MS);
+        self.without_false_promise(refusal)
+    }
+
+    /// A refusal of the dispatch; it promises nothing once the call may have run.
     fn refused(&self, code: &'static str, retry_after_ms: u64) -> DirectRefusal {
         event!(
             CallRefused,
