--- a/lib/src/direct_orders.rs
+++ b/lib/src/direct_orders.rs
@@ -1,7 +1,6 @@
 //! Gives a rank's engine the orders of the agreement on maps, on the direct path.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use tokio::sync::Mutex;
 use tokio::sync::mpsc;
@@ -19,7 +18,6 @@
 use crate::event;
 use crate::rank_command::RankCommand;
 
-const RING_RETRY_DELAY: Duration = Duration::from_millis(1);
 /// Added to the fencing number after an engine has refused it.
 const FENCE_STEP: u64 = 1 << 32;
 
@@ -97,10 +95,11 @@
                 RankCommand::EngineLost
             }
         };
-        submit(&duty, command).await;
+        duty.submit_when_free(command).await;
     }
 }
 
+/// Carries out one step of the agreement at an engine and returns its state after it.
 pub(crate) async fn carry_out(
     order: &MapOrder,
     link: &RankLink,
@@ -131,12 +130,12 @@
     let report = link.last_report();
     let fence = fencing.for_map(map_id, report.as_ref());
     let formation = report.map_or(0, |report| report.group_incarnation);
-    let text = format!("{order:?}");
+    log::debug!("order {order:?}");
     let result = (link.engine.order)(order, formation, fence).await;
     if result == OrderResult::Fenced {
         fencing.refused();
     }
-    log::debug!("order {text}: {result:?}");
+    log::debug!("order answered: {result:?}");
     result
 }
 
@@ -147,11 +146,3 @@
         MapOrder::Commit { map_id } | MapOrder::Release { map_id } => *map_id,
     }
 }
-
-async fn submit(duty: &Duty<RankCommand>, command: RankCommand) {
-    let mut command = command;
-    while let Err(returned) = duty.submit_or_return(command) {
-        command = returned;
-        tokio::time::sleep(RING_RETRY_DELAY).await;
-    }
-}
--- a/lib/src/direct_relay.rs
+++ b/lib/src/direct_relay.rs
@@ -285,7 +285,23 @@
             .build()
     }
 
-    fn urgency(&self) -> u32 {
+    /// Records the end of the call.
+    pub(crate) fn record_end(&self, outcome: &str) {
+        let elapsed = self.arrived.elapsed();
+        let organisation = self.organisation.as_ref().map_or("", |o| o.name.as_str());
+        let metrics = &self.state.metrics;
+        metrics.record_request(organisation, outcome, elapsed);
+        event!(
+            CallEnded,
+            "request_id={} outcome={outcome} attempts={} elapsed_ms={}",
+            self.call.request_id,
+            self.tried.len(),
+            elapsed.as_millis()
+        );
+    }
+
+    /// Returns the urgency of the call: that of its organisation goes before that of its route.
+    pub(crate) fn urgency(&self) -> u32 {
         let organisation = self.organisation.as_ref();
         let of_organisation = organisation.and_then(|organisation| organisation.urgency);
         of_organisation.unwrap_or(self.rule.urgency)
--- a/lib/src/direct_server.rs
+++ b/lib/src/direct_server.rs
@@ -141,17 +141,7 @@
         Ok(answer) => answer.head.status.as_u16(),
         Err(refusal) => refusal.status.as_u16(),
     };
-    let elapsed = relay.arrived.elapsed();
-    let organisation = relay.organisation.as_ref().map_or("", |o| o.name.as_str());
-    let metrics = &relay.state.metrics;
-    metrics.record_request(organisation, &outcome.to_string(), elapsed);
-    event!(
-        CallEnded,
-        "request_id={} outcome={outcome} attempts={} elapsed_ms={}",
-        relay.call.request_id,
-        relay.tried.len(),
-        elapsed.as_millis()
-    );
+    relay.record_end(&outcome.to_string());
     let answer = answer?;
     let mut response = Response::new(Body::from(answer.body));
     *response.status_mut() = answer.head.status;
--- a/lib/src/direct_stream.rs
+++ b/lib/src/direct_stream.rs
@@ -80,12 +80,9 @@
             }
         };
         if status.is_success() {
-            let organisation = relay.organisation.as_ref();
             relay.state.metrics.record_first_token(
                 &relay.service,
-                organisation
-                    .and_then(|o| o.urgency)
-                    .unwrap_or(relay.rule.urgency),
+                relay.urgency(),
                 relay.arrived.elapsed(),
             );
         }
@@ -150,7 +147,7 @@
                 match resumed {
                     Ok(resumed) => open = resumed,
                     Err(reason) => {
-                        record_end(&relay, "broken");
+                        relay.record_end("broken");
                         let _ = sender.send(Item::Broken(StreamBroken { reason })).await;
                         return;
                     }
@@ -266,26 +263,10 @@
 
 fn finish(relay: &DirectRelay, open: OpenStream) {
     open.place.end(SendResult::Answered);
-    record_end(relay, "ran");
+    relay.record_end("ran");
 }
 
 fn abandoned(relay: &DirectRelay, open: OpenStream) {
     open.place.end(SendResult::Abandoned);
-    record_end(relay, "abandoned");
-}
-
-fn record_end(relay: &DirectRelay, outcome: &str) {
-    let elapsed = relay.arrived.elapsed();
-    let organisation = relay.organisation.as_ref().map_or("", |o| o.name.as_str());
-    relay
-        .state
-        .metrics
-        .record_request(organisation, outcome, elapsed);
-    event!(
-        CallEnded,
-        "request_id={} outcome={outcome} attempts={} elapsed_ms={}",
-        relay.call.request_id,
-        relay.tried.len(),
-        elapsed.as_millis()
-    );
+    relay.record_end("abandoned");
 }
--- a/lib/src/duty.rs
+++ b/lib/src/duty.rs
@@ -9,6 +9,8 @@
 use crossbeam_channel::TrySendError;
 use snafu::Snafu;
 
+const RING_RETRY_DELAY: Duration = Duration::from_millis(1);
+
 /// Reports that a duty did not take a command.
 #[derive(Debug, Snafu)]
 pub enum DutyError {
@@ -87,6 +89,15 @@
             .map_err(|_| DutyError::Ended { duty: self.name })
     }
 
+    /// Puts a command into the ring, trying again while it is full; for tasks, not for threads.
+    pub(crate) async fn submit_when_free(&self, command: C) {
+        let mut command = command;
+        while let Err(returned) = self.submit_or_return(command) {
+            command = returned;
+            tokio::time::sleep(RING_RETRY_DELAY).await;
+        }
+    }
+
     /// Puts a command into the ring without waiting, or gives it back when the ring is full.
     ///
     /// A command for a thread that has ended is dropped: nothing is left to act on it.
--- a/lib/src/entry_circle.rs
+++ b/lib/src/entry_circle.rs
@@ -8,7 +8,6 @@
 use http::Method;
 use http::Response;
 use http::StatusCode;
-use tokio::net::UdpSocket;
 use volo_http::body::Body;
 use volo_http::server::route::Router;
 use volo_http::server::route::get;
@@ -21,6 +20,7 @@
 use crate::event;
 use crate::gossip_loop::GossipLoop;
 use crate::gossip_loop::KnownEntries;
+use crate::listener;
 use crate::protos::control::GossipWord;
 
 const INTERVAL: Duration = Duration::from_millis(200);
@@ -35,7 +35,7 @@
 /// Addresses by which an entry takes part.
 #[derive(Debug, Clone)]
 pub struct CircleSettings {
-    /// Name of the VM's IP address and port for datagrams.
+    /// IP address and port for datagrams.
     pub gossip_address: String,
     /// IP address and port on which other entries ask for documents.
     pub control_address: String,
@@ -66,11 +66,7 @@
             known: Arc::default(),
         };
         let address = &settings.gossip_address;
-        let socket = UdpSocket::bind(address).await;
-        let socket = socket.map_err(|source| DaemonError::Listen {
-            address: address.clone(),
-            source,
-        })?;
+        let socket = listener::datagrams(address).await?;
         let gossip = EntryGossip::new(
             GossipSettings::builder()
                 .own_address(address.clone())
--- a/lib/src/group_agent.rs
+++ b/lib/src/group_agent.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
@@ -27,6 +26,7 @@
 use crate::direct_orders::RankLink;
 use crate::duty::Duty;
 use crate::event;
+use crate::listener;
 use crate::map_copies;
 use crate::protos::control::MapCopy;
 use crate::protos::control::PlannerBeacon;
@@ -132,11 +132,7 @@
     ///
     /// Fails when the address is not usable.
     pub async fn run(self, mut closing: watch::Receiver<bool>) -> Result<(), DaemonError> {
-        let socket = UdpSocket::bind(self.address).await;
-        let socket = socket.map_err(|source| DaemonError::Listen {
-            address: self.address.to_string(),
-            source,
-        })?;
+        let socket = listener::datagrams(&self.address.to_string()).await?;
         let datagrams = RankDatagrams::new(socket);
         event!(AgentStarted, "address={}", self.address);
         let clock = Clock::start();
@@ -260,7 +256,7 @@
 
     /// Returns whether the engine is still the rank that the run was started for.
     fn is_same_rank(&self) -> bool {
-        self.link.last_report().is_none_or(|report| {
+        self.link.report.borrow().as_ref().is_none_or(|report| {
             let is_same_place = report.rank == self.rank && report.rank_count == self.rank_count;
             is_same_place && report.group == self.group
         })
--- a/lib/src/listener.rs
+++ b/lib/src/listener.rs
@@ -7,6 +7,7 @@
 use futures::StreamExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::net::UdpSocket;
 use tokio_stream::wrappers::TcpListenerStream;
 
 use crate::daemon_error::DaemonError;
@@ -31,6 +32,19 @@
         })
 }
 
+/// Opens a socket for datagrams at an IP address and port.
+///
+/// # Errors
+///
+/// Fails when the address is taken.
+pub(crate) async fn datagrams(address: &str) -> Result<UdpSocket, DaemonError> {
+    let socket = UdpSocket::bind(address).await;
+    socket.map_err(|source| DaemonError::Listen {
+        address: address.to_owned(),
+        source,
+    })
+}
+
 /// Accepts the connections of other pomeloramp processes.
 ///
 /// The frames of an answer are small writes; without the options of
--- a/lib/src/rank_links.rs
+++ b/lib/src/rank_links.rs
@@ -23,7 +23,6 @@
 use crate::rank_server;
 
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
-const RING_RETRY_DELAY: Duration = Duration::from_millis(1);
 const MAX_MESSAGES_IN_FLIGHT: usize = 1024;
 
 /// Reaches the agents of a group's ranks.
@@ -121,7 +120,7 @@
                 origin: send.origin,
                 reply,
             };
-            submit(&peers.duty, answer).await;
+            peers.duty.submit_when_free(answer).await;
         }
         Err(status) => log::debug!("message to rank {rank}: {}", status.message()),
     }
@@ -160,14 +159,6 @@
                 RankCommand::EngineLost
             }
         };
-        submit(&duty, command).await;
-    }
-}
-
-async fn submit(duty: &Duty<RankCommand>, command: RankCommand) {
-    let mut command = command;
-    while let Err(returned) = duty.submit_or_return(command) {
-        command = returned;
-        tokio::time::sleep(RING_RETRY_DELAY).await;
+        duty.submit_when_free(command).await;
     }
 }
--- a/lib/src/rank_messages.rs
+++ b/lib/src/rank_messages.rs
@@ -60,9 +60,7 @@
             self.datagrams.send(rank, &datagram).await;
         }
     }
-}
 
-impl RankMessages {
     /// Carries a decision out for a rank whose agent does not answer.
     ///
     /// A decision is final, so that it does no harm when the agent carries it out as well. Until
