dispatch: a rank group that stands still gets no new calls, and keeps those it has

Cause: while the group was held (frozen VM, or one rank dead), each stream was taken away from its rank after 0.9 s. All ranks stand still together, so the next one served it no sooner; where no retry was left the caller got 504 after 0.9 s of its 8 s, else 502 when the second place was refused. Ruled out: a shorter patience (more sends), and moving only within the budget (the budget was what ran out).

--- a/lib/src/direct_dispatch.rs
+++ b/lib/src/direct_dispatch.rs
@@ -100,6 +100,11 @@
         self.service(service).observe_pauses(mean_pause_ms, count);
     }
 
+    /// Notes that running calls of a service have made progress.
+    pub fn note_progress(&mut self, service: &str, now_ms: u64) {
+        self.service(service).note_progress(now_ms);
+    }
+
     /// Asks for an endpoint; without an answer the call waits for one.
     pub fn arrive(&mut self, query: DispatchQuery, now_ms: u64) -> Option<DispatchAnswer> {
         let call = query.call;
@@ -121,6 +126,17 @@
         answer
     }
 
+    /// Takes one retry of a service from its budget to take a call away from a silent endpoint,
+    /// or tells that the call is to stay: no retry is left, all endpoints are silent together, or
+    /// none but those in `exclude` takes it.
+    pub fn try_move(&mut self, service: &str, exclude: &[String], now_ms: u64) -> bool {
+        let state = self.services.get(service);
+        let may_move = |state: &DirectService| {
+            !state.is_standing_still(now_ms) && state.has_other(exclude, now_ms)
+        };
+        state.is_some_and(may_move) && self.try_retry(service, now_ms)
+    }
+
     /// Takes one retry of a service from its budget, or tells that none is left.
     pub fn try_retry(&mut self, service: &str, now_ms: u64) -> bool {
         budget(&mut self.budgets, service, self.retry_percent, now_ms).try_retry(now_ms)
@@ -150,7 +166,7 @@
             return Vec::new();
         };
         let service = self.service(&name);
-        service.answering(call);
+        service.answering(call, now_ms);
         let answers = service.advance(now_ms);
         self.forget_refused(&answers);
         answers
--- a/lib/src/direct_duty.rs
+++ b/lib/src/direct_duty.rs
@@ -1,5 +1,6 @@
 //! The duty of an entry that decides where directly sent calls go.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -21,6 +22,7 @@
 use crate::direct_service::DirectService;
 use crate::duty::Duty;
 use crate::duty::Wake;
+use crate::event;
 
 const RING_CAPACITY: usize = 4096;
 const TICK: Duration = Duration::from_millis(20);
@@ -46,6 +48,13 @@
         service: String,
         reply: oneshot::Sender<bool>,
     },
+    /// A call asks whether it may be taken away from an endpoint that is silent.
+    Move {
+        service: String,
+        /// Endpoints that have or had the call.
+        exclude: Vec<String>,
+        reply: oneshot::Sender<bool>,
+    },
     /// An endpoint has begun to answer a call.
     Answering { call: u64 },
     /// A call that ran or waited has ended.
@@ -105,6 +114,8 @@
 struct State {
     dispatch: DirectDispatch,
     replies: HashMap<u64, oneshot::Sender<DispatchAnswer>>,
+    /// Services whose rank groups were down when last looked at.
+    down: BTreeSet<String>,
 }
 
 /// Starts the duty.
@@ -118,18 +129,21 @@
     let mut state = State {
         dispatch: DirectDispatch::new(availability_zone, retry_percent, rng),
         replies: HashMap::new(),
+        down: BTreeSet::new(),
     };
     Duty::spawn("dispatch", RING_CAPACITY, TICK, move |wake| {
         let now_ms = clock.now_ms();
         for (service, (sum_ms, count)) in pauses.take() {
             let mean_ms = sum_ms / f64::from(count);
             state.dispatch.observe_pauses(&service, mean_ms, count);
+            state.dispatch.note_progress(&service, now_ms);
         }
         match wake {
             Wake::Command(command) => state.handle(command, now_ms),
             Wake::Tick => {
                 let answers = state.dispatch.advance(now_ms);
                 state.answer(answers);
+                state.log_down();
             }
         }
     })
@@ -151,6 +165,13 @@
             DirectCommand::Retry { service, reply } => {
                 let _ = reply.send(self.dispatch.try_retry(&service, now_ms));
             }
+            DirectCommand::Move {
+                service,
+                exclude,
+                reply,
+            } => {
+                let _ = reply.send(self.dispatch.try_move(&service, &exclude, now_ms));
+            }
             DirectCommand::Answering { call } => {
                 let answers = self.dispatch.answering(call, now_ms);
                 self.answer(answers);
@@ -166,6 +187,20 @@
         }
     }
 
+    /// Logs which services' rank groups have gone down or come up.
+    fn log_down(&mut self) {
+        let services = self.dispatch.services();
+        let down = services.filter(|(_, service)| service.is_down());
+        let down: BTreeSet<String> = down.map(|(name, _)| name.to_owned()).collect();
+        for name in down.difference(&self.down) {
+            event!(GroupStoodStill, "service={name}");
+        }
+        for name in self.down.difference(&down) {
+            event!(GroupMoved, "service={name}");
+        }
+        self.down = down;
+    }
+
     fn arrive(
         &mut self,
         query: DispatchQuery,
--- a/lib/src/direct_relay.rs
+++ b/lib/src/direct_relay.rs
@@ -62,6 +62,8 @@
     /// Endpoints that got the call.
     pub(crate) tried: Vec<String>,
     pub(crate) unwritten_sends: u32,
+    /// A retry was taken from the budget and is not used yet.
+    pub(crate) has_retry: bool,
     /// An endpoint may have run the call, so that nothing is promised any more.
     pub(crate) may_have_run: bool,
     /// Last event that the caller has.
@@ -185,16 +187,42 @@
     }
 
     /// Returns whether the call may be sent to one more endpoint, and takes it from the budget.
-    pub(crate) async fn may_retry(&self) -> bool {
-        let attempts = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
-        if attempts >= self.rule.max_attempts || self.time_left_ms() <= MIN_SERVICE_MS {
-            return false;
+    pub(crate) async fn may_retry(&mut self) -> bool {
+        if std::mem::take(&mut self.has_retry) {
+            return true;
         }
+        let attempts = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
         let (reply, answer) = oneshot::channel();
-        let command = DirectCommand::Retry {
+        let service = self.service.clone();
+        let command = DirectCommand::Retry { service, reply };
+        self.may_send_after(attempts) && self.ask(command, answer).await
+    }
+
+    /// Returns whether the call may be taken away from the last of the endpoints in `sent_to`, which
+    /// is silent; the retry for it is taken from the budget.
+    async fn may_move(&self, sent_to: Vec<String>) -> bool {
+        let attempts = u32::try_from(sent_to.len()).unwrap_or(u32::MAX);
+        let (reply, answer) = oneshot::channel();
+        let command = DirectCommand::Move {
             service: self.service.clone(),
+            exclude: sent_to,
             reply,
         };
+        self.may_send_after(attempts) && self.ask(command, answer).await
+    }
+
+    /// Decides whether a call that an endpoint has begun to answer is taken away from it, since it
+    /// has fallen silent.
+    pub(crate) async fn take_away(&mut self) -> bool {
+        self.has_retry = self.may_move(self.tried.clone()).await;
+        self.has_retry
+    }
+
+    fn may_send_after(&self, attempts: u32) -> bool {
+        attempts < self.rule.max_attempts && self.time_left_ms() > MIN_SERVICE_MS
+    }
+
+    async fn ask(&self, command: DirectCommand, answer: oneshot::Receiver<bool>) -> bool {
         if let Err(error) = self.state.dispatch.submit(command) {
             log::warn!("retry of request {}: {error}", self.call.request_id);
             return false;
@@ -361,8 +389,16 @@
             time_left_ms: self.time_left_ms(),
             resume_after: self.resume_after,
         };
-        let sending = exchange.send(&endpoint.address, &send);
-        let outcome = tokio::time::timeout_at(until, sending).await;
+        let mut sending = std::pin::pin!(exchange.send(&endpoint.address, &send));
+        let mut outcome = tokio::time::timeout_at(until, sending.as_mut()).await;
+        if outcome.is_err() && until < self.deadline {
+            let mut sent_to = self.tried.clone();
+            sent_to.push(endpoint.id.clone());
+            self.has_retry = self.may_move(sent_to).await;
+            if !self.has_retry {
+                outcome = tokio::time::timeout_at(self.deadline, sending).await;
+            }
+        }
         if !matches!(outcome, Ok(Sent::Unwritten { .. })) {
             self.tried.push(endpoint.id.clone());
         }
--- a/lib/src/direct_server.rs
+++ b/lib/src/direct_server.rs
@@ -82,6 +82,7 @@
         deadline,
         tried: Vec::new(),
         unwritten_sends: 0,
+        has_retry: false,
         may_have_run: false,
         _guard: guard,
     };
--- a/lib/src/direct_service.rs
+++ b/lib/src/direct_service.rs
@@ -29,6 +29,10 @@
 const MAX_WAIT_MS: u64 = 1_500;
 /// Time between two calls that are sent to see whether a rank group is up again.
 const GROUP_DOWN_PAUSE_MS: u64 = 150;
+/// Time without any event of a running call after which a rank group stands still.
+const STANDSTILL_MS: u64 = 400;
+/// When a call may come back that found the rank group at a standstill.
+const STANDSTILL_RETRY_AFTER_MS: u64 = 2_000;
 const MIN_RETRY_AFTER_MS: u64 = 150;
 const MAX_RETRY_AFTER_MS: u64 = 2_500;
 /// Slots of an endpoint that publishes none.
@@ -60,6 +64,10 @@
     closed_until_ms: u64,
     /// The group was down when last heard of: one call at a time is sent to see.
     is_down: bool,
+    /// The endpoints run in lock-step, so that all of them stand still when one does.
+    is_rank_group: bool,
+    /// Since when no running call has made progress.
+    quiet_since_ms: u64,
 }
 
 #[derive(Debug)]
@@ -89,6 +97,8 @@
             mean_hold_ms: FIRST_HOLD_MS,
             closed_until_ms: 0,
             is_down: false,
+            is_rank_group: false,
+            quiet_since_ms: 0,
         }
     }
 
@@ -108,6 +118,7 @@
     }
 
     pub(crate) fn set_engine(&mut self, model: Option<&EngineModel>) {
+        self.is_rank_group = model.is_some_and(|model| model.experts.is_some());
         match (&mut self.pace, model) {
             (Some(pace), Some(model)) => pace.set_model(model.clone()),
             (pace, model) => *pace = model.cloned().map(StreamPace::new),
@@ -137,6 +148,27 @@
         }
     }
 
+    /// Notes that a running call has made progress.
+    pub(crate) fn note_progress(&mut self, now_ms: u64) {
+        self.quiet_since_ms = now_ms;
+        if now_ms >= self.closed_until_ms {
+            self.is_down = false;
+        }
+    }
+
+    /// Returns whether the ranks of the service stand still: calls run, and none makes progress.
+    ///
+    /// Another rank would serve a call no sooner then.
+    pub(crate) fn is_standing_still(&self, now_ms: u64) -> bool {
+        let quiet_ms = now_ms.saturating_sub(self.quiet_since_ms);
+        self.is_rank_group && !self.running.is_empty() && quiet_ms >= STANDSTILL_MS
+    }
+
+    /// Returns whether the rank group of the service was down when last heard of.
+    pub(crate) fn is_down(&self) -> bool {
+        self.is_down
+    }
+
     /// Answers a call at once, or lets it wait: then nothing is returned.
     pub(crate) fn arrive(&mut self, query: DispatchQuery, now_ms: u64) -> Option<DispatchAnswer> {
         if !self.endpoints.values().any(|e| !e.record.is_leaving) {
@@ -145,7 +177,10 @@
         let wait_ms = self.expected_wait_ms(&query, now_ms);
         let until_ms = query.useful_until_ms.min(now_ms + MAX_WAIT_MS);
         if wait_ms > 0 && now_ms + wait_ms > until_ms {
-            return Some(refuse(RefusalCode::Overloaded, wait_ms));
+            return Some(refuse(
+                RefusalCode::Overloaded,
+                self.retry_after_ms(wait_ms),
+            ));
         }
         if wait_ms == 0
             && let Some(answer) = self.place(&query, now_ms)
@@ -172,7 +207,7 @@
                 self.is_down = true;
                 self.closed_until_ms = now_ms + GROUP_DOWN_PAUSE_MS;
             }
-            SendResult::Answered => self.is_down = false,
+            SendResult::Answered => self.note_progress(now_ms),
             _ => {}
         }
         if result == SendResult::Answered {
@@ -188,6 +223,10 @@
     /// Gives free places to waiting calls and refuses those that waited too long.
     pub(crate) fn advance(&mut self, now_ms: u64) -> Vec<(u64, DispatchAnswer)> {
         let mut answers = Vec::new();
+        if self.is_standing_still(now_ms) && !self.is_down {
+            self.is_down = true;
+            self.closed_until_ms = now_ms;
+        }
         while let Some(position) = self.next_waiting(now_ms) {
             let waiting = self.waiting.swap_remove(position);
             let Some(answer) = self.place(&waiting.query, now_ms) else {
@@ -196,7 +235,7 @@
             };
             answers.push((waiting.query.call, answer));
         }
-        let retry_after_ms = self.hold_ms();
+        let retry_after_ms = self.retry_after_ms(to_ms(self.mean_hold_ms));
         self.waiting.retain(|waiting| {
             let is_over = now_ms >= waiting.until_ms;
             if is_over {
@@ -228,6 +267,9 @@
         let endpoint = self.endpoints.get_mut(&id)?;
         endpoint.own_calls += 1;
         let record = Arc::clone(&endpoint.record);
+        if self.running.is_empty() {
+            self.quiet_since_ms = now_ms;
+        }
         self.running.insert(
             query.call,
             Running {
@@ -249,27 +291,39 @@
     }
 
     /// Notes that an endpoint has begun to answer.
-    pub(crate) fn answering(&mut self, call: u64) {
+    pub(crate) fn answering(&mut self, call: u64, now_ms: u64) {
         if self.running.contains_key(&call) {
+            self.quiet_since_ms = now_ms;
             self.is_down = false;
         }
     }
 
+    /// Returns whether an endpoint that is not in `exclude` takes calls.
+    pub(crate) fn has_other(&self, exclude: &[String], now_ms: u64) -> bool {
+        let mut others = self.open(exclude);
+        others.any(|endpoint| !endpoint.is_avoided(now_ms))
+    }
+
+    /// Returns the endpoints that have room for a call and did not have it before.
+    fn open(&self, exclude: &[String]) -> impl Iterator<Item = &DirectEndpoint> {
+        self.endpoints.values().filter(|endpoint| {
+            let slots = slots_of(&endpoint.record);
+            let is_excluded = exclude.contains(&endpoint.record.id);
+            !endpoint.record.is_leaving && !is_excluded && endpoint.calls() < slots
+        })
+    }
+
     /// Chooses the endpoint with the least burden; the local availability zone goes first among
     /// equals, and one that is to be avoided is taken when all are.
     fn choose(&mut self, query: &DispatchQuery, now_ms: u64) -> Option<String> {
-        let open = self.endpoints.values().filter(|endpoint| {
-            let slots = slots_of(&endpoint.record);
-            let is_excluded = query.exclude.contains(&endpoint.record.id);
-            !endpoint.record.is_leaving && !is_excluded && endpoint.calls() < slots
-        });
+        let ties: Vec<u32> = self.endpoints.iter().map(|_| self.rng.random()).collect();
         let mut best: Option<(bool, f64, bool, u32, &str)> = None;
-        for endpoint in open {
+        for (endpoint, tie) in self.open(&query.exclude).zip(ties) {
             let rank = (
                 endpoint.is_avoided(now_ms),
                 endpoint.burden(query.is_stream),
                 !endpoint.is_local,
-                self.rng.random::<u32>(),
+                tie,
                 endpoint.record.id.as_str(),
             );
             if best.is_none_or(|best| is_before(&rank, &best)) {
@@ -329,8 +383,12 @@
         f64::from(calls) / as_f64(self.endpoints.len().max(1))
     }
 
-    fn hold_ms(&self) -> u64 {
-        to_ms(self.mean_hold_ms)
+    /// Returns when a refused call may come back that would wait `wait_ms` for its place.
+    fn retry_after_ms(&self, wait_ms: u64) -> u64 {
+        if self.is_down {
+            return wait_ms.max(STANDSTILL_RETRY_AFTER_MS);
+        }
+        wait_ms
     }
 }
 
--- a/lib/src/direct_stream.rs
+++ b/lib/src/direct_stream.rs
@@ -72,7 +72,7 @@
         };
         let status = head.status;
         open.place.answering();
-        let first = match open.next(&relay).await {
+        let first = match open.next(&mut relay).await {
             Ok(first) => first,
             Err(failure) => {
                 relay.after_failure(open.place, failure).await?;
@@ -155,7 +155,7 @@
             }
         }
         step = tokio::select! {
-            step = open.next(&relay) => step,
+            step = open.next(&mut relay) => step,
             () = sender.closed() => return abandoned(&relay, open),
         };
     }
@@ -196,7 +196,7 @@
 
 impl OpenStream {
     /// Reads the next event that the caller does not have yet.
-    async fn next(&mut self, relay: &DirectRelay) -> Result<Step, SendFailure> {
+    async fn next(&mut self, relay: &mut DirectRelay) -> Result<Step, SendFailure> {
         loop {
             while let Some(event) = self.splitter.next_event() {
                 if let Some(event) = in_order(event, relay.resume_after)? {
@@ -208,11 +208,7 @@
                 let reason = "an event grew too long".to_owned();
                 return Err(lost(SendResult::Failed, reason));
             }
-            let frame = tokio::time::timeout_at(patience(relay), self.body.frame());
-            let Ok(frame) = frame.await else {
-                return Err(late());
-            };
-            match frame {
+            match self.frame(relay).await? {
                 Some(Ok(frame)) => {
                     if let Some(bytes) = frame.data_ref() {
                         self.splitter.push(bytes);
@@ -227,6 +223,23 @@
         }
     }
 
+    /// Waits for the next frame; a silent endpoint keeps the call where no other would serve it
+    /// sooner.
+    async fn frame(
+        &mut self,
+        relay: &mut DirectRelay,
+    ) -> Result<Option<Result<Frame<Bytes>, hyper::Error>>, SendFailure> {
+        let patience = patience(relay);
+        if let Ok(frame) = tokio::time::timeout_at(patience, self.body.frame()).await {
+            return Ok(frame);
+        }
+        if patience >= relay.deadline || relay.take_away().await {
+            return Err(late());
+        }
+        let frame = tokio::time::timeout_at(relay.deadline, self.body.frame());
+        frame.await.map_err(|_| late())
+    }
+
     fn note_event(&mut self, relay: &DirectRelay) {
         let now = Instant::now();
         if let Some(before) = self.last_event.replace(now) {
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -113,6 +113,8 @@
     CallRefused = 604 Info "call refused for lack of room",
     CallRejected = 605 Info "call rejected as it is",
     CallEnded = 606 Info "call ended",
+    GroupStoodStill = 607 Warn "rank group stands still or is down",
+    GroupMoved = 608 Info "rank group makes progress again",
 }
 
 impl fmt::Display for Event {
--- a/lib/tests/test_direct_dispatch.rs
+++ b/lib/tests/test_direct_dispatch.rs
@@ -7,8 +7,12 @@
 use pomeloramp_lib::DispatchAnswer;
 use pomeloramp_lib::DispatchQuery;
 use pomeloramp_lib::EndpointRecord;
+use pomeloramp_lib::EngineModel;
+use pomeloramp_lib::ExpertModel;
 use pomeloramp_lib::RefusalCode;
+use pomeloramp_lib::RouteTable;
 use pomeloramp_lib::SendResult;
+use pomeloramp_lib::ServiceRule;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -37,6 +41,37 @@
     dispatch
 }
 
+/// Returns a dispatch whose endpoints are the ranks of one group.
+fn group_dispatch(ids: &[&str]) -> DirectDispatch {
+    let mut dispatch = dispatch(ids);
+    let experts = ExpertModel {
+        set_count: 1,
+        expert_count: 4,
+        slots_per_rank: 4,
+        max_new_per_rank: 1,
+        expert_mb: 1.0,
+        link_mbit_per_s: 1_000.0,
+        work_share: 0.5,
+    };
+    let engine = EngineModel {
+        slots: SLOTS,
+        steps_per_pass: 1,
+        step_ms: 1.0,
+        request_ms: 1.0,
+        prefill_tokens_per_s: 1_000.0,
+        usual_answer_tokens: 10.0,
+        experts: Some(experts),
+    };
+    let rule = ServiceRule {
+        name: SERVICE.to_owned(),
+        max_connections: 10,
+        engine: Some(engine),
+    };
+    let table = RouteTable::builder().revision(1).rules(Vec::new());
+    dispatch.set_table(&table.services(vec![rule]).build());
+    dispatch
+}
+
 fn query(call: u64, now_ms: u64) -> DispatchQuery {
     DispatchQuery::builder()
         .call(call)
@@ -181,3 +216,59 @@
     }
     expect_that!(at_a, le(10));
 }
+
+#[googletest::test]
+fn while_a_rank_group_stands_still_new_calls_wait_at_the_entry() {
+    let mut dispatch = group_dispatch(&["a", "b"]);
+    assert_that!(dispatch.arrive(query(0, 0), 0), some(anything()));
+    dispatch.answering(0, 20);
+    expect_that!(dispatch.advance(500), is_empty());
+
+    // One call is sent to see; the others wait, although places are free.
+    expect_that!(dispatch.arrive(query(1, 510), 510), some(anything()));
+    expect_that!(dispatch.arrive(query(2, 520), 520), none());
+    expect_that!(dispatch.advance(900), is_empty());
+
+    dispatch.note_progress(SERVICE, 950);
+    let sent = dispatch.advance(960);
+    expect_that!(sent.len(), eq(1));
+    expect_that!(sent[0].0, eq(2));
+}
+
+#[googletest::test]
+fn a_call_that_found_the_group_at_a_standstill_comes_back_after_it() {
+    let mut dispatch = group_dispatch(&["a"]);
+    assert_that!(dispatch.arrive(query(0, 0), 0), some(anything()));
+    dispatch.advance(500);
+    assert_that!(dispatch.arrive(query(1, 500), 500), some(anything()));
+    assert_that!(dispatch.arrive(query(2, 500), 500), none());
+    let refused = dispatch.advance(1_700);
+    assert_that!(refused.len(), eq(1));
+    expect_that!(
+        refused[0].1,
+        matches_pattern!(DispatchAnswer::Refuse {
+            retry_after_ms: ge(&2_000),
+            ..
+        })
+    );
+}
+
+#[googletest::test]
+fn a_call_stays_at_its_rank_while_the_whole_group_stands_still() {
+    let mut dispatch = group_dispatch(&["a", "b"]);
+    for call in 0..2 {
+        assert_that!(dispatch.arrive(query(call, 0), 0), some(anything()));
+    }
+    let sent_to = ["a".to_owned()];
+    expect_that!(dispatch.try_move(SERVICE, &sent_to, 900), eq(false));
+    dispatch.note_progress(SERVICE, 910);
+    expect_that!(dispatch.try_move(SERVICE, &sent_to, 920), eq(true));
+}
+
+#[googletest::test]
+fn a_call_stays_where_it_is_when_nobody_else_takes_it() {
+    let mut dispatch = dispatch(&["a"]);
+    assert_that!(dispatch.arrive(query(0, 0), 0), some(anything()));
+    let sent_to = ["a".to_owned()];
+    expect_that!(dispatch.try_move(SERVICE, &sent_to, 100), eq(false));
+}
