slow engines: agents tell entries, calls keep away, streams leave, maps clear their slots

Cause: one rank 12 times as slow held passes of its group at 0.3 to 0.6 s for 6 s. The planner's searches stopped at a paced skew of 2 (a slot could be filled or swapped, not emptied), and the streams and prompts at the slow rank were its own part, which no map moves.

--- a/lib/src/direct_dispatch.rs
+++ b/lib/src/direct_dispatch.rs
@@ -95,6 +95,14 @@
         }
     }
 
+    /// Takes in the paces of slow endpoints, in percent of the usual time, by the hash of their
+    /// address; all others take the usual time.
+    pub fn set_paces(&mut self, paces: &HashMap<u32, u32>) {
+        for service in self.services.values_mut() {
+            service.set_paces(paces);
+        }
+    }
+
     /// Takes in the mean of the last `count` pauses between events of a service's streams.
     pub fn observe_pauses(&mut self, service: &str, mean_pause_ms: f64, count: u32) {
         self.service(service).observe_pauses(mean_pause_ms, count);
@@ -126,13 +134,15 @@
         answer
     }
 
-    /// Takes one retry of a service from its budget to take a call away from a silent endpoint,
-    /// or tells that the call is to stay: no retry is left, all endpoints are silent together, or
-    /// none but those in `exclude` takes it.
+    /// Takes one retry of a service from its budget to take a call away from a silent endpoint
+    /// or a slow one, the last in `exclude`. Tells otherwise that the call is to stay: no retry is
+    /// left, all endpoints are silent together, or none but those in `exclude` takes it.
     pub fn try_move(&mut self, service: &str, exclude: &[String], now_ms: u64) -> bool {
         let state = self.services.get(service);
         let may_move = |state: &DirectService| {
-            !state.is_standing_still(now_ms) && state.has_other(exclude, now_ms)
+            let is_at_slow = exclude.last().is_some_and(|id| state.is_slow(id));
+            let helps = is_at_slow || !state.is_standing_still(now_ms);
+            helps && state.has_other(exclude, now_ms)
         };
         state.is_some_and(may_move) && self.try_retry(service, now_ms)
     }
--- a/lib/src/direct_duty.rs
+++ b/lib/src/direct_duty.rs
@@ -2,14 +2,14 @@
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::time::Duration;
 
-use rand::SeedableRng;
-use rand::rngs::SmallRng;
 use tokio::sync::oneshot;
+use tokio::sync::watch;
 
 use crate::DirectDispatch;
 use crate::DispatchAnswer;
@@ -37,6 +37,8 @@
     Others {
         entries: u32,
         others: HashMap<u32, OthersDemand>,
+        /// Paces of slow endpoints, in percent of the usual time, by the hash of their address.
+        paces: HashMap<u32, u32>,
     },
     /// A call asks for an endpoint.
     Arrive {
@@ -116,20 +118,22 @@
     replies: HashMap<u64, oneshot::Sender<DispatchAnswer>>,
     /// Services whose rank groups were down when last looked at.
     down: BTreeSet<String>,
+    /// Told which endpoints are slow.
+    slow: watch::Sender<HashSet<String>>,
 }
 
 /// Starts the duty.
 pub(crate) fn spawn(
     clock: Clock,
-    availability_zone: &str,
-    retry_percent: u32,
+    dispatch: DirectDispatch,
     pauses: PauseSamples,
+    slow: watch::Sender<HashSet<String>>,
 ) -> Duty<DirectCommand> {
-    let rng = SmallRng::seed_from_u64(rand::random());
     let mut state = State {
-        dispatch: DirectDispatch::new(availability_zone, retry_percent, rng),
+        dispatch,
         replies: HashMap::new(),
         down: BTreeSet::new(),
+        slow,
     };
     Duty::spawn("dispatch", RING_CAPACITY, TICK, move |wake| {
         let now_ms = clock.now_ms();
@@ -158,8 +162,14 @@
                 self.answer(answers);
             }
             DirectCommand::Table(table) => self.dispatch.set_table(&table),
-            DirectCommand::Others { entries, others } => {
+            DirectCommand::Others {
+                entries,
+                others,
+                paces,
+            } => {
                 self.dispatch.set_others(entries, &others);
+                self.dispatch.set_paces(&paces);
+                self.tell_slow();
             }
             DirectCommand::Arrive { query, reply } => self.arrive(query, reply, now_ms),
             DirectCommand::Retry { service, reply } => {
@@ -187,6 +197,20 @@
         }
     }
 
+    /// Tells the calls which endpoints are slow, if that has changed.
+    fn tell_slow(&self) {
+        let services = self.dispatch.services();
+        let slow: HashSet<String> = services.flat_map(|(_, s)| s.slow()).collect();
+        self.slow.send_if_modified(|known| {
+            let is_modified = *known != slow;
+            if is_modified {
+                event!(SlowEndpoints, "endpoints={}", sorted(&slow));
+                *known = slow;
+            }
+            is_modified
+        });
+    }
+
     /// Logs which services' rank groups have gone down or come up.
     fn log_down(&mut self) {
         let services = self.dispatch.services();
@@ -241,3 +265,10 @@
         }
     }
 }
+
+/// Returns the names in order, separated by commas.
+fn sorted(names: &HashSet<String>) -> String {
+    let names: BTreeSet<&str> = names.iter().map(String::as_str).collect();
+    let names: Vec<&str> = names.into_iter().collect();
+    names.join(",")
+}
--- a/lib/src/direct_endpoint.rs
+++ b/lib/src/direct_endpoint.rs
@@ -15,6 +15,9 @@
 const FAILURE_WEIGHT: f64 = 0.15;
 const LATENCY_WEIGHT: f64 = 0.2;
 const FIRST_LATENCY_MS: f64 = 20.0;
+/// Pace, in percent of the usual time, from which an endpoint counts as slow.
+const SLOW_PACE_PERCENT: u32 = 150;
+const USUAL_PACE_PERCENT: u32 = 100;
 /// Calls that an endpoint with only failures seems to have more than it has.
 const FAILURE_PENALTY: f64 = 24.0;
 
@@ -27,6 +30,8 @@
     pub(crate) own_calls: u32,
     /// Calls of other entries, by their last word.
     pub(crate) others_calls: u32,
+    /// How long the endpoint takes, in percent of the usual time.
+    pub(crate) pace_percent: u32,
     /// Part of the recent calls that failed, from 0 to 1.
     failure_rate: f64,
     mean_latency_ms: f64,
@@ -41,6 +46,7 @@
             is_local,
             own_calls: 0,
             others_calls: 0,
+            pace_percent: USUAL_PACE_PERCENT,
             failure_rate: 0.0,
             mean_latency_ms: FIRST_LATENCY_MS,
             failures_in_row: 0,
@@ -57,6 +63,17 @@
         now_ms < self.avoid_until_ms
     }
 
+    /// Returns whether its agent says that the endpoint is slow. All ranks of a group wait for a
+    /// slow one, and the more so the more it has to do.
+    pub(crate) fn is_slow(&self) -> bool {
+        self.pace_percent >= SLOW_PACE_PERCENT
+    }
+
+    /// Sets the pace as its agent told it; without, the endpoint takes the usual time.
+    pub(crate) fn set_pace(&mut self, pace_percent: Option<u32>) {
+        self.pace_percent = pace_percent.unwrap_or(USUAL_PACE_PERCENT);
+    }
+
     /// Expected burden of one more call; the endpoint with the least is the best.
     pub(crate) fn burden(&self, is_stream: bool) -> f64 {
         let calls = f64::from(self.calls()) + 1.0;
--- a/lib/src/direct_entry.rs
+++ b/lib/src/direct_entry.rs
@@ -1,5 +1,6 @@
 //! The entry role where calls go to endpoints directly.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -9,6 +10,8 @@
 use arc_swap::ArcSwapOption;
 use bon::Builder;
 use bytes::Bytes;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 use tokio::sync::watch;
 use tokio::time::Instant;
 use volo_http::request::Request;
@@ -16,6 +19,7 @@
 
 use crate::Clock;
 use crate::DaemonError;
+use crate::DirectDispatch;
 use crate::DirectWire;
 use crate::EndpointRecord;
 use crate::Metrics;
@@ -80,17 +84,17 @@
     pub fn start(settings: DirectEntrySettings, wire: DirectWire) -> Self {
         let clock = Clock::start();
         let pauses = PauseSamples::default();
-        let dispatch = direct_duty::spawn(
-            clock,
-            &settings.availability_zone,
-            settings.retry_percent,
-            pauses.clone(),
-        );
+        let (slow_sender, slow) = watch::channel(HashSet::new());
+        let rng = SmallRng::seed_from_u64(rand::random());
+        let zone = &settings.availability_zone;
+        let dispatch = DirectDispatch::new(zone, settings.retry_percent, rng);
+        let dispatch = direct_duty::spawn(clock, dispatch, pauses.clone(), slow_sender);
         let state = DirectState {
             clock,
             table: ArcSwapOption::empty(),
             dispatch,
             pauses,
+            slow,
             wire,
             metrics: Metrics::new(),
             in_flight: InFlight::default(),
--- a/lib/src/direct_relay.rs
+++ b/lib/src/direct_relay.rs
@@ -96,6 +96,22 @@
     pub(crate) is_written: bool,
 }
 
+/// What became of a send, or why it was taken away from its endpoint.
+struct Waited {
+    outcome: Result<Sent, SendFailure>,
+    /// A retry was taken from the budget for the next send.
+    has_retry: bool,
+}
+
+impl Waited {
+    fn without_retry(outcome: Result<Sent, SendFailure>) -> Self {
+        Self {
+            outcome,
+            has_retry: false,
+        }
+    }
+}
+
 impl DirectRelay {
     /// Gets the whole answer of a call that is no stream.
     pub(crate) async fn whole(&mut self) -> Result<WholeAnswer, DirectRefusal> {
@@ -389,25 +405,63 @@
             time_left_ms: self.time_left_ms(),
             resume_after: self.resume_after,
         };
-        let mut sending = std::pin::pin!(exchange.send(&endpoint.address, &send));
-        let mut outcome = tokio::time::timeout_at(until, sending.as_mut()).await;
-        if outcome.is_err() && until < self.deadline {
-            let mut sent_to = self.tried.clone();
-            sent_to.push(endpoint.id.clone());
-            self.has_retry = self.may_move(sent_to).await;
-            if !self.has_retry {
-                outcome = tokio::time::timeout_at(self.deadline, sending).await;
-            }
-        }
+        let sending = exchange.send(&endpoint.address, &send);
+        let Waited { outcome, has_retry } = self.wait_for(sending, &endpoint.id, until).await;
+        self.has_retry = has_retry;
         if !matches!(outcome, Ok(Sent::Unwritten { .. })) {
             self.tried.push(endpoint.id.clone());
         }
-        match outcome {
-            Ok(Sent::Answered(response)) => Ok(response),
-            Ok(Sent::Unwritten { reason }) => Err(unwritten(reason)),
-            Ok(Sent::NotRun { result, reason }) => Err(not_run(result, reason)),
-            Ok(Sent::Lost { result, reason }) => Err(lost(result, reason)),
-            Err(_) => Err(late()),
+        match outcome? {
+            Sent::Answered(response) => Ok(response),
+            Sent::Unwritten { reason } => Err(unwritten(reason)),
+            Sent::NotRun { result, reason } => Err(not_run(result, reason)),
+            Sent::Lost { result, reason } => Err(lost(result, reason)),
+        }
+    }
+
+    /// Waits for what becomes of a send. One that had better go elsewhere stays all the same while
+    /// nobody else takes it.
+    async fn wait_for(
+        &self,
+        sending: impl Future<Output = Sent>,
+        endpoint_id: &str,
+        patience: Instant,
+    ) -> Waited {
+        let mut sending = std::pin::pin!(sending);
+        let failure = tokio::select! {
+            outcome = sending.as_mut() => return Waited::without_retry(Ok(outcome)),
+            failure = self.reason_to_leave(endpoint_id, patience) => failure,
+        };
+        let mut sent_to = self.tried.clone();
+        sent_to.push(endpoint_id.to_owned());
+        if self.may_move(sent_to).await {
+            return Waited {
+                outcome: Err(failure),
+                has_retry: true,
+            };
+        }
+        let outcome = tokio::time::timeout_at(self.deadline, sending).await;
+        Waited::without_retry(outcome.map_err(|_| late()))
+    }
+
+    /// Waits until the call had better leave an endpoint: when it has been silent until `patience`,
+    /// or is slow.
+    pub(crate) async fn reason_to_leave(
+        &self,
+        endpoint_id: &str,
+        patience: Instant,
+    ) -> SendFailure {
+        let mut slow = self.state.slow.clone();
+        let turns_slow = async {
+            let turned = slow.wait_for(|slow| slow.contains(endpoint_id));
+            let is_slow = turned.await.is_ok();
+            if !is_slow || !self.rule.repeatability.may_repeat() {
+                std::future::pending::<()>().await;
+            }
+        };
+        tokio::select! {
+            () = turns_slow => left_slow(),
+            () = tokio::time::sleep_until(patience) => late(),
         }
     }
 
@@ -488,6 +542,14 @@
     }
 }
 
+fn left_slow() -> SendFailure {
+    SendFailure {
+        result: SendResult::Abandoned,
+        reason: "endpoint is slow".to_owned(),
+        ..late()
+    }
+}
+
 pub(crate) fn late() -> SendFailure {
     SendFailure {
         result: SendResult::Unreachable,
--- a/lib/src/direct_service.rs
+++ b/lib/src/direct_service.rs
@@ -140,6 +140,28 @@
         self.other_entries = entries;
     }
 
+    /// Takes in the paces of slow endpoints, by the hash of their address.
+    pub(crate) fn set_paces(&mut self, paces: &HashMap<u32, u32>) {
+        for endpoint in self.endpoints.values_mut() {
+            let pace = paces.get(&short_hash(&endpoint.record.address));
+            endpoint.set_pace(pace.copied());
+        }
+    }
+
+    /// Returns the ids of the slow endpoints, unless all are.
+    pub(crate) fn slow(&self) -> impl Iterator<Item = String> {
+        let all_slow = self.endpoints.values().all(DirectEndpoint::is_slow);
+        let endpoints = self.endpoints.iter();
+        let slow = endpoints.filter(move |(_, endpoint)| !all_slow && endpoint.is_slow());
+        slow.map(|(id, _)| id.clone())
+    }
+
+    /// Returns whether an endpoint is slow.
+    pub(crate) fn is_slow(&self, id: &str) -> bool {
+        let endpoint = self.endpoints.get(id);
+        endpoint.is_some_and(DirectEndpoint::is_slow)
+    }
+
     /// Takes in the mean of the last pauses between events of streams.
     pub(crate) fn observe_pauses(&mut self, mean_pause_ms: f64, count: u32) {
         let requests = self.calls_per_endpoint();
@@ -306,13 +328,23 @@
 
     /// Returns the endpoints that have room for a call and did not have it before.
     fn open(&self, exclude: &[String]) -> impl Iterator<Item = &DirectEndpoint> {
-        self.endpoints.values().filter(|endpoint| {
+        self.in_use().filter(|endpoint| {
             let slots = slots_of(&endpoint.record);
             let is_excluded = exclude.contains(&endpoint.record.id);
-            !endpoint.record.is_leaving && !is_excluded && endpoint.calls() < slots
+            !is_excluded && endpoint.calls() < slots
         })
     }
 
+    /// Returns the endpoints that calls are sent to: slow ones only when all are slow.
+    fn in_use(&self) -> impl Iterator<Item = &DirectEndpoint> {
+        let staying = || {
+            let endpoints = self.endpoints.values();
+            endpoints.filter(|endpoint| !endpoint.record.is_leaving)
+        };
+        let all_slow = staying().all(DirectEndpoint::is_slow);
+        staying().filter(move |endpoint| all_slow || !endpoint.is_slow())
+    }
+
     /// Chooses the endpoint with the least burden; the local availability zone goes first among
     /// equals, and one that is to be avoided is taken when all are.
     fn choose(&mut self, query: &DispatchQuery, now_ms: u64) -> Option<String> {
@@ -368,19 +400,17 @@
     }
 
     fn places(&self) -> f64 {
-        let open = self.endpoints.values();
-        let open = open.filter(|endpoint| !endpoint.record.is_leaving);
         let limit = |endpoint: &DirectEndpoint| {
             let slots = f64::from(slots_of(&endpoint.record));
             let paced = self.pace.as_ref().map(StreamPace::places_per_endpoint);
             paced.map_or(slots, |paced| paced.min(slots))
         };
-        open.map(limit).sum()
+        self.in_use().map(limit).sum()
     }
 
     fn calls_per_endpoint(&self) -> f64 {
         let calls: u32 = self.endpoints.values().map(DirectEndpoint::calls).sum();
-        f64::from(calls) / as_f64(self.endpoints.len().max(1))
+        f64::from(calls) / as_f64(self.in_use().count().max(1))
     }
 
     /// Returns when a refused call may come back that would wait `wait_ms` for its place.
--- a/lib/src/direct_state.rs
+++ b/lib/src/direct_state.rs
@@ -1,10 +1,12 @@
 //! State shared by the handlers of directly sent calls.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
 use arc_swap::ArcSwapOption;
+use tokio::sync::watch;
 
 use crate::Clock;
 use crate::DirectWire;
@@ -22,6 +24,8 @@
     pub(crate) table: ArcSwapOption<RouteTable>,
     pub(crate) dispatch: Duty<DirectCommand>,
     pub(crate) pauses: PauseSamples,
+    /// Ids of the endpoints that are slow while others of their service are not.
+    pub(crate) slow: watch::Receiver<HashSet<String>>,
     pub(crate) wire: DirectWire,
     pub(crate) metrics: Metrics,
     pub(crate) in_flight: InFlight,
--- a/lib/src/direct_stream.rs
+++ b/lib/src/direct_stream.rs
@@ -229,12 +229,14 @@
         &mut self,
         relay: &mut DirectRelay,
     ) -> Result<Option<Result<Frame<Bytes>, hyper::Error>>, SendFailure> {
-        let patience = patience(relay);
-        if let Ok(frame) = tokio::time::timeout_at(patience, self.body.frame()).await {
-            return Ok(frame);
-        }
-        if patience >= relay.deadline || relay.take_away().await {
-            return Err(late());
+        let endpoint = self.place.endpoint();
+        let endpoint_id = endpoint.map_or("", |endpoint| endpoint.id.as_str());
+        let failure = tokio::select! {
+            frame = self.body.frame() => return Ok(frame),
+            failure = relay.reason_to_leave(endpoint_id, patience(relay)) => failure,
+        };
+        if relay.take_away().await {
+            return Err(failure);
         }
         let frame = tokio::time::timeout_at(relay.deadline, self.body.frame());
         frame.await.map_err(|_| late())
--- a/lib/src/entry_gossip.rs
+++ b/lib/src/entry_gossip.rs
@@ -1,14 +1,20 @@
 //! What an entry of the direct path knows of the others, by their datagrams.
 
 use std::collections::BTreeMap;
+use std::collections::HashMap;
 
 use bon::Builder;
 
+use crate::protos::control::EndpointPace;
 use crate::protos::control::GossipMessage;
 use crate::protos::control::GossipWord;
 
 /// Addresses that one message passes on at most.
 const MAX_KNOWN_ADDRESSES: usize = 16;
+/// Time for which the pace counts that an agent told; slow engines are told of several times in it.
+const PACE_LIFETIME_MS: u64 = 600;
+/// Slow endpoints that a word names at most.
+const MAX_TOLD_PACES: usize = 32;
 
 /// Pace and bounds of [`EntryGossip`].
 #[derive(Debug, Clone, Builder)]
@@ -39,6 +45,8 @@
 pub struct EntryGossip {
     settings: GossipSettings,
     peers: BTreeMap<String, Peer>,
+    /// Slow endpoints by the hash of their address, and until when their pace counts.
+    paces: BTreeMap<u32, (u32, u64)>,
     /// Position in the round over more peers than hear of one round.
     next_peer: usize,
 }
@@ -57,6 +65,7 @@
         let mut gossip = Self {
             settings,
             peers: BTreeMap::new(),
+            paces: BTreeMap::new(),
             next_peer: 0,
         };
         gossip.learn_seeds(0);
@@ -68,6 +77,10 @@
         for address in &message.known_addresses {
             self.learn(address, now_ms);
         }
+        for pace in &message.paces {
+            let until_ms = now_ms + PACE_LIFETIME_MS;
+            self.paces.insert(pace.endpoint, (pace.percent, until_ms));
+        }
         let Some(word) = &message.word else {
             return;
         };
@@ -118,6 +131,29 @@
         self.live(now_ms).filter(|word| word.serves)
     }
 
+    /// Returns the slow endpoints that agents have told this entry of.
+    #[must_use]
+    pub fn own_paces(&self, now_ms: u64) -> Vec<EndpointPace> {
+        let live = self
+            .paces
+            .iter()
+            .filter(|(_, (_, until_ms))| now_ms < *until_ms);
+        let paces = live.map(|(endpoint, (percent, _))| EndpointPace {
+            endpoint: *endpoint,
+            percent: *percent,
+        });
+        paces.take(MAX_TOLD_PACES).collect()
+    }
+
+    /// Returns the paces of the slow endpoints that this or another live entry was told of, in
+    /// percent of the usual time, by the hash of their address.
+    #[must_use]
+    pub fn paces(&self, now_ms: u64) -> HashMap<u32, u32> {
+        let told = self.live(now_ms).flat_map(|word| word.paces.clone());
+        let paces = told.chain(self.own_paces(now_ms));
+        paces.map(|pace| (pace.endpoint, pace.percent)).collect()
+    }
+
     /// Returns the live entry with the newest configuration, if it is newer than `revision`.
     #[must_use]
     pub fn newer_config(&self, revision: u64, now_ms: u64) -> Option<&GossipWord> {
@@ -149,6 +185,7 @@
 
     fn forget(&mut self, now_ms: u64) {
         let forget_after_ms = self.settings.forget_after_ms;
+        self.paces.retain(|_, (_, until_ms)| now_ms < *until_ms);
         self.peers
             .retain(|_, peer| now_ms.saturating_sub(peer.heard_ms) < forget_after_ms);
     }
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -115,6 +115,7 @@
     CallEnded = 606 Info "call ended",
     GroupStoodStill = 607 Warn "rank group stands still or is down",
     GroupMoved = 608 Info "rank group makes progress again",
+    SlowEndpoints = 609 Info "other endpoints are slow than before",
 }
 
 impl fmt::Display for Event {
--- a/lib/src/gossip_loop.rs
+++ b/lib/src/gossip_loop.rs
@@ -83,9 +83,11 @@
         self.word.serves = self.entry.is_ready();
         self.word.config_revision = self.entry.revision().unwrap_or(0);
         self.word.demands = demands(&demand);
+        self.word.paces = self.gossip.own_paces(now_ms);
         let message = GossipMessage {
             word: Some(self.word.clone()),
             known_addresses: self.gossip.known_addresses(now_ms),
+            paces: Vec::new(),
         };
         let bytes = message.encode_to_vec();
         for address in self.gossip.round(now_ms) {
@@ -120,7 +122,11 @@
                 }
             }
         }
-        self.entry.submit(DirectCommand::Others { entries, others });
+        self.entry.submit(DirectCommand::Others {
+            entries,
+            others,
+            paces: self.gossip.paces(now_ms),
+        });
     }
 
     async fn own_demand(&self) -> OwnDemand {
--- a/lib/src/group_agent.rs
+++ b/lib/src/group_agent.rs
@@ -28,6 +28,7 @@
 use crate::event;
 use crate::listener;
 use crate::map_copies;
+use crate::pace_teller::PaceTeller;
 use crate::protos::control::MapCopy;
 use crate::protos::control::PlannerBeacon;
 use crate::protos::control::RankCounts;
@@ -82,6 +83,10 @@
     pub engine_at: Arc<EngineAt>,
     /// IP address and port for datagrams.
     pub address: SocketAddr,
+    /// Address of the engine, as entries know it.
+    pub endpoint_address: String,
+    /// Where some entries hear datagrams.
+    pub entries: Vec<SocketAddr>,
 }
 
 /// What an agent does for one rank of one group, until its engine is another.
@@ -89,6 +94,7 @@
     clock: Clock,
     link: RankLink,
     datagrams: RankDatagrams,
+    paces: PaceTeller,
     read_peers: Arc<ReadPeers>,
     own_address: SocketAddr,
     duty: Duty<RankCommand>,
@@ -201,6 +207,11 @@
             clock,
             link,
             datagrams: datagrams.clone(),
+            paces: PaceTeller {
+                datagrams: datagrams.clone(),
+                entries: self.entries.clone(),
+                endpoint_address: self.endpoint_address.clone(),
+            },
             read_peers: Arc::clone(&self.peers),
             own_address: self.address,
             duty,
@@ -268,6 +279,7 @@
         let Some(report) = self.link.last_report() else {
             return;
         };
+        self.paces.tell(report.pace_percent).await;
         self.find_peers(now_ms).await;
         self.elect(now_ms).await;
         self.greet(&report, now_ms).await;
--- a/lib/src/map_search.rs
+++ b/lib/src/map_search.rs
@@ -87,10 +87,18 @@
     Some(layout)
 }
 
-/// A change of up to two slots, each with the expert that it gets.
+/// What a change writes to one slot.
+#[derive(Debug, Clone, Copy)]
+struct SlotWrite {
+    slot: usize,
+    /// The expert that the slot gets; absent when it is cleared.
+    expert: Option<usize>,
+}
+
+/// A change of up to two slots.
 #[derive(Debug, Clone, Copy)]
 struct Change {
-    writes: [Option<(usize, usize)>; 2],
+    writes: [Option<SlotWrite>; 2],
     copies: usize,
     gain: f64,
 }
@@ -102,6 +110,17 @@
     }
 }
 
+impl SlotWrite {
+    fn fill(slot: usize, expert: usize) -> Self {
+        let expert = Some(expert);
+        Self { slot, expert }
+    }
+
+    fn clear(slot: usize) -> Self {
+        Self { slot, expert: None }
+    }
+}
+
 struct SetSearch<'a> {
     origin: &'a LayerLayout,
     loads: &'a [f64],
@@ -178,6 +197,13 @@
     ) -> Vec<Change> {
         let hot = self.layout.rank_of(from);
         let mut changes = Vec::new();
+        if self.replicas[expert] > 1 {
+            changes.push(Change {
+                writes: [Some(SlotWrite::clear(from)), None],
+                copies: 0,
+                gain: 0.0,
+            });
+        }
         for (slot, other) in self.layout.slots().iter().enumerate() {
             let rank = self.layout.rank_of(slot);
             let is_cool = self.paced_load(rank) < self.paced_load(hot);
@@ -188,7 +214,7 @@
                 continue;
             }
             let replicate = Change {
-                writes: [Some((slot, expert)), None],
+                writes: [Some(SlotWrite::fill(slot, expert)), None],
                 copies: self.copies(rank, expert),
                 gain: 0.0,
             };
@@ -203,7 +229,10 @@
                 !self.layout.holds(hot, other) && self.may_add(hot, other, new_of_rank, bounds);
             if swaps {
                 changes.push(Change {
-                    writes: [Some((slot, expert)), Some((from, other))],
+                    writes: [
+                        Some(SlotWrite::fill(slot, expert)),
+                        Some(SlotWrite::fill(from, other)),
+                    ],
                     copies: replicate.copies + self.copies(hot, other),
                     gain: 0.0,
                 });
@@ -238,9 +267,9 @@
     fn loads_after(&self, change: &Change, loads: &mut [f64]) {
         loads.copy_from_slice(&self.rank_loads);
         let mut layout_delta: [(usize, i32); 4] = [(usize::MAX, 0); 4];
-        for (slot, expert) in change.writes.iter().flatten() {
-            note_delta(&mut layout_delta, self.layout.slots()[*slot], -1);
-            note_delta(&mut layout_delta, Some(*expert), 1);
+        for write in change.writes.iter().flatten() {
+            note_delta(&mut layout_delta, self.layout.slots()[write.slot], -1);
+            note_delta(&mut layout_delta, write.expert, 1);
         }
         let replicas_after = |expert: usize| {
             let delta = layout_delta.iter().find(|(changed, _)| *changed == expert);
@@ -259,28 +288,31 @@
                 }
             }
         }
-        for (slot, expert) in change.writes.iter().flatten() {
-            let rank = self.layout.rank_of(*slot);
-            if let Some(lost) = self.layout.slots()[*slot] {
+        for write in change.writes.iter().flatten() {
+            let rank = self.layout.rank_of(write.slot);
+            if let Some(lost) = self.layout.slots()[write.slot] {
                 loads[rank] -= self.loads[lost] / replicas_after(lost);
             }
-            loads[rank] += self.loads[*expert] / replicas_after(*expert);
+            if let Some(expert) = write.expert {
+                loads[rank] += self.loads[expert] / replicas_after(expert);
+            }
         }
     }
 
     fn apply(&mut self, change: Change, new_of_rank: &mut [usize]) {
-        for (slot, expert) in change.writes.iter().flatten() {
-            let rank = self.layout.rank_of(*slot);
-            let lost = self.layout.slots()[*slot];
+        for write in change.writes.iter().flatten() {
+            let rank = self.layout.rank_of(write.slot);
+            let lost = self.layout.slots()[write.slot];
             if lost.is_some_and(|lost| !self.origin.holds(rank, lost)) {
                 new_of_rank[rank] = new_of_rank[rank].saturating_sub(1);
             }
-            if !self.origin.holds(rank, *expert) {
+            let is_new = |expert: usize| !self.origin.holds(rank, expert);
+            if write.expert.is_some_and(is_new) {
                 new_of_rank[rank] += 1;
             }
         }
-        for (slot, expert) in change.writes.iter().flatten() {
-            self.layout.set(*slot, Some(*expert));
+        for write in change.writes.iter().flatten() {
+            self.layout.set(write.slot, write.expert);
         }
         self.replicas = self.layout.replica_counts(self.loads.len());
         self.rank_loads = self.layout.rank_loads(self.loads);
--- a/lib/src/protos/pomeloramp.control.rs
+++ b/lib/src/protos/pomeloramp.control.rs
@@ -600,6 +600,19 @@
     /// Gossip addresses of other entries that the sender has heard of late.
     #[prost(string, repeated, tag = "2")]
     pub known_addresses: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Told by an agent of the engine beside it, without a word.
+    #[prost(message, repeated, tag = "3")]
+    pub paces: ::prost::alloc::vec::Vec<EndpointPace>,
+}
+/// How long an endpoint takes.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct EndpointPace {
+    /// Hash of the endpoint's address.
+    #[prost(fixed32, tag = "1")]
+    pub endpoint: u32,
+    /// In percent of the usual time.
+    #[prost(uint32, tag = "2")]
+    pub percent: u32,
 }
 /// What an entry of the direct path says of itself.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -627,6 +640,9 @@
     pub config_revision: u64,
     #[prost(message, repeated, tag = "8")]
     pub demands: ::prost::alloc::vec::Vec<GossipDemand>,
+    /// Slow endpoints that their agents have told the entry of.
+    #[prost(message, repeated, tag = "9")]
+    pub paces: ::prost::alloc::vec::Vec<EndpointPace>,
 }
 /// What an entry has in hand of one service.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/lib/src/rank_datagrams.rs
+++ b/lib/src/rank_datagrams.rs
@@ -11,6 +11,7 @@
 
 use crate::MapReply;
 use crate::MapRequest;
+use crate::protos::control::GossipMessage;
 use crate::protos::control::RankAnswer;
 use crate::protos::control::RankAsk;
 use crate::protos::control::RankDatagram;
@@ -75,10 +76,18 @@
         }
     }
 
+    /// Tells an entry.
+    pub(crate) async fn tell_entry(&self, address: SocketAddr, message: &GossipMessage) {
+        self.send_bytes(address, &message.encode_to_vec()).await;
+    }
+
     /// Sends to an address.
     pub(crate) async fn send_to(&self, address: SocketAddr, datagram: &RankDatagram) {
-        let bytes = datagram.encode_to_vec();
-        if let Err(error) = self.socket.send_to(&bytes, address).await {
+        self.send_bytes(address, &datagram.encode_to_vec()).await;
+    }
+
+    async fn send_bytes(&self, address: SocketAddr, bytes: &[u8]) {
+        if let Err(error) = self.socket.send_to(bytes, address).await {
             log::debug!("datagram to {address}: {error}");
         }
     }
--- a/lib/src/short_hash.rs
+++ b/lib/src/short_hash.rs
@@ -3,7 +3,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Returns the short name under which a datagram names a service or an endpoint.
-pub(crate) fn short_hash(name: &str) -> u32 {
+#[must_use]
+pub fn short_hash(name: &str) -> u32 {
     let hash = xxh3_64(name.as_bytes());
     u32::try_from(hash & u64::from(u32::MAX)).unwrap_or(u32::MAX)
 }
--- a/lib/tests/test_direct_dispatch.rs
+++ b/lib/tests/test_direct_dispatch.rs
@@ -1,5 +1,6 @@
 //! Tests of where calls of the direct path go, wait and are turned away, each with its load.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use googletest::prelude::*;
@@ -13,6 +14,7 @@
 use pomeloramp_lib::RouteTable;
 use pomeloramp_lib::SendResult;
 use pomeloramp_lib::ServiceRule;
+use pomeloramp_lib::short_hash;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -272,3 +274,37 @@
     let sent_to = ["a".to_owned()];
     expect_that!(dispatch.try_move(SERVICE, &sent_to, 100), eq(false));
 }
+
+fn paces(slow: &[&str]) -> HashMap<u32, u32> {
+    let addresses = slow.iter().map(|id| format!("{id}:80"));
+    addresses
+        .map(|address| (short_hash(&address), 500))
+        .collect()
+}
+
+#[googletest::test]
+fn a_slow_rank_gets_no_calls_while_others_are_not_slow() {
+    let mut dispatch = group_dispatch(&["a", "b"]);
+    dispatch.set_paces(&paces(&["a"]));
+    for call in 0..2 {
+        let answer = dispatch.arrive(query(call, 0), 0);
+        expect_that!(sent_to(answer.as_ref()), some(eq("b")));
+    }
+    expect_that!(dispatch.arrive(query(2, 0), 0), none());
+
+    dispatch.set_paces(&paces(&["a", "b"]));
+    let sent = dispatch.advance(10);
+    expect_that!(sent.len(), eq(1));
+}
+
+#[googletest::test]
+fn a_call_leaves_a_slow_rank_even_while_no_pass_ends() {
+    let mut dispatch = group_dispatch(&["a", "b"]);
+    assert_that!(dispatch.arrive(query(0, 0), 0), some(anything()));
+    dispatch.set_paces(&paces(&["a"]));
+    expect_that!(dispatch.try_move(SERVICE, &["a".to_owned()], 900), eq(true));
+    expect_that!(
+        dispatch.try_move(SERVICE, &["b".to_owned()], 900),
+        eq(false)
+    );
+}
--- a/lib/tests/test_entry_gossip.rs
+++ b/lib/tests/test_entry_gossip.rs
@@ -3,6 +3,7 @@
 use googletest::prelude::*;
 use pomeloramp_lib::EntryGossip;
 use pomeloramp_lib::GossipSettings;
+use pomeloramp_lib::protos::control::EndpointPace;
 use pomeloramp_lib::protos::control::GossipMessage;
 use pomeloramp_lib::protos::control::GossipWord;
 
@@ -34,6 +35,7 @@
     GossipMessage {
         word: Some(word),
         known_addresses: known.iter().map(|known| (*known).to_owned()).collect(),
+        paces: Vec::new(),
     }
 }
 
@@ -112,3 +114,42 @@
     told.dedup();
     expect_that!(told, container_eq(names));
 }
+
+#[googletest::test]
+fn a_slow_endpoint_is_passed_on_by_the_entry_that_its_agent_told() {
+    let mut told = gossip("a", &[]);
+    let pace = EndpointPace {
+        endpoint: 7,
+        percent: 500,
+    };
+    let of_agent = GossipMessage {
+        paces: vec![pace],
+        ..GossipMessage::default()
+    };
+    told.take(&of_agent, 100);
+    expect_that!(told.paces(300).get(&7), some(eq(&500)));
+
+    let mut other = gossip("b", &[]);
+    let word = GossipWord {
+        paces: told.own_paces(300),
+        ..word("a", 1, 1)
+    };
+    other.take(&message(word, &[]), 310);
+    expect_that!(other.paces(320).get(&7), some(eq(&500)));
+    // What was heard from another entry is not passed on again.
+    expect_that!(other.own_paces(320), is_empty());
+}
+
+#[googletest::test]
+fn an_endpoint_that_is_not_told_of_again_takes_the_usual_time() {
+    let mut gossip = gossip("a", &[]);
+    let of_agent = GossipMessage {
+        paces: vec![EndpointPace {
+            endpoint: 7,
+            percent: 500,
+        }],
+        ..GossipMessage::default()
+    };
+    gossip.take(&of_agent, 100);
+    expect_that!(gossip.paces(800).get(&7), none());
+}
--- a/lib/tests/test_group_planner.rs
+++ b/lib/tests/test_group_planner.rs
@@ -175,3 +175,26 @@
         lt(paced_skew(&current, &load, &paces))
     );
 }
+
+#[googletest::test]
+fn a_very_slow_rank_keeps_no_expert_that_others_have_room_for() {
+    let load = ExpertLoad::new(vec![vec![10.0; EXPERTS]]);
+    let slots = (0..RANKS).flat_map(first_slots).collect();
+    let slots = ExpertSlots::new(RANKS, SLOTS_PER_RANK, slots).unwrap();
+    let current = slots.layout().unwrap();
+    let bounds = SearchBounds::builder()
+        .max_new_per_rank_and_set(2)
+        .max_new_per_rank(2)
+        .least_gain(0.01)
+        .build();
+    let paces = [12.0, 1.0, 1.0, 1.0];
+    let found = search_map(&current, &load, &paces, bounds).unwrap();
+    let loads = found.layers()[0].rank_loads(load.layer(0));
+    expect_that!(loads[0], eq(0.0));
+    for expert in 0..EXPERTS {
+        let holders = (0..RANKS).filter(|rank| found.layers()[0].holds(*rank, expert));
+        expect_that!(holders.count(), ge(1));
+    }
+    let copied = ExpertSlots::of_layout(&found).unwrap();
+    expect_that!(copied.layout(), some(eq(&found)));
+}
