--- a/lib/src/group_planner.rs
+++ b/lib/src/group_planner.rs
@@ -37,7 +37,7 @@
 /// Time without a plan after one that came to nothing.
 const FAILURE_PAUSE_MS: u64 = 250;
 /// Experts of all sets that one plan may add to a rank.
-const MAX_NEW_PER_RANK: usize = 3;
+const MAX_NEW_PER_RANK: usize = 2;
 /// Skew of a set that one copied expert has to win, where passes take the usual time.
 const LEAST_GAIN_PER_COPY: f64 = 0.015;
 /// Skew, as the mean over the sets, that a plan has to win, where passes take the usual time.
@@ -45,7 +45,7 @@
 /// Skew below which few copies hardly ever bring a set.
 const REACHABLE_SKEW: f64 = 1.08;
 /// Time between two searches that come to nothing.
-const SEARCH_INTERVAL_MS: u64 = 100;
+const SEARCH_INTERVAL_MS: u64 = 50;
 /// Part of the longest pause that passes usually take. Where they take less, streams are on time
 /// with more skew, and a plan has to win more.
 const USUAL_PASS_SHARE: f64 = 0.5;
--- a/lib/src/map_copies.rs
+++ b/lib/src/map_copies.rs
@@ -12,7 +12,7 @@
 use crate::direct_orders::FencingNumber;
 use crate::direct_orders::RankLink;
 
-const COPY_POLL_INTERVAL: Duration = Duration::from_millis(30);
+const COPY_POLL_INTERVAL: Duration = Duration::from_millis(15);
 const COPY_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Copies maps one after another; tells each that is complete.
