--- /dev/null
+++ b/lib/src/crash_ledger.rs
@@ -0,0 +1,139 @@
+//! What an entry of the direct path knows of content that crashes endpoints.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use crate::ContentFingerprint;
+use crate::ContentStanding;
+use crate::CrashWatch;
+use crate::Quarantine;
+use crate::QuarantineSettings;
+use crate::clock::Clock;
+use crate::event;
+use crate::protos::control::QuarantineEntry;
+
+const MAX_ENTRIES: usize = 4_096;
+const SUSPICION_MS: u64 = 60_000;
+const QUARANTINE_MS: u64 = 300_000;
+const RELAY_MARGIN_MS: u64 = 1_000;
+/// Crashes after which content is refused. The calls of a crash run beside each other here, so
+/// that a single crash tells nothing of which of them caused it.
+const REFUSED_AFTER_CRASHES: u32 = 3;
+/// Time for which other entries are told of a change.
+const NEWS_MS: u64 = 700;
+/// Contents that one word names at most.
+const MAX_TOLD_CONTENTS: usize = 16;
+
+/// What an entry of the direct path knows of content that crashes endpoints.
+#[derive(Debug, Clone)]
+pub(crate) struct CrashLedger {
+    clock: Clock,
+    state: Arc<Mutex<State>>,
+}
+
+#[derive(Debug)]
+struct State {
+    watch: CrashWatch,
+    quarantine: Quarantine,
+    /// Versions of the quarantine at the times when news were asked for, the oldest first.
+    versions: VecDeque<(u64, u64)>,
+}
+
+impl CrashLedger {
+    /// Makes the ledger of an entry that has seen no crash.
+    pub(crate) fn new(clock: Clock) -> Self {
+        let settings = QuarantineSettings::builder()
+            .max_entries(MAX_ENTRIES)
+            .suspicion_ms(SUSPICION_MS)
+            .quarantine_ms(QUARANTINE_MS)
+            .relay_margin_ms(RELAY_MARGIN_MS)
+            .refused_after_crashes(REFUSED_AFTER_CRASHES)
+            .build();
+        let state = State {
+            watch: CrashWatch::default(),
+            quarantine: Quarantine::new(settings),
+            versions: VecDeque::new(),
+        };
+        Self {
+            clock,
+            state: Arc::new(Mutex::new(state)),
+        }
+    }
+
+    /// Returns for how long a content is refused, if it is.
+    pub(crate) fn refused_for_ms(&self, content: ContentFingerprint) -> Option<u64> {
+        let now_ms = self.clock.now_ms();
+        let entry = self.lock().quarantine.entry_of(content, now_ms)?;
+        entry.quarantined.then_some(entry.expires_in_ms)
+    }
+
+    /// Notes that a call broke off at an endpoint.
+    pub(crate) fn call_broke(&self, content: ContentFingerprint, endpoint: &str) {
+        let now_ms = self.clock.now_ms();
+        let mut state = self.lock();
+        if state.watch.call_broke(content, endpoint, now_ms) {
+            state.crashed(&[content], endpoint, now_ms);
+        }
+    }
+
+    /// Notes that an endpoint is dead.
+    pub(crate) fn endpoint_is_dead(&self, endpoint: &str) {
+        let now_ms = self.clock.now_ms();
+        let mut state = self.lock();
+        let contents = state.watch.endpoint_is_dead(endpoint, now_ms);
+        state.crashed(&contents, endpoint, now_ms);
+    }
+
+    /// Takes in what another entry tells.
+    pub(crate) fn merge(&self, entries: &[QuarantineEntry]) {
+        if !entries.is_empty() {
+            let now_ms = self.clock.now_ms();
+            self.lock().quarantine.merge(entries, now_ms);
+        }
+    }
+
+    /// Returns what has changed of late, for the other entries.
+    pub(crate) fn news(&self) -> Vec<QuarantineEntry> {
+        let now_ms = self.clock.now_ms();
+        let mut state = self.lock();
+        state.quarantine.expire(now_ms);
+        let version = state.quarantine.version();
+        state.versions.push_back((now_ms, version));
+        let is_old = |at_ms: u64| now_ms.saturating_sub(at_ms) > NEWS_MS;
+        while state.versions.len() > 1 && is_old(state.versions[1].0) {
+            state.versions.pop_front();
+        }
+        let told = state.versions.front().filter(|(at_ms, _)| is_old(*at_ms));
+        let told = told.map_or(0, |(_, version)| *version);
+        let changes = state
+            .quarantine
+            .changes_after(told, MAX_TOLD_CONTENTS, now_ms);
+        changes.0
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn crashed(&mut self, contents: &[ContentFingerprint], endpoint: &str, now_ms: u64) {
+        if contents.is_empty() {
+            return;
+        }
+        event!(
+            EndpointCrashed,
+            "endpoint={endpoint} requests={}",
+            contents.len()
+        );
+        self.quarantine.crashed_beside_others(contents, now_ms);
+        for content in contents {
+            if self.quarantine.standing(*content, now_ms) == ContentStanding::Quarantined {
+                event!(ContentQuarantined, "fingerprint={:016x}", content.0);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/crash_watch.rs
@@ -0,0 +1,70 @@
+//! Which calls were at an endpoint when it crashed, as an entry of the direct path sees it.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+
+use crate::ContentFingerprint;
+
+/// Time between a call that broke off and the sign that its endpoint is dead, at most.
+const EVIDENCE_WINDOW_MS: u64 = 2_000;
+const MAX_BROKEN_CALLS: usize = 256;
+
+/// Which calls were at an endpoint when it crashed.
+///
+/// An answer that breaks off is no crash by itself: connections are reset for other reasons too. It
+/// counts when, shortly before or after, nobody listens at the endpoint or another one of its rank
+/// group says that it is dead.
+#[derive(Debug, Default)]
+pub struct CrashWatch {
+    /// Calls that broke off, the oldest first.
+    broken: VecDeque<BrokenCall>,
+    /// When each endpoint was last found dead.
+    dead_ms: HashMap<String, u64>,
+}
+
+#[derive(Debug)]
+struct BrokenCall {
+    content: ContentFingerprint,
+    endpoint: String,
+    at_ms: u64,
+}
+
+impl CrashWatch {
+    /// Notes that a call broke off at an endpoint; returns whether the endpoint crashed.
+    pub fn call_broke(&mut self, content: ContentFingerprint, endpoint: &str, now_ms: u64) -> bool {
+        self.forget(now_ms);
+        if self.dead_ms.contains_key(endpoint) {
+            return true;
+        }
+        if self.broken.len() == MAX_BROKEN_CALLS {
+            self.broken.pop_front();
+        }
+        self.broken.push_back(BrokenCall {
+            content,
+            endpoint: endpoint.to_owned(),
+            at_ms: now_ms,
+        });
+        false
+    }
+
+    /// Notes that an endpoint is dead; returns the contents of the calls that broke off there.
+    pub fn endpoint_is_dead(&mut self, endpoint: &str, now_ms: u64) -> Vec<ContentFingerprint> {
+        self.forget(now_ms);
+        self.dead_ms.insert(endpoint.to_owned(), now_ms);
+        let mut contents = Vec::new();
+        self.broken.retain(|call| {
+            let is_there = call.endpoint == endpoint;
+            if is_there {
+                contents.push(call.content);
+            }
+            !is_there
+        });
+        contents
+    }
+
+    fn forget(&mut self, now_ms: u64) {
+        let is_recent = |at_ms: u64| now_ms.saturating_sub(at_ms) <= EVIDENCE_WINDOW_MS;
+        self.broken.retain(|call| is_recent(call.at_ms));
+        self.dead_ms.retain(|_, at_ms| is_recent(*at_ms));
+    }
+}
--- a/lib/src/direct_entry.rs
+++ b/lib/src/direct_entry.rs
@@ -27,6 +27,7 @@
 use crate::caller_server;
 use crate::caller_server::CallerClosing;
 use crate::caller_server::CallerLimits;
+use crate::crash_ledger::CrashLedger;
 use crate::direct_duty;
 use crate::direct_duty::DirectCommand;
 use crate::direct_duty::PauseSamples;
@@ -95,6 +96,7 @@
             dispatch,
             pauses,
             slow,
+            crashes: CrashLedger::new(clock),
             wire,
             metrics: Metrics::new(),
             in_flight: InFlight::default(),
@@ -232,6 +234,11 @@
         }
     }
 
+    /// Returns what is known of content that crashes endpoints.
+    pub(crate) fn crashes(&self) -> &CrashLedger {
+        &self.state.crashes
+    }
+
     pub(crate) fn submit(&self, command: DirectCommand) {
         if let Err(error) = self.state.dispatch.submit(command) {
             log::error!("dispatch: {error}");
--- a/lib/src/direct_exchange.rs
+++ b/lib/src/direct_exchange.rs
@@ -30,7 +30,12 @@
     /// No byte of the call was written.
     Unwritten { reason: String },
     /// The endpoint said that it did not run the call.
-    NotRun { result: SendResult, reason: String },
+    NotRun {
+        result: SendResult,
+        reason: String,
+        /// Another endpoint that it says is at fault.
+        endpoint_at_fault: Option<String>,
+    },
     /// The call may have run, and no valid answer came.
     Lost { result: SendResult, reason: String },
 }
@@ -75,12 +80,13 @@
         if answer.is_not_run || status == StatusCode::MISDIRECTED_REQUEST {
             let is_misdirected = status == StatusCode::MISDIRECTED_REQUEST;
             return Sent::NotRun {
-                result: match (is_misdirected, answer.is_fault_elsewhere) {
+                result: match (is_misdirected, &answer.endpoint_at_fault) {
                     (true, _) => SendResult::Misdirected,
-                    (false, true) => SendResult::GroupDown,
-                    (false, false) => SendResult::Full,
+                    (false, Some(_)) => SendResult::GroupDown,
+                    (false, None) => SendResult::Full,
                 },
                 reason: format!("endpoint did not run the call: status {status}"),
+                endpoint_at_fault: answer.endpoint_at_fault,
             };
         }
         let damaged = |reason: String| Sent::Lost {
--- a/lib/src/direct_relay.rs
+++ b/lib/src/direct_relay.rs
@@ -11,6 +11,7 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+use crate::ContentFingerprint;
 use crate::DirectCall;
 use crate::DirectRefusal;
 use crate::DispatchAnswer;
@@ -20,6 +21,7 @@
 use crate::RouteRule;
 use crate::SendResult;
 use crate::TableOrganisation;
+use crate::crash_ledger::CrashLedger;
 use crate::direct_duty::DirectCommand;
 use crate::direct_exchange::DirectExchange;
 use crate::direct_exchange::Sent;
@@ -28,11 +30,16 @@
 use crate::event;
 use crate::http_client;
 use crate::in_flight::InFlightGuard;
-
+use crate::send_failure::CrashSign;
+use crate::send_failure::SendFailure;
+
+/// Time after which an endpoint that has crashed does not listen any more.
+const CRASH_CHECK_DELAY: Duration = Duration::from_millis(100);
+const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(400);
+/// When a call may come back that the dispatch could not take.
+const RING_FULL_RETRY_MS: u64 = 500;
 /// Size of an answer that is not a stream, at most.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
-const OVERLOAD_RETRY_MS: u64 = 500;
-const UNREACHABLE_RETRY_MS: u64 = 400;
 /// Sends that found no endpoint listening, at most; none of them wrote a byte.
 const MAX_UNWRITTEN_SENDS: u32 = 4;
 /// Time that an endpoint needs at least to serve a call in.
@@ -57,6 +64,8 @@
     pub(crate) service: String,
     pub(crate) head: request::Parts,
     pub(crate) body: Bytes,
+    /// Names what is asked for, by whom, whatever the id of the request.
+    pub(crate) content: ContentFingerprint,
     pub(crate) arrived: Instant,
     pub(crate) deadline: Instant,
     /// Endpoints that got the call.
@@ -84,18 +93,6 @@
     pub(crate) body: Bytes,
 }
 
-/// Why a send gave no answer to pass on.
-pub(crate) struct SendFailure {
-    pub(crate) result: SendResult,
-    pub(crate) reason: String,
-    /// What the caller is told if the call is not sent again.
-    pub(crate) refusal: DirectRefusal,
-    /// Nothing of the call can have run.
-    pub(crate) is_not_run: bool,
-    /// A byte of the call was written to the endpoint.
-    pub(crate) is_written: bool,
-}
-
 /// What became of a send, or why it was taken away from its endpoint.
 struct Waited {
     outcome: Result<Sent, SendFailure>,
@@ -173,6 +170,7 @@
         place: DirectPlace,
         failure: SendFailure,
     ) -> Result<(), DirectRefusal> {
+        self.note_crash_sign(&place, &failure.crash_sign);
         let reason = failure.reason.as_str();
         let may_repeat = failure.is_not_run || self.rule.repeatability.may_repeat();
         let is_retried = if failure.is_written {
@@ -194,6 +192,28 @@
         Err(self.without_false_promise(failure.refusal))
     }
 
+    /// Tells what a failed send says of a crash.
+    fn note_crash_sign(&self, place: &DirectPlace, sign: &CrashSign) {
+        let Some(endpoint) = place.endpoint() else {
+            return;
+        };
+        let crashes = &self.state.crashes;
+        match sign {
+            CrashSign::None => {}
+            CrashSign::Broke => {
+                crashes.call_broke(self.content, &endpoint.id);
+                let address = endpoint.address.clone();
+                tokio::spawn(look_for_crash(
+                    crashes.clone(),
+                    endpoint.id.clone(),
+                    address,
+                ));
+            }
+            CrashSign::NotListening => crashes.endpoint_is_dead(&endpoint.id),
+            CrashSign::DeadElsewhere(dead) => crashes.endpoint_is_dead(dead),
+        }
+    }
+
     /// Takes back the promise of a refusal if an earlier send may have run.
     fn without_false_promise(&self, refusal: DirectRefusal) -> DirectRefusal {
         if self.may_have_run && refusal.retry_after_ms.is_some() {
@@ -289,7 +309,7 @@
     /// The refusal of an entry whose rings are full.
     fn overloaded(&self) -> DirectRefusal {
         let message = "entry has no room for the request";
-        let refusal = DirectRefusal::not_run("entry-overloaded", message, OVERLOAD_RETRY_MS);
+        let refusal = DirectRefusal::not_run("entry-overloaded", message, RING_FULL_RETRY_MS);
         self.without_false_promise(refusal)
     }
 
@@ -365,11 +385,11 @@
         let reading = http_client::read_body(Response::new(body), MAX_ANSWER_BYTES);
         match tokio::time::timeout_at(until, reading).await {
             Ok(Ok(body)) => Ok(WholeAnswer { head, body }),
-            Ok(Err(error)) => Err(lost(
+            Ok(Err(error)) => Err(SendFailure::broken(
                 SendResult::Failed,
                 format!("answer broke off: {error}"),
             )),
-            Err(_) => Err(late()),
+            Err(_) => Err(SendFailure::late()),
         }
     }
 
@@ -380,7 +400,9 @@
         until: Instant,
     ) -> Result<Response<Incoming>, SendFailure> {
         let Some(endpoint) = place.endpoint() else {
-            return Err(unwritten("the call has no endpoint".to_owned()));
+            return Err(SendFailure::unwritten(
+                "the call has no endpoint".to_owned(),
+            ));
         };
         event!(
             CallSent,
@@ -413,9 +435,16 @@
         }
         match outcome? {
             Sent::Answered(response) => Ok(response),
-            Sent::Unwritten { reason } => Err(unwritten(reason)),
-            Sent::NotRun { result, reason } => Err(not_run(result, reason)),
-            Sent::Lost { result, reason } => Err(lost(result, reason)),
+            Sent::Unwritten { reason } => Err(SendFailure::unwritten(reason)),
+            Sent::NotRun {
+                result,
+                reason,
+                endpoint_at_fault,
+            } => Err(SendFailure::not_run(result, reason, endpoint_at_fault)),
+            Sent::Lost { result, reason } if result == SendResult::Unreachable => {
+                Err(SendFailure::broken(result, reason))
+            }
+            Sent::Lost { result, reason } => Err(SendFailure::lost(result, reason)),
         }
     }
 
@@ -441,7 +470,7 @@
             };
         }
         let outcome = tokio::time::timeout_at(self.deadline, sending).await;
-        Waited::without_retry(outcome.map_err(|_| late()))
+        Waited::without_retry(outcome.map_err(|_| SendFailure::late()))
     }
 
     /// Waits until the call had better leave an endpoint: when it has been silent until `patience`,
@@ -460,8 +489,8 @@
             }
         };
         tokio::select! {
-            () = turns_slow => left_slow(),
-            () = tokio::time::sleep_until(patience) => late(),
+            () = turns_slow => SendFailure::left_slow(),
+            () = tokio::time::sleep_until(patience) => SendFailure::late(),
         }
     }
 
@@ -504,58 +533,10 @@
     }
 }
 
-fn unwritten(reason: String) -> SendFailure {
-    SendFailure {
-        result: SendResult::Unreachable,
-        refusal: DirectRefusal::not_run(
-            "endpoint-unreachable",
-            "no endpoint could be reached",
-            UNREACHABLE_RETRY_MS,
-        ),
-        reason,
-        is_not_run: true,
-        is_written: false,
-    }
-}
-
-fn not_run(result: SendResult, reason: String) -> SendFailure {
-    SendFailure {
-        result,
-        refusal: DirectRefusal::not_run(
-            "endpoint-full",
-            "the endpoint did not run the request",
-            OVERLOAD_RETRY_MS,
-        ),
-        reason,
-        is_not_run: true,
-        is_written: true,
-    }
-}
-
-pub(crate) fn lost(result: SendResult, reason: String) -> SendFailure {
-    SendFailure {
-        result,
-        refusal: DirectRefusal::lost("endpoint-lost", "the endpoint's answer was lost"),
-        reason,
-        is_not_run: false,
-        is_written: true,
-    }
-}
-
-fn left_slow() -> SendFailure {
-    SendFailure {
-        result: SendResult::Abandoned,
-        reason: "endpoint is slow".to_owned(),
-        ..late()
-    }
-}
-
-pub(crate) fn late() -> SendFailure {
-    SendFailure {
-        result: SendResult::Unreachable,
-        refusal: DirectRefusal::late("the answer did not come within the deadline"),
-        reason: "no answer in time".to_owned(),
-        is_not_run: false,
-        is_written: true,
+/// Looks whether an endpoint at which a call broke off has crashed.
+async fn look_for_crash(crashes: CrashLedger, endpoint_id: String, address: String) {
+    tokio::time::sleep(CRASH_CHECK_DELAY).await;
+    if !http_client::is_listening(&address, CRASH_CHECK_TIMEOUT).await {
+        crashes.endpoint_is_dead(&endpoint_id);
     }
 }
--- a/lib/src/direct_server.rs
+++ b/lib/src/direct_server.rs
@@ -6,10 +6,12 @@
 use bytes::Bytes;
 use http::Response;
 use http::StatusCode;
+use http::request;
 use tokio::time::Instant;
 use volo_http::body::Body;
 use volo_http::request::Request;
 
+use crate::ContentFingerprint;
 use crate::DirectCall;
 use crate::DirectRefusal;
 use crate::RouteRule;
@@ -68,6 +70,8 @@
     let deadline = arrived + Duration::from_millis(limit_ms);
     let request = Request::from_parts(head.clone(), body);
     let body = read_body(&table, request, deadline).await?;
+    let content = fingerprint(&head, organisation.as_deref(), &body);
+    check_content(state, &call, content)?;
     let service = rule.target(rand::random()).unwrap_or_default().to_owned();
     let relay = DirectRelay {
         state: Arc::clone(state),
@@ -78,6 +82,7 @@
         service,
         head,
         body,
+        content,
         arrived,
         deadline,
         tried: Vec::new(),
@@ -117,6 +122,37 @@
     Ok((Arc::clone(rule), organisation.cloned()))
 }
 
+/// Names what is asked for, and by whom.
+fn fingerprint(
+    head: &request::Parts,
+    organisation: Option<&TableOrganisation>,
+    body: &Bytes,
+) -> ContentFingerprint {
+    let organisation = organisation.map_or("", |organisation| organisation.name.as_str());
+    let asked = format!("{organisation}\n{} {}", head.method, head.uri);
+    ContentFingerprint::of(&asked, body)
+}
+
+/// Refuses content that has crashed endpoints again and again.
+fn check_content(
+    state: &DirectState,
+    call: &DirectCall,
+    content: ContentFingerprint,
+) -> Result<(), DirectRefusal> {
+    const CODE: &str = "content-quarantined";
+    let Some(refused_for_ms) = state.crashes.refused_for_ms(content) else {
+        return Ok(());
+    };
+    event!(
+        CallRejected,
+        "request_id={} code={CODE} fingerprint={:016x}",
+        call.request_id,
+        content.0
+    );
+    let message = "the request has crashed the endpoints that ran it";
+    Err(DirectRefusal::not_run(CODE, message, refused_for_ms))
+}
+
 async fn read_body(
     table: &RouteTable,
     request: Request,
--- a/lib/src/direct_state.rs
+++ b/lib/src/direct_state.rs
@@ -12,6 +12,7 @@
 use crate::DirectWire;
 use crate::Metrics;
 use crate::RouteTable;
+use crate::crash_ledger::CrashLedger;
 use crate::direct_duty::DirectCommand;
 use crate::direct_duty::PauseSamples;
 use crate::duty::Duty;
@@ -26,6 +27,7 @@
     pub(crate) pauses: PauseSamples,
     /// Ids of the endpoints that are slow while others of their service are not.
     pub(crate) slow: watch::Receiver<HashSet<String>>,
+    pub(crate) crashes: CrashLedger,
     pub(crate) wire: DirectWire,
     pub(crate) metrics: Metrics,
     pub(crate) in_flight: InFlight,
--- a/lib/src/direct_stream.rs
+++ b/lib/src/direct_stream.rs
@@ -21,10 +21,8 @@
 use crate::direct_place::DirectPlace;
 use crate::direct_relay::DirectRelay;
 use crate::direct_relay::OpenAnswer;
-use crate::direct_relay::SendFailure;
-use crate::direct_relay::late;
-use crate::direct_relay::lost;
 use crate::event;
+use crate::send_failure::SendFailure;
 
 /// Events that wait for a caller who reads slowly, at most.
 const RING_CAPACITY: usize = 32;
@@ -206,7 +204,7 @@
             }
             if self.splitter.is_overlong() {
                 let reason = "an event grew too long".to_owned();
-                return Err(lost(SendResult::Failed, reason));
+                return Err(SendFailure::lost(SendResult::Failed, reason));
             }
             match self.frame(relay).await? {
                 Some(Ok(frame)) => {
@@ -216,7 +214,7 @@
                 }
                 Some(Err(error)) => {
                     let reason = format!("stream broke off: {error}");
-                    return Err(lost(SendResult::Failed, reason));
+                    return Err(SendFailure::broken(SendResult::Failed, reason));
                 }
                 None => return Ok(Step::End(self.splitter.take_rest())),
             }
@@ -239,7 +237,7 @@
             return Err(failure);
         }
         let frame = tokio::time::timeout_at(relay.deadline, self.body.frame());
-        frame.await.map_err(|_| late())
+        frame.await.map_err(|_| SendFailure::late())
     }
 
     fn note_event(&mut self, relay: &DirectRelay) {
@@ -271,7 +269,7 @@
     }
     if id > last + 1 {
         let reason = format!("event {id} came after event {last}");
-        return Err(lost(SendResult::Failed, reason));
+        return Err(SendFailure::lost(SendResult::Failed, reason));
     }
     Ok(Some(event))
 }
--- a/lib/src/direct_wire.rs
+++ b/lib/src/direct_wire.rs
@@ -35,8 +35,8 @@
     pub is_sealed: bool,
     /// The endpoint says that it did not run the call.
     pub is_not_run: bool,
-    /// Another endpoint, on which the answering one depends, is at fault.
-    pub is_fault_elsewhere: bool,
+    /// Id of another endpoint, on which the answering one depends, that is at fault.
+    pub endpoint_at_fault: Option<String>,
 }
 
 /// How callers and endpoints write requests and answers, as functions of the platform's adapter.
--- a/lib/src/gossip_loop.rs
+++ b/lib/src/gossip_loop.rs
@@ -69,7 +69,13 @@
 
     fn take(&mut self, bytes: &[u8]) {
         match GossipMessage::decode(bytes) {
-            Ok(message) => self.gossip.take(&message, self.entry.clock().now_ms()),
+            Ok(message) => {
+                let crashes = message.word.as_ref().map(|word| &word.crashing_contents);
+                self.entry
+                    .crashes()
+                    .merge(crashes.map_or(&[], Vec::as_slice));
+                self.gossip.take(&message, self.entry.clock().now_ms());
+            }
             Err(error) => log::debug!("datagram: {error}"),
         }
     }
@@ -84,6 +90,7 @@
         self.word.config_revision = self.entry.revision().unwrap_or(0);
         self.word.demands = demands(&demand);
         self.word.paces = self.gossip.own_paces(now_ms);
+        self.word.crashing_contents = self.entry.crashes().news();
         let message = GossipMessage {
             word: Some(self.word.clone()),
             known_addresses: self.gossip.known_addresses(now_ms),
--- a/lib/src/http_client.rs
+++ b/lib/src/http_client.rs
@@ -147,6 +147,11 @@
     Ok(body.collect().await?.to_bytes())
 }
 
+/// Returns whether somebody listens at `peer`.
+pub(crate) async fn is_listening(peer: &str, timeout: Duration) -> bool {
+    connect(peer, timeout).await.is_ok()
+}
+
 async fn connect(peer: &str, timeout: Duration) -> Result<TcpStream, HttpError> {
     let not_written = |reason: String| HttpError::NotWritten {
         step: "connect to",
--- a/lib/src/protos/pomeloramp.control.rs
+++ b/lib/src/protos/pomeloramp.control.rs
@@ -643,6 +643,9 @@
     /// Slow endpoints that their agents have told the entry of.
     #[prost(message, repeated, tag = "9")]
     pub paces: ::prost::alloc::vec::Vec<EndpointPace>,
+    /// What has changed of late in what is held against contents that ran at crashes.
+    #[prost(message, repeated, tag = "10")]
+    pub crashing_contents: ::prost::alloc::vec::Vec<QuarantineEntry>,
 }
 /// What an entry has in hand of one service.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -82,14 +82,22 @@
             let mut entry = self.entry(content, now_ms);
             let suspected = entry.standing() == ContentStanding::Suspect;
             entry.quarantined |= alone && suspected;
-            entry.crashes += 1;
-            let lifetime_ms = if entry.quarantined {
-                self.settings.quarantine_ms
-            } else {
-                self.settings.suspicion_ms
-            };
-            entry.expires_ms = entry.expires_ms.max(now_ms + lifetime_ms);
-            self.store(content, entry, now_ms);
+            self.store_crash(content, entry, now_ms);
+        }
+    }
+
+    /// Notes that an endpoint crashed on which these contents ran beside others that may have caused
+    /// the crash; only the number of crashes is held against them.
+    pub fn crashed_beside_others(&mut self, contents: &[ContentFingerprint], now_ms: u64) {
+        let mut contents = contents.to_vec();
+        contents.sort_unstable();
+        contents.dedup();
+        for content in contents {
+            let mut entry = self.entry(content, now_ms);
+            let limit = self.settings.refused_after_crashes;
+            let uncleared = (entry.crashes + 1).saturating_sub(entry.cleared_crashes);
+            entry.quarantined |= limit > 0 && uncleared >= limit;
+            self.store_crash(content, entry, now_ms);
         }
     }
 
@@ -201,6 +209,18 @@
         settings.quarantine_ms.max(settings.suspicion_ms)
     }
 
+    /// Stores an entry with one more crash.
+    fn store_crash(&mut self, content: ContentFingerprint, mut entry: Entry, now_ms: u64) {
+        entry.crashes += 1;
+        let lifetime_ms = if entry.quarantined {
+            self.settings.quarantine_ms
+        } else {
+            self.settings.suspicion_ms
+        };
+        entry.expires_ms = entry.expires_ms.max(now_ms + lifetime_ms);
+        self.store(content, entry, now_ms);
+    }
+
     /// Stores an entry; its version rises unless only its time changed.
     fn store(&mut self, content: ContentFingerprint, mut entry: Entry, now_ms: u64) {
         let before = self.entry(content, now_ms);
--- /dev/null
+++ b/lib/tests/test_crash_watch.rs
@@ -0,0 +1,74 @@
+//! Tests of what an entry of the direct path takes for a crash, and when content is refused.
+
+use googletest::prelude::*;
+use pomeloramp_lib::ContentFingerprint;
+use pomeloramp_lib::ContentStanding;
+use pomeloramp_lib::CrashWatch;
+use pomeloramp_lib::Quarantine;
+use pomeloramp_lib::QuarantineSettings;
+
+const POISON: ContentFingerprint = ContentFingerprint(1);
+const BYSTANDER: ContentFingerprint = ContentFingerprint(2);
+
+fn quarantine() -> Quarantine {
+    Quarantine::new(
+        QuarantineSettings::builder()
+            .max_entries(16)
+            .suspicion_ms(60_000)
+            .quarantine_ms(300_000)
+            .relay_margin_ms(1_000)
+            .refused_after_crashes(3)
+            .build(),
+    )
+}
+
+#[googletest::test]
+fn a_reset_connection_to_a_live_endpoint_is_no_crash() {
+    let mut watch = CrashWatch::default();
+    for call in 0..5 {
+        expect_false!(watch.call_broke(POISON, "a", call * 100));
+    }
+    // The sign that another endpoint is dead says nothing of this one.
+    expect_that!(watch.endpoint_is_dead("b", 600), is_empty());
+}
+
+#[googletest::test]
+fn calls_that_broke_off_shortly_before_the_endpoint_was_dead_were_in_the_crash() {
+    let mut watch = CrashWatch::default();
+    watch.call_broke(POISON, "a", 100);
+    watch.call_broke(BYSTANDER, "a", 110);
+    expect_that!(
+        watch.endpoint_is_dead("a", 400),
+        unordered_elements_are![eq(&POISON), eq(&BYSTANDER)]
+    );
+    // Each counts once.
+    expect_that!(watch.endpoint_is_dead("a", 500), is_empty());
+    // One whose end is seen late was in the same crash.
+    expect_true!(watch.call_broke(BYSTANDER, "a", 600));
+}
+
+#[googletest::test]
+fn a_call_that_broke_off_long_before_was_not_in_the_crash() {
+    let mut watch = CrashWatch::default();
+    watch.call_broke(POISON, "a", 100);
+    expect_that!(watch.endpoint_is_dead("a", 2_500), is_empty());
+}
+
+#[googletest::test]
+fn content_is_refused_after_its_third_crash_wherever_each_was_seen() {
+    let mut first = quarantine();
+    let mut second = quarantine();
+    first.crashed_beside_others(&[POISON, BYSTANDER], 1_000);
+    second.merge(&first.changes_after(0, 16, 1_100).0, 1_100);
+    second.crashed_beside_others(&[POISON], 5_000);
+    first.merge(&second.changes_after(0, 16, 5_100).0, 5_100);
+    expect_that!(first.standing(POISON, 5_200), eq(ContentStanding::Suspect));
+    first.crashed_beside_others(&[POISON], 9_000);
+    second.merge(&first.changes_after(0, 16, 9_100).0, 9_100);
+    for quarantine in [&first, &second] {
+        let standing = quarantine.standing(POISON, 9_200);
+        expect_that!(standing, eq(ContentStanding::Quarantined));
+        let standing = quarantine.standing(BYSTANDER, 9_200);
+        expect_that!(standing, eq(ContentStanding::Suspect));
+    }
+}
