streams: a resumed stream waits for its place by its last event, and goes first

Cause: the time that a call had waited was counted from its arrival, so that a stream that broke off after 1.4 s was refused a place at once unless one was free, though its caller had had an event a moment before.

--- a/lib/src/direct_relay.rs
+++ b/lib/src/direct_relay.rs
@@ -77,6 +77,8 @@
     pub(crate) may_have_run: bool,
     /// Last event that the caller has.
     pub(crate) resume_after: Option<u64>,
+    /// When the caller was sent its last event; its patience begins anew with each.
+    pub(crate) last_event: Option<Instant>,
     /// Counts the call as in flight.
     pub(crate) _guard: InFlightGuard,
 }
@@ -268,8 +270,7 @@
 
     /// Returns the time until the deadline.
     pub(crate) fn time_left_ms(&self) -> u64 {
-        let left = self.deadline.saturating_duration_since(Instant::now());
-        u64::try_from(left.as_millis()).unwrap_or(u64::MAX)
+        as_ms(self.deadline.saturating_duration_since(Instant::now()))
     }
 
     /// Returns the pause after which callers give up a stream of the route.
@@ -328,11 +329,12 @@
 
     fn query(&self, number: u64) -> DispatchQuery {
         let now_ms = self.state.clock.now_ms();
-        let waited_ms = u64::try_from(self.arrived.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let waited_ms = as_ms(self.arrived.elapsed());
+        let silent_ms = as_ms(self.last_event.unwrap_or(self.arrived).elapsed());
         let left_ms = self.time_left_ms();
         let patience_ms = if self.rule.repeatability.is_stream() {
             let patience_ms = self.patience_ms() * STREAM_WAIT_PERCENT / 100;
-            patience_ms.saturating_sub(waited_ms).min(left_ms)
+            patience_ms.saturating_sub(silent_ms).min(left_ms)
         } else {
             left_ms
         };
@@ -371,7 +373,11 @@
         of_organisation.unwrap_or(self.rule.urgency)
     }
 
+    /// Returns whether the caller was here before, or has part of its answer already.
     fn is_returning(&self) -> bool {
+        if self.resume_after.is_some() {
+            return true;
+        }
         let bound_ms = self.rule.timeout_ms * RETURNING_BELOW_PERCENT / 100;
         self.call
             .time_left_ms
@@ -533,6 +539,10 @@
     }
 }
 
+fn as_ms(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Looks whether an endpoint at which a call broke off has crashed.
 async fn look_for_crash(crashes: CrashLedger, endpoint_id: String, address: String) {
     tokio::time::sleep(CRASH_CHECK_DELAY).await;
--- a/lib/src/direct_server.rs
+++ b/lib/src/direct_server.rs
@@ -86,6 +86,7 @@
         arrived,
         deadline,
         tried: Vec::new(),
+        last_event: None,
         unwritten_sends: 0,
         has_retry: false,
         may_have_run: false,
--- a/lib/src/direct_stream.rs
+++ b/lib/src/direct_stream.rs
@@ -125,6 +125,7 @@
         match step {
             Ok(Step::Event(event)) => {
                 relay.resume_after = event.id.or(relay.resume_after);
+                relay.last_event = Some(Instant::now());
                 if sender.send(Item::Bytes(event.bytes)).await.is_err() {
                     return abandoned(&relay, open);
                 }
