--- a/lib/src/direct_entry.rs
+++ b/lib/src/direct_entry.rs
@@ -33,6 +33,7 @@
 use crate::direct_duty::PauseSamples;
 use crate::direct_server;
 use crate::direct_state::DirectState;
+use crate::endpoint_merge;
 use crate::event;
 use crate::in_flight::InFlight;
 use crate::listener::listen;
@@ -74,9 +75,13 @@
     draining: watch::Receiver<bool>,
     /// Serialises changes of the configuration.
     table_change: Arc<Mutex<()>>,
-    has_endpoints: watch::Sender<bool>,
+    /// The endpoints in use; absent until some were read.
+    endpoints: watch::Sender<Option<EndpointList>>,
+    follows_platform: watch::Sender<bool>,
 }
 
+type EndpointList = Vec<Arc<EndpointRecord>>;
+
 impl DirectEntry {
     /// Starts the duties of an entry that serves nobody yet.
     ///
@@ -107,7 +112,8 @@
             state: Arc::new(state),
             draining: shutdown::listen(),
             table_change: Arc::default(),
-            has_endpoints: watch::channel(false).0,
+            endpoints: watch::channel(None).0,
+            follows_platform: watch::channel(false).0,
         }
     }
 
@@ -157,14 +163,44 @@
 
     /// Takes over the list of endpoints.
     pub fn set_endpoints(&self, endpoints: Vec<Arc<EndpointRecord>>) {
-        self.has_endpoints.send_replace(true);
+        self.endpoints.send_replace(Some(endpoints.clone()));
         self.submit(DirectCommand::Endpoints(endpoints));
     }
 
+    /// Notes whether the list of endpoints follows what the platform publishes.
+    pub fn set_follows_platform(&self, follows: bool) {
+        self.follows_platform.send_replace(follows);
+    }
+
+    /// Returns whether the list of endpoints follows what the platform publishes.
+    #[must_use]
+    pub fn follows_platform(&self) -> bool {
+        *self.follows_platform.borrow()
+    }
+
+    /// Returns the list of endpoints in use, as other entries are told.
+    pub(crate) fn endpoints(&self) -> Option<Vec<EndpointRecord>> {
+        let endpoints = self.endpoints.borrow();
+        let records = endpoints.as_ref()?.iter();
+        Some(records.map(|record| (**record).clone()).collect())
+    }
+
+    /// Takes over the list of another entry while the platform can't be heard; returns whether it
+    /// differs from the present one.
+    pub(crate) fn set_endpoints_of_peer(&self, endpoints: Vec<EndpointRecord>) -> bool {
+        let known = self.endpoints.borrow().clone();
+        let merged = endpoint_merge::merge_of_peer(known.as_deref(), endpoints);
+        if known.as_ref() == Some(&merged) || self.follows_platform() {
+            return false;
+        }
+        self.set_endpoints(merged);
+        true
+    }
+
     /// Returns whether the entry takes new work.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        let knows_enough = self.revision().is_some() && *self.has_endpoints.borrow();
+        let knows_enough = self.revision().is_some() && self.endpoints.borrow().is_some();
         knows_enough && !*self.draining.borrow()
     }
 
--- a/lib/src/endpoint_record.rs
+++ b/lib/src/endpoint_record.rs
@@ -1,9 +1,10 @@
 //! What the platform publishes of one endpoint.
 
-use pomeloramp_proc_macros::value;
+use pomeloramp_proc_macros::document;
 
 /// What the platform publishes of one endpoint that calls are sent to directly.
-#[value]
+#[document]
+#[derive(Eq)]
 pub struct EndpointRecord {
     /// Identity of the endpoint, which its address may outlive.
     pub id: String,
--- a/lib/src/entry_circle.rs
+++ b/lib/src/entry_circle.rs
@@ -8,6 +8,8 @@
 use http::Method;
 use http::Response;
 use http::StatusCode;
+use rand::seq::IndexedRandom;
+use serde_json::json;
 use volo_http::body::Body;
 use volo_http::server::route::Router;
 use volo_http::server::route::get;
@@ -17,6 +19,7 @@
 use crate::EntryGossip;
 use crate::GossipSettings;
 use crate::JsonClient;
+use crate::JsonError;
 use crate::event;
 use crate::gossip_loop::GossipLoop;
 use crate::gossip_loop::KnownEntries;
@@ -26,6 +29,10 @@
 const INTERVAL: Duration = Duration::from_millis(200);
 /// Path at which an entry hands out the configuration in force.
 const CONFIG_PATH: &str = "/v1/configuration";
+/// Path at which an entry hands out the list of endpoints in use.
+const ENDPOINTS_PATH: &str = "/v1/endpoints";
+/// Time between two questions for the endpoints while the platform can't be heard.
+const ENDPOINTS_INTERVAL: Duration = Duration::from_millis(400);
 /// Time that an entry gives its own watch before it asks another entry for a configuration.
 const OWN_WATCH_LEAD: Duration = Duration::from_millis(150);
 const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
@@ -97,6 +104,7 @@
             )
             .await?;
         tokio::spawn(circle.clone().fetch_newer_configs());
+        tokio::spawn(circle.clone().fetch_endpoints_while_alone());
         Ok(circle)
     }
 
@@ -116,7 +124,46 @@
             let document = entry.document();
             async move { document_response(document) }
         };
-        Router::new().route(CONFIG_PATH, get(config))
+        let entry = self.entry.clone();
+        let endpoints = move || {
+            let endpoints = entry.endpoints().map(|endpoints| json!(endpoints));
+            let document = endpoints.map(|endpoints| endpoints.to_string().into());
+            async move { document_response(document) }
+        };
+        Router::new()
+            .route(CONFIG_PATH, get(config))
+            .route(ENDPOINTS_PATH, get(endpoints))
+    }
+
+    /// Takes over the endpoints of others while this entry does not hear from the platform.
+    async fn fetch_endpoints_while_alone(self) {
+        loop {
+            tokio::time::sleep(ENDPOINTS_INTERVAL).await;
+            if self.entry.follows_platform() {
+                continue;
+            }
+            let peer = self
+                .known
+                .load()
+                .following_at
+                .choose(&mut rand::rng())
+                .cloned();
+            let Some(peer) = peer else {
+                continue;
+            };
+            if let Err(error) = self.fetch_endpoints(&peer).await {
+                log::debug!("endpoints of a peer: {error}");
+            }
+        }
+    }
+
+    async fn fetch_endpoints(&self, peer: &str) -> Result<(), JsonError> {
+        let client = JsonClient::new(peer, CONNECT_TIMEOUT, MAX_CONFIG_BYTES);
+        let endpoints = client.get(ENDPOINTS_PATH, FETCH_TIMEOUT).await?;
+        if self.entry.set_endpoints_of_peer(endpoints) {
+            event!(EndpointsFromPeer, "peer={peer}");
+        }
+        Ok(())
     }
 
     /// Takes over configurations that others have and this entry's own watch has not brought.
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -77,6 +77,7 @@
     AgentSuspected = 204 Warn "agent suspected",
     AgentRecovered = 205 Info "agent answers again",
     AgentLeaving = 207 Info "agent is leaving",
+    EndpointsFromPeer = 208 Info "list of endpoints taken over from a peer",
 
     OutcomeUnknown = 301 Warn "outcome of a request is unknown",
     RequestRetried = 302 Debug "request retried elsewhere",
--- a/lib/src/gossip_loop.rs
+++ b/lib/src/gossip_loop.rs
@@ -31,6 +31,8 @@
     pub(crate) caller_addresses: Vec<String>,
     /// Control address of an entry with a newer configuration.
     pub(crate) newer_config_at: Option<String>,
+    /// Control addresses of entries that hear from the platform.
+    pub(crate) following_at: Vec<String>,
 }
 
 /// Tells the other entries of this one, and listens to them, until the process ends.
@@ -88,6 +90,7 @@
         self.word.sequence += 1;
         self.word.serves = self.entry.is_ready();
         self.word.config_revision = self.entry.revision().unwrap_or(0);
+        self.word.follows_platform = self.entry.follows_platform();
         self.word.demands = demands(&demand);
         self.word.paces = self.gossip.own_paces(now_ms);
         self.word.crashing_contents = self.entry.crashes().news();
@@ -109,9 +112,14 @@
         let serving = self.gossip.serving(now_ms);
         let revision = self.entry.revision().unwrap_or(0);
         let newer = self.gossip.newer_config(revision, now_ms);
+        let following = self
+            .gossip
+            .live(now_ms)
+            .filter(|word| word.follows_platform);
         self.known.store(Arc::new(KnownEntries {
             caller_addresses: serving.map(|word| word.caller_address.clone()).collect(),
             newer_config_at: newer.map(|word| word.control_address.clone()),
+            following_at: following.map(|word| word.control_address.clone()).collect(),
         }));
     }
 
--- a/lib/src/protos/pomeloramp.control.rs
+++ b/lib/src/protos/pomeloramp.control.rs
@@ -646,6 +646,9 @@
     /// What has changed of late in what is held against contents that ran at crashes.
     #[prost(message, repeated, tag = "10")]
     pub crashing_contents: ::prost::alloc::vec::Vec<QuarantineEntry>,
+    /// The entry hears from the platform, so that its list of endpoints is new.
+    #[prost(bool, tag = "11")]
+    pub follows_platform: bool,
 }
 /// What an entry has in hand of one service.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
