--- a/lib/src/direct_service.rs
+++ b/lib/src/direct_service.rs
@@ -22,7 +22,7 @@
 use crate::direct_endpoint::DirectEndpoint;
 use crate::short_hash::short_hash;
 
-/// Time for which a call holds its place, until some have ended.
+/// Time for which a call holds its place, until some have ended or an engine's model is known.
 const FIRST_HOLD_MS: f64 = 300.0;
 const HOLD_WEIGHT: f64 = 0.05;
 /// Longest time that a call is let wait for a place.
@@ -60,6 +60,8 @@
     /// Other entries that take new work.
     other_entries: u32,
     mean_hold_ms: f64,
+    /// A call has ended, so that the mean is no guess any more.
+    has_seen_hold: bool,
     /// Until when no call is sent, since a rank group of the service is down.
     closed_until_ms: u64,
     /// The group was down when last heard of: one call at a time is sent to see.
@@ -95,6 +97,7 @@
             others: OthersDemand::default(),
             other_entries: 0,
             mean_hold_ms: FIRST_HOLD_MS,
+            has_seen_hold: false,
             closed_until_ms: 0,
             is_down: false,
             is_rank_group: false,
@@ -119,6 +122,9 @@
 
     pub(crate) fn set_engine(&mut self, model: Option<&EngineModel>) {
         self.is_rank_group = model.is_some_and(|model| model.experts.is_some());
+        if let Some(model) = model.filter(|_| !self.has_seen_hold) {
+            self.mean_hold_ms = model.usual_answer_ms().max(FIRST_HOLD_MS);
+        }
         match (&mut self.pace, model) {
             (Some(pace), Some(model)) => pace.set_model(model.clone()),
             (pace, model) => *pace = model.cloned().map(StreamPace::new),
@@ -234,6 +240,7 @@
         }
         if result == SendResult::Answered {
             let sample_ms = f64::from(u32::try_from(elapsed_ms).unwrap_or(u32::MAX));
+            self.has_seen_hold = true;
             self.mean_hold_ms += HOLD_WEIGHT * (sample_ms - self.mean_hold_ms);
         }
         if let Some(endpoint) = self.endpoints.get_mut(&running.endpoint) {
--- a/lib/src/engine_model.rs
+++ b/lib/src/engine_model.rs
@@ -59,6 +59,14 @@
         f64::from(self.steps_per_pass) * (self.step_ms + self.request_ms * requests)
     }
 
+    /// Returns how long an answer of the usual length takes with half of the slots in use and no
+    /// skew.
+    #[must_use]
+    pub fn usual_answer_ms(&self) -> f64 {
+        let passes = self.usual_answer_tokens / f64::from(self.steps_per_pass.max(1));
+        passes * self.pass_ms(f64::from(self.slots) / 2.0)
+    }
+
     /// Returns how many requests an endpoint may run so that a pass takes `pass_ms` at most,
     /// where passes take `slowdown` times as long as without skew.
     #[must_use]
--- a/lib/tests/test_direct_dispatch.rs
+++ b/lib/tests/test_direct_dispatch.rs
@@ -45,6 +45,11 @@
 
 /// Returns a dispatch whose endpoints are the ranks of one group.
 fn group_dispatch(ids: &[&str]) -> DirectDispatch {
+    group_dispatch_of(ids, 10.0)
+}
+
+/// Returns the same where answers have `usual_answer_tokens` and a pass of one token takes 2 ms.
+fn group_dispatch_of(ids: &[&str], usual_answer_tokens: f64) -> DirectDispatch {
     let mut dispatch = dispatch(ids);
     let experts = ExpertModel {
         set_count: 1,
@@ -61,7 +66,7 @@
         step_ms: 1.0,
         request_ms: 1.0,
         prefill_tokens_per_s: 1_000.0,
-        usual_answer_tokens: 10.0,
+        usual_answer_tokens,
         experts: Some(experts),
     };
     let rule = ServiceRule {
@@ -255,6 +260,23 @@
     );
 }
 
+#[googletest::test]
+fn after_a_restart_a_refused_call_is_told_the_time_that_answers_take() {
+    let mut dispatch = group_dispatch_of(&["a"], 2_000.0);
+    for call in 0..2 {
+        assert_that!(dispatch.arrive(query(call, 0), 0), some(anything()));
+    }
+    // Answers take 4 s; the third call would wait 2 s for one of two places.
+    let answer = dispatch.arrive(query(2, 0), 0);
+    expect_that!(
+        answer,
+        some(matches_pattern!(DispatchAnswer::Refuse {
+            retry_after_ms: ge(&2_000),
+            ..
+        }))
+    );
+}
+
 #[googletest::test]
 fn a_call_stays_at_its_rank_while_the_whole_group_stands_still() {
     let mut dispatch = group_dispatch(&["a", "b"]);
