--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -177,6 +177,7 @@
 mod rank_messages;
 mod rank_planner;
 mod rank_report;
+mod rank_run;
 mod rank_server;
 mod rank_weights;
 mod reader_election;
