--- a/lib/tests/test_group_planner.rs
+++ b/lib/tests/test_group_planner.rs
@@ -43,6 +43,29 @@
     slots
 }
 
+/// The map of the start.
+fn first_layout() -> ExpertLayout {
+    let slots = (0..RANKS).flat_map(first_slots).collect();
+    let slots = ExpertSlots::new(RANKS, SLOTS_PER_RANK, slots).unwrap();
+    slots.layout().unwrap()
+}
+
+/// Bounds of a search that may add `max_new` experts to a rank.
+fn bounds(max_new: usize) -> SearchBounds {
+    SearchBounds::builder()
+        .max_new_per_rank_and_set(max_new)
+        .max_new_per_rank(max_new)
+        .least_gain(0.01)
+        .build()
+}
+
+fn expect_every_expert_is_held(layout: &ExpertLayout) {
+    for expert in 0..EXPERTS {
+        let holders = (0..RANKS).filter(|rank| layout.layers()[0].holds(*rank, expert));
+        expect_that!(holders.count(), ge(1));
+    }
+}
+
 fn counts(
     rank: usize,
     hot: usize,
@@ -131,16 +154,8 @@
         .map(|e| if e == 1 { 50.0 } else { 5.0 })
         .collect();
     let load = ExpertLoad::new(vec![loads]);
-    let slots = (0..RANKS).flat_map(first_slots).collect();
-    let current: ExpertLayout = ExpertSlots::new(RANKS, SLOTS_PER_RANK, slots)
-        .unwrap()
-        .layout()
-        .unwrap();
-    let bounds = SearchBounds::builder()
-        .max_new_per_rank_and_set(1)
-        .max_new_per_rank(1)
-        .least_gain(0.01)
-        .build();
+    let current = first_layout();
+    let bounds = bounds(1);
     let found = search_map(&current, &load, &[1.0; RANKS], bounds).unwrap();
     expect_that!(found.skew(&load), lt(current.skew(&load)));
     for rank in 0..RANKS {
@@ -148,23 +163,14 @@
         let new = held.filter(|expert| !current.layers()[0].holds(rank, *expert));
         expect_that!(new.count(), le(1));
     }
-    for expert in 0..EXPERTS {
-        let holders = (0..RANKS).filter(|rank| found.layers()[0].holds(*rank, expert));
-        expect_that!(holders.count(), ge(1));
-    }
+    expect_every_expert_is_held(&found);
 }
 
 #[googletest::test]
 fn a_slow_rank_is_given_less() {
     let load = ExpertLoad::new(vec![vec![10.0; EXPERTS]]);
-    let slots = (0..RANKS).flat_map(first_slots).collect();
-    let slots = ExpertSlots::new(RANKS, SLOTS_PER_RANK, slots).unwrap();
-    let current = slots.layout().unwrap();
-    let bounds = SearchBounds::builder()
-        .max_new_per_rank_and_set(2)
-        .max_new_per_rank(2)
-        .least_gain(0.01)
-        .build();
+    let current = first_layout();
+    let bounds = bounds(2);
     expect_that!(search_map(&current, &load, &[1.0; RANKS], bounds), none());
     let paces = [3.0, 1.0, 1.0, 1.0];
     let found = search_map(&current, &load, &paces, bounds).unwrap();
@@ -179,22 +185,13 @@
 #[googletest::test]
 fn a_very_slow_rank_keeps_no_expert_that_others_have_room_for() {
     let load = ExpertLoad::new(vec![vec![10.0; EXPERTS]]);
-    let slots = (0..RANKS).flat_map(first_slots).collect();
-    let slots = ExpertSlots::new(RANKS, SLOTS_PER_RANK, slots).unwrap();
-    let current = slots.layout().unwrap();
-    let bounds = SearchBounds::builder()
-        .max_new_per_rank_and_set(2)
-        .max_new_per_rank(2)
-        .least_gain(0.01)
-        .build();
+    let current = first_layout();
+    let bounds = bounds(2);
     let paces = [12.0, 1.0, 1.0, 1.0];
     let found = search_map(&current, &load, &paces, bounds).unwrap();
     let loads = found.layers()[0].rank_loads(load.layer(0));
     expect_that!(loads[0], eq(0.0));
-    for expert in 0..EXPERTS {
-        let holders = (0..RANKS).filter(|rank| found.layers()[0].holds(*rank, expert));
-        expect_that!(holders.count(), ge(1));
-    }
+    expect_every_expert_is_held(&found);
     let copied = ExpertSlots::of_layout(&found).unwrap();
     expect_that!(copied.layout(), some(eq(&found)));
 }
