endpoints: one owner of the list, its revision and age in the log

E0601 named the endpoint, not the list from which it was chosen, and no event told of changes of that list, so that the three hypotheses of the incident could not be told apart. EndpointFeed now owns the list; E0601 says its revision, its age and who told it; E0209 to E0214 say when an endpoint joined, is leaving, is kept though missing, or is gone, and when the platform answers again. Two gauges show age and revision. When calls may go where is unchanged.

--- a/lib/src/direct_duty.rs
+++ b/lib/src/direct_duty.rs
@@ -14,7 +14,7 @@
 use crate::DirectDispatch;
 use crate::DispatchAnswer;
 use crate::DispatchQuery;
-use crate::EndpointRecord;
+use crate::EndpointList;
 use crate::OthersDemand;
 use crate::RouteTable;
 use crate::SendResult;
@@ -30,7 +30,7 @@
 /// What the duty is told or asked.
 pub(crate) enum DirectCommand {
     /// The list of endpoints changed.
-    Endpoints(Vec<Arc<EndpointRecord>>),
+    Endpoints(Arc<EndpointList>),
     /// Another revision of the configuration is in force.
     Table(Arc<RouteTable>),
     /// Other entries that take new work, and what all others have in hand by service.
@@ -43,7 +43,7 @@
     /// A call asks for an endpoint.
     Arrive {
         query: DispatchQuery,
-        reply: oneshot::Sender<DispatchAnswer>,
+        reply: oneshot::Sender<JudgedAnswer>,
     },
     /// A call asks whether it may be sent again.
     Retry {
@@ -65,6 +65,14 @@
     Demand { reply: oneshot::Sender<OwnDemand> },
 }
 
+/// An answer of the dispatch, and the list of endpoints by which it was judged.
+#[derive(Debug)]
+pub(crate) struct JudgedAnswer {
+    pub(crate) answer: DispatchAnswer,
+    /// Absent before any list was told.
+    pub(crate) list: Option<Arc<EndpointList>>,
+}
+
 /// What an entry has in hand.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct OwnDemand {
@@ -115,7 +123,8 @@
 
 struct State {
     dispatch: DirectDispatch,
-    replies: HashMap<u64, oneshot::Sender<DispatchAnswer>>,
+    list: Option<Arc<EndpointList>>,
+    replies: HashMap<u64, oneshot::Sender<JudgedAnswer>>,
     /// Services whose rank groups were down when last looked at.
     down: BTreeSet<String>,
     /// Told which endpoints are slow.
@@ -131,6 +140,7 @@
 ) -> Duty<DirectCommand> {
     let mut state = State {
         dispatch,
+        list: None,
         replies: HashMap::new(),
         down: BTreeSet::new(),
         slow,
@@ -157,8 +167,9 @@
     /// Whoever asked may have given up waiting, so answers that nobody takes are dropped.
     fn handle(&mut self, command: DirectCommand, now_ms: u64) {
         match command {
-            DirectCommand::Endpoints(records) => {
-                let answers = self.dispatch.set_endpoints(&records, now_ms);
+            DirectCommand::Endpoints(list) => {
+                let answers = self.dispatch.set_endpoints(&list.records, now_ms);
+                self.list = Some(list);
                 self.answer(answers);
             }
             DirectCommand::Table(table) => self.dispatch.set_table(&table),
@@ -225,16 +236,11 @@
         self.down = down;
     }
 
-    fn arrive(
-        &mut self,
-        query: DispatchQuery,
-        reply: oneshot::Sender<DispatchAnswer>,
-        now_ms: u64,
-    ) {
+    fn arrive(&mut self, query: DispatchQuery, reply: oneshot::Sender<JudgedAnswer>, now_ms: u64) {
         let call = query.call;
         match self.dispatch.arrive(query, now_ms) {
             Some(answer) => {
-                let _ = reply.send(answer);
+                let _ = reply.send(self.judged(answer));
             }
             None => {
                 self.replies.insert(call, reply);
@@ -245,11 +251,18 @@
     fn answer(&mut self, answers: Vec<(u64, DispatchAnswer)>) {
         for (call, answer) in answers {
             if let Some(reply) = self.replies.remove(&call) {
-                let _ = reply.send(answer);
+                let _ = reply.send(self.judged(answer));
             }
         }
     }
 
+    fn judged(&self, answer: DispatchAnswer) -> JudgedAnswer {
+        JudgedAnswer {
+            answer,
+            list: self.list.clone(),
+        }
+    }
+
     fn demand(&self) -> OwnDemand {
         let services = self.dispatch.services();
         let demand = |(name, service): (&str, &DirectService)| {
--- a/lib/src/direct_entry.rs
+++ b/lib/src/direct_entry.rs
@@ -21,7 +21,7 @@
 use crate::DaemonError;
 use crate::DirectDispatch;
 use crate::DirectWire;
-use crate::EndpointRecord;
+use crate::EndpointFeed;
 use crate::Metrics;
 use crate::RouteTable;
 use crate::caller_server;
@@ -33,7 +33,6 @@
 use crate::direct_duty::PauseSamples;
 use crate::direct_server;
 use crate::direct_state::DirectState;
-use crate::endpoint_merge;
 use crate::event;
 use crate::in_flight::InFlight;
 use crate::listener::listen;
@@ -75,13 +74,9 @@
     draining: watch::Receiver<bool>,
     /// Serialises changes of the configuration.
     table_change: Arc<Mutex<()>>,
-    /// The endpoints in use; absent until some were read.
-    endpoints: watch::Sender<Option<EndpointList>>,
-    follows_platform: watch::Sender<bool>,
+    endpoints: EndpointFeed,
 }
 
-type EndpointList = Vec<Arc<EndpointRecord>>;
-
 impl DirectEntry {
     /// Starts the duties of an entry that serves nobody yet.
     ///
@@ -95,15 +90,19 @@
         let zone = &settings.availability_zone;
         let dispatch = DirectDispatch::new(zone, settings.retry_percent, rng);
         let dispatch = direct_duty::spawn(clock, dispatch, pauses.clone(), slow_sender);
+        let endpoints = EndpointFeed::new(clock, dispatch.clone());
+        let metrics = Metrics::new();
+        metrics.observe_endpoints(&endpoints);
         let state = DirectState {
             clock,
+            endpoints: endpoints.clone(),
             table: ArcSwapOption::empty(),
             dispatch,
             pauses,
             slow,
             crashes: CrashLedger::new(clock),
             wire,
-            metrics: Metrics::new(),
+            metrics,
             in_flight: InFlight::default(),
             next_call: AtomicU64::new(0),
         };
@@ -112,8 +111,7 @@
             state: Arc::new(state),
             draining: shutdown::listen(),
             table_change: Arc::default(),
-            endpoints: watch::channel(None).0,
-            follows_platform: watch::channel(false).0,
+            endpoints,
         }
     }
 
@@ -161,46 +159,16 @@
         true
     }
 
-    /// Takes over the list of endpoints.
-    pub fn set_endpoints(&self, endpoints: Vec<Arc<EndpointRecord>>) {
-        self.endpoints.send_replace(Some(endpoints.clone()));
-        self.submit(DirectCommand::Endpoints(endpoints));
-    }
-
-    /// Notes whether the list of endpoints follows what the platform publishes.
-    pub fn set_follows_platform(&self, follows: bool) {
-        self.follows_platform.send_replace(follows);
-    }
-
-    /// Returns whether the list of endpoints follows what the platform publishes.
+    /// Returns the list of endpoints and what tells it.
     #[must_use]
-    pub fn follows_platform(&self) -> bool {
-        *self.follows_platform.borrow()
-    }
-
-    /// Returns the list of endpoints in use, as other entries are told.
-    pub(crate) fn endpoints(&self) -> Option<Vec<EndpointRecord>> {
-        let endpoints = self.endpoints.borrow();
-        let records = endpoints.as_ref()?.iter();
-        Some(records.map(|record| (**record).clone()).collect())
-    }
-
-    /// Takes over the list of another entry while the platform can't be heard; returns whether it
-    /// differs from the present one.
-    pub(crate) fn set_endpoints_of_peer(&self, endpoints: Vec<EndpointRecord>) -> bool {
-        let known = self.endpoints.borrow().clone();
-        let merged = endpoint_merge::merge_of_peer(known.as_deref(), endpoints);
-        if known.as_ref() == Some(&merged) || self.follows_platform() {
-            return false;
-        }
-        self.set_endpoints(merged);
-        true
+    pub fn endpoints(&self) -> &EndpointFeed {
+        &self.endpoints
     }
 
     /// Returns whether the entry takes new work.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        let knows_enough = self.revision().is_some() && self.endpoints.borrow().is_some();
+        let knows_enough = self.revision().is_some() && self.endpoints.list().is_some();
         knows_enough && !*self.draining.borrow()
     }
 
--- a/lib/src/direct_place.rs
+++ b/lib/src/direct_place.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use crate::EndpointList;
 use crate::EndpointRecord;
 use crate::SendResult;
 use crate::direct_duty::DirectCommand;
@@ -12,6 +13,8 @@
     dispatch: Duty<DirectCommand>,
     call: u64,
     endpoint: Option<Arc<EndpointRecord>>,
+    /// The list of endpoints from which the endpoint was chosen.
+    list: Option<Arc<EndpointList>>,
     result: SendResult,
 }
 
@@ -22,16 +25,27 @@
             dispatch,
             call,
             endpoint: None,
+            list: None,
             result: SendResult::Abandoned,
         }
     }
 
-    /// Notes the endpoint that the call was given.
-    pub(crate) fn at(mut self, endpoint: Arc<EndpointRecord>) -> Self {
+    /// Notes the endpoint that the call was given, and the list from which it was chosen.
+    pub(crate) fn at(
+        mut self,
+        endpoint: Arc<EndpointRecord>,
+        list: Option<Arc<EndpointList>>,
+    ) -> Self {
         self.endpoint = Some(endpoint);
+        self.list = list;
         self
     }
 
+    /// Returns the list of endpoints from which the endpoint was chosen.
+    pub(crate) fn list(&self) -> Option<&EndpointList> {
+        self.list.as_deref()
+    }
+
     /// Returns the endpoint; absent while the call waits.
     pub(crate) fn endpoint(&self) -> Option<&EndpointRecord> {
         self.endpoint.as_deref()
--- a/lib/src/direct_relay.rs
+++ b/lib/src/direct_relay.rs
@@ -17,12 +17,14 @@
 use crate::DispatchAnswer;
 use crate::DispatchQuery;
 use crate::EndpointSend;
+use crate::ListSource;
 use crate::Repeatability;
 use crate::RouteRule;
 use crate::SendResult;
 use crate::TableOrganisation;
 use crate::crash_ledger::CrashLedger;
 use crate::direct_duty::DirectCommand;
+use crate::direct_duty::JudgedAnswer;
 use crate::direct_exchange::DirectExchange;
 use crate::direct_exchange::Sent;
 use crate::direct_place::DirectPlace;
@@ -297,13 +299,15 @@
         if self.state.dispatch.submit(command).is_err() {
             return Err(self.overloaded());
         }
-        match answer.await {
-            Ok(DispatchAnswer::Send(endpoint)) => Ok(waiting.at(endpoint)),
-            Ok(DispatchAnswer::Refuse {
+        let Ok(JudgedAnswer { answer, list }) = answer.await else {
+            return Err(self.overloaded());
+        };
+        match answer {
+            DispatchAnswer::Send(endpoint) => Ok(waiting.at(endpoint, list)),
+            DispatchAnswer::Refuse {
                 code,
                 retry_after_ms,
-            }) => Err(self.refused(code.as_str(), retry_after_ms)),
-            Err(_) => Err(self.overloaded()),
+            } => Err(self.refused(code.as_str(), retry_after_ms)),
         }
     }
 
@@ -410,16 +414,7 @@
                 "the call has no endpoint".to_owned(),
             ));
         };
-        event!(
-            CallSent,
-            "request_id={} service={} endpoint={} attempt={} waited_ms={} left_ms={}",
-            self.call.request_id,
-            self.service,
-            endpoint.id,
-            self.tried.len() + 1,
-            self.arrived.elapsed().as_millis(),
-            self.time_left_ms()
-        );
+        self.note_send(place, &endpoint.id);
         let exchange = DirectExchange {
             wire: &self.state.wire,
             call: &self.call,
@@ -517,6 +512,23 @@
         Instant::now() + patience * RESEND_AFTER_PERCENT / 100
     }
 
+    fn note_send(&self, place: &DirectPlace, endpoint_id: &str) {
+        let list = place.list();
+        event!(
+            CallSent,
+            "request_id={} service={} endpoint={endpoint_id} attempt={} waited_ms={} left_ms={} \
+             endpoints_revision={} endpoints_age_ms={} endpoints_from={}",
+            self.call.request_id,
+            self.service,
+            self.tried.len() + 1,
+            self.arrived.elapsed().as_millis(),
+            self.time_left_ms(),
+            list.map_or(0, |list| list.revision),
+            self.state.endpoints.age_ms(),
+            list.map_or(&ListSource::Platform, |list| &list.source)
+        );
+    }
+
     fn note_retry(&self, place: &DirectPlace, reason: &str) {
         event!(
             CallRetried,
--- a/lib/src/direct_state.rs
+++ b/lib/src/direct_state.rs
@@ -10,6 +10,7 @@
 
 use crate::Clock;
 use crate::DirectWire;
+use crate::EndpointFeed;
 use crate::Metrics;
 use crate::RouteTable;
 use crate::crash_ledger::CrashLedger;
@@ -24,6 +25,7 @@
     /// The configuration in force; absent until one was read.
     pub(crate) table: ArcSwapOption<RouteTable>,
     pub(crate) dispatch: Duty<DirectCommand>,
+    pub(crate) endpoints: EndpointFeed,
     pub(crate) pauses: PauseSamples,
     /// Ids of the endpoints that are slow while others of their service are not.
     pub(crate) slow: watch::Receiver<HashSet<String>>,
--- a/lib/src/endpoint_directory.rs
+++ b/lib/src/endpoint_directory.rs
@@ -1,6 +1,7 @@
 //! The endpoints that the platform publishes, over outages of the platform.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use crate::EndpointRecord;
@@ -104,6 +105,14 @@
         records.map(|entry| Arc::clone(&entry.record)).collect()
     }
 
+    /// Returns the ids of the records that are missing and kept for a while.
+    #[must_use]
+    pub fn missing(&self) -> BTreeSet<String> {
+        let entries = self.entries.iter();
+        let missing = entries.filter(|(_, entry)| entry.missing_until_ms.is_some());
+        missing.map(|(id, _)| id.clone()).collect()
+    }
+
     fn insert(&mut self, record: EndpointRecord, revision: u64) {
         let entry = Entry {
             record: Arc::new(record),
--- /dev/null
+++ b/lib/src/endpoint_feed.rs
@@ -0,0 +1,176 @@
+//! The list of endpoints of an entry, as the platform and other entries tell it.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use tokio::sync::watch;
+
+use crate::Clock;
+use crate::EndpointDirectory;
+use crate::EndpointList;
+use crate::EndpointRecord;
+use crate::ListSource;
+use crate::direct_duty::DirectCommand;
+use crate::duty::Duty;
+use crate::endpoint_merge;
+use crate::event;
+
+/// One published change of an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EndpointChange {
+    /// Identity of the endpoint.
+    pub id: String,
+    /// Its record; absent when it was removed or can't be read any more.
+    pub record: Option<EndpointRecord>,
+    /// Revision of the change.
+    pub revision: u64,
+}
+
+/// The list of endpoints of an entry, as the platform and other entries tell it.
+///
+/// Copies share one list.
+#[derive(Clone)]
+pub struct EndpointFeed {
+    inner: Arc<Inner>,
+}
+
+struct Inner {
+    clock: Clock,
+    dispatch: Duty<DirectCommand>,
+    directory: Mutex<EndpointDirectory>,
+    /// The list in use; absent until one was told.
+    list: watch::Sender<Option<Arc<EndpointList>>>,
+    follows_platform: watch::Sender<bool>,
+    /// When the platform last answered.
+    heard_ms: AtomicU64,
+}
+
+impl EndpointFeed {
+    pub(crate) fn new(clock: Clock, dispatch: Duty<DirectCommand>) -> Self {
+        let inner = Inner {
+            clock,
+            dispatch,
+            directory: Mutex::default(),
+            list: watch::channel(None).0,
+            follows_platform: watch::channel(false).0,
+            heard_ms: AtomicU64::new(0),
+        };
+        Self {
+            inner: Arc::new(inner),
+        }
+    }
+
+    /// Takes over all records that the platform publishes, each with the revision of its last
+    /// change, as of `revision`.
+    pub fn take_all(&self, records: Vec<(EndpointRecord, u64)>, revision: u64) {
+        let mut directory = self.directory();
+        directory.replace(records, self.now_ms());
+        self.note_heard();
+        self.publish(&directory, revision);
+    }
+
+    /// Takes over changes that the platform publishes; without any, the list holds at `revision`
+    /// as well.
+    pub fn take_changes(&self, changes: Vec<EndpointChange>, revision: u64) {
+        let now_ms = self.now_ms();
+        let has_changes = !changes.is_empty();
+        let mut directory = self.directory();
+        for change in changes {
+            match change.record {
+                Some(record) => directory.change(record, change.revision, now_ms),
+                None => directory.remove(&change.id, change.revision, now_ms),
+            }
+        }
+        let has_expired = directory.expire(now_ms);
+        self.note_heard();
+        if has_changes || has_expired {
+            self.publish(&directory, revision);
+        }
+    }
+
+    /// Notes that the platform can't be read.
+    pub fn platform_lost(&self) {
+        self.inner.follows_platform.send_replace(false);
+        self.directory().platform_lost();
+    }
+
+    /// Returns whether the list follows what the platform publishes.
+    #[must_use]
+    pub fn follows_platform(&self) -> bool {
+        *self.inner.follows_platform.borrow()
+    }
+
+    /// Returns the time since the platform last answered.
+    #[must_use]
+    pub fn age_ms(&self) -> u64 {
+        let heard_ms = self.inner.heard_ms.load(Ordering::Acquire);
+        self.now_ms().saturating_sub(heard_ms)
+    }
+
+    /// Returns the list in use; absent until one was told.
+    #[must_use]
+    pub fn list(&self) -> Option<Arc<EndpointList>> {
+        self.inner.list.borrow().clone()
+    }
+
+    /// Takes over the list of another entry while the platform can't be heard; returns whether it
+    /// differs from the present one.
+    pub(crate) fn take_from_entry(&self, told: Vec<EndpointRecord>, address: &str) -> bool {
+        let known = self.list();
+        let known_records = known.as_ref().map(|list| list.records.as_slice());
+        let records = endpoint_merge::merge_of_peer(known_records, told);
+        if known_records == Some(records.as_slice()) || self.follows_platform() {
+            return false;
+        }
+        let list = EndpointList {
+            records,
+            missing: known
+                .as_ref()
+                .map_or_else(Default::default, |list| list.missing.clone()),
+            revision: known.map_or(0, |list| list.revision),
+            source: ListSource::Entry(address.to_owned()),
+        };
+        self.put_in_use(list);
+        true
+    }
+
+    /// Notes that the platform has answered.
+    fn note_heard(&self) {
+        let silent_ms = self.age_ms();
+        self.inner.heard_ms.store(self.now_ms(), Ordering::Release);
+        if !self.inner.follows_platform.send_replace(true) {
+            event!(PlatformHeard, "silent_ms={silent_ms}");
+        }
+    }
+
+    fn publish(&self, directory: &EndpointDirectory, revision: u64) {
+        self.put_in_use(EndpointList {
+            records: directory.list(),
+            missing: directory.missing(),
+            revision,
+            source: ListSource::Platform,
+        });
+    }
+
+    fn put_in_use(&self, list: EndpointList) {
+        list.log_changes_since(self.list().as_deref());
+        let list = Arc::new(list);
+        self.inner.list.send_replace(Some(Arc::clone(&list)));
+        if let Err(error) = self.inner.dispatch.submit(DirectCommand::Endpoints(list)) {
+            log::error!("list of endpoints: {error}");
+        }
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.inner.clock.now_ms()
+    }
+
+    fn directory(&self) -> MutexGuard<'_, EndpointDirectory> {
+        let directory = self.inner.directory.lock();
+        directory.unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/lib/src/entry_circle.rs
+++ b/lib/src/entry_circle.rs
@@ -16,6 +16,8 @@
 
 use crate::DaemonError;
 use crate::DirectEntry;
+use crate::EndpointList;
+use crate::EndpointRecord;
 use crate::EntryGossip;
 use crate::GossipSettings;
 use crate::JsonClient;
@@ -126,8 +128,8 @@
         };
         let entry = self.entry.clone();
         let endpoints = move || {
-            let endpoints = entry.endpoints().map(|endpoints| json!(endpoints));
-            let document = endpoints.map(|endpoints| endpoints.to_string().into());
+            let list = entry.endpoints().list();
+            let document = list.map(|list| json!(records(&list)).to_string().into());
             async move { document_response(document) }
         };
         Router::new()
@@ -139,7 +141,7 @@
     async fn fetch_endpoints_while_alone(self) {
         loop {
             tokio::time::sleep(ENDPOINTS_INTERVAL).await;
-            if self.entry.follows_platform() {
+            if self.entry.endpoints().follows_platform() {
                 continue;
             }
             let peer = self
@@ -160,7 +162,7 @@
     async fn fetch_endpoints(&self, peer: &str) -> Result<(), JsonError> {
         let client = JsonClient::new(peer, CONNECT_TIMEOUT, MAX_CONFIG_BYTES);
         let endpoints = client.get(ENDPOINTS_PATH, FETCH_TIMEOUT).await?;
-        if self.entry.set_endpoints_of_peer(endpoints) {
+        if self.entry.endpoints().take_from_entry(endpoints, peer) {
             event!(EndpointsFromPeer, "peer={peer}");
         }
         Ok(())
@@ -200,6 +202,11 @@
     u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// Returns the records of a list, as other entries are told.
+fn records(list: &EndpointList) -> Vec<&EndpointRecord> {
+    list.records.iter().map(AsRef::as_ref).collect()
+}
+
 fn document_response(document: Option<Bytes>) -> Response<Body> {
     let status = if document.is_some() {
         StatusCode::OK
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -78,6 +78,12 @@
     AgentRecovered = 205 Info "agent answers again",
     AgentLeaving = 207 Info "agent is leaving",
     EndpointsFromPeer = 208 Info "list of endpoints taken over from a peer",
+    EndpointsListed = 209 Info "first list of endpoints taken in use",
+    EndpointJoined = 210 Info "endpoint joined the list",
+    EndpointLeaving = 211 Info "endpoint is leaving",
+    EndpointKept = 212 Warn "missing endpoint is kept for a while",
+    EndpointGone = 213 Info "endpoint left the list",
+    PlatformHeard = 214 Info "platform answers again",
 
     OutcomeUnknown = 301 Warn "outcome of a request is unknown",
     RequestRetried = 302 Debug "request retried elsewhere",
--- a/lib/src/gossip_loop.rs
+++ b/lib/src/gossip_loop.rs
@@ -90,7 +90,7 @@
         self.word.sequence += 1;
         self.word.serves = self.entry.is_ready();
         self.word.config_revision = self.entry.revision().unwrap_or(0);
-        self.word.follows_platform = self.entry.follows_platform();
+        self.word.follows_platform = self.entry.endpoints().follows_platform();
         self.word.demands = demands(&demand);
         self.word.paces = self.gossip.own_paces(now_ms);
         self.word.crashing_contents = self.entry.crashes().news();
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -20,6 +20,7 @@
 use volo_http::server::route::Router;
 use volo_http::server::route::get;
 
+use crate::EndpointFeed;
 use crate::caller_server;
 use crate::caller_server::CallerClosing;
 use crate::caller_server::CallerLimits;
@@ -41,8 +42,8 @@
 #[derive(Debug, Clone)]
 pub struct Metrics {
     registry: Registry,
-    /// Keeps the instruments reporting.
-    _provider: SdkMeterProvider,
+    /// Makes instruments, and keeps them reporting.
+    provider: SdkMeterProvider,
     request_ms: Histogram<f64>,
     first_token_ms: Histogram<f64>,
     queue_ms: Histogram<f64>,
@@ -116,10 +117,30 @@
                 "pomeloramp_queue_ms",
                 "Time that a call waited for a slot of its endpoint",
             ),
-            _provider: provider,
+            provider,
         }
     }
 
+    /// Shows the age and the revision of the list of endpoints at each scrape.
+    pub fn observe_endpoints(&self, endpoints: &EndpointFeed) {
+        let meter = self.provider.meter(SCOPE);
+        let feed = endpoints.clone();
+        meter
+            .u64_observable_gauge("pomeloramp_endpoints_age_ms")
+            .with_description("Time since the platform last confirmed the list of endpoints")
+            .with_callback(move |gauge| gauge.observe(feed.age_ms(), &[]))
+            .build();
+        let feed = endpoints.clone();
+        meter
+            .u64_observable_gauge("pomeloramp_endpoints_revision")
+            .with_description("Revision of the platform of which the list of endpoints is")
+            .with_callback(move |gauge| {
+                let revision = feed.list().map_or(0, |list| list.revision);
+                gauge.observe(revision, &[]);
+            })
+            .build();
+    }
+
     /// Records the end of a request.
     pub fn record_request(&self, organisation: &str, outcome: &str, elapsed: Duration) {
         let labels = [
