--- a/lib/testutils/src/process.rs
+++ b/lib/testutils/src/process.rs
@@ -6,6 +6,9 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::sync::mpsc;
 use std::thread;
 use std::time::Duration;
@@ -21,7 +24,8 @@
 #[derive(Debug)]
 pub struct TestProcess {
     child: Child,
-    lines: mpsc::Receiver<String>,
+    /// Lines on standard output; an empty channel once they were taken.
+    lines: Mutex<mpsc::Receiver<String>>,
 }
 
 impl TestProcess {
@@ -32,9 +36,20 @@
     /// Panics when the binary has not been built.
     #[must_use]
     pub fn start(binary: &str, arguments: &[&str]) -> Self {
+        Self::start_with(binary, arguments, &[])
+    }
+
+    /// Starts a binary of this workspace with variables added to its environment.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the binary has not been built.
+    #[must_use]
+    pub fn start_with(binary: &str, arguments: &[&str], variables: &[(&str, &str)]) -> Self {
         let path = binary_path(binary);
         let mut child = Command::new(&path)
             .args(arguments)
+            .envs(variables.iter().copied())
             .stdout(Stdio::piped())
             .spawn()
             .unwrap_or_else(|error| panic!("start {}: {error}", path.display()));
@@ -47,7 +62,10 @@
                 }
             }
         });
-        Self { child, lines }
+        Self {
+            child,
+            lines: Mutex::new(lines),
+        }
     }
 
     /// Waits for a line `<name> <value>` on standard output and returns the value.
@@ -60,8 +78,7 @@
         let deadline = Instant::now() + READY_TIMEOUT;
         loop {
             let left = deadline.saturating_duration_since(Instant::now());
-            let line = self
-                .lines
+            let line = lock(&self.lines)
                 .recv_timeout(left)
                 .unwrap_or_else(|error| panic!("line \"{name}\" of process: {error}"));
             if let Some(value) = line.strip_prefix(name) {
@@ -70,6 +87,12 @@
         }
     }
 
+    /// Takes the lines on standard output that were not waited for; later ones go there as well.
+    #[must_use]
+    pub fn take_lines(&self) -> mpsc::Receiver<String> {
+        std::mem::replace(&mut *lock(&self.lines), mpsc::channel().1)
+    }
+
     /// Returns the process id.
     #[must_use]
     pub fn id(&self) -> u32 {
@@ -131,6 +154,10 @@
     }
 }
 
+fn lock(lines: &Mutex<mpsc::Receiver<String>>) -> MutexGuard<'_, mpsc::Receiver<String>> {
+    lines.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 pub(crate) fn binary_path(binary: &str) -> PathBuf {
     let executable = std::env::current_exe().expect("the running executable has a path");
     executable
