--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -84,6 +84,7 @@
     EndpointKept = 212 Warn "missing endpoint is kept for a while",
     EndpointGone = 213 Info "endpoint left the list",
     PlatformHeard = 214 Info "platform answers again",
+    WatchFailed = 215 Info "watch on the platform failed",
 
     OutcomeUnknown = 301 Warn "outcome of a request is unknown",
     RequestRetried = 302 Debug "request retried elsewhere",
--- a/lib/src/json_client.rs
+++ b/lib/src/json_client.rs
@@ -66,6 +66,12 @@
 }
 
 impl JsonError {
+    /// Returns whether no answer came in time.
+    #[must_use]
+    pub fn is_timeout(&self) -> bool {
+        matches!(self, Self::Timeout { .. })
+    }
+
     /// Returns the error status that the peer answered with.
     #[must_use]
     pub fn status(&self) -> Option<u16> {
