dispatch: the list and the configuration are looked at, not sent

Each new list of endpoints, and each configuration, was a message in the ring of the dispatch. A full ring refused it, one line was logged, and nothing repeated it until the next change: calls went on to endpoints that had left.

The dispatch now looks at the last state on each wake. Also: changes of a list are found by id and not by a search for each record.

--- a/lib/src/direct_duty.rs
+++ b/lib/src/direct_duty.rs
@@ -29,10 +29,6 @@
 
 /// What the duty is told or asked.
 pub(crate) enum DirectCommand {
-    /// The list of endpoints changed.
-    Endpoints(Arc<EndpointList>),
-    /// Another revision of the configuration is in force.
-    Table(Arc<RouteTable>),
     /// Other entries that take new work, and what all others have in hand by service.
     Others {
         entries: u32,
@@ -121,8 +117,21 @@
     }
 }
 
+/// What the duty goes by, always in its last state.
+///
+/// The state itself is looked at on each wake, since a message of it would be lost in a full ring, and
+/// nothing would repeat it until the next change.
+pub(crate) struct DirectInputs {
+    /// The list of endpoints; absent until one was told.
+    pub(crate) lists: watch::Receiver<Option<Arc<EndpointList>>>,
+    /// The configuration in force; absent until one was read.
+    pub(crate) tables: watch::Receiver<Option<Arc<RouteTable>>>,
+    pub(crate) pauses: PauseSamples,
+}
+
 struct State {
     dispatch: DirectDispatch,
+    inputs: DirectInputs,
     list: Option<Arc<EndpointList>>,
     replies: HashMap<u64, oneshot::Sender<JudgedAnswer>>,
     /// Services whose rank groups were down when last looked at.
@@ -135,11 +144,12 @@
 pub(crate) fn spawn(
     clock: Clock,
     dispatch: DirectDispatch,
-    pauses: PauseSamples,
+    inputs: DirectInputs,
     slow: watch::Sender<HashSet<String>>,
 ) -> Duty<DirectCommand> {
     let mut state = State {
         dispatch,
+        inputs,
         list: None,
         replies: HashMap::new(),
         down: BTreeSet::new(),
@@ -147,11 +157,7 @@
     };
     Duty::spawn("dispatch", RING_CAPACITY, TICK, move |wake| {
         let now_ms = clock.now_ms();
-        for (service, (sum_ms, count)) in pauses.take() {
-            let mean_ms = sum_ms / f64::from(count);
-            state.dispatch.observe_pauses(&service, mean_ms, count);
-            state.dispatch.note_progress(&service, now_ms);
-        }
+        state.take_inputs(now_ms);
         match wake {
             Wake::Command(command) => state.handle(command, now_ms),
             Wake::Tick => {
@@ -164,15 +170,26 @@
 }
 
 impl State {
+    /// Takes in what has changed since the last wake.
+    fn take_inputs(&mut self, now_ms: u64) {
+        for (service, (sum_ms, count)) in self.inputs.pauses.take() {
+            let mean_ms = sum_ms / f64::from(count);
+            self.dispatch.observe_pauses(&service, mean_ms, count);
+            self.dispatch.note_progress(&service, now_ms);
+        }
+        if let Some(table) = newest(&mut self.inputs.tables) {
+            self.dispatch.set_table(&table);
+        }
+        if let Some(list) = newest(&mut self.inputs.lists) {
+            let answers = self.dispatch.set_endpoints(&list.records, now_ms);
+            self.list = Some(list);
+            self.answer(answers);
+        }
+    }
+
     /// Whoever asked may have given up waiting, so answers that nobody takes are dropped.
     fn handle(&mut self, command: DirectCommand, now_ms: u64) {
         match command {
-            DirectCommand::Endpoints(list) => {
-                let answers = self.dispatch.set_endpoints(&list.records, now_ms);
-                self.list = Some(list);
-                self.answer(answers);
-            }
-            DirectCommand::Table(table) => self.dispatch.set_table(&table),
             DirectCommand::Others {
                 entries,
                 others,
@@ -279,6 +296,15 @@
     }
 }
 
+/// Returns the state of an input if it has changed since the last look.
+fn newest<T: Clone>(input: &mut watch::Receiver<Option<T>>) -> Option<T> {
+    // The sender lives as long as the entry, and so longer than its duty is asked anything.
+    if !input.has_changed().unwrap_or(false) {
+        return None;
+    }
+    input.borrow_and_update().clone()
+}
+
 /// Returns the names in order, separated by commas.
 fn sorted(names: &HashSet<String>) -> String {
     let names: BTreeSet<&str> = names.iter().map(String::as_str).collect();
--- a/lib/src/direct_entry.rs
+++ b/lib/src/direct_entry.rs
@@ -30,6 +30,7 @@
 use crate::crash_ledger::CrashLedger;
 use crate::direct_duty;
 use crate::direct_duty::DirectCommand;
+use crate::direct_duty::DirectInputs;
 use crate::direct_duty::PauseSamples;
 use crate::direct_server;
 use crate::direct_state::DirectState;
@@ -74,7 +75,8 @@
     draining: watch::Receiver<bool>,
     /// Serialises changes of the configuration.
     table_change: Arc<Mutex<()>>,
-    endpoints: EndpointFeed,
+    /// Shows the dispatch the configuration in force.
+    tables: watch::Sender<Option<Arc<RouteTable>>>,
 }
 
 impl DirectEntry {
@@ -89,13 +91,19 @@
         let rng = SmallRng::seed_from_u64(rand::random());
         let zone = &settings.availability_zone;
         let dispatch = DirectDispatch::new(zone, settings.retry_percent, rng);
-        let dispatch = direct_duty::spawn(clock, dispatch, pauses.clone(), slow_sender);
-        let endpoints = EndpointFeed::new(clock, dispatch.clone());
+        let endpoints = EndpointFeed::new(clock);
+        let tables = watch::channel(None).0;
+        let inputs = DirectInputs {
+            lists: endpoints.lists(),
+            tables: tables.subscribe(),
+            pauses: pauses.clone(),
+        };
+        let dispatch = direct_duty::spawn(clock, dispatch, inputs, slow_sender);
         let metrics = Metrics::new();
         metrics.observe_endpoints(&endpoints);
         let state = DirectState {
             clock,
-            endpoints: endpoints.clone(),
+            endpoints,
             table: ArcSwapOption::empty(),
             dispatch,
             pauses,
@@ -111,7 +119,7 @@
             state: Arc::new(state),
             draining: shutdown::listen(),
             table_change: Arc::default(),
-            endpoints,
+            tables,
         }
     }
 
@@ -155,20 +163,20 @@
         event!(ConfigAccepted, "revision={}", table.revision());
         let table = Arc::new(table);
         self.state.table.store(Some(Arc::clone(&table)));
-        self.submit(DirectCommand::Table(table));
+        self.tables.send_replace(Some(table));
         true
     }
 
     /// Returns the list of endpoints and what tells it.
     #[must_use]
     pub fn endpoints(&self) -> &EndpointFeed {
-        &self.endpoints
+        &self.state.endpoints
     }
 
     /// Returns whether the entry takes new work.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        let knows_enough = self.revision().is_some() && self.endpoints.list().is_some();
+        let knows_enough = self.revision().is_some() && self.endpoints().list().is_some();
         knows_enough && !*self.draining.borrow()
     }
 
--- a/lib/src/endpoint_feed.rs
+++ b/lib/src/endpoint_feed.rs
@@ -14,8 +14,6 @@
 use crate::EndpointList;
 use crate::EndpointRecord;
 use crate::ListSource;
-use crate::direct_duty::DirectCommand;
-use crate::duty::Duty;
 use crate::endpoint_merge;
 use crate::event;
 
@@ -40,7 +38,6 @@
 
 struct Inner {
     clock: Clock,
-    dispatch: Duty<DirectCommand>,
     directory: Mutex<EndpointDirectory>,
     /// The list in use; absent until one was told.
     list: watch::Sender<Option<Arc<EndpointList>>>,
@@ -50,10 +47,9 @@
 }
 
 impl EndpointFeed {
-    pub(crate) fn new(clock: Clock, dispatch: Duty<DirectCommand>) -> Self {
+    pub(crate) fn new(clock: Clock) -> Self {
         let inner = Inner {
             clock,
-            dispatch,
             directory: Mutex::default(),
             list: watch::channel(None).0,
             follows_platform: watch::channel(false).0,
@@ -117,6 +113,11 @@
         self.inner.list.borrow().clone()
     }
 
+    /// Returns a receiver of the list in use.
+    pub(crate) fn lists(&self) -> watch::Receiver<Option<Arc<EndpointList>>> {
+        self.inner.list.subscribe()
+    }
+
     /// Takes over the list of another entry while the platform can't be heard; returns whether it
     /// differs from the present one.
     pub(crate) fn take_from_entry(&self, told: Vec<EndpointRecord>, address: &str) -> bool {
@@ -158,11 +159,7 @@
 
     fn put_in_use(&self, list: EndpointList) {
         list.log_changes_since(self.list().as_deref());
-        let list = Arc::new(list);
-        self.inner.list.send_replace(Some(Arc::clone(&list)));
-        if let Err(error) = self.inner.dispatch.submit(DirectCommand::Endpoints(list)) {
-            log::error!("list of endpoints: {error}");
-        }
+        self.inner.list.send_replace(Some(Arc::new(list)));
     }
 
     fn now_ms(&self) -> u64 {
--- a/lib/src/endpoint_list.rs
+++ b/lib/src/endpoint_list.rs
@@ -1,6 +1,7 @@
 //! The endpoints in use at one moment, and what they were learnt from.
 
 use std::collections::BTreeSet;
+use std::collections::HashMap;
 use std::fmt;
 use std::sync::Arc;
 
@@ -53,8 +54,9 @@
             );
             return;
         };
+        let known_before = before.by_id();
         for record in &self.records {
-            let known = before.record(&record.id);
+            let known = known_before.get(record.id.as_str());
             let is_news = known.is_none_or(|known| known.born_ms != record.born_ms);
             let was_leaving = known.is_some_and(|known| known.is_leaving);
             let id = record.id.as_str();
@@ -78,8 +80,9 @@
                 );
             }
         }
+        let known_now = self.by_id();
         for record in &before.records {
-            if self.record(&record.id).is_none() {
+            if !known_now.contains_key(record.id.as_str()) {
                 event!(
                     EndpointGone,
                     "endpoint={} was_missing={} endpoints_revision={revision} endpoints_from={source}",
@@ -90,9 +93,10 @@
         }
     }
 
-    fn record(&self, id: &str) -> Option<&EndpointRecord> {
-        let mut records = self.records.iter();
-        let found = records.find(|record| record.id == id)?;
-        Some(found)
+    fn by_id(&self) -> HashMap<&str, &EndpointRecord> {
+        let records = self.records.iter();
+        records
+            .map(|record| (record.id.as_str(), record.as_ref()))
+            .collect()
     }
 }
