endpoints: a missing endpoint is forgotten when its time is over

After an outage of the platform an endpoint that is not listed any more was kept for 2 s, since records of live endpoints lapse meanwhile. Callers were sent to a removed endpoint until then.

Class: what is believed for a time must end by a clock, not by the next message of the other side. The feed now wakes when the next record is to be forgotten. a_missing_endpoint_was_kept_until_the_platform_spoke_again failed before (both endpoints listed 2.2 s after the return), passes now.

--- a/lib/src/endpoint_directory.rs
+++ b/lib/src/endpoint_directory.rs
@@ -90,6 +90,13 @@
         self.entries.len() != count
     }
 
+    /// Returns when the next record is to be forgotten, unless it comes back.
+    #[must_use]
+    pub fn next_expiry_ms(&self) -> Option<u64> {
+        let entries = self.entries.values();
+        entries.filter_map(|entry| entry.missing_until_ms).min()
+    }
+
     /// Returns all records; of those with one address only the last published one, since a
     /// process that took over an address answers for no other.
     #[must_use]
--- a/lib/src/endpoint_feed.rs
+++ b/lib/src/endpoint_feed.rs
@@ -4,8 +4,10 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::Weak;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use tokio::sync::watch;
 
@@ -47,6 +49,7 @@
 }
 
 impl EndpointFeed {
+    /// Makes a feed that knows no list; must be called on a tokio runtime.
     pub(crate) fn new(clock: Clock) -> Self {
         let inner = Inner {
             clock,
@@ -55,9 +58,12 @@
             follows_platform: watch::channel(false).0,
             heard_ms: AtomicU64::new(0),
         };
-        Self {
+        let feed = Self {
             inner: Arc::new(inner),
-        }
+        };
+        let lists = feed.lists();
+        tokio::spawn(expire_in_time(Arc::downgrade(&feed.inner), lists));
+        feed
     }
 
     /// Takes over all records that the platform publishes, each with the revision of its last
@@ -81,9 +87,8 @@
                 None => directory.remove(&change.id, change.revision, now_ms),
             }
         }
-        let has_expired = directory.expire(now_ms);
         self.note_heard();
-        if has_changes || has_expired {
+        if has_changes {
             self.publish(&directory, revision);
         }
     }
@@ -139,6 +144,19 @@
         true
     }
 
+    /// Forgets the records that are missing and did not come back in time; returns the time until
+    /// the next ones are to be forgotten.
+    fn expire(&self) -> Option<Duration> {
+        let now_ms = self.now_ms();
+        let mut directory = self.directory();
+        if directory.expire(now_ms) {
+            let revision = self.list().map_or(0, |list| list.revision);
+            self.publish(&directory, revision);
+        }
+        let next_ms = directory.next_expiry_ms()?;
+        Some(Duration::from_millis(next_ms.saturating_sub(now_ms)))
+    }
+
     /// Notes that the platform has answered.
     fn note_heard(&self) {
         let silent_ms = self.age_ms();
@@ -171,3 +189,18 @@
         directory.unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Forgets missing records when their time is over, whether or not the platform says anything; ends
+/// with the feed.
+async fn expire_in_time(feed: Weak<Inner>, mut lists: watch::Receiver<Option<Arc<EndpointList>>>) {
+    while let Some(inner) = feed.upgrade() {
+        let wait = EndpointFeed { inner }.expire();
+        let ended = match wait {
+            Some(wait) => tokio::time::timeout(wait, lists.changed()).await,
+            None => Ok(lists.changed().await),
+        };
+        if let Ok(Err(_)) = ended {
+            return;
+        }
+    }
+}
