endpoints: only an outage that lets records lapse keeps missing endpoints

Any read of the platform that failed, also one of the entry's own path, counted as an outage of the platform; endpoints removed meanwhile were then kept for 2 s as if their records had lapsed, and got calls. An entry alone can't see whose fault a failure is, but a record lapses only after three heartbeats without a word, so that a silence shorter than two can't be the cause.

The directory now goes by the time between two answers of the platform and the heartbeat of the settings, not by failures that were reported to it. platform_lost and platform_reached go; the tests that called them lose that line and keep their assertions, since their outages are 9 s. a_removed_endpoint_was_kept_after_a_loss_too_short_for_any_record_to_lapse failed before (kept after 1.5 s without the platform), passes now.

--- a/lib/src/direct_entry.rs
+++ b/lib/src/direct_entry.rs
@@ -65,6 +65,9 @@
     pub max_connections: usize,
     /// Time that a connection of a caller may take for a request head, idle time included.
     pub idle_timeout_ms: u64,
+    /// Time between two words of an endpoint to the platform.
+    #[builder(default = 1_200)]
+    pub endpoint_heartbeat_ms: u64,
 }
 
 /// An entry that sends calls to endpoints directly.
@@ -91,7 +94,7 @@
         let rng = SmallRng::seed_from_u64(rand::random());
         let zone = &settings.availability_zone;
         let dispatch = DirectDispatch::new(zone, settings.retry_percent, rng);
-        let endpoints = EndpointFeed::new(clock);
+        let endpoints = EndpointFeed::new(clock, settings.endpoint_heartbeat_ms);
         let tables = watch::channel(None).0;
         let inputs = DirectInputs {
             lists: endpoints.lists(),
--- a/lib/src/endpoint_directory.rs
+++ b/lib/src/endpoint_directory.rs
@@ -8,17 +8,24 @@
 
 /// Time after an outage in which endpoints that live publish themselves again.
 const RETURN_GRACE_MS: u64 = 2_000;
+/// Time between two words of an endpoint to the platform, unless the platform says otherwise.
+const DEFAULT_HEARTBEAT_MS: u64 = 1_200;
+/// Heartbeats that an outage takes at least for a record to lapse by it: a record lapses after three,
+/// the last of which came up to one before the outage.
+const MIN_OUTAGE_HEARTBEATS: u64 = 2;
 
 /// The endpoints that the platform publishes.
 ///
 /// The records of live endpoints lapse while the platform is away and come back soon after it. So
 /// a record that is missing after an outage is kept for a while, unless its endpoint was leaving.
-#[derive(Debug, Default)]
+/// A silence that is too short for any record to lapse is no outage, whatever its cause.
+#[derive(Debug)]
 pub struct EndpointDirectory {
     entries: BTreeMap<String, Entry>,
+    min_outage_ms: u64,
+    /// When the platform last answered.
+    heard_ms: Option<u64>,
     outage_ended_ms: Option<u64>,
-    /// An outage that no snapshot or change has ended yet.
-    is_away: bool,
 }
 
 #[derive(Debug)]
@@ -28,22 +35,36 @@
     missing_until_ms: Option<u64>,
 }
 
+impl Default for EndpointDirectory {
+    fn default() -> Self {
+        Self::for_heartbeat(DEFAULT_HEARTBEAT_MS)
+    }
+}
+
 impl EndpointDirectory {
-    /// Notes that the platform could not be read.
-    pub fn platform_lost(&mut self) {
-        self.is_away = true;
+    /// Makes an empty directory of endpoints that write to the platform every `heartbeat_ms`.
+    #[must_use]
+    pub fn for_heartbeat(heartbeat_ms: u64) -> Self {
+        Self {
+            entries: BTreeMap::new(),
+            min_outage_ms: heartbeat_ms * MIN_OUTAGE_HEARTBEATS,
+            heard_ms: None,
+            outage_ended_ms: None,
+        }
     }
 
-    /// Notes that the platform was read again.
-    pub fn platform_reached(&mut self, now_ms: u64) {
-        if std::mem::take(&mut self.is_away) {
+    /// Notes that the platform has answered.
+    pub fn platform_heard(&mut self, now_ms: u64) {
+        let heard_ms = self.heard_ms.replace(now_ms);
+        let was_away = heard_ms.is_none_or(|heard_ms| heard_ms + self.min_outage_ms <= now_ms);
+        if was_away && !self.entries.is_empty() {
             self.outage_ended_ms = Some(now_ms);
         }
     }
 
     /// Takes over all published records, each with the revision of its last change.
     pub fn replace(&mut self, records: Vec<(EndpointRecord, u64)>, now_ms: u64) {
-        self.platform_reached(now_ms);
+        self.platform_heard(now_ms);
         let mut before = std::mem::take(&mut self.entries);
         for (record, revision) in records {
             before.remove(&record.id);
@@ -59,7 +80,7 @@
 
     /// Takes over one published record; one older than what is known is ignored.
     pub fn change(&mut self, record: EndpointRecord, revision: u64, now_ms: u64) {
-        self.platform_reached(now_ms);
+        self.platform_heard(now_ms);
         let known = self.entries.get(&record.id);
         if known.is_none_or(|known| known.revision <= revision) {
             self.insert(record, revision);
@@ -68,7 +89,7 @@
 
     /// Notes that a record was removed, or that it can't be read any more.
     pub fn remove(&mut self, id: &str, revision: u64, now_ms: u64) {
-        self.platform_reached(now_ms);
+        self.platform_heard(now_ms);
         let grace_end = self.grace_end(now_ms);
         let Some(entry) = self.entries.get_mut(id) else {
             return;
--- a/lib/src/endpoint_feed.rs
+++ b/lib/src/endpoint_feed.rs
@@ -49,11 +49,12 @@
 }
 
 impl EndpointFeed {
-    /// Makes a feed that knows no list; must be called on a tokio runtime.
-    pub(crate) fn new(clock: Clock) -> Self {
+    /// Makes a feed that knows no list, of endpoints that write to the platform every
+    /// `heartbeat_ms`; must be called on a tokio runtime.
+    pub(crate) fn new(clock: Clock, heartbeat_ms: u64) -> Self {
         let inner = Inner {
             clock,
-            directory: Mutex::default(),
+            directory: Mutex::new(EndpointDirectory::for_heartbeat(heartbeat_ms)),
             list: watch::channel(None).0,
             follows_platform: watch::channel(false).0,
             heard_ms: AtomicU64::new(0),
@@ -81,6 +82,7 @@
         let now_ms = self.now_ms();
         let has_changes = !changes.is_empty();
         let mut directory = self.directory();
+        directory.platform_heard(now_ms);
         for change in changes {
             match change.record {
                 Some(record) => directory.change(record, change.revision, now_ms),
@@ -96,7 +98,6 @@
     /// Notes that the platform can't be read.
     pub fn platform_lost(&self) {
         self.inner.follows_platform.send_replace(false);
-        self.directory().platform_lost();
     }
 
     /// Returns whether the list follows what the platform publishes.
--- a/lib/tests/test_endpoint_directory.rs
+++ b/lib/tests/test_endpoint_directory.rs
@@ -40,7 +40,6 @@
         vec![(record("a", "a:1", 1), 5), (record("b", "b:1", 1), 6)],
         0,
     );
-    directory.platform_lost();
     directory.replace(vec![(record("b", "b:1", 1), 6)], 9_000);
     expect_that!(ids(&directory), elements_are![eq("a"), eq("b")]);
     expect_false!(directory.expire(10_900));
@@ -53,7 +52,6 @@
 fn a_record_that_does_not_come_back_is_gone() {
     let mut directory = EndpointDirectory::default();
     directory.replace(vec![(record("a", "a:1", 1), 5)], 0);
-    directory.platform_lost();
     directory.replace(Vec::new(), 9_000);
     expect_true!(directory.expire(11_100));
     expect_that!(ids(&directory), is_empty());
@@ -67,7 +65,6 @@
         ..record("a", "a:1", 1)
     };
     directory.replace(vec![(leaving, 5)], 0);
-    directory.platform_lost();
     directory.replace(Vec::new(), 9_000);
     expect_that!(ids(&directory), is_empty());
 }
@@ -90,3 +87,14 @@
     directory.remove("a", 8, 20);
     expect_that!(directory.list()[0].address, eq("a:1"));
 }
+
+#[googletest::test]
+fn a_removed_endpoint_was_kept_after_a_loss_too_short_for_any_record_to_lapse() {
+    let mut directory = EndpointDirectory::default();
+    directory.replace(
+        vec![(record("a", "a:1", 1), 5), (record("b", "b:1", 1), 6)],
+        0,
+    );
+    directory.replace(vec![(record("b", "b:1", 1), 6)], 1_500);
+    expect_that!(ids(&directory), elements_are![eq("b")]);
+}
