endpoints: what another entry told stays known when the store is reached again

An entry that the store did not answer took the list of another one for its calls, but the follower kept its own older picture.

Class: two copies of one belief. Entries hand out the list under /v2/endpoints with its revision and age.

--- a/lib/src/endpoint_directory.rs
+++ b/lib/src/endpoint_directory.rs
@@ -23,6 +23,8 @@
 pub struct EndpointDirectory {
     entries: BTreeMap<String, Entry>,
     min_outage_ms: u64,
+    /// Revision of the platform at which the directory holds.
+    revision: u64,
     /// When the platform last answered.
     heard_ms: Option<u64>,
     outage_ended_ms: Option<u64>,
@@ -48,11 +50,17 @@
         Self {
             entries: BTreeMap::new(),
             min_outage_ms: heartbeat_ms * MIN_OUTAGE_HEARTBEATS,
+            revision: 0,
             heard_ms: None,
             outage_ended_ms: None,
         }
     }
 
+    /// Notes that the directory holds at `revision` as well.
+    pub fn confirm(&mut self, revision: u64) {
+        self.revision = self.revision.max(revision);
+    }
+
     /// Notes that the platform has answered.
     pub fn platform_heard(&mut self, now_ms: u64) {
         let heard_ms = self.heard_ms.replace(now_ms);
@@ -62,9 +70,27 @@
         }
     }
 
-    /// Takes over all published records, each with the revision of its last change.
-    pub fn replace(&mut self, records: Vec<(EndpointRecord, u64)>, now_ms: u64) {
+    /// Returns the revision of the platform at which the directory holds.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Returns the time since the platform last answered; nothing when it never has.
+    #[must_use]
+    pub fn silent_ms(&self, now_ms: u64) -> Option<u64> {
+        self.heard_ms
+            .map(|heard_ms| now_ms.saturating_sub(heard_ms))
+    }
+
+    /// Takes over all records as published at `revision`, each with the revision of its last
+    /// change; they are ignored when another entry has told of a later revision meanwhile.
+    pub fn replace(&mut self, records: Vec<(EndpointRecord, u64)>, revision: u64, now_ms: u64) {
         self.platform_heard(now_ms);
+        if revision < self.revision {
+            return;
+        }
+        self.revision = revision;
         let mut before = std::mem::take(&mut self.entries);
         for (record, revision) in records {
             before.remove(&record.id);
@@ -78,18 +104,38 @@
         }
     }
 
+    /// Takes over the list of another entry, which holds at `revision`; returns whether it did.
+    ///
+    /// A list that is behind what is known is ignored, so that no endpoint comes back that has left;
+    /// an empty one as well, since an entry that has just started may have read it in an outage.
+    pub fn take_from_entry(&mut self, told: Vec<EndpointRecord>, revision: u64) -> bool {
+        if told.is_empty() || revision < self.revision {
+            return false;
+        }
+        let before = std::mem::take(&mut self.entries);
+        for mut record in told {
+            let known = before.get(&record.id).map(|entry| &entry.record);
+            let known = known.filter(|known| known.born_ms == record.born_ms);
+            record.is_leaving |= known.is_some_and(|known| known.is_leaving);
+            self.insert(record, revision);
+        }
+        self.revision = revision;
+        true
+    }
+
     /// Takes over one published record; one older than what is known is ignored.
-    pub fn change(&mut self, record: EndpointRecord, revision: u64, now_ms: u64) {
-        self.platform_heard(now_ms);
-        let known = self.entries.get(&record.id);
-        if known.is_none_or(|known| known.revision <= revision) {
+    pub fn change(&mut self, record: EndpointRecord, revision: u64) {
+        let is_news = match self.entries.get(&record.id) {
+            Some(known) => known.revision <= revision,
+            None => self.revision < revision,
+        };
+        if is_news {
             self.insert(record, revision);
         }
     }
 
     /// Notes that a record was removed, or that it can't be read any more.
     pub fn remove(&mut self, id: &str, revision: u64, now_ms: u64) {
-        self.platform_heard(now_ms);
         let grace_end = self.grace_end(now_ms);
         let Some(entry) = self.entries.get_mut(id) else {
             return;
--- a/lib/src/endpoint_feed.rs
+++ b/lib/src/endpoint_feed.rs
@@ -16,7 +16,7 @@
 use crate::EndpointList;
 use crate::EndpointRecord;
 use crate::ListSource;
-use crate::endpoint_merge;
+use crate::ToldEndpoints;
 use crate::event;
 
 /// One published change of an endpoint.
@@ -44,8 +44,8 @@
     /// The list in use; absent until one was told.
     list: watch::Sender<Option<Arc<EndpointList>>>,
     follows_platform: watch::Sender<bool>,
-    /// When the platform last answered.
-    heard_ms: AtomicU64,
+    /// When the platform last confirmed the list, to this entry or to the one that told it.
+    confirmed_ms: AtomicU64,
 }
 
 impl EndpointFeed {
@@ -57,7 +57,7 @@
             directory: Mutex::new(EndpointDirectory::for_heartbeat(heartbeat_ms)),
             list: watch::channel(None).0,
             follows_platform: watch::channel(false).0,
-            heard_ms: AtomicU64::new(0),
+            confirmed_ms: AtomicU64::new(0),
         };
         let feed = Self {
             inner: Arc::new(inner),
@@ -71,9 +71,9 @@
     /// change, as of `revision`.
     pub fn take_all(&self, records: Vec<(EndpointRecord, u64)>, revision: u64) {
         let mut directory = self.directory();
-        directory.replace(records, self.now_ms());
-        self.note_heard();
-        self.publish(&directory, revision);
+        self.hear(&mut directory);
+        directory.replace(records, revision, self.now_ms());
+        self.publish(&directory);
     }
 
     /// Takes over changes that the platform publishes; without any, the list holds at `revision`
@@ -82,16 +82,16 @@
         let now_ms = self.now_ms();
         let has_changes = !changes.is_empty();
         let mut directory = self.directory();
-        directory.platform_heard(now_ms);
+        self.hear(&mut directory);
         for change in changes {
             match change.record {
-                Some(record) => directory.change(record, change.revision, now_ms),
+                Some(record) => directory.change(record, change.revision),
                 None => directory.remove(&change.id, change.revision, now_ms),
             }
         }
-        self.note_heard();
+        directory.confirm(revision);
         if has_changes {
-            self.publish(&directory, revision);
+            self.publish(&directory);
         }
     }
 
@@ -106,11 +106,11 @@
         *self.inner.follows_platform.borrow()
     }
 
-    /// Returns the time since the platform last answered.
+    /// Returns the time since the platform last confirmed the list.
     #[must_use]
     pub fn age_ms(&self) -> u64 {
-        let heard_ms = self.inner.heard_ms.load(Ordering::Acquire);
-        self.now_ms().saturating_sub(heard_ms)
+        let confirmed_ms = self.inner.confirmed_ms.load(Ordering::Acquire);
+        self.now_ms().saturating_sub(confirmed_ms)
     }
 
     /// Returns the list in use; absent until one was told.
@@ -124,24 +124,39 @@
         self.inner.list.subscribe()
     }
 
+    /// Returns the list as another entry is told it; absent until one is known.
+    pub(crate) fn told(&self) -> Option<ToldEndpoints> {
+        let list = self.list()?;
+        let records = list.records.iter();
+        Some(ToldEndpoints {
+            revision: self.directory().revision(),
+            age_ms: self.age_ms(),
+            endpoints: records.map(|record| (**record).clone()).collect(),
+        })
+    }
+
     /// Takes over the list of another entry while the platform can't be heard; returns whether it
     /// differs from the present one.
-    pub(crate) fn take_from_entry(&self, told: Vec<EndpointRecord>, address: &str) -> bool {
-        let known = self.list();
-        let known_records = known.as_ref().map(|list| list.records.as_slice());
-        let records = endpoint_merge::merge_of_peer(known_records, told);
-        if known_records == Some(records.as_slice()) || self.follows_platform() {
+    pub(crate) fn take_from_entry(&self, told: ToldEndpoints, address: &str) -> bool {
+        let mut directory = self.directory();
+        let revision = told.revision;
+        if self.follows_platform() || !directory.take_from_entry(told.endpoints, revision) {
             return false;
         }
-        let list = EndpointList {
+        let confirmed_ms = self.now_ms().saturating_sub(told.age_ms);
+        self.inner
+            .confirmed_ms
+            .store(confirmed_ms, Ordering::Release);
+        let records = directory.list();
+        if self.list().is_some_and(|list| list.records == records) {
+            return false;
+        }
+        self.put_in_use(EndpointList {
             records,
-            missing: known
-                .as_ref()
-                .map_or_else(Default::default, |list| list.missing.clone()),
-            revision: known.map_or(0, |list| list.revision),
+            missing: directory.missing(),
+            revision,
             source: ListSource::Entry(address.to_owned()),
-        };
-        self.put_in_use(list);
+        });
         true
     }
 
@@ -151,27 +166,28 @@
         let now_ms = self.now_ms();
         let mut directory = self.directory();
         if directory.expire(now_ms) {
-            let revision = self.list().map_or(0, |list| list.revision);
-            self.publish(&directory, revision);
+            self.publish(&directory);
         }
         let next_ms = directory.next_expiry_ms()?;
         Some(Duration::from_millis(next_ms.saturating_sub(now_ms)))
     }
 
     /// Notes that the platform has answered.
-    fn note_heard(&self) {
-        let silent_ms = self.age_ms();
-        self.inner.heard_ms.store(self.now_ms(), Ordering::Release);
+    fn hear(&self, directory: &mut EndpointDirectory) {
+        let now_ms = self.now_ms();
+        let silent_ms = directory.silent_ms(now_ms).unwrap_or(now_ms);
+        directory.platform_heard(now_ms);
+        self.inner.confirmed_ms.store(now_ms, Ordering::Release);
         if !self.inner.follows_platform.send_replace(true) {
             event!(PlatformHeard, "silent_ms={silent_ms}");
         }
     }
 
-    fn publish(&self, directory: &EndpointDirectory, revision: u64) {
+    fn publish(&self, directory: &EndpointDirectory) {
         self.put_in_use(EndpointList {
             records: directory.list(),
             missing: directory.missing(),
-            revision,
+            revision: directory.revision(),
             source: ListSource::Platform,
         });
     }
--- a/lib/src/entry_circle.rs
+++ b/lib/src/entry_circle.rs
@@ -16,8 +16,6 @@
 
 use crate::DaemonError;
 use crate::DirectEntry;
-use crate::EndpointList;
-use crate::EndpointRecord;
 use crate::EntryGossip;
 use crate::GossipSettings;
 use crate::JsonClient;
@@ -32,7 +30,7 @@
 /// Path at which an entry hands out the configuration in force.
 const CONFIG_PATH: &str = "/v1/configuration";
 /// Path at which an entry hands out the list of endpoints in use.
-const ENDPOINTS_PATH: &str = "/v1/endpoints";
+const ENDPOINTS_PATH: &str = "/v2/endpoints";
 /// Time between two questions for the endpoints while the platform can't be heard.
 const ENDPOINTS_INTERVAL: Duration = Duration::from_millis(400);
 /// Time that an entry gives its own watch before it asks another entry for a configuration.
@@ -128,8 +126,8 @@
         };
         let entry = self.entry.clone();
         let endpoints = move || {
-            let list = entry.endpoints().list();
-            let document = list.map(|list| json!(records(&list)).to_string().into());
+            let told = entry.endpoints().told();
+            let document = told.map(|told| json!(told).to_string().into());
             async move { document_response(document) }
         };
         Router::new()
@@ -161,8 +159,8 @@
 
     async fn fetch_endpoints(&self, peer: &str) -> Result<(), JsonError> {
         let client = JsonClient::new(peer, CONNECT_TIMEOUT, MAX_CONFIG_BYTES);
-        let endpoints = client.get(ENDPOINTS_PATH, FETCH_TIMEOUT).await?;
-        if self.entry.endpoints().take_from_entry(endpoints, peer) {
+        let told = client.get(ENDPOINTS_PATH, FETCH_TIMEOUT).await?;
+        if self.entry.endpoints().take_from_entry(told, peer) {
             event!(EndpointsFromPeer, "peer={peer}");
         }
         Ok(())
@@ -202,11 +200,6 @@
     u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// Returns the records of a list, as other entries are told.
-fn records(list: &EndpointList) -> Vec<&EndpointRecord> {
-    list.records.iter().map(AsRef::as_ref).collect()
-}
-
 fn document_response(document: Option<Bytes>) -> Response<Body> {
     let status = if document.is_some() {
         StatusCode::OK
--- a/lib/tests/test_endpoint_directory.rs
+++ b/lib/tests/test_endpoint_directory.rs
@@ -27,6 +27,7 @@
     let mut directory = EndpointDirectory::default();
     directory.replace(
         vec![(record("a", "a:1", 1), 5), (record("b", "b:1", 1), 6)],
+        6,
         0,
     );
     directory.remove("a", 7, 10);
@@ -38,12 +39,13 @@
     let mut directory = EndpointDirectory::default();
     directory.replace(
         vec![(record("a", "a:1", 1), 5), (record("b", "b:1", 1), 6)],
+        6,
         0,
     );
-    directory.replace(vec![(record("b", "b:1", 1), 6)], 9_000);
+    directory.replace(vec![(record("b", "b:1", 1), 6)], 8, 9_000);
     expect_that!(ids(&directory), elements_are![eq("a"), eq("b")]);
     expect_false!(directory.expire(10_900));
-    directory.change(record("a", "a:1", 1), 9, 10_950);
+    directory.change(record("a", "a:1", 1), 9);
     expect_false!(directory.expire(11_500));
     expect_that!(ids(&directory), elements_are![eq("a"), eq("b")]);
 }
@@ -51,8 +53,8 @@
 #[googletest::test]
 fn a_record_that_does_not_come_back_is_gone() {
     let mut directory = EndpointDirectory::default();
-    directory.replace(vec![(record("a", "a:1", 1), 5)], 0);
-    directory.replace(Vec::new(), 9_000);
+    directory.replace(vec![(record("a", "a:1", 1), 5)], 5, 0);
+    directory.replace(Vec::new(), 8, 9_000);
     expect_true!(directory.expire(11_100));
     expect_that!(ids(&directory), is_empty());
 }
@@ -64,8 +66,8 @@
         is_leaving: true,
         ..record("a", "a:1", 1)
     };
-    directory.replace(vec![(leaving, 5)], 0);
-    directory.replace(Vec::new(), 9_000);
+    directory.replace(vec![(leaving, 5)], 5, 0);
+    directory.replace(Vec::new(), 8, 9_000);
     expect_that!(ids(&directory), is_empty());
 }
 
@@ -74,6 +76,7 @@
     let mut directory = EndpointDirectory::default();
     directory.replace(
         vec![(record("old", "a:1", 1), 5), (record("new", "a:1", 2), 9)],
+        9,
         0,
     );
     expect_that!(ids(&directory), elements_are![eq("new")]);
@@ -82,8 +85,8 @@
 #[googletest::test]
 fn an_older_change_does_not_undo_a_newer_one() {
     let mut directory = EndpointDirectory::default();
-    directory.replace(vec![(record("a", "a:1", 1), 9)], 0);
-    directory.change(record("a", "a:2", 1), 7, 10);
+    directory.replace(vec![(record("a", "a:1", 1), 9)], 9, 0);
+    directory.change(record("a", "a:2", 1), 7);
     directory.remove("a", 8, 20);
     expect_that!(directory.list()[0].address, eq("a:1"));
 }
@@ -93,8 +96,103 @@
     let mut directory = EndpointDirectory::default();
     directory.replace(
         vec![(record("a", "a:1", 1), 5), (record("b", "b:1", 1), 6)],
+        6,
         0,
     );
-    directory.replace(vec![(record("b", "b:1", 1), 6)], 1_500);
+    directory.replace(vec![(record("b", "b:1", 1), 6)], 7, 1_500);
     expect_that!(ids(&directory), elements_are![eq("b")]);
 }
+
+fn leaving(id: &str, address: &str, born_ms: u64) -> EndpointRecord {
+    EndpointRecord {
+        is_leaving: true,
+        ..record(id, address, born_ms)
+    }
+}
+
+/// Returns the ids of the endpoints with whether they leave.
+fn leavings(directory: &EndpointDirectory) -> Vec<(String, bool)> {
+    let list = directory.list();
+    let names = list.iter().map(|r| (r.id.clone(), r.is_leaving));
+    names.collect()
+}
+
+fn named(id: &str, is_leaving: bool) -> (String, bool) {
+    (id.to_owned(), is_leaving)
+}
+
+#[googletest::test]
+fn an_entry_that_has_just_started_takes_all_that_another_one_tells() {
+    let mut directory = EndpointDirectory::default();
+    let told = vec![record("a", "a:1", 10), leaving("b", "b:1", 20)];
+    expect_true!(directory.take_from_entry(told, 7));
+    expect_that!(
+        leavings(&directory),
+        elements_are![eq(&named("a", false)), eq(&named("b", true))]
+    );
+    expect_that!(directory.revision(), eq(7));
+}
+
+#[googletest::test]
+fn an_endpoint_that_leaves_does_not_come_back_from_an_entry_that_is_behind() {
+    let mut directory = EndpointDirectory::default();
+    let known = vec![(leaving("a", "a:1", 10), 9), (record("b", "b:1", 20), 6)];
+    directory.replace(known, 9, 0);
+    let told = vec![record("a", "a:1", 10), leaving("b", "b:1", 20)];
+    expect_false!(directory.take_from_entry(told.clone(), 8));
+    expect_that!(
+        leavings(&directory),
+        elements_are![eq(&named("a", true)), eq(&named("b", false))]
+    );
+    expect_true!(directory.take_from_entry(told, 9));
+    expect_that!(
+        leavings(&directory),
+        elements_are![eq(&named("a", true)), eq(&named("b", true))]
+    );
+}
+
+#[googletest::test]
+fn an_endpoint_that_is_gone_does_not_come_back_from_an_entry_that_is_behind() {
+    let mut directory = EndpointDirectory::default();
+    directory.replace(vec![(record("b", "b:1", 20), 6)], 9, 0);
+    let told = vec![record("gone", "g:1", 10), record("b", "b:1", 20)];
+    expect_false!(directory.take_from_entry(told, 8));
+    expect_that!(ids(&directory), elements_are![eq("b")]);
+    let told = vec![record("b", "b:1", 20), record("new", "n:1", 30)];
+    expect_true!(directory.take_from_entry(told, 10));
+    expect_that!(ids(&directory), elements_are![eq("b"), eq("new")]);
+}
+
+#[googletest::test]
+fn an_endpoint_that_another_entry_no_longer_lists_is_gone() {
+    let mut directory = EndpointDirectory::default();
+    let known = vec![(record("a", "a:1", 10), 5), (record("b", "b:1", 20), 6)];
+    directory.replace(known, 6, 0);
+    expect_false!(directory.take_from_entry(Vec::new(), 9));
+    expect_that!(ids(&directory), elements_are![eq("a"), eq("b")]);
+    expect_true!(directory.take_from_entry(vec![record("b", "b:1", 20)], 9));
+    expect_that!(ids(&directory), elements_are![eq("b")]);
+}
+
+#[googletest::test]
+fn an_endpoint_that_another_entry_told_to_be_gone_came_back_after_the_own_outage() {
+    let mut directory = EndpointDirectory::default();
+    let known = vec![(record("a", "a:1", 10), 5), (record("b", "b:1", 20), 6)];
+    directory.replace(known, 6, 0);
+    expect_true!(directory.take_from_entry(vec![record("b", "b:1", 20)], 9));
+    directory.replace(vec![(record("b", "b:1", 20), 6)], 9, 9_000);
+    expect_that!(ids(&directory), elements_are![eq("b")]);
+}
+
+#[googletest::test]
+fn a_snapshot_that_was_long_on_its_way_does_not_undo_what_another_entry_told() {
+    let mut directory = EndpointDirectory::default();
+    let known = vec![(record("a", "a:1", 10), 5), (record("b", "b:1", 20), 6)];
+    directory.replace(known.clone(), 6, 0);
+    expect_true!(directory.take_from_entry(vec![record("b", "b:1", 20)], 9));
+    directory.replace(known, 6, 2_000);
+    expect_that!(ids(&directory), elements_are![eq("b")]);
+    directory.change(record("a", "a:1", 10), 8);
+    expect_that!(ids(&directory), elements_are![eq("b")]);
+    expect_that!(directory.revision(), eq(9));
+}
