configuration: the shipped watch is short enough that a silent one is noticed in time

A reader of the configuration service believed its watch for 20 s and 5 s more; keep-alive shows silence there only where nothing acknowledges for the peer. With the shipped settings and a relay that does, a change was not in force after 20 s, where 4 s are promised (with the watches of 5 s of the test fleets: 10.4 s).

--- a/lib/src/platform_client.rs
+++ b/lib/src/platform_client.rs
@@ -11,6 +11,8 @@
 
 const MAX_ANSWER_BYTES: usize = 64 << 20;
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time for the answer of a watch whose wait is over; without one, its connection is taken for silent.
+const WATCH_ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 const WEIGHTS_TIMEOUT: Duration = Duration::from_mins(2);
 
 /// A value of the configuration service.
@@ -91,7 +93,7 @@
             "/config/watch?after={revision}&wait_ms={}",
             wait.as_millis()
         );
-        self.client.get(&path, wait + ANSWER_TIMEOUT).await
+        self.client.get(&path, wait + WATCH_ANSWER_TIMEOUT).await
     }
 
     /// Reads the list of VMs.
--- a/lib/tests/test_configuration_in_force.rs
+++ b/lib/tests/test_configuration_in_force.rs
@@ -291,3 +291,23 @@
     wait_until_in_force(&fleet, revision);
     expect_that!(watches(&fleet)["config_refused"].as_u64(), some(eq(0)));
 }
+
+/// A proxy that acknowledges for a peer that is gone: the operating system sees no silence. The
+/// settings are those that are shipped.
+#[googletest::test]
+fn a_change_was_not_in_force_while_watches_were_silent_behind_a_proxy() {
+    let plan = FleetPlan::builder()
+        .entries(3)
+        .engines(1)
+        .control_settings(Vec::new())
+        .relay_platform(true)
+        .build();
+    let fleet = Fleet::start(plan);
+    let first = publish(&fleet, 9_000);
+    wait_until_in_force(&fleet, first);
+    let relay = fleet.platform_relay.as_ref().expect("the plan asks for it");
+    relay.silence_open_connections();
+    let revision = publish(&fleet, 8_000);
+    let elapsed = wait_until_in_force(&fleet, revision);
+    expect_that!(elapsed, lt(IN_FORCE_WITHIN));
+}
