agents: where the other ranks are is read anew for each formation of the group

A rank that was replaced on another VM stayed known at its old place: others carried decisions out at an engine that was gone, and told it greetings.

--- a/lib/src/rank_run.rs
+++ b/lib/src/rank_run.rs
@@ -88,6 +88,8 @@
     next_hello_ms: u64,
     next_beacon_ms: u64,
     next_peers_ms: u64,
+    /// The formation of the group in which all other ranks were found.
+    peers_formation: Option<u64>,
     /// The map whose experts of this rank were read.
     own_slots: Option<(u64, Vec<u32>)>,
 }
@@ -177,6 +179,7 @@
             next_hello_ms: 0,
             next_beacon_ms: 0,
             next_peers_ms: 0,
+            peers_formation: None,
             own_slots: None,
         })
     }
@@ -224,7 +227,7 @@
             return;
         };
         self.paces.tell(report.pace_percent).await;
-        self.find_peers(now_ms).await;
+        self.find_peers(report.group_incarnation, now_ms).await;
         self.elect(now_ms).await;
         self.greet(&report, now_ms).await;
         let choices = (self.link.engine.choices)().await;
@@ -315,10 +318,10 @@
         self.model.clone()
     }
 
-    /// Reads where the other agents are until all are known.
-    async fn find_peers(&mut self, now_ms: u64) {
-        let is_complete = self.peers.borrow().len() + 1 >= self.rank_count as usize;
-        if is_complete || now_ms < self.next_peers_ms {
+    /// Reads where the other agents are until all are known, anew for each formation of the group,
+    /// since a rank may have moved to another VM.
+    async fn find_peers(&mut self, formation: u64, now_ms: u64) {
+        if self.peers_formation == Some(formation) || now_ms < self.next_peers_ms {
             return;
         }
         self.next_peers_ms = now_ms + PEERS_INTERVAL_MS;
@@ -328,6 +331,8 @@
                 if peers != *self.peers.borrow() {
                     self.next_hello_ms = now_ms;
                 }
+                let is_complete = peers.len() + 1 >= self.rank_count as usize;
+                self.peers_formation = is_complete.then_some(formation);
                 self.peers.send_replace(peers);
             }
             Err(error) => log::debug!("addresses of agents: {error}"),
--- /dev/null
+++ b/lib/tests/test_group_agent.rs
@@ -0,0 +1,104 @@
+//! Tests of the agent of a rank on the direct path, with functions in place of an engine.
+
+use std::net::SocketAddr;
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use pomeloramp_lib::DirectEngine;
+use pomeloramp_lib::EngineReply;
+use pomeloramp_lib::ExpertChoices;
+use pomeloramp_lib::GroupAgent;
+use pomeloramp_lib::OrderResult;
+use pomeloramp_lib::RankPlace;
+use pomeloramp_lib::RankReport;
+use tokio::sync::watch;
+
+const RANKS: u32 = 2;
+/// Time in which an agent has read the list of ranks.
+const READ_TIME: Duration = Duration::from_millis(2_500);
+
+fn answer<T: Send + 'static>(value: T) -> EngineReply<T> {
+    Box::pin(async move { Ok(value) })
+}
+
+/// An engine of the lowest of two ranks in the given formation, which no pass runs on.
+fn engine(formation: &Arc<AtomicU64>) -> DirectEngine {
+    let formation = Arc::clone(formation);
+    DirectEngine {
+        report: Arc::new(move || {
+            answer(RankReport {
+                group: "group-1".to_owned(),
+                group_incarnation: formation.load(Ordering::SeqCst),
+                rank: 0,
+                rank_count: RANKS,
+                is_open: true,
+                born_ms: 1,
+                step: 10,
+                active_map_id: 0,
+                copied_map_id: None,
+                armed_map_id: None,
+                armed_step: None,
+                pace_percent: 100,
+                held_step: None,
+            })
+        }),
+        choices: Arc::new(|| answer(ExpertChoices::default())),
+        experts: Arc::new(|| answer((0, Vec::new()))),
+        order: Arc::new(|_, _, _| Box::pin(async { OrderResult::Unknown })),
+        model: Arc::new(|| answer(None)),
+    }
+}
+
+fn free_address() -> SocketAddr {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket.local_addr().unwrap()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_agent_went_on_telling_the_place_of_a_rank_that_had_moved() {
+    let formation = Arc::new(AtomicU64::new(1));
+    let reads = Arc::new(AtomicU32::new(0));
+    let places = [free_address(), free_address()];
+    let peers = {
+        let formation = Arc::clone(&formation);
+        let reads = Arc::clone(&reads);
+        move || {
+            reads.fetch_add(1, Ordering::SeqCst);
+            let moved = usize::from(formation.load(Ordering::SeqCst) > 1);
+            answer(vec![RankPlace {
+                agent: places[moved],
+                engine: "127.0.0.1:1".to_owned(),
+            }])
+        }
+    };
+    let moved_to = tokio::net::UdpSocket::bind(places[1]).await.unwrap();
+    let own_engine = engine(&formation);
+    let agent = GroupAgent {
+        engine: own_engine.clone(),
+        peers: Arc::new(peers),
+        engine_at: Arc::new(move |_| own_engine.clone()),
+        address: free_address(),
+        endpoint_address: "127.0.0.1:2".to_owned(),
+        entries: Vec::new(),
+    };
+    let (close, closing) = watch::channel(false);
+    let running = tokio::spawn(agent.run(closing));
+    tokio::time::sleep(READ_TIME).await;
+    let reads_before = reads.load(Ordering::SeqCst);
+    assert_that!(reads_before, eq(1));
+
+    // A rank of another VM joined, so that the group was formed anew.
+    formation.store(2, Ordering::SeqCst);
+    let mut buffer = [0; 2_048];
+    let heard = tokio::time::timeout(READ_TIME, moved_to.recv_from(&mut buffer)).await;
+    assert_that!(heard, ok(ok(anything())));
+    tokio::time::sleep(READ_TIME).await;
+    assert_that!(reads.load(Ordering::SeqCst), eq(2));
+    close.send(true).unwrap();
+    running.await.unwrap().unwrap();
+}
