--- a/lib/testutils/src/process.rs
+++ b/lib/testutils/src/process.rs
@@ -120,6 +120,11 @@
         self.send(Signal::SIGTERM);
     }
 
+    /// Tells the process that its settings have changed.
+    pub fn hang_up(&self) {
+        self.send(Signal::SIGHUP);
+    }
+
     /// Interrupts the process as a terminal does.
     pub fn interrupt(&self) {
         self.send(Signal::SIGINT);
