expert maps: ranks of a large group tell their planner, and are told, what its link carries

A plan goes to 16 ranks, which pass it on to the others, and is told again only to ranks that have not heard of it, or have not copied it after 0.6 s. A plan needs 8 choices for each expert as its ground (2,048 of the 256 experts of today's sites, 2,000 before).

--- a/lib/src/group_planner.rs
+++ b/lib/src/group_planner.rs
@@ -27,8 +27,12 @@
 const JUMP_SAMPLE: f64 = 0.06;
 /// Time between two looks for a jump of the demand.
 const JUMP_INTERVAL_MS: u64 = 60;
-/// Choices that a plan needs as its ground.
-const MIN_CHOICES: f64 = 2_000.0;
+/// Choices that a plan needs as its ground, for each expert of a set.
+const MIN_CHOICES_PER_EXPERT: f64 = 8.0;
+/// Time between two times that ranks are told of a plan that have not heard of it.
+const TELL_AGAIN_MS: u64 = 150;
+/// Time after which a rank that has heard of a plan and has not copied it is told again.
+const SLOW_COPY_MS: u64 = 600;
 /// Time after which the copying for a plan is given up.
 const COPY_TIMEOUT_MS: u64 = 3_000;
 const PROPOSAL_TIMEOUT_MS: u64 = 4_000;
@@ -61,8 +65,10 @@
 /// What the driver of a [`GroupPlanner`] has to do.
 #[derive(Debug, Clone, PartialEq)]
 pub enum PlannerAction {
-    /// Tell every rank to copy the experts of a map that it lacks.
+    /// Tell some ranks to copy the experts of a map that they lack.
     Copy {
+        /// The ranks.
+        ranks: Vec<u32>,
         /// Id of the map.
         map_id: u64,
         /// The experts of every rank.
@@ -229,7 +235,6 @@
     }
 
     fn advance_plan(&mut self, now_ms: u64) -> Option<PlannerAction> {
-        const TELL_AGAIN_MS: u64 = 150;
         let ranks = &self.ranks;
         let plan = self.plan.as_mut()?;
         if let Some(proposed_at_ms) = plan.proposed_at_ms {
@@ -255,8 +260,18 @@
         if now_ms.saturating_sub(plan.told_at_ms) < TELL_AGAIN_MS {
             return None;
         }
+        let is_slow = now_ms.saturating_sub(plan.made_at_ms) >= SLOW_COPY_MS;
+        let lacking = ranks.iter().filter(|(_, view)| {
+            let has_heard = view.counts.highest_map_id >= plan.map_id;
+            !has_copied(view) && (is_slow || !has_heard)
+        });
+        let lacking: Vec<u32> = lacking.map(|(rank, _)| *rank).collect();
         plan.told_at_ms = now_ms;
+        if lacking.is_empty() {
+            return None;
+        }
         Some(PlannerAction::Copy {
+            ranks: lacking,
             map_id: plan.map_id,
             slots: plan.slots.clone(),
             reckoning: None,
@@ -305,7 +320,7 @@
     }
 
     fn make_plan(&mut self, now_ms: u64) -> Option<PlannerAction> {
-        if self.demand.iter().sum::<f64>() < MIN_CHOICES {
+        if self.demand.iter().sum::<f64>() < self.min_choices() {
             return None;
         }
         let (_, current) = self.known.as_ref()?;
@@ -349,6 +364,7 @@
             proposed_at_ms: None,
         });
         Some(PlannerAction::Copy {
+            ranks: self.ranks.keys().copied().collect(),
             map_id,
             slots,
             reckoning: Some(reckoning),
@@ -360,7 +376,7 @@
         let is_due = now_ms.saturating_sub(self.fresh_since_ms) >= JUMP_INTERVAL_MS;
         let fresh_total: f64 = self.fresh.iter().sum();
         let total: f64 = self.demand.iter().sum();
-        if !is_due || fresh_total < total * JUMP_SAMPLE || fresh_total < MIN_CHOICES {
+        if !is_due || fresh_total < total * JUMP_SAMPLE || fresh_total < self.min_choices() {
             return;
         }
         let fresh = self.as_load(&self.fresh);
@@ -373,6 +389,12 @@
         self.fresh_since_ms = now_ms;
     }
 
+    /// Returns the choices that a plan needs as its ground.
+    fn min_choices(&self) -> f64 {
+        let experts = u32::try_from(self.demand.len()).unwrap_or(u32::MAX);
+        f64::from(experts) * MIN_CHOICES_PER_EXPERT
+    }
+
     /// Takes note of how many passes a rank has begun since its counts before.
     fn note_steps(&mut self, rank: u32, step: u64, now_ms: u64) {
         let Some(before) = self.ranks.get(&rank) else {
--- a/lib/src/protos/pomeloramp.control.rs
+++ b/lib/src/protos/pomeloramp.control.rs
@@ -777,6 +777,9 @@
     /// Experts by set, rank and slot, each plus one; zero for a free slot.
     #[prost(uint32, repeated, tag = "2")]
     pub slots: ::prost::alloc::vec::Vec<u32>,
+    /// Ranks to which the receiver passes this on.
+    #[prost(uint32, repeated, tag = "3")]
+    pub forward_to: ::prost::alloc::vec::Vec<u32>,
 }
 /// Tells the ranks who plans.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/lib/src/rank_run.rs
+++ b/lib/src/rank_run.rs
@@ -54,6 +54,12 @@
 const PEERS_INTERVAL_MS: u64 = 1_000;
 const ORDER_QUEUE_LENGTH: usize = 1;
 const MESSAGE_QUEUE_LENGTH: usize = 256;
+/// Choices of experts that all ranks together tell the planner, at most.
+const MAX_CHOICES_BYTES_PER_S: usize = 256 << 10;
+/// Bytes of one expert's choices in a datagram, about.
+const CHOICE_BYTES: usize = 2;
+/// Ranks that the planner tells of a plan itself, which pass it on to the others.
+const MAX_TOLD_RANKS: usize = 16;
 /// Passes between the furthest known one and that of a switch.
 const LEAD_STEPS: u64 = 2;
 
@@ -90,6 +96,8 @@
     next_peers_ms: u64,
     /// The formation of the group in which all other ranks were found.
     peers_formation: Option<u64>,
+    /// Rounds of telling the planner so far.
+    count_rounds: usize,
     /// The map whose experts of this rank were read.
     own_slots: Option<(u64, Vec<u32>)>,
 }
@@ -180,6 +188,7 @@
             next_beacon_ms: 0,
             next_peers_ms: 0,
             peers_formation: None,
+            count_rounds: 0,
             own_slots: None,
         })
     }
@@ -230,9 +239,8 @@
         self.find_peers(report.group_incarnation, now_ms).await;
         self.elect(now_ms).await;
         self.greet(&report, now_ms).await;
-        let choices = (self.link.engine.choices)().await;
-        let choices = match choices {
-            Ok(choices) => self.choices_since(choices.counts),
+        let choices = match self.choices_to_tell().await {
+            Ok(choices) => choices,
             Err(error) => {
                 log::debug!("choices of experts: {error}");
                 return;
@@ -257,6 +265,30 @@
         }
     }
 
+    /// Returns the choices since the round before, for each expert; in a large group, in which not
+    /// all ranks can tell theirs in each round, mostly none.
+    async fn choices_to_tell(&mut self) -> Result<Vec<u32>, String> {
+        let round = self.count_rounds;
+        self.count_rounds += 1;
+        let bytes = self.choices_before.len() * CHOICE_BYTES * self.rank_count as usize;
+        let rounds_per_s = 1_000 / COUNT_INTERVAL.as_millis() as usize;
+        let turns = (bytes * rounds_per_s)
+            .div_ceil(MAX_CHOICES_BYTES_PER_S)
+            .max(1);
+        let turn = (round + self.rank as usize) % turns;
+        if turn > 1 {
+            return Ok(Vec::new());
+        }
+        let choices = (self.link.engine.choices)().await?;
+        let since = self.choices_since(choices.counts);
+        // In the first turn only the ground for the next one is taken.
+        Ok(if turn == 1 || turns == 1 {
+            since
+        } else {
+            Vec::new()
+        })
+    }
+
     /// Returns the choices since the counts before; an engine that was started anew counts from
     /// zero again.
     fn choices_since(&mut self, counts: Vec<u64>) -> Vec<u32> {
@@ -470,7 +502,36 @@
         }
     }
 
-    async fn copy(&mut self, copy: MapCopy) {
+    /// Tells ranks of a plan, of a large group by way of some of them.
+    async fn tell_copy(&self, copy: MapCopy, mut ranks: Vec<u32>) {
+        let Some(report) = self.link.last_report() else {
+            return;
+        };
+        ranks.retain(|rank| *rank != self.rank);
+        let told = ranks.len().div_ceil(MAX_TOLD_RANKS).max(1);
+        for share in ranks.chunks(told) {
+            let Some((first, others)) = share.split_first() else {
+                continue;
+            };
+            let copy = MapCopy {
+                forward_to: others.to_vec(),
+                ..copy.clone()
+            };
+            let datagram = self.datagram(&report, Content::Copy(copy));
+            self.datagrams.send(*first, &datagram).await;
+        }
+    }
+
+    async fn copy(&mut self, mut copy: MapCopy) {
+        let forward_to = std::mem::take(&mut copy.forward_to);
+        if !forward_to.is_empty()
+            && let Some(report) = self.link.last_report()
+        {
+            let datagram = self.datagram(&report, Content::Copy(copy.clone()));
+            for rank in forward_to {
+                self.datagrams.send(rank, &datagram).await;
+            }
+        }
         let Some(model) = self.model().await else {
             return;
         };
@@ -497,6 +558,7 @@
         match planner.advance(now_ms) {
             None => {}
             Some(PlannerAction::Copy {
+                ranks,
                 map_id,
                 slots,
                 reckoning,
@@ -515,11 +577,9 @@
                 let copy = MapCopy {
                     map_id,
                     slots: slots.as_message().to_vec(),
+                    forward_to: Vec::new(),
                 };
-                if let Some(report) = self.link.last_report() {
-                    self.tell_all(&self.datagram(&report, Content::Copy(copy)))
-                        .await;
-                }
+                self.tell_copy(copy, ranks).await;
                 self.start_copy(map_id, slots);
             }
             Some(PlannerAction::Propose { map_id, least_step }) => {
--- a/lib/tests/test_group_agent.rs
+++ b/lib/tests/test_group_agent.rs
@@ -16,9 +16,18 @@
 use pomeloramp_lib::OrderResult;
 use pomeloramp_lib::RankPlace;
 use pomeloramp_lib::RankReport;
+use pomeloramp_lib::protos::control::PlannerBeacon;
+use pomeloramp_lib::protos::control::RankDatagram;
+use pomeloramp_lib::protos::control::rank_datagram::Content;
+use prost::Message;
 use tokio::sync::watch;
 
 const RANKS: u32 = 2;
+/// Ranks of the largest groups that the users run, and experts of all sets there.
+const GROWN_RANKS: u32 = 72;
+const GROWN_EXPERTS: usize = 1_728;
+/// Part of the smallest link that the choices of all ranks may take at their planner, in a second.
+const MAX_COUNTS_BYTES_PER_S: usize = 400_000;
 /// Time in which an agent has read the list of ranks.
 const READ_TIME: Duration = Duration::from_millis(2_500);
 
@@ -26,16 +35,16 @@
     Box::pin(async move { Ok(value) })
 }
 
-/// An engine of the lowest of two ranks in the given formation, which no pass runs on.
-fn engine(formation: &Arc<AtomicU64>) -> DirectEngine {
+/// An engine of a rank in the given formation, which no pass runs on.
+fn engine(formation: &Arc<AtomicU64>, rank: u32, rank_count: u32) -> DirectEngine {
     let formation = Arc::clone(formation);
     DirectEngine {
         report: Arc::new(move || {
             answer(RankReport {
                 group: "group-1".to_owned(),
                 group_incarnation: formation.load(Ordering::SeqCst),
-                rank: 0,
-                rank_count: RANKS,
+                rank,
+                rank_count,
                 is_open: true,
                 born_ms: 1,
                 step: 10,
@@ -77,7 +86,7 @@
         }
     };
     let moved_to = tokio::net::UdpSocket::bind(places[1]).await.unwrap();
-    let own_engine = engine(&formation);
+    let own_engine = engine(&formation, 0, RANKS);
     let agent = GroupAgent {
         engine: own_engine.clone(),
         peers: Arc::new(peers),
@@ -102,3 +111,61 @@
     close.send(true).unwrap();
     running.await.unwrap().unwrap();
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn ranks_of_a_large_group_told_their_planner_more_than_its_link_carries() {
+    let planner = tokio::net::UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let planner_address = planner.local_addr().unwrap();
+    let formation = Arc::new(AtomicU64::new(1));
+    let mut own_engine = engine(&formation, 5, GROWN_RANKS);
+    own_engine.choices = Arc::new(|| {
+        let counts = vec![0; GROWN_EXPERTS];
+        answer(ExpertChoices { counts })
+    });
+    let agent_address = free_address();
+    let agent = GroupAgent {
+        engine: own_engine.clone(),
+        peers: Arc::new(move || {
+            answer(vec![RankPlace {
+                agent: planner_address,
+                engine: "127.0.0.1:1".to_owned(),
+            }])
+        }),
+        engine_at: Arc::new(move |_| own_engine.clone()),
+        address: agent_address,
+        endpoint_address: "127.0.0.1:2".to_owned(),
+        entries: Vec::new(),
+    };
+    let (close, closing) = watch::channel(false);
+    let running = tokio::spawn(agent.run(closing));
+    let beacon = RankDatagram {
+        group: "group-1".to_owned(),
+        group_incarnation: 1,
+        rank: 0,
+        content: Some(Content::Planner(PlannerBeacon { known_map_id: 0 })),
+    };
+    let beacon = beacon.encode_to_vec();
+    let watched = Duration::from_secs(4);
+    let until = tokio::time::Instant::now() + watched;
+    let mut told_bytes = 0;
+    let mut told_choices = 0;
+    let mut buffer = [0; 16_384];
+    while tokio::time::Instant::now() < until {
+        planner.send_to(&beacon, agent_address).await.unwrap();
+        let receiving = planner.recv_from(&mut buffer);
+        let received = tokio::time::timeout(Duration::from_millis(100), receiving).await;
+        let Ok(Ok((length, _))) = received else {
+            continue;
+        };
+        told_bytes += length;
+        let told = RankDatagram::decode(&buffer[..length]).unwrap();
+        if let Some(Content::Counts(counts)) = told.content {
+            told_choices += usize::from(counts.choices.len() == GROWN_EXPERTS);
+        }
+    }
+    let of_all = told_bytes * GROWN_RANKS as usize / 4;
+    assert_that!(of_all, lt(MAX_COUNTS_BYTES_PER_S));
+    assert_that!(told_choices, ge(2));
+    close.send(true).unwrap();
+    running.await.unwrap().unwrap();
+}
--- a/lib/tests/test_group_planner.rs
+++ b/lib/tests/test_group_planner.rs
@@ -199,6 +199,39 @@
     expect_that!(copied.layout(), some(eq(&found)));
 }
 
+/// Returns the ranks that are told to copy a map.
+fn told_ranks(action: Option<PlannerAction>) -> Vec<u32> {
+    match action {
+        Some(PlannerAction::Copy { ranks, .. }) => ranks,
+        Some(PlannerAction::Propose { .. }) | None => Vec::new(),
+    }
+}
+
+#[googletest::test]
+fn a_plan_was_told_again_to_ranks_that_had_heard_of_it() {
+    let mut planner = GroupPlanner::new(model(), RANKS, NONCE);
+    round(&mut planner, 0, 1, (0, 0), ROUND_MS);
+    let first = planner.advance(ROUND_MS);
+    expect_that!(
+        told_ranks(first.clone()),
+        elements_are![eq(&0), eq(&1), eq(&2), eq(&3)]
+    );
+    let (map_id, _) = copied_map(first).unwrap();
+    let later_ms = 3 * ROUND_MS;
+    for rank in 0..RANKS {
+        let highest_map_id = if rank == 2 { 0 } else { map_id };
+        let told = RankCounts {
+            highest_map_id,
+            ..counts(rank, 0, 2, 0, 0)
+        };
+        planner.on_counts(u32::try_from(rank).unwrap(), told, later_ms);
+    }
+    expect_that!(told_ranks(planner.advance(later_ms)), elements_are![eq(&2)]);
+    // A rank that has heard of the plan for long and has not copied it may have lost its order.
+    let much_later_ms = 8 * ROUND_MS;
+    expect_that!(told_ranks(planner.advance(much_later_ms)).len(), eq(RANKS));
+}
+
 /// Ranks, slots of a rank, sets and experts of the largest groups that the users run.
 const GROWN: (usize, usize, usize, usize) = (72, 3, 12, 144);
 /// Time for a search of a build without optimisation.
