--- a/lib/src/rank_run.rs
+++ b/lib/src/rank_run.rs
@@ -52,6 +52,8 @@
 const HELLO_INTERVAL_MS: u64 = 2_000;
 /// Time between two reads of the agents' addresses while ranks are missing.
 const PEERS_INTERVAL_MS: u64 = 1_000;
+/// Time between two reads of the sizes of the experts while none are published.
+const MODEL_INTERVAL_MS: u64 = 1_000;
 const ORDER_QUEUE_LENGTH: usize = 1;
 const MESSAGE_QUEUE_LENGTH: usize = 256;
 /// Choices of experts that all ranks together tell the planner, at most.
@@ -94,6 +96,7 @@
     next_hello_ms: u64,
     next_beacon_ms: u64,
     next_peers_ms: u64,
+    next_model_ms: u64,
     /// The formation of the group in which all other ranks were found.
     peers_formation: Option<u64>,
     /// Rounds of telling the planner so far.
@@ -187,6 +190,7 @@
             next_hello_ms: 0,
             next_beacon_ms: 0,
             next_peers_ms: 0,
+            next_model_ms: 0,
             peers_formation: None,
             count_rounds: 0,
             own_slots: None,
@@ -339,8 +343,11 @@
         }
     }
 
+    /// Returns the sizes of the experts, read at most once an interval until they are published.
     async fn model(&mut self) -> Option<GroupModel> {
-        if self.model.is_none() {
+        let now_ms = self.clock.now_ms();
+        if self.model.is_none() && now_ms >= self.next_model_ms {
+            self.next_model_ms = now_ms + MODEL_INTERVAL_MS;
             let read = (self.link.engine.model)().await;
             self.model = read
                 .inspect_err(|error| log::debug!("sizes of the experts: {error}"))
--- a/lib/tests/test_group_agent.rs
+++ b/lib/tests/test_group_agent.rs
@@ -169,3 +169,32 @@
     close.send(true).unwrap();
     running.await.unwrap().unwrap();
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn agents_asked_for_the_sizes_of_experts_ten_times_a_second_while_there_were_none() {
+    let formation = Arc::new(AtomicU64::new(1));
+    let asked = Arc::new(AtomicU32::new(0));
+    let mut own_engine = engine(&formation, 0, RANKS);
+    own_engine.model = {
+        let asked = Arc::clone(&asked);
+        Arc::new(move || {
+            asked.fetch_add(1, Ordering::SeqCst);
+            answer(None)
+        })
+    };
+    let agent = GroupAgent {
+        engine: own_engine.clone(),
+        peers: Arc::new(|| answer(Vec::new())),
+        engine_at: Arc::new(move |_| own_engine.clone()),
+        address: free_address(),
+        endpoint_address: "127.0.0.1:2".to_owned(),
+        entries: Vec::new(),
+    };
+    let (close, closing) = watch::channel(false);
+    let running = tokio::spawn(agent.run(closing));
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    assert_that!(asked.load(Ordering::SeqCst), le(5));
+    assert_that!(asked.load(Ordering::SeqCst), ge(2));
+    close.send(true).unwrap();
+    running.await.unwrap().unwrap();
+}
