--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -170,6 +170,7 @@
 mod queued_request;
 mod rank_address;
 mod rank_agent;
+mod rank_choices;
 mod rank_command;
 mod rank_datagrams;
 mod rank_duty;
--- a/lib/src/rank_run.rs
+++ b/lib/src/rank_run.rs
@@ -34,6 +34,8 @@
 use crate::protos::control::RankDatagram;
 use crate::protos::control::rank_datagram::Content;
 use crate::protos::settings::RankGroupSettings;
+use crate::rank_choices;
+use crate::rank_choices::RankChoices;
 use crate::rank_command::MapProposal;
 use crate::rank_command::RankCommand;
 use crate::rank_datagrams;
@@ -44,7 +46,7 @@
 use crate::rank_server;
 
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
-const COUNT_INTERVAL: Duration = Duration::from_millis(100);
+const COUNT_INTERVAL: Duration = Duration::from_millis(1_000 / rank_choices::ROUNDS_PER_S as u64);
 const PLAN_INTERVAL: Duration = Duration::from_millis(25);
 const BEACON_INTERVAL_MS: u64 = 200;
 /// Silence after which the planner of a lower rank is not reckoned with.
@@ -56,10 +58,6 @@
 const MODEL_INTERVAL_MS: u64 = 1_000;
 const ORDER_QUEUE_LENGTH: usize = 1;
 const MESSAGE_QUEUE_LENGTH: usize = 256;
-/// Choices of experts that all ranks together tell the planner, at most.
-const MAX_CHOICES_BYTES_PER_S: usize = 256 << 10;
-/// Bytes of one expert's choices in a datagram, about.
-const CHOICE_BYTES: usize = 2;
 /// Ranks that the planner tells of a plan itself, which pass it on to the others.
 const MAX_TOLD_RANKS: usize = 16;
 /// Passes between the furthest known one and that of a switch.
@@ -79,7 +77,7 @@
     rank_count: u32,
     /// Where all other ranks are.
     peers: watch::Sender<Vec<RankPlace>>,
-    choices_before: Vec<u64>,
+    choices: RankChoices,
     highest_map_id: u64,
     ballot: watch::Sender<u64>,
     planner: Option<GroupPlanner>,
@@ -99,8 +97,6 @@
     next_model_ms: u64,
     /// The formation of the group in which all other ranks were found.
     peers_formation: Option<u64>,
-    /// Rounds of telling the planner so far.
-    count_rounds: usize,
     /// The map whose experts of this rank were read.
     own_slots: Option<(u64, Vec<u32>)>,
 }
@@ -177,7 +173,7 @@
             rank: report.rank,
             rank_count: report.rank_count,
             peers,
-            choices_before: Vec::new(),
+            choices: RankChoices::new(report.rank, report.rank_count),
             highest_map_id: 0,
             ballot,
             planner: None,
@@ -192,7 +188,6 @@
             next_peers_ms: 0,
             next_model_ms: 0,
             peers_formation: None,
-            count_rounds: 0,
             own_slots: None,
         })
     }
@@ -243,7 +238,7 @@
         self.find_peers(report.group_incarnation, now_ms).await;
         self.elect(now_ms).await;
         self.greet(&report, now_ms).await;
-        let choices = match self.choices_to_tell().await {
+        let choices = match self.choices.next(&self.link.engine).await {
             Ok(choices) => choices,
             Err(error) => {
                 log::debug!("choices of experts: {error}");
@@ -269,48 +264,6 @@
         }
     }
 
-    /// Returns the choices since the round before, for each expert; in a large group, in which not
-    /// all ranks can tell theirs in each round, mostly none.
-    async fn choices_to_tell(&mut self) -> Result<Vec<u32>, String> {
-        let round = self.count_rounds;
-        self.count_rounds += 1;
-        let bytes = self.choices_before.len() * CHOICE_BYTES * self.rank_count as usize;
-        let rounds_per_s = 1_000 / COUNT_INTERVAL.as_millis() as usize;
-        let turns = (bytes * rounds_per_s)
-            .div_ceil(MAX_CHOICES_BYTES_PER_S)
-            .max(1);
-        let turn = (round + self.rank as usize) % turns;
-        if turn > 1 {
-            return Ok(Vec::new());
-        }
-        let choices = (self.link.engine.choices)().await?;
-        let since = self.choices_since(choices.counts);
-        // In the first turn only the ground for the next one is taken.
-        Ok(if turn == 1 || turns == 1 {
-            since
-        } else {
-            Vec::new()
-        })
-    }
-
-    /// Returns the choices since the counts before; an engine that was started anew counts from
-    /// zero again.
-    fn choices_since(&mut self, counts: Vec<u64>) -> Vec<u32> {
-        let before = std::mem::replace(&mut self.choices_before, counts);
-        let is_same_run = before.len() == self.choices_before.len();
-        let pairs = self.choices_before.iter().enumerate();
-        let since = pairs.map(|(expert, count)| {
-            let earlier = if is_same_run { before[expert] } else { *count };
-            let chosen = if *count >= earlier {
-                count - earlier
-            } else {
-                *count
-            };
-            u32::try_from(chosen).unwrap_or(u32::MAX)
-        });
-        since.collect()
-    }
-
     /// Returns the experts of this rank for a planner that does not know the map in use.
     async fn slots_to_tell(&mut self, report: &RankReport) -> Vec<u32> {
         let map_id = report.active_map_id;
