--- a/lib/src/endpoint_feed.rs
+++ b/lib/src/endpoint_feed.rs
@@ -12,6 +12,7 @@
 use tokio::sync::watch;
 
 use crate::Clock;
+use crate::EndpointChange;
 use crate::EndpointDirectory;
 use crate::EndpointList;
 use crate::EndpointRecord;
@@ -19,17 +20,6 @@
 use crate::ToldEndpoints;
 use crate::event;
 
-/// One published change of an endpoint.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct EndpointChange {
-    /// Identity of the endpoint.
-    pub id: String,
-    /// Its record; absent when it was removed or can't be read any more.
-    pub record: Option<EndpointRecord>,
-    /// Revision of the change.
-    pub revision: u64,
-}
-
 /// The list of endpoints of an entry, as the platform and other entries tell it.
 ///
 /// Copies share one list.
--- a/lib/src/endpoint_list.rs
+++ b/lib/src/endpoint_list.rs
@@ -2,32 +2,14 @@
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
-use std::fmt;
 use std::sync::Arc;
 
 use pomeloramp_proc_macros::value;
 
 use crate::EndpointRecord;
+use crate::ListSource;
 use crate::event;
 
-/// Who told a list of endpoints.
-#[value]
-pub enum ListSource {
-    /// The platform itself.
-    Platform,
-    /// Another entry, by its control address.
-    Entry(String),
-}
-
-impl fmt::Display for ListSource {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Platform => formatter.write_str("platform"),
-            Self::Entry(address) => formatter.write_str(address),
-        }
-    }
-}
-
 /// The endpoints in use at one moment, and what they were learnt from.
 #[value]
 pub struct EndpointList {
