--- a/lib/tests/test_group_agent.rs
+++ b/lib/tests/test_group_agent.rs
@@ -68,6 +68,31 @@
     socket.local_addr().unwrap()
 }
 
+/// Makes an agent beside an engine, which reads the places of the other ranks by `peers`.
+fn agent(
+    engine: &DirectEngine,
+    address: SocketAddr,
+    peers: impl Fn() -> EngineReply<Vec<RankPlace>> + Send + Sync + 'static,
+) -> GroupAgent {
+    let other_engine = engine.clone();
+    GroupAgent {
+        engine: engine.clone(),
+        peers: Arc::new(peers),
+        engine_at: Arc::new(move |_| other_engine.clone()),
+        address,
+        endpoint_address: "127.0.0.1:2".to_owned(),
+        entries: Vec::new(),
+    }
+}
+
+/// Returns the place of an agent whose engine is never asked.
+fn place(agent: SocketAddr) -> RankPlace {
+    RankPlace {
+        agent,
+        engine: "127.0.0.1:1".to_owned(),
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_agent_went_on_telling_the_place_of_a_rank_that_had_moved() {
     let formation = Arc::new(AtomicU64::new(1));
@@ -79,22 +104,12 @@
         move || {
             reads.fetch_add(1, Ordering::SeqCst);
             let moved = usize::from(formation.load(Ordering::SeqCst) > 1);
-            answer(vec![RankPlace {
-                agent: places[moved],
-                engine: "127.0.0.1:1".to_owned(),
-            }])
+            answer(vec![place(places[moved])])
         }
     };
     let moved_to = tokio::net::UdpSocket::bind(places[1]).await.unwrap();
     let own_engine = engine(&formation, 0, RANKS);
-    let agent = GroupAgent {
-        engine: own_engine.clone(),
-        peers: Arc::new(peers),
-        engine_at: Arc::new(move |_| own_engine.clone()),
-        address: free_address(),
-        endpoint_address: "127.0.0.1:2".to_owned(),
-        entries: Vec::new(),
-    };
+    let agent = agent(&own_engine, free_address(), peers);
     let (close, closing) = watch::channel(false);
     let running = tokio::spawn(agent.run(closing));
     tokio::time::sleep(READ_TIME).await;
@@ -123,19 +138,8 @@
         answer(ExpertChoices { counts })
     });
     let agent_address = free_address();
-    let agent = GroupAgent {
-        engine: own_engine.clone(),
-        peers: Arc::new(move || {
-            answer(vec![RankPlace {
-                agent: planner_address,
-                engine: "127.0.0.1:1".to_owned(),
-            }])
-        }),
-        engine_at: Arc::new(move |_| own_engine.clone()),
-        address: agent_address,
-        endpoint_address: "127.0.0.1:2".to_owned(),
-        entries: Vec::new(),
-    };
+    let peers = move || answer(vec![place(planner_address)]);
+    let agent = agent(&own_engine, agent_address, peers);
     let (close, closing) = watch::channel(false);
     let running = tokio::spawn(agent.run(closing));
     let beacon = RankDatagram {
@@ -182,14 +186,7 @@
             answer(None)
         })
     };
-    let agent = GroupAgent {
-        engine: own_engine.clone(),
-        peers: Arc::new(|| answer(Vec::new())),
-        engine_at: Arc::new(move |_| own_engine.clone()),
-        address: free_address(),
-        endpoint_address: "127.0.0.1:2".to_owned(),
-        entries: Vec::new(),
-    };
+    let agent = agent(&own_engine, free_address(), || answer(Vec::new()));
     let (close, closing) = watch::channel(false);
     let running = tokio::spawn(agent.run(closing));
     tokio::time::sleep(Duration::from_secs(3)).await;
