endpoints: follow a platform that was restored from an older copy

Cause: lists, watches and lists from other entries were ordered by revision alone, and nothing read the era of the store's answers. After a restoration, revisions are given out again, so the list of the copy was ignored as an old one, and a watch went on over changes that it had never seen.

Now a position is an era and a revision; an answer of another era starts a watch over. Instances that have left are remembered across eras and exchanged with entries that started meanwhile.

Ruled out: believing the copy at once (late calls until a leaving is written again); holding back the whole copy (unchanged records are not written again).

--- a/lib/src/direct_relay.rs
+++ b/lib/src/direct_relay.rs
@@ -19,6 +19,7 @@
 use crate::EndpointRequestHead;
 use crate::ListSource;
 use crate::OrganisationRule;
+use crate::PlatformRevision;
 use crate::Repeatability;
 use crate::RouteRule;
 use crate::SendResult;
@@ -529,16 +530,18 @@
 
     fn log_send(&self, slot: &DirectSlot, endpoint_id: &str) {
         let list = slot.list();
+        let position = list.map_or_else(PlatformRevision::default, |list| list.position);
         event!(
             CallSent,
             "request_id={} service={} endpoint={endpoint_id} attempt={} waited_ms={} left_ms={} \
-             endpoints_revision={} endpoints_age_ms={} endpoints_from={}",
+             endpoints_era={} endpoints_revision={} endpoints_age_ms={} endpoints_from={}",
             self.call.request_id,
             self.service,
             self.tried.len() + 1,
             self.arrived.elapsed().as_millis(),
             self.time_left_ms(),
-            list.map_or(0, |list| list.revision),
+            position.era,
+            position.revision,
             self.state.endpoints.age_ms(),
             list.map_or(&ListSource::Platform, |list| &list.source)
         );
--- a/lib/src/endpoint_change.rs
+++ b/lib/src/endpoint_change.rs
@@ -11,6 +11,6 @@
     pub id: String,
     /// The new record; `None` if it was removed or can no longer be read.
     pub record: Option<EndpointRecord>,
-    /// Platform revision of the change.
+    /// Revision of the change in the platform's current era.
     pub revision: u64,
 }
--- a/lib/src/endpoint_feed.rs
+++ b/lib/src/endpoint_feed.rs
@@ -12,12 +12,14 @@
 use tokio::sync::watch;
 
 use crate::Clock;
+use crate::DepartedEndpoint;
 use crate::EndpointChange;
 use crate::EndpointDirectory;
 use crate::EndpointList;
 use crate::EndpointRecord;
 use crate::EndpointSnapshot;
 use crate::ListSource;
+use crate::PlatformRevision;
 use crate::event;
 
 /// The endpoint list of an entry, received from the platform or from other entries.
@@ -58,31 +60,39 @@
         feed
     }
 
-    /// Replaces the list by all records that the platform publishes as of `revision`, each with the
-    /// revision of its last change.
-    pub fn replace_all(&self, records: Vec<(EndpointRecord, u64)>, revision: u64) {
+    /// Replaces the list by all records that the platform publishes as of `position`, each with the
+    /// revision of its last change. An answer from before the platform was restored is ignored.
+    pub fn replace_all(&self, records: Vec<(EndpointRecord, u64)>, position: PlatformRevision) {
         let mut directory = self.directory();
+        if position.era < directory.position().era {
+            return;
+        }
         self.observe_platform_answer(&mut directory);
-        directory.replace(records, revision, self.now_ms());
-        self.publish_directory(&directory);
+        self.log_new_era(directory.position(), position);
+        directory.replace(records, position, self.now_ms());
+        self.publish_directory(&directory, ListSource::Platform);
     }
 
     /// Applies changes that the platform publishes; without any, it only records that the list is
-    /// current up to `revision`.
-    pub fn apply_changes(&self, changes: Vec<EndpointChange>, revision: u64) {
+    /// current up to `position`. Changes of another era than the list's are ignored.
+    pub fn apply_changes(&self, changes: Vec<EndpointChange>, position: PlatformRevision) {
         let now_ms = self.now_ms();
         let has_changes = !changes.is_empty();
         let mut directory = self.directory();
+        if position.era != directory.position().era {
+            return;
+        }
         self.observe_platform_answer(&mut directory);
         for change in changes {
+            let changed_at = PlatformRevision::new(position.era, change.revision);
             match change.record {
-                Some(record) => directory.upsert(record, change.revision),
-                None => directory.remove(&change.id, change.revision, now_ms),
+                Some(record) => directory.upsert(record, changed_at, now_ms),
+                None => directory.remove(&change.id, changed_at, now_ms),
             }
         }
-        directory.confirm(revision);
+        directory.confirm(position);
         if has_changes {
-            self.publish_directory(&directory);
+            self.publish_directory(&directory, ListSource::Platform);
         }
     }
 
@@ -120,7 +130,7 @@
         let list = self.list()?;
         let records = list.records.iter();
         Some(EndpointSnapshot {
-            revision: self.directory().revision(),
+            position: self.directory().position(),
             age_ms: self.age_ms(),
             endpoints: records.map(|record| (**record).clone()).collect(),
         })
@@ -130,34 +140,60 @@
     /// whether the list has changed.
     pub(crate) fn replace_from_entry(&self, snapshot: EndpointSnapshot, address: &str) -> bool {
         let mut directory = self.directory();
-        let revision = snapshot.revision;
-        if self.follows_platform() || !directory.replace_from_entry(snapshot.endpoints, revision) {
+        if self.follows_platform() {
+            return false;
+        }
+        let EndpointSnapshot {
+            position,
+            age_ms,
+            endpoints,
+        } = snapshot;
+        let now_ms = self.now_ms();
+        let before = directory.position();
+        if !directory.replace_from_entry(endpoints, position, now_ms) {
             return false;
         }
-        let confirmed_ms = self.now_ms().saturating_sub(snapshot.age_ms);
+        self.log_new_era(before, position);
+        let confirmed_ms = now_ms.saturating_sub(age_ms);
         self.inner
             .confirmed_ms
             .store(confirmed_ms, Ordering::Release);
-        let records = directory.list();
-        if self.list().is_some_and(|list| list.records == records) {
+        if !self.has_changed(&directory) {
             return false;
         }
-        self.set_list(EndpointList {
-            records,
-            missing: directory.missing(),
-            revision,
-            source: ListSource::Entry(address.to_owned()),
-        });
+        self.publish_directory(&directory, ListSource::Entry(address.to_owned()));
         true
     }
 
+    /// Returns whether the platform was restored so recently that other entries may know of
+    /// endpoints that left before, which this one believes to be live.
+    pub(crate) fn is_settling(&self) -> bool {
+        self.directory().is_settling(self.now_ms())
+    }
+
+    /// Returns what this entry knows of endpoints that have left.
+    pub(crate) fn departed(&self) -> Vec<DepartedEndpoint> {
+        self.directory().departed()
+    }
+
+    /// Takes over what another entry knows of endpoints that left before the platform was restored.
+    pub(crate) fn merge_departed(&self, departed: Vec<DepartedEndpoint>) {
+        let mut directory = self.directory();
+        directory.merge_departed(departed, self.now_ms());
+        if self.has_changed(&directory)
+            && let Some(list) = self.list()
+        {
+            self.publish_directory(&directory, list.source.clone());
+        }
+    }
+
     /// Removes the missing records whose grace period has ended; returns the time until the next
     /// one ends.
     fn expire(&self) -> Option<Duration> {
         let now_ms = self.now_ms();
         let mut directory = self.directory();
         if directory.expire(now_ms) {
-            self.publish_directory(&directory);
+            self.publish_directory(&directory, ListSource::Platform);
         }
         let next_ms = directory.next_expiry_ms()?;
         Some(Duration::from_millis(next_ms.saturating_sub(now_ms)))
@@ -174,12 +210,34 @@
         }
     }
 
-    fn publish_directory(&self, directory: &EndpointDirectory) {
+    /// Logs that the platform began a new era, unless this is the first one that is known.
+    fn log_new_era(&self, before: PlatformRevision, now: PlatformRevision) {
+        if now.era > before.era && self.list().is_some() {
+            event!(
+                PlatformRestored,
+                "era_before={} revision_before={} era={} revision={}",
+                before.era,
+                before.revision,
+                now.era,
+                now.revision
+            );
+        }
+    }
+
+    /// Returns whether the directory differs from the list in use.
+    fn has_changed(&self, directory: &EndpointDirectory) -> bool {
+        self.list().is_none_or(|list| {
+            list.records != directory.list() || list.held_back != directory.held_back()
+        })
+    }
+
+    fn publish_directory(&self, directory: &EndpointDirectory, source: ListSource) {
         self.set_list(EndpointList {
             records: directory.list(),
             missing: directory.missing(),
-            revision: directory.revision(),
-            source: ListSource::Platform,
+            held_back: directory.held_back(),
+            position: directory.position(),
+            source,
         });
     }
 
--- a/lib/src/endpoint_list.rs
+++ b/lib/src/endpoint_list.rs
@@ -8,6 +8,7 @@
 
 use crate::EndpointRecord;
 use crate::ListSource;
+use crate::PlatformRevision;
 use crate::event;
 
 /// A list of endpoints in use, and its source.
@@ -17,8 +18,10 @@
     pub records: Vec<Arc<EndpointRecord>>,
     /// Ids of endpoints that the platform no longer lists and that are kept for a grace period.
     pub missing: BTreeSet<String>,
-    /// Platform revision of the list.
-    pub revision: u64,
+    /// Ids of endpoints that a restored platform lists although they had left.
+    pub held_back: BTreeSet<String>,
+    /// Position of the list in the platform's history.
+    pub position: PlatformRevision,
     /// Source of the list.
     pub source: ListSource,
 }
@@ -26,13 +29,13 @@
 impl EndpointList {
     /// Logs the changes since `before`; for a first list, only the number of endpoints.
     pub(crate) fn log_changes_since(&self, before: Option<&Self>) {
-        let revision = self.revision;
+        let PlatformRevision { era, revision } = self.position;
         let source = &self.source;
         let Some(before) = before else {
             let endpoints = self.records.len();
             event!(
                 EndpointsListed,
-                "endpoints={endpoints} endpoints_revision={revision} endpoints_from={source}"
+                "endpoints={endpoints} endpoints_era={era} endpoints_revision={revision} endpoints_from={source}"
             );
             return;
         };
@@ -46,28 +49,34 @@
                 let service = &record.service;
                 event!(
                     EndpointJoined,
-                    "endpoint={id} service={service} endpoints_revision={revision} endpoints_from={source}"
+                    "endpoint={id} service={service} endpoints_era={era} endpoints_revision={revision} endpoints_from={source}"
                 );
             }
             if record.is_leaving && (is_new || !was_leaving) {
                 event!(
                     EndpointLeaving,
-                    "endpoint={id} endpoints_revision={revision} endpoints_from={source}"
+                    "endpoint={id} endpoints_era={era} endpoints_revision={revision} endpoints_from={source}"
                 );
             }
             if self.missing.contains(id) && !before.missing.contains(id) {
                 event!(
                     EndpointKept,
-                    "endpoint={id} endpoints_revision={revision} endpoints_from={source}"
+                    "endpoint={id} endpoints_era={era} endpoints_revision={revision} endpoints_from={source}"
                 );
             }
         }
+        for id in self.held_back.difference(&before.held_back) {
+            event!(
+                EndpointHeldBack,
+                "endpoint={id} endpoints_era={era} endpoints_revision={revision} endpoints_from={source}"
+            );
+        }
         let known_now = self.by_id();
         for record in &before.records {
             if !known_now.contains_key(record.id.as_str()) {
                 event!(
                     EndpointGone,
-                    "endpoint={} was_missing={} endpoints_revision={revision} endpoints_from={source}",
+                    "endpoint={} was_missing={} endpoints_era={era} endpoints_revision={revision} endpoints_from={source}",
                     record.id,
                     before.missing.contains(&record.id)
                 );
--- a/lib/src/entry_peers.rs
+++ b/lib/src/entry_peers.rs
@@ -30,8 +30,11 @@
 /// Path at which an entry serves the configuration in force.
 const CONFIG_PATH: &str = "/v1/configuration";
 /// Path at which an entry serves the list of endpoints in use.
-const ENDPOINTS_PATH: &str = "/v2/endpoints";
-/// Time between two requests for another entry's endpoints while the platform can't be read.
+const ENDPOINTS_PATH: &str = "/v3/endpoints";
+/// Path at which an entry serves what it knows of endpoints that have left.
+const DEPARTED_PATH: &str = "/v3/departed-endpoints";
+/// Time between two requests for another entry's endpoints while the platform can't be read, or for
+/// those that have left while the platform has just been restored.
 const ENDPOINTS_INTERVAL: Duration = Duration::from_millis(400);
 /// Time that an entry gives its own watch to deliver a newer configuration before it requests the
 /// configuration from another entry.
@@ -108,6 +111,7 @@
             .await?;
         tokio::spawn(peers.clone().fetch_newer_configs());
         tokio::spawn(peers.clone().fetch_endpoints_during_outage());
+        tokio::spawn(peers.clone().fetch_departed_after_restore());
         Ok(peers)
     }
 
@@ -133,9 +137,15 @@
             let document = snapshot.map(|snapshot| json!(snapshot).to_string().into());
             async move { document_response(document) }
         };
+        let entry = self.entry.clone();
+        let departed = move || {
+            let document = json!(entry.endpoints().departed()).to_string();
+            async move { document_response(Some(document.into())) }
+        };
         Router::new()
             .route(CONFIG_PATH, get(config))
             .route(ENDPOINTS_PATH, get(endpoints))
+            .route(DEPARTED_PATH, get(departed))
     }
 
     /// Fetches the endpoint list of another entry while this entry can't read the platform.
@@ -145,13 +155,7 @@
             if self.entry.endpoints().follows_platform() {
                 continue;
             }
-            let peer = self
-                .view
-                .load()
-                .platform_follower_addresses
-                .choose(&mut rand::rng())
-                .cloned();
-            let Some(peer) = peer else {
+            let Some(peer) = self.platform_follower() else {
                 continue;
             };
             if let Err(error) = self.fetch_endpoints(&peer).await {
@@ -160,6 +164,32 @@
         }
     }
 
+    /// Fetches what other entries know of endpoints that have left, while the platform has just been
+    /// restored from a copy that may still list them.
+    async fn fetch_departed_after_restore(self) {
+        loop {
+            tokio::time::sleep(ENDPOINTS_INTERVAL).await;
+            if !self.entry.endpoints().is_settling() {
+                continue;
+            }
+            let Some(peer) = self.platform_follower() else {
+                continue;
+            };
+            let client = JsonClient::new(&peer, CONNECT_TIMEOUT, MAX_CONFIG_BYTES);
+            match client.get(DEPARTED_PATH, FETCH_TIMEOUT).await {
+                Ok(departed) => self.entry.endpoints().merge_departed(departed),
+                Err(error) => log::debug!("cannot fetch departed endpoints from a peer: {error}"),
+            }
+        }
+    }
+
+    /// Returns the control address of a random entry that can read the platform.
+    fn platform_follower(&self) -> Option<String> {
+        let view = self.view.load();
+        let followers = &view.platform_follower_addresses;
+        followers.choose(&mut rand::rng()).cloned()
+    }
+
     async fn fetch_endpoints(&self, peer: &str) -> Result<(), JsonError> {
         let client = JsonClient::new(peer, CONNECT_TIMEOUT, MAX_CONFIG_BYTES);
         let snapshot = client.get(ENDPOINTS_PATH, FETCH_TIMEOUT).await?;
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -85,6 +85,8 @@
     EndpointGone = 213 Info "endpoint removed from the list",
     PlatformHeard = 214 Info "platform answers again",
     WatchFailed = 215 Info "watch on the platform failed",
+    PlatformRestored = 216 Warn "platform was restored from an older copy",
+    EndpointHeldBack = 217 Info "endpoint that has left is listed again by a restored platform",
 
     OutcomeUnknown = 301 Warn "outcome of a request is unknown",
     RequestRetried = 302 Debug "request retried elsewhere",
--- a/lib/src/json_client.rs
+++ b/lib/src/json_client.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::HeaderMap;
 use http::Method;
 use http::Request;
 use http::Response;
@@ -129,6 +130,21 @@
         self.parse(&Method::GET, path, &body)
     }
 
+    /// Reads the document at `path`, with the headers of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no valid document is received within `timeout`.
+    pub async fn get_with_headers<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        timeout: Duration,
+    ) -> Result<(HeaderMap, T), JsonError> {
+        let answer = self.answer(Method::GET, path, Bytes::new(), timeout);
+        let (headers, body) = answer.await?;
+        Ok((headers, self.parse(&Method::GET, path, &body)?))
+    }
+
     /// Sends `body` to `path` and returns the document in the answer.
     ///
     /// # Errors
@@ -158,6 +174,18 @@
         body: Bytes,
         timeout: Duration,
     ) -> Result<Bytes, JsonError> {
+        let (_, body) = self.answer(method, path, body, timeout).await?;
+        Ok(body)
+    }
+
+    /// Sends a request and returns headers and body of a successful answer.
+    async fn answer(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<(HeaderMap, Bytes), JsonError> {
         let step = step(&method, path);
         let answer = self.exchange(method, path, body);
         let answer = tokio::time::timeout(timeout, answer).await;
@@ -170,7 +198,12 @@
         })
     }
 
-    async fn exchange(&self, method: Method, path: &str, body: Bytes) -> Result<Bytes, JsonError> {
+    async fn exchange(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<(HeaderMap, Bytes), JsonError> {
         let step = step(&method, path);
         let peer = self.address.clone();
         let mut request = Request::builder()
@@ -196,13 +229,14 @@
             let status = status.as_u16();
             return Err(JsonError::Status { step, peer, status });
         }
+        let headers = response.headers().clone();
         let body = http_client::read_body(response, self.max_answer_bytes).await;
         let body = body.map_err(|error| {
             let reason = error.to_string();
             JsonError::Body { step, peer, reason }
         })?;
         self.keep_connection(connection);
-        Ok(body)
+        Ok((headers, body))
     }
 
     /// Sends a request over an idle connection, or over a new one if no idle connection is usable.
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -135,10 +135,19 @@
             .u64_observable_gauge("pomeloramp_endpoints_revision")
             .with_description("Revision of the platform of which the list of endpoints is")
             .with_callback(move |gauge| {
-                let revision = feed.list().map_or(0, |list| list.revision);
+                let revision = feed.list().map_or(0, |list| list.position.revision);
                 gauge.observe(revision, &[]);
             })
             .build();
+        let feed = endpoints.clone();
+        meter
+            .u64_observable_gauge("pomeloramp_platform_era")
+            .with_description("Number of times that the platform was restored from a copy")
+            .with_callback(move |gauge| {
+                let era = feed.list().map_or(0, |list| list.position.era);
+                gauge.observe(era, &[]);
+            })
+            .build();
     }
 
     /// Records the duration of a finished request.
--- a/lib/tests/test_endpoint_directory.rs
+++ b/lib/tests/test_endpoint_directory.rs
@@ -3,6 +3,7 @@
 use googletest::prelude::*;
 use pomeloramp_lib::EndpointDirectory;
 use pomeloramp_lib::EndpointRecord;
+use pomeloramp_lib::PlatformRevision;
 
 fn record(id: &str, address: &str, born_ms: u64) -> EndpointRecord {
     EndpointRecord {
@@ -16,6 +17,11 @@
     }
 }
 
+/// Returns a position in the history of a platform that was never restored.
+fn at(revision: u64) -> PlatformRevision {
+    PlatformRevision::new(0, revision)
+}
+
 fn ids(directory: &EndpointDirectory) -> Vec<String> {
     let mut ids: Vec<String> = directory.list().iter().map(|r| r.id.clone()).collect();
     ids.sort();
@@ -27,10 +33,10 @@
     let mut directory = EndpointDirectory::default();
     directory.replace(
         vec![(record("a", "a:1", 1), 5), (record("b", "b:1", 1), 6)],
-        6,
+        at(6),
         0,
     );
-    directory.remove("a", 7, 10);
+    directory.remove("a", at(7), 10);
     expect_that!(ids(&directory), elements_are![eq("b")]);
 }
 
@@ -39,13 +45,13 @@
     let mut directory = EndpointDirectory::default();
     directory.replace(
         vec![(record("a", "a:1", 1), 5), (record("b", "b:1", 1), 6)],
-        6,
+        at(6),
         0,
     );
-    directory.replace(vec![(record("b", "b:1", 1), 6)], 8, 9_000);
+    directory.replace(vec![(record("b", "b:1", 1), 6)], at(8), 9_000);
     expect_that!(ids(&directory), elements_are![eq("a"), eq("b")]);
     expect_false!(directory.expire(10_900));
-    directory.upsert(record("a", "a:1", 1), 9);
+    directory.upsert(record("a", "a:1", 1), at(9), 11_000);
     expect_false!(directory.expire(11_500));
     expect_that!(ids(&directory), elements_are![eq("a"), eq("b")]);
 }
@@ -53,8 +59,8 @@
 #[googletest::test]
 fn a_record_that_does_not_reappear_is_gone_after_the_grace_period() {
     let mut directory = EndpointDirectory::default();
-    directory.replace(vec![(record("a", "a:1", 1), 5)], 5, 0);
-    directory.replace(Vec::new(), 8, 9_000);
+    directory.replace(vec![(record("a", "a:1", 1), 5)], at(5), 0);
+    directory.replace(Vec::new(), at(8), 9_000);
     expect_true!(directory.expire(11_100));
     expect_that!(ids(&directory), is_empty());
 }
@@ -66,8 +72,8 @@
         is_leaving: true,
         ..record("a", "a:1", 1)
     };
-    directory.replace(vec![(leaving, 5)], 5, 0);
-    directory.replace(Vec::new(), 8, 9_000);
+    directory.replace(vec![(leaving, 5)], at(5), 0);
+    directory.replace(Vec::new(), at(8), 9_000);
     expect_that!(ids(&directory), is_empty());
 }
 
@@ -76,7 +82,7 @@
     let mut directory = EndpointDirectory::default();
     directory.replace(
         vec![(record("old", "a:1", 1), 5), (record("new", "a:1", 2), 9)],
-        9,
+        at(9),
         0,
     );
     expect_that!(ids(&directory), elements_are![eq("new")]);
@@ -85,9 +91,9 @@
 #[googletest::test]
 fn an_older_change_does_not_undo_a_newer_one() {
     let mut directory = EndpointDirectory::default();
-    directory.replace(vec![(record("a", "a:1", 1), 9)], 9, 0);
-    directory.upsert(record("a", "a:2", 1), 7);
-    directory.remove("a", 8, 20);
+    directory.replace(vec![(record("a", "a:1", 1), 9)], at(9), 0);
+    directory.upsert(record("a", "a:2", 1), at(7), 11_000);
+    directory.remove("a", at(8), 20);
     expect_that!(directory.list()[0].address, eq("a:1"));
 }
 
@@ -96,10 +102,10 @@
     let mut directory = EndpointDirectory::default();
     directory.replace(
         vec![(record("a", "a:1", 1), 5), (record("b", "b:1", 1), 6)],
-        6,
+        at(6),
         0,
     );
-    directory.replace(vec![(record("b", "b:1", 1), 6)], 7, 1_500);
+    directory.replace(vec![(record("b", "b:1", 1), 6)], at(7), 1_500);
     expect_that!(ids(&directory), elements_are![eq("b")]);
 }
 
@@ -125,7 +131,7 @@
 fn an_entry_that_has_just_started_adopts_the_whole_list_of_another_one() {
     let mut directory = EndpointDirectory::default();
     let received = vec![record("a", "a:1", 10), leaving("b", "b:1", 20)];
-    expect_true!(directory.replace_from_entry(received, 7));
+    expect_true!(directory.replace_from_entry(received, at(7), 1_000));
     expect_that!(
         endpoint_states(&directory),
         elements_are![
@@ -133,16 +139,16 @@
             eq(&endpoint_state("b", true))
         ]
     );
-    expect_that!(directory.revision(), eq(7));
+    expect_that!(directory.position(), eq(at(7)));
 }
 
 #[googletest::test]
 fn a_leaving_endpoint_does_not_reappear_from_an_entry_that_is_behind() {
     let mut directory = EndpointDirectory::default();
     let known = vec![(leaving("a", "a:1", 10), 9), (record("b", "b:1", 20), 6)];
-    directory.replace(known, 9, 0);
+    directory.replace(known, at(9), 0);
     let received = vec![record("a", "a:1", 10), leaving("b", "b:1", 20)];
-    expect_false!(directory.replace_from_entry(received.clone(), 8));
+    expect_false!(directory.replace_from_entry(received.clone(), at(8), 1_000));
     expect_that!(
         endpoint_states(&directory),
         elements_are![
@@ -150,7 +156,7 @@
             eq(&endpoint_state("b", false))
         ]
     );
-    expect_true!(directory.replace_from_entry(received, 9));
+    expect_true!(directory.replace_from_entry(received, at(9), 1_000));
     expect_that!(
         endpoint_states(&directory),
         elements_are![
@@ -163,12 +169,12 @@
 #[googletest::test]
 fn an_endpoint_that_is_gone_does_not_reappear_from_an_entry_that_is_behind() {
     let mut directory = EndpointDirectory::default();
-    directory.replace(vec![(record("b", "b:1", 20), 6)], 9, 0);
+    directory.replace(vec![(record("b", "b:1", 20), 6)], at(9), 0);
     let received = vec![record("gone", "g:1", 10), record("b", "b:1", 20)];
-    expect_false!(directory.replace_from_entry(received, 8));
+    expect_false!(directory.replace_from_entry(received, at(8), 1_000));
     expect_that!(ids(&directory), elements_are![eq("b")]);
     let received = vec![record("b", "b:1", 20), record("new", "n:1", 30)];
-    expect_true!(directory.replace_from_entry(received, 10));
+    expect_true!(directory.replace_from_entry(received, at(10), 1_000));
     expect_that!(ids(&directory), elements_are![eq("b"), eq("new")]);
 }
 
@@ -176,10 +182,10 @@
 fn an_endpoint_that_another_entry_no_longer_lists_is_gone() {
     let mut directory = EndpointDirectory::default();
     let known = vec![(record("a", "a:1", 10), 5), (record("b", "b:1", 20), 6)];
-    directory.replace(known, 6, 0);
-    expect_false!(directory.replace_from_entry(Vec::new(), 9));
+    directory.replace(known, at(6), 0);
+    expect_false!(directory.replace_from_entry(Vec::new(), at(9), 1_000));
     expect_that!(ids(&directory), elements_are![eq("a"), eq("b")]);
-    expect_true!(directory.replace_from_entry(vec![record("b", "b:1", 20)], 9));
+    expect_true!(directory.replace_from_entry(vec![record("b", "b:1", 20)], at(9), 1_000));
     expect_that!(ids(&directory), elements_are![eq("b")]);
 }
 
@@ -187,9 +193,9 @@
 fn an_endpoint_that_another_entry_no_longer_lists_does_not_reappear_after_the_own_outage() {
     let mut directory = EndpointDirectory::default();
     let known = vec![(record("a", "a:1", 10), 5), (record("b", "b:1", 20), 6)];
-    directory.replace(known, 6, 0);
-    expect_true!(directory.replace_from_entry(vec![record("b", "b:1", 20)], 9));
-    directory.replace(vec![(record("b", "b:1", 20), 6)], 9, 9_000);
+    directory.replace(known, at(6), 0);
+    expect_true!(directory.replace_from_entry(vec![record("b", "b:1", 20)], at(9), 1_000));
+    directory.replace(vec![(record("b", "b:1", 20), 6)], at(9), 9_000);
     expect_that!(ids(&directory), elements_are![eq("b")]);
 }
 
@@ -197,11 +203,11 @@
 fn a_delayed_snapshot_does_not_undo_the_later_list_of_another_entry() {
     let mut directory = EndpointDirectory::default();
     let known = vec![(record("a", "a:1", 10), 5), (record("b", "b:1", 20), 6)];
-    directory.replace(known.clone(), 6, 0);
-    expect_true!(directory.replace_from_entry(vec![record("b", "b:1", 20)], 9));
-    directory.replace(known, 6, 2_000);
+    directory.replace(known.clone(), at(6), 0);
+    expect_true!(directory.replace_from_entry(vec![record("b", "b:1", 20)], at(9), 1_000));
+    directory.replace(known, at(6), 2_000);
     expect_that!(ids(&directory), elements_are![eq("b")]);
-    directory.upsert(record("a", "a:1", 10), 8);
+    directory.upsert(record("a", "a:1", 10), at(8), 11_000);
     expect_that!(ids(&directory), elements_are![eq("b")]);
-    expect_that!(directory.revision(), eq(9));
+    expect_that!(directory.position(), eq(at(9)));
 }
