group_planner: weigh copies against time, and confirm plans without a jump

Hypothesis: after a jump in demand passes take up to three times as long until a new map is in use, and everything that runs then is late. The number of copies of a plan was a constant (2), which takes 0.8 s where an expert takes 0.4 s. In 5 of 11 jumps a plan for a small gain, made for the first choices after the jump, delayed the one that was needed by as long again.

Now a plan has the number of copies that lowers the skew soonest, by the time that copies take (model) and plans take besides (observed). It must save more passes until the next jump (observed interval) than its copying slows down. Without a jump it waits for a check that finds none.

test_jumping_demand fails before: mean skew 2.10 of at most 1.83 with slow copies; 32 plans of at most 20 with fast ones. The demand and the times of passes move to modules of their own.

--- a/lib/src/group_planner.rs
+++ b/lib/src/group_planner.rs
@@ -12,25 +12,17 @@
 use crate::ExpertSlots;
 use crate::GroupModel;
 use crate::MapOutcome;
+use crate::MapSearch;
 use crate::SearchBounds;
+use crate::expert_demand::ExpertDemand;
 use crate::map_ballot::next_ballot;
-use crate::map_search::search_map;
 use crate::map_search::skew_with_slowdowns;
+use crate::pass_time::PassTime;
+use crate::plan_timing::PlanTiming;
 use crate::protos::control::RankCounts;
 
-/// Half-life of the weight of past choices in the demand.
-const DEMAND_HALF_LIFE_MS: f64 = 350.0;
 /// Age of any rank's last counts above which no plan is made.
 const MAX_COUNTS_AGE_MS: u64 = 600;
-/// Share of the choices that has to move to other experts for a change in demand to count as a jump
-/// and not as drift.
-const JUMP_SHARE: f64 = 0.25;
-/// Size of the sample that a check for a jump needs, as a share of the demand.
-const MIN_JUMP_SAMPLE_SHARE: f64 = 0.06;
-/// Time between two checks for a jump in demand.
-const JUMP_INTERVAL_MS: u64 = 60;
-/// Number of choices that a plan or a check for a jump needs, per expert and set.
-const MIN_CHOICES_PER_EXPERT: f64 = 8.0;
 /// Time between two sends of a plan to the ranks that lack it.
 const RESEND_INTERVAL_MS: u64 = 150;
 /// Time after which a plan is also resent to ranks that have received it but not copied it.
@@ -43,8 +35,8 @@
 const SWITCH_TIMEOUT_MS: u64 = 2_000;
 /// Time without planning after a plan has failed.
 const FAILURE_PAUSE_MS: u64 = 250;
-/// Experts, over all sets, that one plan may add to a rank.
-const MAX_NEW_PER_RANK: usize = 2;
+/// Highest number of experts, over all sets, that one plan may add to a rank.
+const MAX_NEW_PER_RANK: usize = 16;
 /// Reduction of a set's skew that each copied expert has to bring, if forward passes take the usual
 /// time.
 const MIN_GAIN_PER_COPY: f64 = 0.015;
@@ -55,18 +47,8 @@
 const REACHABLE_SKEW: f64 = 1.08;
 /// Time between two searches that find no plan.
 const SEARCH_INTERVAL_MS: u64 = 50;
-/// Usual time of a forward pass, as a share of the longest pause that streams allow. If passes take
-/// less, streams are on time in spite of more skew, and a plan has to reduce the skew by more.
-const USUAL_PASS_SHARE: f64 = 0.5;
-const MIN_SKEW_URGENCY: f64 = 0.15;
-const MAX_SKEW_URGENCY: f64 = 1.5;
 /// Slowdown of an engine that takes the usual time, in percent of that time.
 const USUAL_SLOWDOWN_PERCENT: u32 = 100;
-/// Factor by which the recent time and number of passes decay with each report of a rank.
-const PASS_DECAY: f64 = 0.98;
-/// Number of recent passes below which their mean time is unknown.
-const MIN_RECENT_PASSES: f64 = 4.0;
-
 /// An action that the caller of [`GroupPlanner`] has to carry out.
 #[derive(Debug, Clone, PartialEq)]
 pub enum PlannerAction {
@@ -115,22 +97,20 @@
     nonce: u32,
     /// The last report of each rank.
     ranks: BTreeMap<u32, RankView>,
-    /// Longest pause between events of a stream that is on time; zero if there is no target.
-    target_pause_ms: f64,
-    /// Time and number of recent passes, summed over the ranks and decayed with each report.
-    recent_ms: f64,
-    recent_passes: f64,
-    /// Choices of each expert, set by set, decayed with time.
-    demand: Vec<f64>,
-    demand_at_ms: u64,
-    /// Choices of each expert since the last check for a jump in demand, and the time of that check.
-    jump_sample: Vec<f64>,
-    jump_sample_since_ms: u64,
+    pass_time: PassTime,
+    demand: ExpertDemand,
     /// Id and layout of the map in use.
     active: Option<(u64, ExpertLayout)>,
     plan: Option<Plan>,
     /// Id of a committed map that not all ranks use yet, and the end of the wait for them.
     switching: Option<(u64, u64)>,
+    timing: PlanTiming,
+    /// Whether the plans of the last jump in demand still have an effect.
+    is_settling: bool,
+    /// Time since which a plan without a jump seems worthwhile.
+    worthwhile_since_ms: Option<u64>,
+    /// The plan that is being carried out, to observe how long it takes.
+    timed_plan: Option<TimedPlan>,
     /// Time before which no plan is made.
     next_plan_ms: u64,
     /// Id of the last plan. Ids are not reused, not even those of abandoned plans.
@@ -144,6 +124,23 @@
     received_ms: u64,
 }
 
+/// A plan that is worthwhile.
+#[derive(Debug)]
+struct PlanCandidate {
+    layout: ExpertLayout,
+    /// Highest number of experts that a rank has to copy.
+    new_per_rank: usize,
+    estimate: PlanEstimate,
+}
+
+/// A plan whose time until all ranks use it is measured.
+#[derive(Debug)]
+struct TimedPlan {
+    map_id: u64,
+    new_per_rank: usize,
+    made_at_ms: u64,
+}
+
 /// A plan that ranks copy or that is proposed.
 #[derive(Debug)]
 struct Plan {
@@ -159,22 +156,21 @@
     /// Creates the planner of a group; `nonce` is a random number that makes its maps' ids unique.
     #[must_use]
     pub fn new(model: GroupModel, rank_count: usize, nonce: u32) -> Self {
-        let target_pause_ms = u32::try_from(model.target_pause_ms).unwrap_or(u32::MAX);
+        let pass_time = PassTime::new(model.target_pause_ms);
         let model = model.experts;
         let sets = model.set_count as usize;
         let experts = model.expert_count as usize;
         Self {
-            target_pause_ms: f64::from(target_pause_ms),
-            recent_ms: 0.0,
-            recent_passes: 0.0,
-            demand: vec![0.0; sets * experts],
-            jump_sample: vec![0.0; sets * experts],
-            jump_sample_since_ms: 0,
+            pass_time,
+            demand: ExpertDemand::new(sets, experts),
+            timing: PlanTiming::new(&model),
+            timed_plan: None,
+            is_settling: true,
+            worthwhile_since_ms: None,
             model,
             rank_count,
             nonce,
             ranks: BTreeMap::new(),
-            demand_at_ms: 0,
             active: None,
             plan: None,
             switching: None,
@@ -191,15 +187,9 @@
 
     /// Records the choices of a rank since its previous counts, and its state.
     pub fn on_counts(&mut self, rank: u32, counts: RankCounts, now_ms: u64) {
-        self.decay_demand(now_ms);
-        if counts.choices.len() == self.demand.len() {
-            let values = self.demand.iter_mut().zip(&mut self.jump_sample);
-            for ((demand, sample), chosen) in values.zip(&counts.choices) {
-                *demand += f64::from(*chosen);
-                *sample += f64::from(*chosen);
-            }
+        if self.demand.record(&counts.choices, now_ms) {
+            self.handle_jump(now_ms);
         }
-        self.check_for_jump(now_ms);
         let received_ms = now_ms;
         self.record_passes(rank, counts.step, now_ms);
         let mut counts = counts;
@@ -235,7 +225,7 @@
 
     /// Advances the time to `now_ms` and returns the next action, if there is one.
     pub fn advance(&mut self, now_ms: u64) -> Option<PlannerAction> {
-        self.decay_demand(now_ms);
+        self.demand.decay(now_ms);
         if self.plan.is_some() {
             return self.advance_plan(now_ms);
         }
@@ -250,6 +240,13 @@
             return None;
         }
         self.switching = None;
+        if let Some(timed) = self
+            .timed_plan
+            .take_if(|timed| timed.map_id == active_map_id)
+        {
+            let elapsed_ms = now_ms.saturating_sub(timed.made_at_ms);
+            self.timing.observe_plan(timed.new_per_rank, elapsed_ms);
+        }
         self.update_active_layout(active_map_id)?;
         self.make_plan(now_ms)
     }
@@ -342,35 +339,62 @@
         Some(())
     }
 
-    /// Searches for a plan; returns `None` if there is not enough demand or no plan is worthwhile.
+    /// Makes a plan if there is enough demand and a plan is worthwhile.
     fn make_plan(&mut self, now_ms: u64) -> Option<PlannerAction> {
-        if self.demand.iter().sum::<f64>() < self.min_choices() {
+        if !self.demand.is_known() {
             return None;
         }
+        let Some(candidate) = self.find_candidate(now_ms) else {
+            self.is_settling = false;
+            self.worthwhile_since_ms = None;
+            return None;
+        };
+        if !self.is_confirmed(now_ms) {
+            return None;
+        }
+        self.start_plan(candidate, now_ms)
+    }
+
+    /// Searches for a plan that is worthwhile.
+    fn find_candidate(&mut self, now_ms: u64) -> Option<PlanCandidate> {
         let (_, current) = self.active.as_ref()?;
-        let load = self.load();
-        let min_gain = MIN_GAIN_PER_PLAN / self.skew_urgency();
+        let load = self.demand.load();
         let slowdowns = self.slowdowns();
+        let min_gain = MIN_GAIN_PER_PLAN / self.pass_time.skew_urgency();
         let skew_before = skew_with_slowdowns(current, &load, &slowdowns);
         if skew_before - REACHABLE_SKEW < min_gain {
             return None;
         }
         self.next_plan_ms = now_ms + SEARCH_INTERVAL_MS;
-        let bounds = SearchBounds::builder()
-            .max_new_per_rank_and_set(self.model.max_new_per_rank as usize)
-            .max_new_per_rank(MAX_NEW_PER_RANK)
-            .min_gain(MIN_GAIN_PER_COPY / self.skew_urgency())
-            .build();
-        let layout = search_map(current, &load, &slowdowns, bounds)?;
-        let estimate = PlanEstimate {
-            skew_before,
-            skew_after: skew_with_slowdowns(&layout, &load, &slowdowns),
-            copies: layout.moves_from(current),
-            pass_ms: self.pass_ms().unwrap_or(0.0),
-        };
-        if estimate.skew_before - estimate.skew_after < min_gain {
-            return None;
-        }
+        let (layout, new_per_rank) = self.search(current, &load, &slowdowns)?;
+        let skew_after = skew_with_slowdowns(&layout, &load, &slowdowns);
+        let timing = &self.timing;
+        let is_worthwhile = skew_before - skew_after >= min_gain
+            && timing.is_worthwhile(skew_before, skew_after, new_per_rank, now_ms);
+        is_worthwhile.then(|| PlanCandidate {
+            estimate: PlanEstimate {
+                skew_before,
+                skew_after,
+                copies: layout.moves_from(current),
+                pass_ms: self.pass_time.mean_ms().unwrap_or(0.0),
+            },
+            layout,
+            new_per_rank,
+        })
+    }
+
+    /// Returns whether a worthwhile plan should be made now.
+    ///
+    /// The first choices after a jump in demand make a plan seem worthwhile before the jump is
+    /// found. Such a plan would delay the one for the jump. So without a jump, a plan waits for a
+    /// check that finds none.
+    fn is_confirmed(&mut self, now_ms: u64) -> bool {
+        let since_ms = *self.worthwhile_since_ms.get_or_insert(now_ms);
+        self.is_settling || self.demand.is_checked_since(since_ms)
+    }
+
+    fn start_plan(&mut self, candidate: PlanCandidate, now_ms: u64) -> Option<PlannerAction> {
+        self.worthwhile_since_ms = None;
         let highest = self.ranks.values().map(|view| {
             let counts = &view.counts;
             counts.highest_map_id.max(counts.active_map_id)
@@ -378,10 +402,15 @@
         let highest = highest.max().unwrap_or(0).max(self.last_map_id);
         let map_id = next_ballot(highest, self.nonce);
         self.last_map_id = map_id;
-        let slots = ExpertSlots::from_layout(&layout)?;
+        let slots = ExpertSlots::from_layout(&candidate.layout)?;
+        self.timed_plan = Some(TimedPlan {
+            map_id,
+            new_per_rank: candidate.new_per_rank,
+            made_at_ms: now_ms,
+        });
         self.plan = Some(Plan {
             map_id,
-            layout,
+            layout: candidate.layout,
             slots: slots.clone(),
             made_at_ms: now_ms,
             sent_at_ms: now_ms,
@@ -391,36 +420,52 @@
             ranks: self.ranks.keys().copied().collect(),
             map_id,
             slots,
-            estimate: Some(estimate),
+            estimate: Some(candidate.estimate),
         })
     }
 
-    /// Discards the choices from before a jump in demand, and a plan that was made for them but not
-    /// yet proposed.
-    fn check_for_jump(&mut self, now_ms: u64) {
-        let is_due = now_ms.saturating_sub(self.jump_sample_since_ms) >= JUMP_INTERVAL_MS;
-        let sample_total: f64 = self.jump_sample.iter().sum();
-        let total: f64 = self.demand.iter().sum();
-        if !is_due
-            || sample_total < total * MIN_JUMP_SAMPLE_SHARE
-            || sample_total < self.min_choices()
-        {
-            return;
-        }
-        let sample = self.as_load(&self.jump_sample);
-        if sample.moved_share(&self.load()) > JUMP_SHARE {
-            self.demand.copy_from_slice(&self.jump_sample);
-            self.plan.take_if(|plan| plan.proposed_at_ms.is_none());
-            self.next_plan_ms = now_ms;
+    /// Searches for a layout with lower skew, with the number of copies that lowers it soonest;
+    /// returns it with the highest number of experts that a rank has to copy.
+    fn search(
+        &self,
+        current: &ExpertLayout,
+        load: &ExpertLoad,
+        slowdowns: &[f64],
+    ) -> Option<(ExpertLayout, usize)> {
+        let skew_before = skew_with_slowdowns(current, load, slowdowns);
+        let mut search = MapSearch::new(current, load, slowdowns);
+        let mut best = None;
+        let mut best_rate = 0.0;
+        let mut max_new_per_rank = 1;
+        while max_new_per_rank <= MAX_NEW_PER_RANK {
+            let bounds = SearchBounds::builder()
+                .max_new_per_rank_and_set(self.model.max_new_per_rank as usize)
+                .max_new_per_rank(max_new_per_rank)
+                .min_gain(MIN_GAIN_PER_COPY / self.pass_time.skew_urgency())
+                .build();
+            if !search.extend(bounds) {
+                break;
+            }
+            let layout = search.layout();
+            let new_per_rank = search.most_new_per_rank();
+            let skew_gain = skew_before - skew_with_slowdowns(&layout, load, slowdowns);
+            let rate = self.timing.gain_rate(skew_gain, new_per_rank);
+            if rate <= best_rate {
+                break;
+            }
+            best_rate = rate;
+            best = Some((layout, new_per_rank));
+            max_new_per_rank *= 2;
         }
-        self.jump_sample.fill(0.0);
-        self.jump_sample_since_ms = now_ms;
+        best
     }
 
-    /// Returns the number of choices that a plan or a check for a jump needs.
-    fn min_choices(&self) -> f64 {
-        let experts = u32::try_from(self.demand.len()).unwrap_or(u32::MAX);
-        f64::from(experts) * MIN_CHOICES_PER_EXPERT
+    /// Abandons a plan that was made for the demand before a jump and is not yet proposed.
+    fn handle_jump(&mut self, now_ms: u64) {
+        self.timing.observe_jump(now_ms);
+        self.is_settling = true;
+        self.plan.take_if(|plan| plan.proposed_at_ms.is_none());
+        self.next_plan_ms = now_ms;
     }
 
     /// Records the time and the number of passes of a rank since its previous counts.
@@ -430,23 +475,7 @@
         };
         let elapsed_ms = now_ms.saturating_sub(previous.received_ms);
         let passes = step.saturating_sub(previous.counts.step);
-        let as_f64 = |value: u64| f64::from(u32::try_from(value).unwrap_or(u32::MAX));
-        self.recent_ms = self.recent_ms * PASS_DECAY + as_f64(elapsed_ms);
-        self.recent_passes = self.recent_passes * PASS_DECAY + as_f64(passes);
-    }
-
-    /// Returns the mean time of recent passes; `None` if there were too few.
-    fn pass_ms(&self) -> Option<f64> {
-        (self.recent_passes >= MIN_RECENT_PASSES).then_some(self.recent_ms / self.recent_passes)
-    }
-
-    /// Returns how urgent a lower skew is: 1 if passes take the usual time, more if they take longer.
-    fn skew_urgency(&self) -> f64 {
-        let Some(pass_ms) = self.pass_ms().filter(|_| self.target_pause_ms > 0.0) else {
-            return 1.0;
-        };
-        let share = pass_ms / (self.target_pause_ms * USUAL_PASS_SHARE);
-        (share * share).clamp(MIN_SKEW_URGENCY, MAX_SKEW_URGENCY)
+        self.pass_time.record(elapsed_ms, passes);
     }
 
     /// Returns for each rank how many times as long as usual it takes.
@@ -459,27 +488,4 @@
         let rank_count = u32::try_from(self.rank_count).unwrap_or(u32::MAX);
         (0..rank_count).map(slowdown).collect()
     }
-
-    fn load(&self) -> ExpertLoad {
-        self.as_load(&self.demand)
-    }
-
-    fn as_load(&self, choices: &[f64]) -> ExpertLoad {
-        let experts = (self.model.expert_count as usize).max(1);
-        ExpertLoad::new(choices.chunks(experts).map(<[f64]>::to_vec).collect())
-    }
-
-    /// Reduces the weight of older choices.
-    fn decay_demand(&mut self, now_ms: u64) {
-        let elapsed_ms = now_ms.saturating_sub(self.demand_at_ms);
-        if elapsed_ms == 0 {
-            return;
-        }
-        self.demand_at_ms = now_ms;
-        let elapsed_ms = f64::from(u32::try_from(elapsed_ms).unwrap_or(u32::MAX));
-        let factor = 0.5_f64.powf(elapsed_ms / DEMAND_HALF_LIFE_MS);
-        for demand in &mut self.demand {
-            *demand *= factor;
-        }
-    }
 }
--- a/lib/src/map_search.rs
+++ b/lib/src/map_search.rs
@@ -52,60 +52,106 @@
     skews.sum::<f64>() / as_f64(layout.layers().len().max(1))
 }
 
-/// Returns a layout with lower skew that needs few copies from `current`, or `None` if no
-/// change within the bounds is worthwhile.
-///
-/// `slowdowns` says for each rank how many times as long as usual it takes; a slower rank gets
-/// correspondingly less load.
-#[must_use]
-pub fn search_map(
-    current: &ExpertLayout,
-    load: &ExpertLoad,
-    slowdowns: &[f64],
-    bounds: SearchBounds,
-) -> Option<ExpertLayout> {
-    let pairs = current.layers().iter().zip(load.layers());
-    let mut sets: Vec<SetSearch> = pairs
-        .map(|(layer, loads)| SetSearch::new(layer, loads, slowdowns))
-        .collect();
-    let rank_count = current.layers().first()?.rank_count();
-    let mut new_per_rank = vec![0; rank_count];
-    let mut best: Vec<Option<Change>> = Vec::new();
-    for set in &sets {
-        best.push(set.best_change(&new_per_rank, bounds));
+/// A search for a layout with lower skew, which can be continued with a larger bound on the copies.
+pub struct MapSearch<'a> {
+    current: &'a ExpertLayout,
+    sets: Vec<SetSearch<'a>>,
+    /// Number of experts that are new to each rank, over all sets.
+    new_per_rank: Vec<usize>,
+}
+
+impl<'a> MapSearch<'a> {
+    /// Creates a search that begins at the layout `current`.
+    ///
+    /// `slowdowns` says for each rank how many times as long as usual it takes; a slower rank gets
+    /// correspondingly less load.
+    #[must_use]
+    pub fn new(current: &'a ExpertLayout, load: &'a ExpertLoad, slowdowns: &'a [f64]) -> Self {
+        let pairs = current.layers().iter().zip(load.layers());
+        let sets = pairs.map(|(layer, loads)| SetSearch::new(layer, loads, slowdowns));
+        Self {
+            current,
+            sets: sets.collect(),
+            new_per_rank: vec![0; slowdowns.len()],
+        }
     }
-    let mut changes = 0;
-    while changes < MAX_CHANGES {
-        let candidates = best.iter().enumerate();
-        let candidates = candidates.filter_map(|(set, change)| change.map(|change| (set, change)));
-        let next = candidates.max_by(|a, b| a.1.gain_per_copy().total_cmp(&b.1.gain_per_copy()));
-        let Some((set, change)) = next else {
-            break;
-        };
-        changes += 1;
-        let new_per_rank_before = new_per_rank.clone();
-        sets[set].apply(change, &mut new_per_rank);
+
+    /// Changes the layout as long as a change within the bounds is worthwhile; returns whether
+    /// there was one.
+    pub fn extend(&mut self, bounds: SearchBounds) -> bool {
+        let sets = self.sets.iter();
+        let mut best: Vec<Option<Change>> = sets
+            .map(|set| set.best_change(&self.new_per_rank, bounds))
+            .collect();
+        let mut changes = 0;
+        while changes < MAX_CHANGES {
+            let candidates = best.iter().enumerate();
+            let candidates =
+                candidates.filter_map(|(set, change)| change.map(|change| (set, change)));
+            let next =
+                candidates.max_by(|a, b| a.1.gain_per_copy().total_cmp(&b.1.gain_per_copy()));
+            let Some((set, change)) = next else {
+                break;
+            };
+            changes += 1;
+            self.apply(set, change, bounds, &mut best);
+        }
+        changes > 0
+    }
+
+    /// Returns the highest number of experts that are new to a rank.
+    #[must_use]
+    pub fn most_new_per_rank(&self) -> usize {
+        self.new_per_rank.iter().copied().max().unwrap_or(0)
+    }
+
+    /// Returns the layout with all changes so far.
+    #[must_use]
+    pub fn layout(&self) -> ExpertLayout {
+        let mut layout = self.current.clone();
+        for (index, set) in self.sets.iter().enumerate() {
+            layout.set_layer(index, set.layout.clone());
+        }
+        layout
+    }
+
+    /// Applies a change of one set, and updates the best changes that it affects.
+    fn apply(
+        &mut self,
+        set: usize,
+        change: Change,
+        bounds: SearchBounds,
+        best: &mut [Option<Change>],
+    ) {
+        let new_per_rank_before = self.new_per_rank.clone();
+        self.sets[set].apply(change, &mut self.new_per_rank);
+        let new_per_rank = &self.new_per_rank;
         let frees_capacity = new_per_rank_before
             .iter()
-            .zip(&new_per_rank)
+            .zip(new_per_rank)
             .any(|(a, b)| a > b);
-        for (index, (set_search, best)) in sets.iter().zip(&mut best).enumerate() {
+        for (index, (set_search, best)) in self.sets.iter().zip(best).enumerate() {
             // The best change of a set that was not changed stays the best as long as it is allowed
             // and no rank has regained capacity for new experts.
-            let is_allowed = |change: &Change| set_search.allows(change, &new_per_rank, bounds);
+            let is_allowed = |change: &Change| set_search.allows(change, new_per_rank, bounds);
             if index == set || frees_capacity || !best.as_ref().is_none_or(is_allowed) {
-                *best = set_search.best_change(&new_per_rank, bounds);
+                *best = set_search.best_change(new_per_rank, bounds);
             }
         }
     }
-    if changes == 0 {
-        return None;
-    }
-    let mut layout = current.clone();
-    for (index, set) in sets.into_iter().enumerate() {
-        layout.set_layer(index, set.layout);
-    }
-    Some(layout)
+}
+
+/// Returns a layout with lower skew that needs few copies from `current`, or `None` if no
+/// change within the bounds is worthwhile.
+#[must_use]
+pub fn search_map(
+    current: &ExpertLayout,
+    load: &ExpertLoad,
+    slowdowns: &[f64],
+    bounds: SearchBounds,
+) -> Option<ExpertLayout> {
+    let mut search = MapSearch::new(current, load, slowdowns);
+    search.extend(bounds).then(|| search.layout())
 }
 
 /// The new content of one slot.
