http_client: end answers that never become one

Cause: the task of a connection did not notice that its request was given up while the endpoint went on sending bytes without a complete head (empty lines, interim responses), and read them for ever. On a stream every frame postponed the time by which an event must come, and events without an id were passed on without end.

Now the task ends with its request, a peer may send 1 MiB without a response head, the time for the next event counts from the last one, and events without an id are held back (64 KiB at most) where streams carry ids.

--- a/lib/src/direct_relay.rs
+++ b/lib/src/direct_relay.rs
@@ -35,6 +35,7 @@
 use crate::in_flight::InFlightGuard;
 use crate::send_failure::CrashEvidence;
 use crate::send_failure::SendFailure;
+use crate::stream_times::StreamTimes;
 
 /// Delay after a broken connection after which a crashed endpoint no longer listens.
 const CRASH_CHECK_DELAY: Duration = Duration::from_millis(100);
@@ -84,8 +85,7 @@
     pub(crate) may_have_run: bool,
     /// Id of the last event that the caller has received.
     pub(crate) resume_after: Option<u64>,
-    /// Time at which the caller was sent its last event; the silence limit counts from there.
-    pub(crate) last_event: Option<Instant>,
+    pub(crate) times: StreamTimes,
     /// Counts the call as in flight.
     pub(crate) _guard: InFlightGuard,
 }
@@ -349,7 +349,7 @@
     fn query(&self, number: u64) -> DispatchQuery {
         let now_ms = self.state.clock.now_ms();
         let waited_ms = as_ms(self.arrived.elapsed());
-        let silent_ms = as_ms(self.last_event.unwrap_or(self.arrived).elapsed());
+        let silent_ms = as_ms(self.times.last_event().unwrap_or(self.arrived).elapsed());
         let left_ms = self.time_left_ms();
         let max_wait_ms = if self.rule.repeatability.is_stream() {
             let max_wait_ms = self.stream_silence_limit_ms() * STREAM_QUEUE_WAIT_PERCENT / 100;
@@ -376,12 +376,20 @@
         let organisation = self.organisation.as_ref().map_or("", |o| o.name.as_str());
         let metrics = &self.state.metrics;
         metrics.record_request(organisation, outcome, elapsed);
+        let rule = &self.rule;
+        let lateness = self
+            .times
+            .lateness(rule.target_latency_ms, rule.target_gap_ms);
         event!(
             CallEnded,
-            "request_id={} outcome={outcome} attempts={} elapsed_ms={}",
+            "request_id={} outcome={outcome} attempts={} elapsed_ms={} first_event_ms={} \
+             longest_pause_ms={} late_by={}",
             self.call.request_id,
             self.tried.len(),
-            elapsed.as_millis()
+            elapsed.as_millis(),
+            self.times.first_event_ms(),
+            self.times.longest_pause_ms(),
+            lateness.name()
         );
     }
 
--- a/lib/src/direct_server.rs
+++ b/lib/src/direct_server.rs
@@ -23,6 +23,7 @@
 use crate::direct_state::DirectState;
 use crate::direct_stream;
 use crate::event;
+use crate::stream_times::StreamTimes;
 
 /// Retry delay of a call at an entry that has no configuration yet.
 const NO_CONFIG_RETRY_MS: u64 = 700;
@@ -87,7 +88,7 @@
         arrived,
         deadline,
         tried: Vec::new(),
-        last_event: None,
+        times: StreamTimes::default(),
         unwritten_sends: 0,
         has_retry: false,
         may_have_run: false,
--- a/lib/src/direct_stream.rs
+++ b/lib/src/direct_stream.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use futures::StreamExt;
 use http::Response;
 use http_body_util::BodyExt;
@@ -17,6 +18,7 @@
 
 use crate::DirectRefusal;
 use crate::EventSplitter;
+use crate::Repeatability;
 use crate::SendResult;
 use crate::StreamEvent;
 use crate::direct_relay::DirectRelay;
@@ -30,6 +32,8 @@
 /// Share of the stream silence limit after which a silent stream is resumed at another endpoint, in
 /// percent.
 const SILENCE_PERCENT: u64 = 75;
+/// Most bytes of events without an id that an endpoint may send between two events with ids.
+const MAX_HELD_BACK_BYTES: usize = 64 << 10;
 
 /// A stream to a caller ended before its last event.
 #[derive(Debug, Snafu)]
@@ -54,6 +58,8 @@
     splitter: EventSplitter,
     /// Arrival of the latest event.
     last_event: Option<Instant>,
+    /// Events without an id since the last one with an id.
+    held_back: BytesMut,
 }
 
 /// The next part of a stream.
@@ -73,6 +79,7 @@
             body,
             splitter: EventSplitter::default(),
             last_event: None,
+            held_back: BytesMut::new(),
         };
         let status = head.status;
         open.slot.record_answer_start();
@@ -133,7 +140,7 @@
         match part {
             Ok(StreamPart::Event(event)) => {
                 relay.resume_after = event.id.or(relay.resume_after);
-                relay.last_event = Some(Instant::now());
+                relay.times.record_event(relay.arrived, Instant::now());
                 if sender.send(StreamItem::Bytes(event.bytes)).await.is_err() {
                     return finish_abandoned(&relay, open);
                 }
@@ -200,24 +207,32 @@
         body: response.into_body(),
         splitter: EventSplitter::default(),
         last_event: None,
+        held_back: BytesMut::new(),
     })
 }
 
 impl OpenStream {
     /// Reads the next event that the caller has not received yet.
+    ///
+    /// Where events carry ids, bytes without one are no progress: they are held back until an event
+    /// with an id or the end of the stream follows.
     async fn next(&mut self, relay: &mut DirectRelay) -> Result<StreamPart, SendFailure> {
+        let mut deadline = event_deadline(relay);
+        let needs_id = relay.rule.repeatability == Repeatability::ResumableStream;
         loop {
             while let Some(event) = self.splitter.next_event() {
-                if let Some(event) = skip_delivered(event, relay.resume_after)? {
+                if needs_id && event.id.is_none() {
+                    self.hold_back(&event.bytes)?;
+                } else if let Some(event) = skip_delivered(event, relay.resume_after)? {
                     self.record_pause(relay);
-                    return Ok(StreamPart::Event(event));
+                    return Ok(StreamPart::Event(self.with_held_back(event)));
                 }
             }
             if self.splitter.is_overlong() {
                 let reason = "an event grew too long".to_owned();
                 return Err(SendFailure::lost(SendResult::Failed, reason));
             }
-            match self.next_frame(relay).await? {
+            match self.next_frame(relay, &mut deadline).await? {
                 Some(Ok(frame)) => {
                     if let Some(bytes) = frame.data_ref() {
                         self.splitter.push(bytes);
@@ -227,26 +242,61 @@
                     let reason = format!("stream broke off: {error}");
                     return Err(SendFailure::broken(SendResult::Failed, reason));
                 }
-                None => return Ok(StreamPart::End(self.splitter.take_rest())),
+                None => {
+                    self.held_back.extend_from_slice(&self.splitter.take_rest());
+                    return Ok(StreamPart::End(self.held_back.split().freeze()));
+                }
             }
         }
     }
 
-    /// Waits for the next frame. A call at a silent or slow endpoint stays there when the
-    /// dispatcher does not allow it to move.
+    /// Holds back an event without an id.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there are more of them than an endpoint sends between two events with ids.
+    fn hold_back(&mut self, bytes: &[u8]) -> Result<(), SendFailure> {
+        self.held_back.extend_from_slice(bytes);
+        if self.held_back.len() > MAX_HELD_BACK_BYTES {
+            let reason = "too many events without an id".to_owned();
+            return Err(SendFailure::lost(SendResult::Failed, reason));
+        }
+        Ok(())
+    }
+
+    /// Returns an event with those before it that were held back.
+    fn with_held_back(&mut self, event: StreamEvent) -> StreamEvent {
+        if self.held_back.is_empty() {
+            return event;
+        }
+        self.held_back.extend_from_slice(&event.bytes);
+        StreamEvent {
+            bytes: self.held_back.split().freeze(),
+            ..event
+        }
+    }
+
+    /// Waits for the next frame until `deadline`. A call at a silent or slow endpoint stays there
+    /// until its own deadline when the dispatcher does not allow it to move.
     async fn next_frame(
         &mut self,
         relay: &mut DirectRelay,
+        deadline: &mut Instant,
     ) -> Result<Option<Result<Frame<Bytes>, hyper::Error>>, SendFailure> {
         let endpoint = self.slot.endpoint();
         let endpoint_id = endpoint.map_or("", |endpoint| endpoint.id.as_str());
+        if Instant::now() >= relay.deadline {
+            return Err(SendFailure::timed_out());
+        }
         let failure = tokio::select! {
+            biased;
+            failure = relay.wait_for_move_reason(endpoint_id, *deadline) => failure,
             frame = self.body.frame() => return Ok(frame),
-            failure = relay.wait_for_move_reason(endpoint_id, event_deadline(relay)) => failure,
         };
         if relay.try_move_away().await {
             return Err(failure);
         }
+        *deadline = relay.deadline;
         let frame = tokio::time::timeout_at(relay.deadline, self.body.frame());
         frame.await.map_err(|_| SendFailure::timed_out())
     }
--- a/lib/src/http_client.rs
+++ b/lib/src/http_client.rs
@@ -8,6 +8,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::task::Context;
@@ -28,10 +29,15 @@
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
 
 use crate::socket_options;
 use crate::socket_options::KeepaliveSettings;
 
+/// Most bytes that a peer may send before a response head is complete. More than the library
+/// buffers, so that a body which follows its head at once is not cut.
+const MAX_UNANSWERED_BYTES: u64 = 1 << 20;
+
 /// Error for a request without a response.
 #[derive(Debug, Snafu)]
 pub enum HttpError {
@@ -70,25 +76,81 @@
     request: Request<Full<Bytes>>,
 ) -> Result<Response<Incoming>, HttpError> {
     let mut connection = HttpConnection::open(peer, connect_timeout).await?;
-    connection.send(request).await
+    let response = connection.send(request).await?;
+    connection.task.detach();
+    Ok(response)
 }
 
 /// Connection that can send several requests, one after another.
+///
+/// When it is dropped, a request that has no response head yet is aborted.
 #[derive(Debug)]
 pub(crate) struct HttpConnection {
     peer: String,
     sender: http1::SendRequest<Full<Bytes>>,
-    written_bytes: Arc<AtomicU64>,
+    counters: Arc<StreamCounters>,
+    task: ConnectionTask,
+}
+
+/// Counters that a connection shares with its stream.
+#[derive(Debug, Default)]
+struct StreamCounters {
+    written_bytes: AtomicU64,
+    /// Bytes that were read since the last request was sent.
+    read_bytes: AtomicU64,
+    /// Whether a request was sent that has no response head yet.
+    is_waiting: AtomicBool,
+}
+
+impl StreamCounters {
+    fn begin_request(&self) {
+        self.read_bytes.store(0, Ordering::Release);
+        self.is_waiting.store(true, Ordering::Release);
+    }
+
+    fn end_wait(&self) {
+        self.is_waiting.store(false, Ordering::Release);
+    }
+
+    /// Returns whether the peer has sent too much without completing a response head.
+    fn is_read_limit_reached(&self) -> bool {
+        self.is_waiting.load(Ordering::Acquire)
+            && self.read_bytes.load(Ordering::Acquire) > MAX_UNANSWERED_BYTES
+    }
+}
+
+/// The task that drives a connection; it is aborted on drop unless it was detached.
+///
+/// The task does not notice that its request was dropped while a peer keeps sending bytes that
+/// never become a response head.
+#[derive(Debug)]
+struct ConnectionTask {
+    handle: Option<AbortHandle>,
+}
+
+impl ConnectionTask {
+    /// Lets the task run until the response body has been read or dropped.
+    fn detach(&mut self) {
+        self.handle = None;
+    }
+}
+
+impl Drop for ConnectionTask {
+    fn drop(&mut self) {
+        if let Some(handle) = &self.handle {
+            handle.abort();
+        }
+    }
 }
 
 impl HttpConnection {
     /// Connects to `peer`.
     pub(crate) async fn open(peer: &str, connect_timeout: Duration) -> Result<Self, HttpError> {
         let stream = connect(peer, connect_timeout).await?;
-        let written_bytes = Arc::new(AtomicU64::new(0));
+        let counters: Arc<StreamCounters> = Arc::default();
         let counting = CountingStream {
             inner: stream,
-            written_bytes: Arc::clone(&written_bytes),
+            counters: Arc::clone(&counters),
         };
         let (sender, connection) =
             http1::handshake(TokioIo::new(counting))
@@ -98,11 +160,14 @@
                     peer: peer.to_owned(),
                     reason: error.to_string(),
                 })?;
-        tokio::spawn(connection);
+        let task = tokio::spawn(connection);
         Ok(Self {
             peer: peer.to_owned(),
             sender,
-            written_bytes,
+            counters,
+            task: ConnectionTask {
+                handle: Some(task.abort_handle()),
+            },
         })
     }
 
@@ -111,6 +176,10 @@
         self.sender.is_ready()
     }
 
+    fn written_bytes(&self) -> u64 {
+        self.counters.written_bytes.load(Ordering::Acquire)
+    }
+
     /// Sends a request; the connection is ready again once the response's body has been read.
     ///
     /// # Errors
@@ -120,13 +189,15 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, HttpError> {
-        let before_bytes = self.written_bytes.load(Ordering::Acquire);
+        let before_bytes = self.written_bytes();
+        self.counters.begin_request();
         let sent = self.sender.send_request(request).await;
+        self.counters.end_wait();
         sent.map_err(|error| {
             let step = "request to";
             let peer = self.peer.clone();
             let reason = error.to_string();
-            if self.written_bytes.load(Ordering::Acquire) == before_bytes {
+            if self.written_bytes() == before_bytes {
                 HttpError::NotWritten { step, peer, reason }
             } else {
                 HttpError::Written { step, peer, reason }
@@ -168,10 +239,10 @@
     Ok(stream)
 }
 
-/// Stream that counts the bytes written to it.
+/// Stream that counts its bytes, and fails when the peer sends too many without a response head.
 struct CountingStream {
     inner: TcpStream,
-    written_bytes: Arc<AtomicU64>,
+    counters: Arc<StreamCounters>,
 }
 
 impl AsyncRead for CountingStream {
@@ -180,7 +251,17 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_read(context, buffer)
+        if self.counters.is_read_limit_reached() {
+            let reason = "too many bytes without a response head";
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, reason)));
+        }
+        let before = buffer.filled().len();
+        let result = Pin::new(&mut self.inner).poll_read(context, buffer);
+        let read_bytes = (buffer.filled().len() - before) as u64;
+        self.counters
+            .read_bytes
+            .fetch_add(read_bytes, Ordering::AcqRel);
+        result
     }
 }
 
@@ -192,7 +273,9 @@
     ) -> Poll<io::Result<usize>> {
         let result = Pin::new(&mut self.inner).poll_write(context, buffer);
         if let Poll::Ready(Ok(count)) = result {
-            self.written_bytes.fetch_add(count as u64, Ordering::AcqRel);
+            self.counters
+                .written_bytes
+                .fetch_add(count as u64, Ordering::AcqRel);
         }
         result
     }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -234,6 +234,7 @@
 mod stored_answer;
 mod stored_value;
 mod stream_concurrency_limit;
+mod stream_times;
 mod subset_cache;
 mod template_check;
 mod template_problem;
