--- a/reports/src/report_error.rs
+++ b/reports/src/report_error.rs
@@ -25,6 +25,22 @@
         /// What the operating system said.
         source: io::Error,
     },
+    /// A file could not be read.
+    #[snafu(display("{path:?} could not be read: {source}"))]
+    ReadFile {
+        /// The file.
+        path: PathBuf,
+        /// What the operating system said.
+        source: io::Error,
+    },
+    /// A file is no report of a played day.
+    #[snafu(display("{path:?} is no report of a played day: {source}"))]
+    ParseFile {
+        /// The file.
+        path: PathBuf,
+        /// What the parser said.
+        source: serde_json::Error,
+    },
     /// The plotting library refused a chart.
     #[snafu(display("chart {title:?} could not be drawn: {reason}"))]
     Draw {
