endpoints: a final departure keeps its era

Cause: the departure of a leaving endpoint that the copy does not list was recorded anew in the new era, so that it no longer held there. A server that writes again what the store had lost, first ready and then draining, got calls in between.

Found by reading; the new test failed before (the endpoint was listed as serving).

--- a/lib/src/departed_endpoints.rs
+++ b/lib/src/departed_endpoints.rs
@@ -36,21 +36,15 @@
 
 impl DepartedEndpoints {
     /// Records a departure. A later instance replaces an earlier one, and a final departure the
-    /// removal of the same instance.
+    /// removal of the same instance. A final departure keeps its era, so that it holds in every
+    /// later one.
     pub(crate) fn record(&mut self, departure: DepartedEndpoint, now_ms: u64) {
-        let rank = |departure: &DepartedEndpoint| {
-            let DepartedEndpoint {
-                born_ms,
-                is_final,
-                era,
-                record_revision,
-                ..
-            } = *departure;
-            (born_ms, is_final, era, record_revision)
-        };
-        let known = self.departures.get(&departure.id);
-        if known.is_some_and(|(known, _)| rank(known) > rank(&departure)) {
-            return;
+        if let Some((known, used_ms)) = self.departures.get_mut(&departure.id) {
+            let is_same_instance = known.born_ms == departure.born_ms;
+            if known.born_ms > departure.born_ms || (is_same_instance && known.is_final) {
+                *used_ms = now_ms;
+                return;
+            }
         }
         self.departures
             .insert(departure.id.clone(), (departure, now_ms));
--- a/lib/src/endpoint_directory.rs
+++ b/lib/src/endpoint_directory.rs
@@ -185,7 +185,8 @@
         true
     }
 
-    /// Inserts or updates one published record, changed at `position`; a record older than the known one is ignored.
+    /// Inserts or updates one published record, changed at `position`; a record older than the known
+    /// one is ignored.
     pub fn upsert(&mut self, record: EndpointRecord, position: PlatformRevision, now_ms: u64) {
         let is_newer = match self.endpoints.get(&record.id) {
             Some(known) => known.position <= position,
--- a/lib/tests/test_restored_platform.rs
+++ b/lib/tests/test_restored_platform.rs
@@ -105,6 +105,16 @@
     expect_that!(serving(&directory), elements_are![eq("b")]);
 }
 
+#[googletest::test]
+fn an_instance_that_left_after_the_copy_does_not_return_while_its_writes_are_repeated() {
+    let mut directory = directory();
+    directory.upsert(record("c", 3), at(1, 60), 500);
+    directory.upsert(leaving("c", 3), at(1, 61), 600);
+    restore_both(&mut directory, 2, 1_000);
+    directory.upsert(record("c", 3), at(2, 46), 1_500);
+    expect_that!(serving(&directory), elements_are![eq("a"), eq("b")]);
+}
+
 #[googletest::test]
 fn an_instance_whose_record_was_removed_does_not_return_with_the_copy() {
     let mut directory = directory();
