--- a/lib/src/direct_service.rs
+++ b/lib/src/direct_service.rs
@@ -19,6 +19,7 @@
 use crate::RefusalCode;
 use crate::SendResult;
 use crate::StreamConcurrencyLimit;
+use crate::as_f64::as_f64;
 use crate::direct_endpoint::DirectEndpoint;
 use crate::short_hash::short_hash;
 
@@ -255,7 +256,7 @@
             _ => {}
         }
         if result == SendResult::Answered {
-            let sample_ms = f64::from(u32::try_from(elapsed_ms).unwrap_or(u32::MAX));
+            let sample_ms = as_f64(elapsed_ms);
             self.has_hold_time_sample = true;
             self.mean_hold_time_ms += HOLD_TIME_WEIGHT * (sample_ms - self.mean_hold_time_ms);
         }
@@ -486,10 +487,6 @@
     u32::try_from(count).unwrap_or(u32::MAX)
 }
 
-fn as_f64(count: usize) -> f64 {
-    f64::from(as_u32(count))
-}
-
 /// Converts non-negative milliseconds to whole ones.
 fn to_ms(value_ms: f64) -> u64 {
     std::time::Duration::try_from_secs_f64(value_ms / 1e3).map_or(u64::MAX, |value| {
--- a/lib/src/expert_demand.rs
+++ b/lib/src/expert_demand.rs
@@ -1,6 +1,7 @@
 //! Demand for the experts of a rank group: the recent choices, and jumps in them.
 
 use crate::ExpertLoad;
+use crate::as_f64::as_f64;
 
 /// Half-life of the weight of past choices in the demand.
 const DEMAND_HALF_LIFE_MS: f64 = 350.0;
@@ -64,8 +65,7 @@
             return;
         }
         self.updated_ms = now_ms;
-        let elapsed_ms = f64::from(u32::try_from(elapsed_ms).unwrap_or(u32::MAX));
-        let factor = 0.5_f64.powf(elapsed_ms / DEMAND_HALF_LIFE_MS);
+        let factor = 0.5_f64.powf(as_f64(elapsed_ms) / DEMAND_HALF_LIFE_MS);
         for choices in &mut self.choices {
             *choices *= factor;
         }
@@ -110,8 +110,7 @@
 
     /// Returns the number of choices that a plan or a check for a jump needs.
     fn min_choices(&self) -> f64 {
-        let experts = u32::try_from(self.choices.len()).unwrap_or(u32::MAX);
-        f64::from(experts) * MIN_CHOICES_PER_EXPERT
+        as_f64(self.choices.len()) * MIN_CHOICES_PER_EXPERT
     }
 
     fn as_load(&self, choices: &[f64]) -> ExpertLoad {
--- a/lib/src/expert_planner.rs
+++ b/lib/src/expert_planner.rs
@@ -4,6 +4,7 @@
 use crate::ExpertLoad;
 use crate::PlanLimits;
 use crate::RebalancePlan;
+use crate::as_f64::as_f64;
 use crate::layer_search::trade_off_curve;
 use crate::layer_trade_off::LayerTradeOff;
 use crate::layer_trade_off::Segment;
@@ -136,7 +137,3 @@
     let best = candidates.max_by(|a, b| a.1.gain_per_move().total_cmp(&b.1.gain_per_move()));
     best.map(|(layer, _)| layer)
 }
-
-fn as_f64(count: usize) -> f64 {
-    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
-}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -14,6 +14,7 @@
 mod agent_reports;
 mod agent_server;
 mod arguments;
+mod as_f64;
 mod attempt_number;
 mod attempt_policy;
 mod attempts;
--- a/lib/src/map_search.rs
+++ b/lib/src/map_search.rs
@@ -6,6 +6,7 @@
 use crate::ExpertLayout;
 use crate::ExpertLoad;
 use crate::LayerLayout;
+use crate::as_f64::as_f64;
 
 /// Exponent of the smooth maximum (p-norm) of the ranks' loads; the higher it is, the more the
 /// highest load dominates.
@@ -469,10 +470,6 @@
     }
 }
 
-fn as_f64(count: usize) -> f64 {
-    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
-}
-
 fn add_replica_delta(deltas: &mut [(usize, i32); 4], expert: Option<usize>, delta: i32) {
     let Some(expert) = expert else {
         return;
--- a/lib/src/pass_time.rs
+++ b/lib/src/pass_time.rs
@@ -1,5 +1,7 @@
 //! Time of the forward passes of a rank group, and how urgent a lower skew is because of it.
 
+use crate::as_f64::as_f64;
+
 /// Usual time of a forward pass, as a share of the longest pause that streams allow. If passes take
 /// less, streams are on time in spite of more skew, and a plan has to reduce the skew by more.
 const USUAL_PASS_SHARE: f64 = 0.5;
@@ -49,7 +51,3 @@
         (share * share).clamp(MIN_SKEW_URGENCY, MAX_SKEW_URGENCY)
     }
 }
-
-fn as_f64(value: u64) -> f64 {
-    f64::from(u32::try_from(value).unwrap_or(u32::MAX))
-}
--- a/lib/src/plan_timing.rs
+++ b/lib/src/plan_timing.rs
@@ -4,6 +4,7 @@
 //! demand has nearly moved on, and delays the plan for the next jump.
 
 use crate::ExpertModel;
+use crate::as_f64::as_f64;
 
 /// Assumed time that a plan takes besides copying, until one has been observed.
 const INITIAL_OVERHEAD_MS: f64 = 150.0;
@@ -106,10 +107,6 @@
     }
 
     fn copying_ms(&self, new_per_rank: usize) -> f64 {
-        self.copy_ms * f64::from(u32::try_from(new_per_rank).unwrap_or(u32::MAX))
+        self.copy_ms * as_f64(new_per_rank)
     }
 }
-
-fn as_f64(value: u64) -> f64 {
-    f64::from(u32::try_from(value).unwrap_or(u32::MAX))
-}
