group_planner: compute skews and slowdowns once for a search

A search computed the skew of the map in use again, and the skew of the found map was computed once more after it. search_map is left to the test that uses it, as the product continues a MapSearch. The field of stream times has its comment again.

--- a/lib/src/direct_relay.rs
+++ b/lib/src/direct_relay.rs
@@ -85,6 +85,7 @@
     pub(crate) may_have_run: bool,
     /// Id of the last event that the caller has received.
     pub(crate) resume_after: Option<u64>,
+    /// Times of the events that the caller was sent; the silence limit counts from the last one.
     pub(crate) times: StreamTimes,
     /// Counts the call as in flight.
     pub(crate) _guard: InFlightGuard,
--- a/lib/src/group_planner.rs
+++ b/lib/src/group_planner.rs
@@ -125,7 +125,7 @@
     received_ms: u64,
 }
 
-/// A plan that is worthwhile.
+/// A plan that a search has found.
 #[derive(Debug)]
 struct PlanCandidate {
     layout: ExpertLayout,
@@ -354,7 +354,8 @@
         }
         let (_, current) = self.active.as_ref()?;
         let load = self.demand.load();
-        let skew_before = skew_with_slowdowns(current, &load, &self.slowdowns());
+        let slowdowns = self.slowdowns();
+        let skew_before = skew_with_slowdowns(current, &load, &slowdowns);
         if skew_before - REACHABLE_SKEW < self.min_gain() {
             self.stop_settling();
             return None;
@@ -363,7 +364,9 @@
             return None;
         }
         self.search_count += 1;
-        let Some(candidate) = self.find_candidate(skew_before, &load, now_ms) else {
+        let candidate = self.search(&load, &slowdowns, skew_before);
+        let candidate = candidate.filter(|candidate| self.is_worthwhile(candidate, now_ms));
+        let Some(candidate) = candidate else {
             self.stop_settling();
             self.next_plan_ms = now_ms + SEARCH_INTERVAL_MS;
             return None;
@@ -371,30 +374,16 @@
         self.start_plan(candidate, now_ms)
     }
 
-    /// Searches for a plan that is worthwhile.
-    fn find_candidate(
-        &self,
-        skew_before: f64,
-        load: &ExpertLoad,
-        now_ms: u64,
-    ) -> Option<PlanCandidate> {
-        let (_, current) = self.active.as_ref()?;
-        let slowdowns = self.slowdowns();
-        let (layout, new_per_rank) = self.search(current, load, &slowdowns)?;
-        let skew_after = skew_with_slowdowns(&layout, load, &slowdowns);
+    /// Returns whether a plan reduces the skew enough, and for long enough.
+    fn is_worthwhile(&self, candidate: &PlanCandidate, now_ms: u64) -> bool {
+        let PlanEstimate {
+            skew_before,
+            skew_after,
+            ..
+        } = candidate.estimate;
         let timing = &self.timing;
-        let is_worthwhile = skew_before - skew_after >= self.min_gain()
-            && timing.is_worthwhile(skew_before, skew_after, new_per_rank, now_ms);
-        is_worthwhile.then(|| PlanCandidate {
-            estimate: PlanEstimate {
-                skew_before,
-                skew_after,
-                copies: layout.moves_from(current),
-                pass_ms: self.pass_time.mean_ms().unwrap_or(0.0),
-            },
-            layout,
-            new_per_rank,
-        })
+        skew_before - skew_after >= self.min_gain()
+            && timing.is_worthwhile(skew_before, skew_after, candidate.new_per_rank, now_ms)
     }
 
     /// Returns by how much a plan has to reduce the mean skew.
@@ -450,40 +439,52 @@
         })
     }
 
-    /// Searches for a layout with lower skew, with the number of copies that lowers it soonest;
-    /// returns it with the highest number of experts that a rank has to copy.
+    /// Searches for a layout with lower skew, with the number of copies that lowers it soonest.
     fn search(
         &self,
-        current: &ExpertLayout,
         load: &ExpertLoad,
         slowdowns: &[f64],
-    ) -> Option<(ExpertLayout, usize)> {
-        let skew_before = skew_with_slowdowns(current, load, slowdowns);
+        skew_before: f64,
+    ) -> Option<PlanCandidate> {
+        let (_, current) = self.active.as_ref()?;
         let mut search = MapSearch::new(current, load, slowdowns);
         let mut best = None;
         let mut best_rate = 0.0;
         let mut max_new_per_rank = 1;
-        while max_new_per_rank <= MAX_NEW_PER_RANK {
-            let bounds = SearchBounds::builder()
-                .max_new_per_rank_and_set(self.model.max_new_per_rank as usize)
-                .max_new_per_rank(max_new_per_rank)
-                .min_gain(MIN_GAIN_PER_COPY / self.pass_time.skew_urgency())
-                .build();
-            if !search.extend(bounds) {
-                break;
-            }
+        while max_new_per_rank <= MAX_NEW_PER_RANK && search.extend(self.bounds(max_new_per_rank)) {
             let layout = search.layout();
             let new_per_rank = search.most_new_per_rank();
-            let skew_gain = skew_before - skew_with_slowdowns(&layout, load, slowdowns);
-            let rate = self.timing.gain_rate(skew_gain, new_per_rank);
+            let skew_after = skew_with_slowdowns(&layout, load, slowdowns);
+            let rate = self
+                .timing
+                .gain_rate(skew_before - skew_after, new_per_rank);
             if rate <= best_rate {
                 break;
             }
             best_rate = rate;
-            best = Some((layout, new_per_rank));
+            best = Some((layout, new_per_rank, skew_after));
             max_new_per_rank *= 2;
         }
-        best
+        let (layout, new_per_rank, skew_after) = best?;
+        Some(PlanCandidate {
+            estimate: PlanEstimate {
+                skew_before,
+                skew_after,
+                copies: layout.moves_from(current),
+                pass_ms: self.pass_time.mean_ms().unwrap_or(0.0),
+            },
+            layout,
+            new_per_rank,
+        })
+    }
+
+    /// Returns the bounds of a search for a plan that adds `max_new_per_rank` experts to a rank.
+    fn bounds(&self, max_new_per_rank: usize) -> SearchBounds {
+        SearchBounds::builder()
+            .max_new_per_rank_and_set(self.model.max_new_per_rank as usize)
+            .max_new_per_rank(max_new_per_rank)
+            .min_gain(MIN_GAIN_PER_COPY / self.pass_time.skew_urgency())
+            .build()
     }
 
     /// Abandons a plan that was made for the demand before a jump and is not yet proposed.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -363,7 +363,6 @@
 pub use map_request::MapRequest;
 pub use map_search::MapSearch;
 pub use map_search::SearchBounds;
-pub use map_search::search_map;
 pub use map_search::skew_with_slowdowns;
 pub use member::Member;
 pub use member_report::MemberReport;
--- a/lib/src/map_search.rs
+++ b/lib/src/map_search.rs
@@ -142,19 +142,6 @@
     }
 }
 
-/// Returns a layout with lower skew that needs few copies from `current`, or `None` if no
-/// change within the bounds is worthwhile.
-#[must_use]
-pub fn search_map(
-    current: &ExpertLayout,
-    load: &ExpertLoad,
-    slowdowns: &[f64],
-    bounds: SearchBounds,
-) -> Option<ExpertLayout> {
-    let mut search = MapSearch::new(current, load, slowdowns);
-    search.extend(bounds).then(|| search.layout())
-}
-
 /// The new content of one slot.
 #[derive(Debug, Clone, Copy)]
 struct SlotWrite {
--- a/lib/tests/test_group_planner.rs
+++ b/lib/tests/test_group_planner.rs
@@ -10,10 +10,10 @@
 use pomeloramp_lib::GroupModel;
 use pomeloramp_lib::GroupPlanner;
 use pomeloramp_lib::MapOutcome;
+use pomeloramp_lib::MapSearch;
 use pomeloramp_lib::PlannerAction;
 use pomeloramp_lib::SearchBounds;
 use pomeloramp_lib::protos::control::RankCounts;
-use pomeloramp_lib::search_map;
 use pomeloramp_lib::skew_with_slowdowns;
 
 const RANKS: usize = 4;
@@ -61,6 +61,17 @@
         .build()
 }
 
+/// Returns the layout that a single search finds, if it finds a worthwhile change.
+fn search_map(
+    current: &ExpertLayout,
+    load: &ExpertLoad,
+    slowdowns: &[f64],
+    bounds: SearchBounds,
+) -> Option<ExpertLayout> {
+    let mut search = MapSearch::new(current, load, slowdowns);
+    search.extend(bounds).then(|| search.layout())
+}
+
 fn expect_every_expert_is_held(layout: &ExpertLayout) {
     for expert in 0..EXPERTS {
         let holders = (0..RANKS).filter(|rank| layout.layers()[0].holds(*rank, expert));
