--- a/lib/src/direct_relay.rs
+++ b/lib/src/direct_relay.rs
@@ -23,6 +23,7 @@
 use crate::Repeatability;
 use crate::RouteRule;
 use crate::SendResult;
+use crate::answer_framing::AnswerFraming;
 use crate::crash_tracker::CrashTracker;
 use crate::direct_actor::DirectCommand;
 use crate::direct_actor::DispatchReply;
@@ -87,6 +88,10 @@
     pub(crate) resume_after: Option<u64>,
     /// Times of the events that the caller was sent; the silence limit counts from the last one.
     pub(crate) times: StreamTimes,
+    /// How the latest answer marks its end; absent until one has begun.
+    pub(crate) framing: Option<AnswerFraming>,
+    /// Bytes of an unfinished event at the end of the latest answer.
+    pub(crate) unfinished_bytes: usize,
     /// Counts the call as in flight.
     pub(crate) _guard: InFlightGuard,
 }
@@ -384,13 +389,15 @@
         event!(
             CallEnded,
             "request_id={} outcome={outcome} attempts={} elapsed_ms={} first_event_ms={} \
-             longest_pause_ms={} late_by={}",
+             longest_pause_ms={} late_by={} framing={} unfinished_bytes={}",
             self.call.request_id,
             self.tried.len(),
             elapsed.as_millis(),
             self.times.first_event_ms(),
             self.times.longest_pause_ms(),
-            lateness.name()
+            lateness.name(),
+            self.framing.map_or("none", AnswerFraming::name),
+            self.unfinished_bytes
         );
     }
 
@@ -460,7 +467,10 @@
             self.tried.push(endpoint.id.clone());
         }
         match outcome? {
-            SendOutcome::Answered(response) => Ok(response),
+            SendOutcome::Answered(response) => {
+                self.framing = Some(AnswerFraming::of(response.headers()));
+                Ok(response)
+            }
             SendOutcome::Unwritten { reason } => Err(SendFailure::unwritten(reason)),
             SendOutcome::NotRun {
                 result,
--- a/lib/src/direct_server.rs
+++ b/lib/src/direct_server.rs
@@ -89,6 +89,8 @@
         deadline,
         tried: Vec::new(),
         times: StreamTimes::default(),
+        framing: None,
+        unfinished_bytes: 0,
         unwritten_sends: 0,
         has_retry: false,
         may_have_run: false,
--- a/lib/src/direct_stream.rs
+++ b/lib/src/direct_stream.rs
@@ -243,7 +243,9 @@
                     return Err(SendFailure::broken(SendResult::Failed, reason));
                 }
                 None => {
-                    self.held_back.extend_from_slice(&self.splitter.take_rest());
+                    let rest = self.splitter.take_rest();
+                    relay.unfinished_bytes = rest.len();
+                    self.held_back.extend_from_slice(&rest);
                     return Ok(StreamPart::End(self.held_back.split().freeze()));
                 }
             }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -13,6 +13,7 @@
 mod agent_command;
 mod agent_reports;
 mod agent_server;
+mod answer_framing;
 mod arguments;
 mod as_f64;
 mod attempt_number;
