direct_stream: a stream that ends inside an event has been broken off

Callers got 200 and a short body in the form of a complete answer.

Cause: the end of an endpoint's body was taken for the end of its answer, and bytes of an unfinished event after the last whole one were forwarded before it. An answer with neither a length nor chunks ends with its connection, so that its library reports a broken one like a whole one; an endpoint that crashes may also end its chunks properly.

Such a stream now counts as broken whatever its framing says: it is resumed where the route allows it, else its caller's answer is broken off. Blank lines and comments at the end are no event, and blank lines of either form end one. Bodies of failures are forwarded as before.

--- a/lib/src/direct_stream.rs
+++ b/lib/src/direct_stream.rs
@@ -55,6 +55,8 @@
 struct OpenStream {
     slot: DirectSlot,
     body: Incoming,
+    /// Whether the body consists of events; the body of a failure does not.
+    has_events: bool,
     splitter: EventSplitter,
     /// Arrival of the latest event.
     last_event: Option<Instant>,
@@ -74,14 +76,8 @@
     loop {
         let OpenAnswer { slot, response } = relay.open_answer().await?;
         let (head, body) = response.into_parts();
-        let mut open = OpenStream {
-            slot,
-            body,
-            splitter: EventSplitter::default(),
-            last_event: None,
-            held_back: BytesMut::new(),
-        };
         let status = head.status;
+        let mut open = OpenStream::new(slot, body, status.is_success());
         open.slot.record_answer_start();
         let first = match open.next(&mut relay).await {
             Ok(first) => first,
@@ -202,16 +198,21 @@
         slot.endpoint().map_or("", |endpoint| endpoint.id.as_str()),
         relay.resume_after.unwrap_or(0)
     );
-    Ok(OpenStream {
-        slot,
-        body: response.into_body(),
-        splitter: EventSplitter::default(),
-        last_event: None,
-        held_back: BytesMut::new(),
-    })
+    Ok(OpenStream::new(slot, response.into_body(), true))
 }
 
 impl OpenStream {
+    fn new(slot: DirectSlot, body: Incoming, has_events: bool) -> Self {
+        Self {
+            slot,
+            body,
+            has_events,
+            splitter: EventSplitter::default(),
+            last_event: None,
+            held_back: BytesMut::new(),
+        }
+    }
+
     /// Reads the next event that the caller has not received yet.
     ///
     /// Where events carry ids, bytes without one are no progress: they are held back until an event
@@ -242,16 +243,29 @@
                     let reason = format!("stream broke off: {error}");
                     return Err(SendFailure::broken(SendResult::Failed, reason));
                 }
-                None => {
-                    let rest = self.splitter.take_rest();
-                    relay.unfinished_bytes = rest.len();
-                    self.held_back.extend_from_slice(&rest);
-                    return Ok(StreamPart::End(self.held_back.split().freeze()));
-                }
+                None => return self.end(relay),
             }
         }
     }
 
+    /// Returns the end of the stream.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the stream ended inside an event, also where its framing marks a proper end: an
+    /// endpoint that crashes may end its answer in any form.
+    fn end(&mut self, relay: &mut DirectRelay) -> Result<StreamPart, SendFailure> {
+        let is_broken = self.has_events && self.splitter.has_unfinished_event();
+        let rest = self.splitter.take_rest();
+        relay.unfinished_bytes = if is_broken { rest.len() } else { 0 };
+        if is_broken {
+            let reason = "stream ended inside an event".to_owned();
+            return Err(SendFailure::broken(SendResult::Failed, reason));
+        }
+        self.held_back.extend_from_slice(&rest);
+        Ok(StreamPart::End(self.held_back.split().freeze()))
+    }
+
     /// Holds back an event without an id.
     ///
     /// # Errors
--- a/lib/src/event_splitter.rs
+++ b/lib/src/event_splitter.rs
@@ -5,6 +5,8 @@
 
 /// Prefix of the line that carries an event's id.
 const ID_FIELD: &[u8] = b"id:";
+const LINE_END_BYTES: [u8; 2] = *b"\r\n";
+const BLANK_LINES: [&[u8]; 2] = [b"\n", b"\r\n"];
 /// Largest event that an endpoint may send.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
@@ -36,7 +38,7 @@
     /// Takes the next whole event from the buffer.
     pub fn next_event(&mut self) -> Option<StreamEvent> {
         let Some(end) = self.event_end() else {
-            self.searched_bytes = self.buffer.len().saturating_sub(3);
+            self.searched_bytes = self.buffer.len().saturating_sub(2);
             return None;
         };
         self.searched_bytes = 0;
@@ -45,6 +47,17 @@
         Some(StreamEvent { bytes, id })
     }
 
+    /// Returns whether part of an event stands after the last whole one. Blank lines and whole comment
+    /// lines are no part of an event.
+    #[must_use]
+    pub fn has_unfinished_event(&self) -> bool {
+        let mut lines = self.buffer.split_inclusive(|byte| *byte == b'\n');
+        lines.any(|line| {
+            let is_comment = line.starts_with(b":") && line.ends_with(b"\n");
+            !is_comment && !line.iter().all(|byte| LINE_END_BYTES.contains(byte))
+        })
+    }
+
     /// Takes the bytes after the last whole event.
     pub fn take_rest(&mut self) -> Bytes {
         self.searched_bytes = 0;
@@ -57,25 +70,18 @@
         self.buffer.len() > MAX_EVENT_BYTES
     }
 
-    /// Returns the length of the first whole event in the buffer.
+    /// Returns the length of the first whole event in the buffer, which a blank line ends.
     fn event_end(&self) -> Option<usize> {
-        let unsearched = &self.buffer[self.searched_bytes..];
-        let lf_end = find(unsearched, b"\n\n").map(|at| at + 2);
-        let crlf_end = find(unsearched, b"\r\n\r\n").map(|at| at + 4);
-        let end = match (lf_end, crlf_end) {
-            (Some(lf_end), Some(crlf_end)) => lf_end.min(crlf_end),
-            (lf_end, crlf_end) => lf_end.or(crlf_end)?,
-        };
-        Some(self.searched_bytes + end)
+        let line_ends =
+            (self.searched_bytes..self.buffer.len()).filter(|at| self.buffer[*at] == b'\n');
+        line_ends.map(|at| at + 1).find_map(|start| {
+            let next_line = &self.buffer[start..];
+            let blank_line = BLANK_LINES.iter().find(|line| next_line.starts_with(line));
+            blank_line.map(|line| start + line.len())
+        })
     }
 }
 
-fn find(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
-    bytes
-        .windows(pattern.len())
-        .position(|window| window == pattern)
-}
-
 fn event_id(bytes: &[u8]) -> Option<u64> {
     let mut lines = bytes.split(|byte| *byte == b'\n');
     let value = lines.find_map(|line| line.strip_prefix(ID_FIELD))?;
--- a/lib/tests/test_event_splitter.rs
+++ b/lib/tests/test_event_splitter.rs
@@ -36,3 +36,34 @@
     expect_that!(splitter.next_event().and_then(|event| event.id), none());
     expect_that!(splitter.next_event(), none());
 }
+
+#[googletest::test]
+fn an_event_is_unfinished_until_its_blank_line() {
+    let has_unfinished_event = |text: &str| {
+        let mut splitter = EventSplitter::default();
+        splitter.push(text.as_bytes());
+        while splitter.next_event().is_some() {}
+        splitter.has_unfinished_event()
+    };
+    for unfinished in [
+        "d",
+        "data: x\n",
+        "data: x\r\n\r",
+        "data: x\n\nid: 2\n",
+        ":x",
+    ] {
+        expect_that!(has_unfinished_event(unfinished), eq(true), "{unfinished:?}");
+    }
+    for whole in [
+        "",
+        "\n",
+        "\r\n",
+        "data: x\n\n",
+        "data: x\r\n\r\n\n",
+        "data: x\n\r\n",
+        "data: x\r\n\n",
+        "data: x\n\n: end\n",
+    ] {
+        expect_that!(has_unfinished_event(whole), eq(false), "{whole:?}");
+    }
+}
