direct_stream: a closed connection without an event is no answer

Callers got 200 and an empty body in the form of a complete answer.

Where neither a length nor chunks mark the end, nothing tells an empty stream from one that broke before its first event.

Such an answer counts as broken, also when a stream is resumed: events that are lost unnoticed are worse than one more attempt.

--- a/lib/src/direct_stream.rs
+++ b/lib/src/direct_stream.rs
@@ -21,6 +21,7 @@
 use crate::Repeatability;
 use crate::SendResult;
 use crate::StreamEvent;
+use crate::answer_framing::AnswerFraming;
 use crate::direct_relay::DirectRelay;
 use crate::direct_relay::OpenAnswer;
 use crate::direct_slot::DirectSlot;
@@ -240,8 +241,7 @@
                     }
                 }
                 Some(Err(error)) => {
-                    let reason = format!("stream broke off: {error}");
-                    return Err(SendFailure::broken(SendResult::Failed, reason));
+                    return Err(broken(&format!("stream broke off: {error}")));
                 }
                 None => return self.end(relay),
             }
@@ -253,19 +253,27 @@
     /// # Errors
     ///
     /// Fails when the stream ended inside an event, also where its framing marks a proper end: an
-    /// endpoint that crashes may end its answer in any form.
+    /// endpoint that crashes may end its answer in any form. Fails as well when the connection was
+    /// closed without an event and nothing else marks the end.
     fn end(&mut self, relay: &mut DirectRelay) -> Result<StreamPart, SendFailure> {
-        let is_broken = self.has_events && self.splitter.has_unfinished_event();
+        let is_unfinished = self.has_events && self.splitter.has_unfinished_event();
         let rest = self.splitter.take_rest();
-        relay.unfinished_bytes = if is_broken { rest.len() } else { 0 };
-        if is_broken {
-            let reason = "stream ended inside an event".to_owned();
-            return Err(SendFailure::broken(SendResult::Failed, reason));
+        relay.unfinished_bytes = if is_unfinished { rest.len() } else { 0 };
+        if is_unfinished {
+            return Err(broken("stream ended inside an event"));
+        }
+        if self.has_events && self.is_empty() && relay.framing == Some(AnswerFraming::Connection) {
+            return Err(broken("connection closed before the first event"));
         }
         self.held_back.extend_from_slice(&rest);
         Ok(StreamPart::End(self.held_back.split().freeze()))
     }
 
+    /// Returns whether the answer has brought no event that the caller lacks.
+    fn is_empty(&self) -> bool {
+        self.last_event.is_none() && self.held_back.is_empty()
+    }
+
     /// Holds back an event without an id.
     ///
     /// # Errors
@@ -326,6 +334,10 @@
     }
 }
 
+fn broken(reason: &str) -> SendFailure {
+    SendFailure::broken(SendResult::Failed, reason.to_owned())
+}
+
 /// Returns the time by which the next event must arrive.
 fn event_deadline(relay: &DirectRelay) -> Instant {
     let attempts = u32::try_from(relay.tried.len()).unwrap_or(u32::MAX);
