caller_server: reset connections of HTTP/1.0 callers whose answer breaks

Callers of HTTP/1.0 took broken streams for whole ones.

Cause: they know no chunks, so that the end of their connection is the end of the answer, and a broken answer ended with an ordinary close.

The connection is reset then, which such a caller sees as an error. Callers of HTTP/1.1 miss the last chunk as before.

--- a/lib/src/caller_server.rs
+++ b/lib/src/caller_server.rs
@@ -7,15 +7,19 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use http::Request;
 use http::Response;
+use http::Version;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
+use socket2::SockRef;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
@@ -122,28 +126,44 @@
     if let Err(error) = socket_options::configure(&stream, KeepaliveSettings::LONG) {
         log::debug!("socket options of caller {peer}: {error}");
     }
-    let service = service_fn(move |request| handle(Arc::clone(&router), peer, request));
+    let has_chunks = Arc::new(AtomicBool::new(true));
+    let caller_has_chunks = Arc::clone(&has_chunks);
+    let service = service_fn(move |request: Request<Incoming>| {
+        let has_chunks = request.version() >= Version::HTTP_11;
+        caller_has_chunks.store(has_chunks, Ordering::Relaxed);
+        handle(Arc::clone(&router), peer, request)
+    });
     // A connection accepted while draining is served one request, because its caller may use an
     // address that was published before.
     let is_draining = *draining.borrow();
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(header_timeout)
         .keep_alive(!is_draining)
         .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
     let result = tokio::select! {
-        result = connection.as_mut() => result,
+        result = &mut connection => result,
         () = wait_until_true(&mut draining), if !is_draining => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            std::pin::Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
         }
     };
     match result {
-        Ok(()) => {}
+        Ok(()) => return,
         Err(error) if error.is_timeout() => event!(HeadTimedOut, "peer={peer}"),
         Err(error) => log::debug!("connection of caller {peer}: {error}"),
     }
+    if !has_chunks.load(Ordering::Relaxed) {
+        reset(&connection.into_parts().io.into_inner(), peer);
+    }
+}
+
+/// Makes the end of a connection a reset. To a caller of HTTP/1.0, which knows no chunks, an answer
+/// that is broken off by an ordinary close looks complete.
+fn reset(stream: &TcpStream, peer: SocketAddr) {
+    if let Err(error) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        log::warn!("connection of caller {peer} can't be reset: {error}");
+    }
 }
 
 async fn wait_until_true(signal: &mut watch::Receiver<bool>) {
