json_client: weights whose end nothing marks are not loaded

Cause: the weights of an expert are raw bytes, and an answer without a length or chunks was taken for whole at the end of its connection, so that a store that breaks off would have left an engine with half an expert. All other documents are JSON, which shows whether it is whole.

a_document_whose_end_only_its_connection_marked_was_taken_for_whole fails without the check and passes with it.

--- a/lib/src/json_client.rs
+++ b/lib/src/json_client.rs
@@ -17,6 +17,7 @@
 use serde::de::DeserializeOwned;
 use snafu::Snafu;
 
+use crate::answer_framing::AnswerFraming;
 use crate::http_client;
 use crate::http_client::HttpConnection;
 use crate::http_client::HttpError;
@@ -178,6 +179,25 @@
         Ok(body)
     }
 
+    /// Reads a document whose content does not show whether it is whole.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no complete answer with a success status is received within `timeout`, or when
+    /// nothing but the end of the connection marks the end of the answer.
+    pub async fn framed_bytes(&self, path: &str, timeout: Duration) -> Result<Bytes, JsonError> {
+        let answer = self.answer(Method::GET, path, Bytes::new(), timeout);
+        let (headers, body) = answer.await?;
+        if AnswerFraming::of(&headers) == AnswerFraming::Connection {
+            return Err(JsonError::Body {
+                step: step(&Method::GET, path),
+                peer: self.address.clone(),
+                reason: "nothing shows that the answer is whole".to_owned(),
+            });
+        }
+        Ok(body)
+    }
+
     /// Sends a request and returns headers and body of a successful answer.
     async fn answer(
         &self,
--- a/lib/src/platform_client.rs
+++ b/lib/src/platform_client.rs
@@ -118,11 +118,9 @@
     ///
     /// # Errors
     ///
-    /// Fails when the platform does not answer in time.
+    /// Fails when the platform does not answer in time, or nothing shows that the weights are whole.
     pub(crate) async fn weights(&self, layer: u32, expert: u32) -> Result<Bytes, JsonError> {
         let path = format!("/weights/{layer}-{expert}");
-        self.client
-            .bytes(Method::GET, &path, Bytes::new(), WEIGHTS_TIMEOUT)
-            .await
+        self.client.framed_bytes(&path, WEIGHTS_TIMEOUT).await
     }
 }
--- a/lib/tests/test_json_client.rs
+++ b/lib/tests/test_json_client.rs
@@ -76,3 +76,28 @@
         expect_that!(connections, eq(2));
     });
 }
+
+#[googletest::test]
+fn a_document_whose_end_only_its_connection_marked_was_taken_for_whole() {
+    block_on(async {
+        let (listener, address) = listener().await;
+        let client = JsonClient::new(&address, CONNECT_TIMEOUT, MAX_ANSWER_BYTES);
+        let client_side = async {
+            let cut = client.framed_bytes("/weights", TIMEOUT * 20).await;
+            let whole = client.framed_bytes("/weights", TIMEOUT * 20).await;
+            (cut, whole)
+        };
+        let server_side = async {
+            for head in ["Connection: close", "Content-Length: 4"] {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                let mut buffer = [0; 1024];
+                assert_that!(stream.read(&mut buffer).await.unwrap(), gt(0));
+                let answer = format!("HTTP/1.1 200 OK\r\n{head}\r\n\r\nhalf");
+                stream.write_all(answer.as_bytes()).await.unwrap();
+            }
+        };
+        let ((cut, whole), ()) = tokio::join!(client_side, server_side);
+        expect_that!(cut, err(matches_pattern!(JsonError::Body { .. })));
+        expect_that!(whole, ok(eq(&b"half"[..])));
+    });
+}
