--- a/lib/src/crash_tracker.rs
+++ b/lib/src/crash_tracker.rs
@@ -12,6 +12,7 @@
 use crate::Quarantine;
 use crate::QuarantineSettings;
 use crate::clock::Clock;
+use crate::crashed_call::CrashedCall;
 use crate::event;
 use crate::protos::control::QuarantineEntry;
 
@@ -36,7 +37,7 @@
 
 #[derive(Debug)]
 struct State {
-    detector: CrashDetector,
+    detector: CrashDetector<CrashedCall>,
     quarantine: Quarantine,
     /// Times at which `recent_changes` was called, with the quarantine's version at each; the
     /// oldest first.
@@ -72,11 +73,11 @@
     }
 
     /// Records that the connection of a call to an endpoint broke.
-    pub(crate) fn record_broken_call(&self, content: ContentFingerprint, endpoint: &str) {
+    pub(crate) fn record_broken_call(&self, call: CrashedCall, endpoint: &str) {
         let now_ms = self.clock.now_ms();
         let mut state = self.lock();
-        if state.detector.record_broken_call(content, endpoint, now_ms) {
-            state.record_crash(&[content], endpoint, now_ms);
+        if let Some(call) = state.detector.record_broken_call(call, endpoint, now_ms) {
+            state.record_crash(&[call], endpoint, now_ms);
         }
     }
 
@@ -84,8 +85,8 @@
     pub(crate) fn record_dead_endpoint(&self, endpoint: &str) {
         let now_ms = self.clock.now_ms();
         let mut state = self.lock();
-        let contents = state.detector.record_dead_endpoint(endpoint, now_ms);
-        state.record_crash(&contents, endpoint, now_ms);
+        let calls = state.detector.record_dead_endpoint(endpoint, now_ms);
+        state.record_crash(&calls, endpoint, now_ms);
     }
 
     /// Merges the quarantine entries that another entry reports.
@@ -125,18 +126,29 @@
 }
 
 impl State {
-    /// Records a crash of an endpoint while it ran calls with these contents.
-    fn record_crash(&mut self, contents: &[ContentFingerprint], endpoint: &str, now_ms: u64) {
-        if contents.is_empty() {
+    /// Records a crash of an endpoint while it ran these calls.
+    fn record_crash(&mut self, calls: &[CrashedCall], endpoint: &str, now_ms: u64) {
+        if calls.is_empty() {
             return;
         }
         event!(
             EndpointCrashed,
             "endpoint={endpoint} requests={}",
-            contents.len()
+            calls.len()
         );
-        self.quarantine.record_shared_crash(contents, now_ms);
-        for content in contents {
+        for call in calls {
+            event!(
+                CallAtCrash,
+                "request_id={} endpoint={endpoint} crash={:08x} fingerprint={:016x} parts={}",
+                call.request_id,
+                call.crash,
+                call.content.fingerprint.0,
+                call.part_list()
+            );
+        }
+        let contents: Vec<_> = calls.iter().map(|call| call.content.fingerprint).collect();
+        self.quarantine.record_shared_crash(&contents, now_ms);
+        for content in &contents {
             if self.quarantine.content_status(*content, now_ms) == ContentStatus::Quarantined {
                 event!(ContentQuarantined, "fingerprint={:016x}", content.0);
             }
--- a/lib/src/direct_call.rs
+++ b/lib/src/direct_call.rs
@@ -17,6 +17,9 @@
     pub time_left_ms: Option<u64>,
     /// Id of the last event that the caller has received of a stream that it resumes.
     pub resume_after: Option<u64>,
+    /// Ids of the parts of the prompt that other calls may share, in order.
+    #[builder(default)]
+    pub shared_parts: Vec<u64>,
     /// Length of the prompt, in tokens; zero when unknown.
     #[builder(default)]
     pub prompt_tokens: u64,
--- a/lib/src/direct_relay.rs
+++ b/lib/src/direct_relay.rs
@@ -11,7 +11,6 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-use crate::ContentFingerprint;
 use crate::DirectCall;
 use crate::DirectRefusal;
 use crate::DispatchDecision;
@@ -25,6 +24,8 @@
 use crate::SendResult;
 use crate::answer_framing::AnswerFraming;
 use crate::crash_tracker::CrashTracker;
+use crate::crashed_call::CallContent;
+use crate::crashed_call::CrashedCall;
 use crate::direct_actor::DirectCommand;
 use crate::direct_actor::DispatchReply;
 use crate::direct_exchange::DirectExchange;
@@ -72,8 +73,7 @@
     pub(crate) service: String,
     pub(crate) head: request::Parts,
     pub(crate) body: Bytes,
-    /// Identifies the requested content and its organisation; does not depend on the request id.
-    pub(crate) content: ContentFingerprint,
+    pub(crate) content: CallContent,
     pub(crate) arrived: Instant,
     pub(crate) deadline: Instant,
     /// Ids of the endpoints that the call was sent to, the latest last.
@@ -221,7 +221,8 @@
         match evidence {
             CrashEvidence::None => {}
             CrashEvidence::ConnectionBroken => {
-                tracker.record_broken_call(self.content, &endpoint.id);
+                let call = CrashedCall::new(&self.call.request_id, &self.content, endpoint);
+                tracker.record_broken_call(call, &endpoint.id);
                 let address = endpoint.address.clone();
                 tokio::spawn(probe_for_crash(
                     tracker.clone(),
--- a/lib/src/direct_server.rs
+++ b/lib/src/direct_server.rs
@@ -15,10 +15,12 @@
 use crate::DirectCall;
 use crate::DirectRefusal;
 use crate::OrganisationRule;
+use crate::PromptPart;
 use crate::RouteRule;
 use crate::RouteTable;
 use crate::caller_body;
 use crate::caller_body::CallerBodyError;
+use crate::crashed_call::CallContent;
 use crate::direct_relay::DirectRelay;
 use crate::direct_state::DirectState;
 use crate::direct_stream;
@@ -72,9 +74,13 @@
     let deadline = arrived + Duration::from_millis(limit_ms);
     let request = Request::from_parts(head.clone(), body);
     let body = read_body(&table, request, deadline).await?;
-    let content = fingerprint(&head, organisation.as_deref(), &body);
-    refuse_quarantined(state, &call, content)?;
     let service = rule.target(rand::random()).unwrap_or_default().to_owned();
+    let parts = call.shared_parts.iter();
+    let content = CallContent {
+        fingerprint: fingerprint(&head, organisation.as_deref(), &body),
+        parts: parts.map(|id| PromptPart::of(&service, *id)).collect(),
+    };
+    refuse_quarantined(state, &call, content.fingerprint)?;
     let relay = DirectRelay {
         state: Arc::clone(state),
         resume_after: call.resume_after,
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -102,6 +102,7 @@
     EndpointDown = 402 Warn "endpoint does not answer",
     EndpointCrashed = 403 Error "endpoint aborted requests",
     ContentQuarantined = 404 Warn "content quarantined",
+    CallAtCrash = 405 Info "call was at an endpoint that crashed",
 
     RankGroupFormed = 501 Info "rank group formed, or loaded after a start",
     MapInUse = 502 Info "expert map in use",
--- a/lib/tests/test_crash_detector.rs
+++ b/lib/tests/test_crash_detector.rs
@@ -26,7 +26,7 @@
 fn a_reset_connection_to_a_live_endpoint_is_no_crash() {
     let mut detector = CrashDetector::default();
     for call in 0..5 {
-        expect_false!(detector.record_broken_call(POISON, "a", call * 100));
+        expect_that!(detector.record_broken_call(POISON, "a", call * 100), none());
     }
     // A dead endpoint "b" is no evidence that "a" crashed.
     expect_that!(detector.record_dead_endpoint("b", 600), is_empty());
@@ -44,7 +44,10 @@
     // Each call is reported once only.
     expect_that!(detector.record_dead_endpoint("a", 500), is_empty());
     // A call whose broken connection is noticed late belongs to the same crash.
-    expect_true!(detector.record_broken_call(BYSTANDER, "a", 600));
+    expect_that!(
+        detector.record_broken_call(BYSTANDER, "a", 600),
+        some(eq(BYSTANDER))
+    );
 }
 
 #[googletest::test]
