part_quarantine: refuse parts of prompts that crash each endpoint

Callers saw the streams of a whole service fail: calls of one kind crashed one endpoint after the other, and each crash stops a rank group.

Cause: content was known by a fingerprint of organisation, method, path and body. Calls that share only a part of their prompts have none in common, so that nothing was ever at three crashes; and counts of entries were merged by the larger one, so that crashes seen at the same time would not have added up.

Evidence is kept for each part that calls may share: the runs of endpoints at whose crashes it was, a set that entries merge by union, and survivals, which void it. A cause never survives the start of an answer, a sound part does at some entry. Parts that were at the same crashes are refused together only. Refused parts are reported every second, so that entries that start later learn of them.

--- a/lib/src/crash_tracker.rs
+++ b/lib/src/crash_tracker.rs
@@ -1,4 +1,5 @@
-//! Tracks content that crashes endpoints, for an entry that sends calls to endpoints directly.
+//! Tracks content and prompt parts that crash endpoints, for an entry that sends calls to endpoints
+//! directly.
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -9,11 +10,17 @@
 use crate::ContentFingerprint;
 use crate::ContentStatus;
 use crate::CrashDetector;
+use crate::PartQuarantine;
+use crate::PartQuarantineSettings;
+use crate::PromptPart;
 use crate::Quarantine;
 use crate::QuarantineSettings;
 use crate::clock::Clock;
+use crate::crashed_call::CallContent;
 use crate::crashed_call::CrashedCall;
 use crate::event;
+use crate::protos::control::CrashedPart;
+use crate::protos::control::GossipReport;
 use crate::protos::control::QuarantineEntry;
 
 const MAX_ENTRIES: usize = 4_096;
@@ -27,8 +34,19 @@
 const CHANGE_RELAY_MS: u64 = 700;
 /// Most contents that one gossip report names.
 const MAX_REPORTED_CONTENTS: usize = 16;
+/// Time between two reports of all refused prompt parts, from which entries that start later learn.
+const FULL_REPORT_INTERVAL_MS: u64 = 1_000;
+/// Source in log lines of what this entry has seen itself.
+const OWN_SOURCE: &str = "own";
 
-/// Tracks content that crashes endpoints and quarantines it after repeated crashes.
+/// What a call is refused for.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum QuarantineReason {
+    Content(ContentFingerprint),
+    Part(PromptPart),
+}
+
+/// Tracks content and prompt parts that crash endpoints and quarantines them after repeated crashes.
 #[derive(Debug, Clone)]
 pub(crate) struct CrashTracker {
     clock: Clock,
@@ -39,6 +57,9 @@
 struct State {
     detector: CrashDetector<CrashedCall>,
     quarantine: Quarantine,
+    parts: PartQuarantine,
+    /// Time of the last full report of the refused parts.
+    full_report_ms: u64,
     /// Times at which `recent_changes` was called, with the quarantine's version at each; the
     /// oldest first.
     versions: VecDeque<(u64, u64)>,
@@ -57,6 +78,8 @@
         let state = State {
             detector: CrashDetector::default(),
             quarantine: Quarantine::new(settings),
+            parts: PartQuarantine::new(PartQuarantineSettings::builder().build()),
+            full_report_ms: 0,
             versions: VecDeque::new(),
         };
         Self {
@@ -65,11 +88,31 @@
         }
     }
 
-    /// Returns for how much longer a content is refused; `None` when it is accepted.
-    pub(crate) fn refused_for_ms(&self, content: ContentFingerprint) -> Option<u64> {
+    /// Returns why a call is refused and for how much longer; `None` when it is accepted.
+    pub(crate) fn refusal(&self, content: &CallContent) -> Option<(QuarantineReason, u64)> {
+        let now_ms = self.clock.now_ms();
+        let state = self.lock();
+        if let Some((part, remaining_ms)) = state.parts.refusal(&content.parts, now_ms) {
+            return Some((QuarantineReason::Part(part), remaining_ms));
+        }
+        let fingerprint = content.fingerprint;
+        let entry = state.quarantine.entry_of(fingerprint, now_ms)?;
+        let reason = QuarantineReason::Content(fingerprint);
+        entry.quarantined.then_some((reason, entry.expires_in_ms))
+    }
+
+    /// Records that a call went on beyond the start of its answer, or ended well.
+    pub(crate) fn record_survival(&self, content: &CallContent) {
+        if !content.parts.is_empty() {
+            let now_ms = self.clock.now_ms();
+            self.lock().parts.record_survival(&content.parts, now_ms);
+        }
+    }
+
+    /// Returns the number of refused prompt parts.
+    pub(crate) fn refused_part_count(&self) -> usize {
         let now_ms = self.clock.now_ms();
-        let entry = self.lock().quarantine.entry_of(content, now_ms)?;
-        entry.quarantined.then_some(entry.expires_in_ms)
+        self.lock().parts.refused_count(now_ms)
     }
 
     /// Records that the connection of a call to an endpoint broke.
@@ -89,12 +132,31 @@
         state.record_crash(&calls, endpoint, now_ms);
     }
 
-    /// Merges the quarantine entries that another entry reports.
-    pub(crate) fn merge(&self, entries: &[QuarantineEntry]) {
-        if !entries.is_empty() {
-            let now_ms = self.clock.now_ms();
+    /// Merges what another entry reports of crashes.
+    pub(crate) fn merge(&self, report: &GossipReport) {
+        let now_ms = self.clock.now_ms();
+        if !report.crashing_contents.is_empty() {
+            let entries = &report.crashing_contents;
             self.lock().quarantine.merge(entries, now_ms);
         }
+        if !report.crashed_parts.is_empty() {
+            let mut state = self.lock();
+            for part in state.parts.merge(&report.crashed_parts, now_ms) {
+                state.log_quarantined_part(part, &report.gossip_address, now_ms);
+            }
+        }
+    }
+
+    /// Returns what is reported of prompt parts to the other entries now.
+    pub(crate) fn part_reports(&self) -> Vec<CrashedPart> {
+        let now_ms = self.clock.now_ms();
+        let mut state = self.lock();
+        state.parts.expire(now_ms);
+        let is_full = now_ms.saturating_sub(state.full_report_ms) >= FULL_REPORT_INTERVAL_MS;
+        if is_full {
+            state.full_report_ms = now_ms;
+        }
+        state.parts.reports(is_full, now_ms)
     }
 
     /// Returns the recent changes of the quarantine, for the other entries.
@@ -146,6 +208,9 @@
                 call.part_list()
             );
         }
+        for call in calls {
+            self.record_crashed_parts(call, now_ms);
+        }
         let contents: Vec<_> = calls.iter().map(|call| call.content.fingerprint).collect();
         self.quarantine.record_shared_crash(&contents, now_ms);
         for content in &contents {
@@ -154,4 +219,23 @@
             }
         }
     }
+
+    /// Records that the parts of a call's prompt were at a crash.
+    fn record_crashed_parts(&mut self, call: &CrashedCall, now_ms: u64) {
+        let parts = &call.content.parts;
+        for part in self.parts.record_crash(parts, call.crash, now_ms) {
+            self.log_quarantined_part(part, OWN_SOURCE, now_ms);
+        }
+    }
+
+    fn log_quarantined_part(&self, part: PromptPart, source: &str, now_ms: u64) {
+        let crashes = self.parts.crashes(part, now_ms);
+        let crashes: Vec<String> = crashes.iter().map(|crash| format!("{crash:08x}")).collect();
+        event!(
+            PartQuarantined,
+            "part={part} service={:08x} crashes={} source={source}",
+            part.service,
+            crashes.join(",")
+        );
+    }
 }
--- a/lib/src/direct_entry.rs
+++ b/lib/src/direct_entry.rs
@@ -106,6 +106,8 @@
         let dispatcher = direct_actor::spawn(clock, dispatcher, inputs, slow_sender);
         let metrics = Metrics::new();
         metrics.observe_endpoints(&endpoints);
+        let crash_tracker = CrashTracker::new(clock);
+        metrics.observe_quarantine(&crash_tracker);
         let state = DirectState {
             clock,
             endpoints,
@@ -113,7 +115,7 @@
             dispatcher,
             pauses,
             slow_endpoints,
-            crash_tracker: CrashTracker::new(clock),
+            crash_tracker,
             protocol,
             metrics,
             in_flight: InFlightCounter::default(),
--- a/lib/src/direct_relay.rs
+++ b/lib/src/direct_relay.rs
@@ -30,6 +30,7 @@
 use crate::direct_actor::DispatchReply;
 use crate::direct_exchange::DirectExchange;
 use crate::direct_exchange::SendOutcome;
+use crate::direct_server;
 use crate::direct_slot::DirectSlot;
 use crate::direct_state::DirectState;
 use crate::event;
@@ -142,6 +143,7 @@
                     let result = if answer.head.status.is_server_error() {
                         SendResult::Failed
                     } else {
+                        self.state.crash_tracker.record_survival(&self.content);
                         SendResult::Answered
                     };
                     slot.release(result);
@@ -323,7 +325,11 @@
             return Err(self.overload_refusal());
         };
         match decision {
-            DispatchDecision::Send(endpoint) => Ok(queued.assign(endpoint, list)),
+            DispatchDecision::Send(endpoint) => {
+                let slot = queued.assign(endpoint, list);
+                self.check_quarantine()?;
+                Ok(slot)
+            }
             DispatchDecision::Refuse {
                 code,
                 retry_after_ms,
@@ -331,6 +337,13 @@
         }
     }
 
+    /// Refuses a call that was quarantined since it arrived: while it waited, or before it is repeated
+    /// or resumed.
+    fn check_quarantine(&self) -> Result<(), DirectRefusal> {
+        let checked = direct_server::refuse_quarantined(&self.state, &self.call, &self.content);
+        checked.map_err(|refusal| self.withdraw_not_run_promise(refusal))
+    }
+
     /// Returns the refusal of a call that the dispatcher's full ring could not take.
     fn overload_refusal(&self) -> DirectRefusal {
         let message = "entry has no room for the request";
--- a/lib/src/direct_server.rs
+++ b/lib/src/direct_server.rs
@@ -20,6 +20,7 @@
 use crate::RouteTable;
 use crate::caller_body;
 use crate::caller_body::CallerBodyError;
+use crate::crash_tracker::QuarantineReason;
 use crate::crashed_call::CallContent;
 use crate::direct_relay::DirectRelay;
 use crate::direct_state::DirectState;
@@ -80,7 +81,7 @@
         fingerprint: fingerprint(&head, organisation.as_deref(), &body),
         parts: parts.map(|id| PromptPart::of(&service, *id)).collect(),
     };
-    refuse_quarantined(state, &call, content.fingerprint)?;
+    refuse_quarantined(state, &call, &content)?;
     let relay = DirectRelay {
         state: Arc::clone(state),
         resume_after: call.resume_after,
@@ -144,24 +145,39 @@
     ContentFingerprint::of(&identity, body)
 }
 
-/// Refuses quarantined content, which has repeatedly crashed endpoints.
-fn refuse_quarantined(
+/// Refuses a call whose content or part of its prompt has repeatedly crashed endpoints.
+pub(crate) fn refuse_quarantined(
     state: &DirectState,
     call: &DirectCall,
-    content: ContentFingerprint,
+    content: &CallContent,
 ) -> Result<(), DirectRefusal> {
-    const CODE: &str = "content-quarantined";
-    let Some(refused_for_ms) = state.crash_tracker.refused_for_ms(content) else {
+    let Some((reason, refused_for_ms)) = state.crash_tracker.refusal(content) else {
         return Ok(());
     };
-    event!(
-        CallRejected,
-        "request_id={} code={CODE} fingerprint={:016x}",
-        call.request_id,
-        content.0
-    );
-    let message = "the request has crashed the endpoints that ran it";
-    Err(DirectRefusal::not_run(CODE, message, refused_for_ms))
+    let request_id = &call.request_id;
+    let (code, message) = match reason {
+        QuarantineReason::Content(fingerprint) => {
+            let code = "content-quarantined";
+            let fingerprint = fingerprint.0;
+            event!(
+                CallRejected,
+                "request_id={request_id} code={code} fingerprint={fingerprint:016x}"
+            );
+            (code, "the request has crashed the endpoints that ran it")
+        }
+        QuarantineReason::Part(part) => {
+            let code = "prompt-part-quarantined";
+            event!(
+                CallRejected,
+                "request_id={request_id} code={code} part={part}"
+            );
+            (
+                code,
+                "a part of the prompt has crashed the endpoints that answered it",
+            )
+        }
+    };
+    Err(DirectRefusal::not_run(code, message, refused_for_ms))
 }
 
 /// Reads the request body within the size limit of the route table.
--- a/lib/src/direct_stream.rs
+++ b/lib/src/direct_stream.rs
@@ -33,6 +33,9 @@
 /// Share of the stream silence limit after which a silent stream is resumed at another endpoint, in
 /// percent.
 const SILENCE_PERCENT: u64 = 75;
+/// Events and time after the first event that an endpoint does not reach in an answer which crashes it.
+const SURVIVAL_EVENTS: u32 = 4;
+const SURVIVAL_TIME: Duration = Duration::from_millis(300);
 /// Most bytes of events without an id that an endpoint may send between two events with ids.
 const MAX_HELD_BACK_BYTES: usize = 64 << 10;
 
@@ -58,6 +61,11 @@
     body: Incoming,
     /// Whether the body consists of events; the body of a failure does not.
     has_events: bool,
+    /// Arrival of the first event.
+    first_event: Option<Instant>,
+    event_count: u32,
+    /// Whether the answer went on beyond its start, so that its prompt does not crash endpoints.
+    has_survived: bool,
     splitter: EventSplitter,
     /// Arrival of the latest event.
     last_event: Option<Instant>,
@@ -208,6 +216,9 @@
             slot,
             body,
             has_events,
+            first_event: None,
+            event_count: 0,
+            has_survived: false,
             splitter: EventSplitter::default(),
             last_event: None,
             held_back: BytesMut::new(),
@@ -226,7 +237,7 @@
                 if needs_id && event.id.is_none() {
                     self.hold_back(&event.bytes)?;
                 } else if let Some(event) = skip_delivered(event, relay.resume_after)? {
-                    self.record_pause(relay);
+                    self.record_event(relay);
                     return Ok(StreamPart::Event(self.with_held_back(event)));
                 }
             }
@@ -265,10 +276,19 @@
         if self.has_events && self.is_empty() && relay.framing == Some(AnswerFraming::Connection) {
             return Err(broken("connection closed before the first event"));
         }
+        if self.has_events {
+            self.record_survival(relay);
+        }
         self.held_back.extend_from_slice(&rest);
         Ok(StreamPart::End(self.held_back.split().freeze()))
     }
 
+    fn record_survival(&mut self, relay: &DirectRelay) {
+        if !std::mem::replace(&mut self.has_survived, true) {
+            relay.state.crash_tracker.record_survival(&relay.content);
+        }
+    }
+
     /// Returns whether the answer has brought no event that the caller lacks.
     fn is_empty(&self) -> bool {
         self.last_event.is_none() && self.held_back.is_empty()
@@ -325,9 +345,15 @@
         frame.await.map_err(|_| SendFailure::timed_out())
     }
 
-    /// Records the pause since the previous event, for the concurrency limit of the service.
-    fn record_pause(&mut self, relay: &DirectRelay) {
+    /// Records the pause since the previous event, for the concurrency limit of the service, and
+    /// whether the answer has gone on beyond its start.
+    fn record_event(&mut self, relay: &DirectRelay) {
         let now = Instant::now();
+        self.event_count += 1;
+        let first_event = *self.first_event.get_or_insert(now);
+        if self.event_count >= SURVIVAL_EVENTS && now - first_event >= SURVIVAL_TIME {
+            self.record_survival(relay);
+        }
         if let Some(previous) = self.last_event.replace(now) {
             relay.state.pauses.add(&relay.service, now - previous);
         }
--- a/lib/src/gossip_loop.rs
+++ b/lib/src/gossip_loop.rs
@@ -73,13 +73,9 @@
     fn receive(&mut self, bytes: &[u8]) {
         match GossipMessage::decode(bytes) {
             Ok(message) => {
-                let crashes = message
-                    .word
-                    .as_ref()
-                    .map(|report| &report.crashing_contents);
-                self.entry
-                    .crash_tracker()
-                    .merge(crashes.map_or(&[], Vec::as_slice));
+                if let Some(report) = &message.word {
+                    self.entry.crash_tracker().merge(report);
+                }
                 self.gossip.receive(&message, self.entry.clock().now_ms());
             }
             Err(error) => log::debug!("gossip datagram is malformed: {error}"),
@@ -98,6 +94,7 @@
         self.report.demands = to_gossip_demands(&demand);
         self.report.paces = self.gossip.own_slowdowns(now_ms);
         self.report.crashing_contents = self.entry.crash_tracker().recent_changes();
+        self.report.crashed_parts = self.entry.crash_tracker().part_reports();
         let message = GossipMessage {
             word: Some(self.report.clone()),
             known_addresses: self.gossip.known_addresses(now_ms),
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -24,6 +24,7 @@
 use crate::caller_server;
 use crate::caller_server::CallerLimits;
 use crate::caller_server::CallerShutdown;
+use crate::crash_tracker::CrashTracker;
 use crate::daemon_error::DaemonError;
 use crate::listener::listen;
 use crate::listener::print_address;
@@ -150,6 +151,17 @@
             .build();
     }
 
+    /// Reports the number of refused prompt parts on each read.
+    pub(crate) fn observe_quarantine(&self, tracker: &CrashTracker) {
+        let tracker = tracker.clone();
+        self.provider
+            .meter(SCOPE)
+            .u64_observable_gauge("pomeloramp_quarantined_prompt_parts")
+            .with_description("Parts of prompts that are refused since they crashed endpoints")
+            .with_callback(move |gauge| gauge.observe(tracker.refused_part_count() as u64, &[]))
+            .build();
+    }
+
     /// Records the duration of a finished request.
     pub fn record_request(&self, organisation: &str, outcome: &str, elapsed: Duration) {
         let labels = [
--- /dev/null
+++ b/lib/src/part_quarantine.rs
@@ -0,0 +1,327 @@
+//! Quarantine of parts of prompts that crash each endpoint that answers them.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+use crate::PartQuarantineSettings;
+use crate::PromptPart;
+use crate::protos::control::CrashedPart;
+use crate::protos::control::PartCrash;
+
+/// One process's record of parts of prompts that were at crashes of endpoints.
+///
+/// Calls that share such a part may differ in everything else, and a crash ends sound calls too. Two
+/// kinds of evidence tell the cause from the other parts that were there: a cause is at crash after
+/// crash, and no call with it goes on beyond the start of its answer. A part is refused after
+/// [`PartQuarantineSettings::min_crashes`] crashes that no survival voids.
+///
+/// Parts that were at the same crashes can't be told apart. Calls that have all of them are refused,
+/// and calls that have only some are accepted: one of those either survives or crashes without the
+/// others, which tells them apart.
+///
+/// Evidence is a set of crashes, each with the time until which it counts, and the time up to which
+/// crashes are void. Reports of other entries are merged by set union, and by the minimum and maximum of
+/// the times, so that their order, number and detours do not matter.
+#[derive(Debug)]
+pub struct PartQuarantine {
+    settings: PartQuarantineSettings,
+    /// Parts that were at a crash.
+    records: HashMap<PromptPart, Record>,
+    /// For each part, when a call with it last survived.
+    survivals: HashMap<PromptPart, u64>,
+}
+
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+struct Record {
+    /// Crashes by the run of the endpoint, with the time until which each counts.
+    crashes: BTreeMap<u32, u64>,
+    /// Crashes that count until this time or a shorter one are void.
+    void_until_ms: u64,
+    /// Time of the last change that other entries have to learn.
+    changed_ms: u64,
+}
+
+impl Record {
+    /// Returns the crashes that count, with the time until which each does.
+    fn counted(&self, now_ms: u64) -> impl Iterator<Item = (u32, u64)> {
+        let crashes = self.crashes.iter().map(|(crash, until)| (*crash, *until));
+        crashes.filter(move |(_, until_ms)| *until_ms > now_ms.max(self.void_until_ms))
+    }
+
+    /// Returns whether a crash counts.
+    fn counts(&self, crash: u32, now_ms: u64) -> bool {
+        self.counted(now_ms).any(|(counted, _)| counted == crash)
+    }
+}
+
+impl PartQuarantine {
+    /// Creates an empty quarantine.
+    #[must_use]
+    pub fn new(settings: PartQuarantineSettings) -> Self {
+        Self {
+            settings,
+            records: HashMap::new(),
+            survivals: HashMap::new(),
+        }
+    }
+
+    /// Records that the endpoint run `crash` crashed while it ran a call with these parts; returns those
+    /// that have been at enough crashes to be refused, unless a survival is reported soon.
+    pub fn record_crash(
+        &mut self,
+        parts: &[PromptPart],
+        crash: u32,
+        now_ms: u64,
+    ) -> Vec<PromptPart> {
+        let until_ms = now_ms + self.settings.evidence_ms;
+        let mut quarantined = Vec::new();
+        for part in parts {
+            let void_until_ms = self.void_until_ms(*part);
+            if until_ms <= void_until_ms {
+                continue;
+            }
+            let record = self.records.entry(*part).or_default();
+            record.void_until_ms = record.void_until_ms.max(void_until_ms);
+            if record.crashes.contains_key(&crash) {
+                continue;
+            }
+            record.crashes.insert(crash, until_ms);
+            record.changed_ms = now_ms;
+            remove_oldest_crash(record, self.settings.max_crashes);
+            if self.has_enough_crashes(*part, now_ms) {
+                quarantined.push(*part);
+            }
+        }
+        self.evict();
+        quarantined
+    }
+
+    /// Records that a call with these parts went on beyond the start of its answer.
+    pub fn record_survival(&mut self, parts: &[PromptPart], now_ms: u64) {
+        for part in parts {
+            self.survivals.insert(*part, now_ms);
+            let void_until_ms = self.void_until_ms(*part);
+            if let Some(record) = self.records.get_mut(part) {
+                let is_news = record.counted(now_ms).next().is_some();
+                record.void_until_ms = void_until_ms;
+                if is_news {
+                    record.changed_ms = now_ms;
+                }
+            }
+        }
+        if self.survivals.len() > self.settings.max_survivals {
+            self.forget_survivals(now_ms);
+        }
+    }
+
+    /// Returns a part for which a call with these parts is refused, and for how much longer.
+    #[must_use]
+    pub fn refusal(&self, parts: &[PromptPart], now_ms: u64) -> Option<(PromptPart, u64)> {
+        if self.records.is_empty() {
+            return None;
+        }
+        parts.iter().find_map(|part| {
+            let remaining_ms = self.refused_for_ms(*part, now_ms)?;
+            let is_explained = self.is_explained_without(*part, parts, now_ms);
+            (!is_explained).then_some((*part, remaining_ms))
+        })
+    }
+
+    /// Merges the reports of another entry; returns the parts that have now been at enough crashes to
+    /// be refused.
+    pub fn merge(&mut self, reports: &[CrashedPart], now_ms: u64) -> Vec<PromptPart> {
+        let mut quarantined = Vec::new();
+        for report in reports {
+            let part = PromptPart {
+                service: report.service,
+                id: report.part,
+            };
+            let had_enough = self.has_enough_crashes(part, now_ms);
+            self.merge_report(part, report, now_ms);
+            if !had_enough && self.has_enough_crashes(part, now_ms) {
+                quarantined.push(part);
+            }
+        }
+        self.evict();
+        quarantined
+    }
+
+    fn merge_report(&mut self, part: PromptPart, report: &CrashedPart, now_ms: u64) {
+        let settings = &self.settings;
+        let own_void_until_ms = self.void_until_ms(part);
+        let before = self.records.get(&part).cloned().unwrap_or_default();
+        let mut record = before.clone();
+        for crash in &report.crashes {
+            let counts_for_ms = crash.counts_for_ms.min(settings.evidence_ms);
+            if counts_for_ms > settings.transit_margin_ms {
+                let until_ms = now_ms + counts_for_ms;
+                let known = record.crashes.entry(crash.endpoint_run).or_insert(until_ms);
+                *known = until_ms.min(*known);
+            }
+        }
+        if report.void_for_ms > 0 {
+            let longest_ms = settings.evidence_ms + settings.survival_covers_ms;
+            let void_until_ms = now_ms + report.void_for_ms.min(longest_ms);
+            record.void_until_ms = record.void_until_ms.max(void_until_ms);
+        }
+        record.void_until_ms = record.void_until_ms.max(own_void_until_ms);
+        remove_oldest_crash(&mut record, settings.max_crashes);
+        let is_news = record.crashes.keys().ne(before.crashes.keys())
+            || record.counted(now_ms).count() != before.counted(now_ms).count();
+        if is_news {
+            record.changed_ms = now_ms;
+        }
+        if !record.crashes.is_empty() {
+            self.records.insert(part, record);
+        }
+    }
+
+    /// Returns what other entries have to learn: recent changes, and each refused part in every round
+    /// with `is_full`. Parts with the most crashes come first.
+    #[must_use]
+    pub fn reports(&self, is_full: bool, now_ms: u64) -> Vec<CrashedPart> {
+        let is_recent = |record: &Record| {
+            now_ms.saturating_sub(record.changed_ms) <= self.settings.change_relay_ms
+        };
+        let due = self.records.iter().filter(|(part, record)| {
+            is_recent(record) || (is_full && self.refused_for_ms(**part, now_ms).is_some())
+        });
+        let mut due: Vec<_> = due.collect();
+        due.sort_by_key(|(part, record)| {
+            let crashes = record.counted(now_ms).count();
+            (std::cmp::Reverse(crashes), record.changed_ms, **part)
+        });
+        due.truncate(self.settings.max_reports);
+        let reports = due
+            .into_iter()
+            .map(|(part, record)| report(*part, record, now_ms));
+        reports.collect()
+    }
+
+    /// Returns the endpoint runs at whose crashes a part was and which count.
+    #[must_use]
+    pub fn crashes(&self, part: PromptPart, now_ms: u64) -> Vec<u32> {
+        let record = self.records.get(&part);
+        let crashes = record.into_iter().flat_map(|record| record.counted(now_ms));
+        crashes.map(|(crash, _)| crash).collect()
+    }
+
+    /// Returns the number of parts that are refused.
+    #[must_use]
+    pub fn refused_count(&self, now_ms: u64) -> usize {
+        let parts = self.records.keys();
+        parts
+            .filter(|part| self.refused_for_ms(**part, now_ms).is_some())
+            .count()
+    }
+
+    /// Removes what no longer counts.
+    pub fn expire(&mut self, now_ms: u64) {
+        for record in self.records.values_mut() {
+            record.crashes.retain(|_, until_ms| *until_ms > now_ms);
+        }
+        self.records.retain(|_, record| !record.crashes.is_empty());
+        self.forget_survivals(now_ms);
+    }
+
+    fn has_enough_crashes(&self, part: PromptPart, now_ms: u64) -> bool {
+        let record = self.records.get(&part);
+        record.is_some_and(|record| record.counted(now_ms).count() >= self.settings.min_crashes)
+    }
+
+    /// Returns for how much longer a part is refused in calls that have all parts of its crashes;
+    /// `None` when it is accepted.
+    fn refused_for_ms(&self, part: PromptPart, now_ms: u64) -> Option<u64> {
+        let settings = &self.settings;
+        let record = self.records.get(&part)?;
+        let latest_until_ms = record.counted(now_ms).map(|(_, until_ms)| until_ms).max()?;
+        let confirmed_until_ms = now_ms + settings.evidence_ms - settings.confirm_ms;
+        let confirmed = record.counted(now_ms);
+        let confirmed = confirmed.filter(|(_, until_ms)| *until_ms <= confirmed_until_ms);
+        if confirmed.count() < settings.min_crashes {
+            return None;
+        }
+        let remaining_ms = latest_until_ms.saturating_sub(now_ms);
+        let probation_ms = settings.evidence_ms - settings.refusal_ms;
+        remaining_ms
+            .checked_sub(probation_ms)
+            .filter(|remaining_ms| *remaining_ms > 0)
+    }
+
+    /// Returns whether refused parts that are not among `parts` were at all crashes of `part`.
+    fn is_explained_without(&self, part: PromptPart, parts: &[PromptPart], now_ms: u64) -> bool {
+        let Some(record) = self.records.get(&part) else {
+            return false;
+        };
+        let others = self.records.iter().filter(|(other, _)| {
+            !parts.contains(other) && self.refused_for_ms(**other, now_ms).is_some()
+        });
+        let others: Vec<&Record> = others.map(|(_, other)| other).collect();
+        record
+            .counted(now_ms)
+            .all(|(crash, _)| others.iter().any(|other| other.counts(crash, now_ms)))
+    }
+
+    /// Returns the time until which crashes count that a survival of the part makes void.
+    fn void_until_ms(&self, part: PromptPart) -> u64 {
+        let settings = &self.settings;
+        self.survivals.get(&part).map_or(0, |survived_ms| {
+            survived_ms + settings.survival_covers_ms + settings.evidence_ms
+        })
+    }
+
+    fn forget_survivals(&mut self, now_ms: u64) {
+        let memory_ms = self.settings.survival_memory_ms;
+        self.survivals
+            .retain(|_, survived_ms| now_ms.saturating_sub(*survived_ms) <= memory_ms);
+        if self.survivals.len() > self.settings.max_survivals {
+            // The middle of the times separates the older half.
+            let mut times: Vec<u64> = self.survivals.values().copied().collect();
+            let middle = times.len() / 2;
+            let (_, middle_ms, _) = times.select_nth_unstable(middle);
+            let middle_ms = *middle_ms;
+            self.survivals
+                .retain(|_, survived_ms| *survived_ms > middle_ms);
+        }
+    }
+
+    /// Removes the records with the fewest crashes, the oldest first, while there are too many.
+    fn evict(&mut self) {
+        while self.records.len() > self.settings.max_parts {
+            let least = self
+                .records
+                .iter()
+                .min_by_key(|(part, record)| (record.crashes.len(), record.changed_ms, **part));
+            let Some(part) = least.map(|(part, _)| *part) else {
+                return;
+            };
+            self.records.remove(&part);
+        }
+    }
+}
+
+fn remove_oldest_crash(record: &mut Record, max_crashes: usize) {
+    while record.crashes.len() > max_crashes {
+        let oldest = record.crashes.iter().min_by_key(|(_, until_ms)| **until_ms);
+        let Some(crash) = oldest.map(|(crash, _)| *crash) else {
+            return;
+        };
+        record.crashes.remove(&crash);
+    }
+}
+
+fn report(part: PromptPart, record: &Record, now_ms: u64) -> CrashedPart {
+    let crashes = record.crashes.iter();
+    let crashes = crashes.filter(|(_, until_ms)| **until_ms > now_ms);
+    CrashedPart {
+        service: part.service,
+        part: part.id,
+        crashes: crashes
+            .map(|(endpoint_run, until_ms)| PartCrash {
+                endpoint_run: *endpoint_run,
+                counts_for_ms: until_ms - now_ms,
+            })
+            .collect(),
+        void_for_ms: record.void_until_ms.saturating_sub(now_ms),
+    }
+}
--- a/lib/src/protos/pomeloramp.control.rs
+++ b/lib/src/protos/pomeloramp.control.rs
@@ -661,6 +661,34 @@
     /// Whether the entry receives updates from the platform, so that its endpoint list is current.
     #[prost(bool, tag = "11")]
     pub follows_platform: bool,
+    /// Parts of prompts that were at crashes of endpoints: recent changes, and at times all that are refused.
+    #[prost(message, repeated, tag = "12")]
+    pub crashed_parts: ::prost::alloc::vec::Vec<CrashedPart>,
+}
+/// Evidence on a part of prompts that was at crashes of endpoints.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct CrashedPart {
+    /// Hash of the service's name.
+    #[prost(fixed32, tag = "1")]
+    pub service: u32,
+    /// Id of the part, as callers name it.
+    #[prost(fixed64, tag = "2")]
+    pub part: u64,
+    #[prost(message, repeated, tag = "3")]
+    pub crashes: ::prost::alloc::vec::Vec<PartCrash>,
+    /// Crashes that count for at most this many milliseconds are void, since a call with the part survived.
+    #[prost(uint64, tag = "4")]
+    pub void_for_ms: u64,
+}
+/// Crash of an endpoint while it ran a call with a part.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PartCrash {
+    /// Hash of the endpoint's id and start, which identifies the run that crashed.
+    #[prost(fixed32, tag = "1")]
+    pub endpoint_run: u32,
+    /// Milliseconds for which the crash still counts.
+    #[prost(uint64, tag = "2")]
+    pub counts_for_ms: u64,
 }
 /// Calls of one service that an entry has in flight or queued.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- /dev/null
+++ b/lib/tests/test_part_quarantine.rs
@@ -0,0 +1,278 @@
+//! Tests of the quarantine of prompt parts.
+
+use googletest::prelude::*;
+use pomeloramp_lib::PartQuarantine;
+use pomeloramp_lib::PartQuarantineSettings;
+use pomeloramp_lib::PromptPart;
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::any;
+use proptest::prop_assert;
+use proptest::prop_assert_eq;
+use proptest::proptest;
+
+const CAUSE: PromptPart = PromptPart { service: 1, id: 1 };
+const COMPANION: PromptPart = PromptPart { service: 1, id: 2 };
+const OTHER: PromptPart = PromptPart { service: 1, id: 3 };
+/// Time after which a crash counts towards refusal.
+const CONFIRMED_MS: u64 = 500;
+
+fn quarantine() -> PartQuarantine {
+    PartQuarantine::new(PartQuarantineSettings::builder().build())
+}
+
+fn is_refused(quarantine: &PartQuarantine, parts: &[PromptPart], now_ms: u64) -> bool {
+    quarantine.refusal(parts, now_ms).is_some()
+}
+
+/// Reports all of `from` to `to`.
+fn tell(from: &PartQuarantine, to: &mut PartQuarantine, now_ms: u64) {
+    to.merge(&from.reports(true, now_ms), now_ms);
+}
+
+#[googletest::test]
+fn a_part_is_refused_after_three_crashes_whatever_else_its_calls_hold() {
+    let mut quarantine = quarantine();
+    for (crash, parts) in [[CAUSE, COMPANION], [CAUSE, OTHER], [OTHER, CAUSE]]
+        .iter()
+        .enumerate()
+    {
+        expect_false!(is_refused(&quarantine, &[CAUSE], 10_000));
+        quarantine.record_crash(parts, u32::try_from(crash).unwrap(), 5_000);
+    }
+    expect_false!(is_refused(&quarantine, &[CAUSE], 5_000 + CONFIRMED_MS - 1));
+    expect_true!(is_refused(&quarantine, &[CAUSE], 5_000 + CONFIRMED_MS));
+    expect_true!(is_refused(
+        &quarantine,
+        &[PromptPart { service: 1, id: 9 }, CAUSE],
+        6_000
+    ));
+    expect_false!(is_refused(&quarantine, &[COMPANION, OTHER], 6_000));
+    expect_false!(is_refused(
+        &quarantine,
+        &[PromptPart { service: 2, id: 1 }],
+        6_000
+    ));
+}
+
+#[googletest::test]
+fn crashes_that_different_entries_see_at_the_same_time_add_up() {
+    let mut entries = [quarantine(), quarantine(), quarantine(), quarantine()];
+    for (number, entry) in entries.iter_mut().take(3).enumerate() {
+        entry.record_crash(&[CAUSE], u32::try_from(number).unwrap(), 1_000);
+        // The same crash, seen by two calls, counts once.
+        entry.record_crash(&[CAUSE], u32::try_from(number).unwrap(), 1_050);
+    }
+    let [first, second, third, last] = &mut entries;
+    for entry in [first, second, third] {
+        expect_false!(is_refused(entry, &[CAUSE], 2_000));
+        tell(entry, last, 1_200);
+    }
+    expect_true!(is_refused(last, &[CAUSE], 2_000));
+}
+
+#[googletest::test]
+fn a_part_whose_calls_survive_is_never_refused() {
+    let mut quarantine = quarantine();
+    for crash in 0..20 {
+        let now_ms = 1_000 + u64::from(crash) * 4_000;
+        quarantine.record_survival(&[COMPANION], now_ms - 900);
+        quarantine.record_crash(&[COMPANION, CAUSE], crash, now_ms);
+        expect_false!(is_refused(&quarantine, &[COMPANION], now_ms + 3_000));
+    }
+    expect_true!(is_refused(&quarantine, &[CAUSE, COMPANION], 80_000));
+}
+
+#[googletest::test]
+fn a_survival_that_another_entry_saw_lifts_a_refusal() {
+    let mut crashed = quarantine();
+    let mut survived = quarantine();
+    survived.record_survival(&[COMPANION], 500);
+    for crash in 0..3 {
+        crashed.record_crash(&[COMPANION], crash, 1_000);
+    }
+    expect_true!(is_refused(&crashed, &[COMPANION], 1_500));
+    tell(&crashed, &mut survived, 1_100);
+    expect_false!(is_refused(&survived, &[COMPANION], 1_600));
+    tell(&survived, &mut crashed, 1_300);
+    expect_false!(is_refused(&crashed, &[COMPANION], 1_600));
+    // Nobody brings the refusal back.
+    tell(&crashed, &mut survived, 1_400);
+    expect_false!(is_refused(&survived, &[COMPANION], 2_000));
+}
+
+#[googletest::test]
+fn a_part_that_was_sound_before_is_refused_once_it_crashes_endpoints() {
+    let mut quarantine = quarantine();
+    quarantine.record_survival(&[CAUSE], 1_000);
+    for crash in 0..6 {
+        quarantine.record_crash(&[CAUSE], crash, 3_000 + u64::from(crash) * 4_000);
+    }
+    expect_true!(is_refused(&quarantine, &[CAUSE], 24_000));
+}
+
+#[googletest::test]
+fn parts_that_were_at_the_same_crashes_are_refused_together_only() {
+    let mut quarantine = quarantine();
+    for crash in 0..3 {
+        quarantine.record_crash(&[COMPANION, CAUSE], crash, 1_000);
+        // A sound call that was at the endpoint by chance.
+        quarantine.record_crash(&[COMPANION], crash, 1_000);
+    }
+    expect_true!(is_refused(&quarantine, &[COMPANION, CAUSE], 2_000));
+    expect_false!(is_refused(&quarantine, &[COMPANION], 2_000));
+    expect_false!(is_refused(&quarantine, &[CAUSE], 2_000));
+    // A crash without the companion tells them apart.
+    quarantine.record_crash(&[CAUSE], 3, 3_000);
+    expect_true!(is_refused(&quarantine, &[CAUSE], 4_000));
+    expect_false!(is_refused(&quarantine, &[COMPANION], 4_000));
+}
+
+#[googletest::test]
+fn a_companion_of_two_causes_is_served_without_them() {
+    let mut quarantine = quarantine();
+    for crash in 0..6 {
+        let cause = if crash % 2 == 0 { CAUSE } else { OTHER };
+        quarantine.record_crash(&[COMPANION, cause], crash, 1_000);
+    }
+    expect_true!(is_refused(&quarantine, &[COMPANION, CAUSE], 2_000));
+    expect_true!(is_refused(&quarantine, &[COMPANION, OTHER], 2_000));
+    expect_false!(is_refused(&quarantine, &[COMPANION], 2_000));
+}
+
+#[googletest::test]
+fn a_refusal_ends_and_one_more_crash_brings_it_back() {
+    let settings = PartQuarantineSettings::builder().build();
+    let mut quarantine = quarantine();
+    for crash in 0..3 {
+        quarantine.record_crash(&[CAUSE], crash, 1_000);
+    }
+    let end_ms = 1_000 + settings.refusal_ms;
+    let refusal = quarantine.refusal(&[CAUSE], 2_000);
+    expect_that!(refusal, some(eq((CAUSE, end_ms - 2_000))));
+    expect_false!(is_refused(&quarantine, &[CAUSE], end_ms));
+    quarantine.record_crash(&[CAUSE], 3, end_ms + 1_000);
+    expect_true!(is_refused(&quarantine, &[CAUSE], end_ms + 1_100));
+    // In the end nothing is kept.
+    quarantine.expire(end_ms + 1_000 + settings.evidence_ms);
+    expect_that!(
+        quarantine.reports(true, end_ms + 1_000 + settings.evidence_ms),
+        is_empty()
+    );
+}
+
+#[googletest::test]
+fn a_refused_part_is_reported_again_and_again_until_the_refusal_ends() {
+    let settings = PartQuarantineSettings::builder().build();
+    let mut quarantine = quarantine();
+    for crash in 0..3 {
+        quarantine.record_crash(&[CAUSE], crash, 1_000);
+    }
+    let later_ms = 1_001 + settings.change_relay_ms;
+    expect_that!(quarantine.reports(false, later_ms), is_empty());
+    expect_that!(quarantine.reports(true, later_ms), len(eq(1)));
+    expect_that!(
+        quarantine.reports(true, 1_000 + settings.refusal_ms),
+        is_empty()
+    );
+}
+
+#[googletest::test]
+fn entries_that_report_a_crash_to_each_other_do_not_prolong_it() {
+    let settings = PartQuarantineSettings::builder().build();
+    let mut first = quarantine();
+    let mut second = quarantine();
+    for crash in 0..3 {
+        first.record_crash(&[CAUSE], crash, 1_000);
+    }
+    let mut now_ms = 1_000;
+    while now_ms < 1_000 + settings.refusal_ms {
+        let reports = first.reports(true, now_ms);
+        now_ms += 300;
+        second.merge(&reports, now_ms);
+        let reports = second.reports(true, now_ms);
+        now_ms += 300;
+        first.merge(&reports, now_ms);
+    }
+    expect_false!(is_refused(&first, &[CAUSE], now_ms));
+    expect_false!(is_refused(&second, &[CAUSE], now_ms + 600));
+}
+
+#[googletest::test]
+fn many_parts_stay_within_the_limits() {
+    let settings = PartQuarantineSettings::builder()
+        .max_parts(8)
+        .max_survivals(8)
+        .max_reports(4)
+        .build();
+    let mut quarantine = PartQuarantine::new(settings);
+    for crash in 0..3 {
+        quarantine.record_crash(&[CAUSE], crash, 1_000);
+    }
+    for number in 0..1_000 {
+        let part = PromptPart {
+            service: 2,
+            id: number,
+        };
+        quarantine.record_crash(&[part], 7, 1_100 + number);
+        quarantine.record_survival(
+            &[PromptPart {
+                service: 3,
+                id: number,
+            }],
+            1_100 + number,
+        );
+    }
+    expect_that!(quarantine.reports(true, 2_200), len(eq(4)));
+    // The part with the most crashes is kept and reported first.
+    expect_that!(quarantine.reports(true, 2_200)[0].part, eq(CAUSE.id));
+    expect_true!(is_refused(&quarantine, &[CAUSE], 2_200));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(300))]
+
+    /// Reports lead to the same refusals in whatever order, number and direction they come, and a part
+    /// with a survival after its last crash is accepted by all.
+    #[test]
+    fn reports_commute(
+        events in proptest::collection::vec((0..3_usize, 0..4_u64, 0..5_u32, any::<bool>()), 1..40),
+        order in proptest::collection::vec((0..3_usize, 0..3_usize), 0..20),
+    ) {
+        let mut entries = [quarantine(), quarantine(), quarantine()];
+        let mut now_ms = 1_000;
+        let mut last_survival = [None; 4];
+        for (entry, id, crash, is_survival) in events {
+            now_ms += 10;
+            let part = PromptPart { service: 1, id };
+            if is_survival && crash == 0 {
+                entries[entry].record_survival(&[part], now_ms);
+                last_survival[usize::try_from(id).unwrap()] = Some(now_ms);
+            } else {
+                entries[entry].record_crash(&[part], crash, now_ms);
+            }
+        }
+        let mut exchange = |from: usize, to: usize| {
+            let reports = entries[from].reports(true, now_ms);
+            entries[to].merge(&reports, now_ms);
+        };
+        for (from, to) in order {
+            exchange(from, to);
+        }
+        for _ in 0..3 {
+            for from in 0..3 {
+                for to in 0..3 {
+                    exchange(from, to);
+                }
+            }
+        }
+        let later_ms = now_ms + CONFIRMED_MS;
+        for id in 0..4 {
+            let part = PromptPart { service: 1, id };
+            let refused = entries.iter().map(|entry| is_refused(entry, &[part], later_ms));
+            let refused: Vec<bool> = refused.collect();
+            prop_assert_eq!(refused[0], refused[1]);
+            prop_assert_eq!(refused[1], refused[2]);
+            prop_assert!(last_survival[usize::try_from(id).unwrap()].is_none() || !refused[0]);
+        }
+    }
+}
