--- a/lib/tests/test_crash_detector.rs
+++ b/lib/tests/test_crash_detector.rs
@@ -78,3 +78,17 @@
         expect_that!(content_status, eq(ContentStatus::Suspect));
     }
 }
+
+#[googletest::test]
+fn content_whose_crashes_entries_saw_at_the_same_time_was_not_quarantined() {
+    let mut entries = [quarantine(), quarantine(), quarantine()];
+    for entry in &mut entries {
+        entry.record_shared_crash(&[POISON], 1_000);
+    }
+    let [first, second, third] = &mut entries;
+    for other in [second, third] {
+        first.merge(&other.changes_after(0, 16, 1_100).0, 1_100);
+    }
+    let content_status = first.content_status(POISON, 1_200);
+    expect_that!(content_status, eq(ContentStatus::Quarantined));
+}
