suspect_quarantine: count crashes of contents like those of prompt parts

Callers would have seen content that crashes endpoints go on doing so, at an entry that starts later or when several entries saw the crashes at once; and sound calls refused that share parts of its prompt.

Cause: counts were merged by the larger one and told for 0.7 s only, and the quarantine of parts did not know of contents, so that it took the parts of such a prompt for the cause.

Contents and parts are suspects of one quarantine now, and the other path's quarantine loses the count that only this path used.

--- a/lib/src/crash_tracker.rs
+++ b/lib/src/crash_tracker.rs
@@ -1,52 +1,26 @@
-//! Tracks content and prompt parts that crash endpoints, for an entry that sends calls to endpoints
+//! Tracks contents and prompt parts that crash endpoints, for an entry that sends calls to endpoints
 //! directly.
 
-use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 
-use crate::ContentFingerprint;
-use crate::ContentStatus;
 use crate::CrashDetector;
-use crate::PartQuarantine;
-use crate::PartQuarantineSettings;
-use crate::PromptPart;
-use crate::Quarantine;
-use crate::QuarantineSettings;
+use crate::CrashSuspect;
+use crate::SuspectQuarantine;
+use crate::SuspectQuarantineSettings;
 use crate::clock::Clock;
-use crate::crashed_call::CallContent;
 use crate::crashed_call::CrashedCall;
 use crate::event;
-use crate::protos::control::CrashedPart;
-use crate::protos::control::GossipReport;
-use crate::protos::control::QuarantineEntry;
-
-const MAX_ENTRIES: usize = 4_096;
-const SUSPICION_MS: u64 = 60_000;
-const QUARANTINE_MS: u64 = 300_000;
-const TRANSIT_MARGIN_MS: u64 = 1_000;
-/// Crashes after which content is refused. Several calls run at an endpoint when it crashes, so one
-/// crash does not show which of them caused it.
-const QUARANTINE_AFTER_CRASHES: u32 = 3;
-/// Time for which a change is repeated to the other entries.
-const CHANGE_RELAY_MS: u64 = 700;
-/// Most contents that one gossip report names.
-const MAX_REPORTED_CONTENTS: usize = 16;
-/// Time between two reports of all refused prompt parts, from which entries that start later learn.
+use crate::protos::control::SuspectReport;
+
+/// Time between two reports of all refused suspects, from which entries that start later learn.
 const FULL_REPORT_INTERVAL_MS: u64 = 1_000;
 /// Source in log lines of what this entry has seen itself.
 const OWN_SOURCE: &str = "own";
 
-/// What a call is refused for.
-#[derive(Debug, Clone, Copy)]
-pub(crate) enum QuarantineReason {
-    Content(ContentFingerprint),
-    Part(PromptPart),
-}
-
-/// Tracks content and prompt parts that crash endpoints and quarantines them after repeated crashes.
+/// Tracks contents and prompt parts that crash endpoints and quarantines them after repeated crashes.
 #[derive(Debug, Clone)]
 pub(crate) struct CrashTracker {
     clock: Clock,
@@ -56,31 +30,19 @@
 #[derive(Debug)]
 struct State {
     detector: CrashDetector<CrashedCall>,
-    quarantine: Quarantine,
-    parts: PartQuarantine,
-    /// Time of the last full report of the refused parts.
+    quarantine: SuspectQuarantine,
+    /// Time of the last report of all refused suspects.
     full_report_ms: u64,
-    /// Times at which `recent_changes` was called, with the quarantine's version at each; the
-    /// oldest first.
-    versions: VecDeque<(u64, u64)>,
 }
 
 impl CrashTracker {
     /// Creates a tracker that has seen no crash.
     pub(crate) fn new(clock: Clock) -> Self {
-        let settings = QuarantineSettings::builder()
-            .max_entries(MAX_ENTRIES)
-            .suspicion_ms(SUSPICION_MS)
-            .quarantine_ms(QUARANTINE_MS)
-            .transit_margin_ms(TRANSIT_MARGIN_MS)
-            .quarantine_after_shared_crashes(QUARANTINE_AFTER_CRASHES)
-            .build();
+        let settings = SuspectQuarantineSettings::builder().build();
         let state = State {
             detector: CrashDetector::default(),
-            quarantine: Quarantine::new(settings),
-            parts: PartQuarantine::new(PartQuarantineSettings::builder().build()),
+            quarantine: SuspectQuarantine::new(settings),
             full_report_ms: 0,
-            versions: VecDeque::new(),
         };
         Self {
             clock,
@@ -88,31 +50,23 @@
         }
     }
 
-    /// Returns why a call is refused and for how much longer; `None` when it is accepted.
-    pub(crate) fn refusal(&self, content: &CallContent) -> Option<(QuarantineReason, u64)> {
+    /// Returns the suspect for which a call is refused, and for how much longer; `None` when the call
+    /// is accepted.
+    pub(crate) fn refusal(&self, suspects: &[CrashSuspect]) -> Option<(CrashSuspect, u64)> {
         let now_ms = self.clock.now_ms();
-        let state = self.lock();
-        if let Some((part, remaining_ms)) = state.parts.refusal(&content.parts, now_ms) {
-            return Some((QuarantineReason::Part(part), remaining_ms));
-        }
-        let fingerprint = content.fingerprint;
-        let entry = state.quarantine.entry_of(fingerprint, now_ms)?;
-        let reason = QuarantineReason::Content(fingerprint);
-        entry.quarantined.then_some((reason, entry.expires_in_ms))
+        self.lock().quarantine.refusal(suspects, now_ms)
     }
 
-    /// Records that a call went on beyond the start of its answer, or ended well.
-    pub(crate) fn record_survival(&self, content: &CallContent) {
-        if !content.parts.is_empty() {
-            let now_ms = self.clock.now_ms();
-            self.lock().parts.record_survival(&content.parts, now_ms);
-        }
+    /// Returns the number of refused suspects.
+    pub(crate) fn refused_count(&self) -> usize {
+        let now_ms = self.clock.now_ms();
+        self.lock().quarantine.refused_count(now_ms)
     }
 
-    /// Returns the number of refused prompt parts.
-    pub(crate) fn refused_part_count(&self) -> usize {
+    /// Records that a call went on beyond the start of its answer, or ended well.
+    pub(crate) fn record_survival(&self, suspects: &[CrashSuspect]) {
         let now_ms = self.clock.now_ms();
-        self.lock().parts.refused_count(now_ms)
+        self.lock().quarantine.record_survival(suspects, now_ms);
     }
 
     /// Records that the connection of a call to an endpoint broke.
@@ -132,54 +86,28 @@
         state.record_crash(&calls, endpoint, now_ms);
     }
 
-    /// Merges what another entry reports of crashes.
-    pub(crate) fn merge(&self, report: &GossipReport) {
-        let now_ms = self.clock.now_ms();
-        if !report.crashing_contents.is_empty() {
-            let entries = &report.crashing_contents;
-            self.lock().quarantine.merge(entries, now_ms);
-        }
-        if !report.crashed_parts.is_empty() {
-            let mut state = self.lock();
-            for part in state.parts.merge(&report.crashed_parts, now_ms) {
-                state.log_quarantined_part(part, &report.gossip_address, now_ms);
-            }
+    /// Merges the reports of the entry at `source`.
+    pub(crate) fn merge(&self, reports: &[SuspectReport], source: &str) {
+        if reports.is_empty() {
+            return;
         }
-    }
-
-    /// Returns what is reported of prompt parts to the other entries now.
-    pub(crate) fn part_reports(&self) -> Vec<CrashedPart> {
         let now_ms = self.clock.now_ms();
         let mut state = self.lock();
-        state.parts.expire(now_ms);
-        let is_full = now_ms.saturating_sub(state.full_report_ms) >= FULL_REPORT_INTERVAL_MS;
-        if is_full {
-            state.full_report_ms = now_ms;
+        for suspect in state.quarantine.merge(reports, now_ms) {
+            state.log_quarantined(suspect, source, now_ms);
         }
-        state.parts.reports(is_full, now_ms)
     }
 
-    /// Returns the recent changes of the quarantine, for the other entries.
-    pub(crate) fn recent_changes(&self) -> Vec<QuarantineEntry> {
+    /// Returns what is reported to the other entries now.
+    pub(crate) fn reports(&self) -> Vec<SuspectReport> {
         let now_ms = self.clock.now_ms();
         let mut state = self.lock();
         state.quarantine.expire(now_ms);
-        let version = state.quarantine.version();
-        state.versions.push_back((now_ms, version));
-        let is_expired = |at_ms: u64| now_ms.saturating_sub(at_ms) > CHANGE_RELAY_MS;
-        while state.versions.len() > 1 && is_expired(state.versions[1].0) {
-            state.versions.pop_front();
+        let is_full = now_ms.saturating_sub(state.full_report_ms) >= FULL_REPORT_INTERVAL_MS;
+        if is_full {
+            state.full_report_ms = now_ms;
         }
-        let relayed_version = state
-            .versions
-            .front()
-            .filter(|(at_ms, _)| is_expired(*at_ms));
-        let relayed_version = relayed_version.map_or(0, |(_, version)| *version);
-        let changes =
-            state
-                .quarantine
-                .changes_after(relayed_version, MAX_REPORTED_CONTENTS, now_ms);
-        changes.0
+        state.quarantine.reports(is_full, now_ms)
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -201,40 +129,25 @@
         for call in calls {
             event!(
                 CallAtCrash,
-                "request_id={} endpoint={endpoint} crash={:08x} fingerprint={:016x} parts={}",
+                "request_id={} endpoint={endpoint} crash={:08x} suspects={}",
                 call.request_id,
                 call.crash,
-                call.content.fingerprint.0,
-                call.part_list()
+                call.suspect_list()
             );
-        }
-        for call in calls {
-            self.record_crashed_parts(call, now_ms);
-        }
-        let contents: Vec<_> = calls.iter().map(|call| call.content.fingerprint).collect();
-        self.quarantine.record_shared_crash(&contents, now_ms);
-        for content in &contents {
-            if self.quarantine.content_status(*content, now_ms) == ContentStatus::Quarantined {
-                event!(ContentQuarantined, "fingerprint={:016x}", content.0);
+            let quarantine = &mut self.quarantine;
+            for suspect in quarantine.record_crash(&call.suspects, call.crash, now_ms) {
+                self.log_quarantined(suspect, OWN_SOURCE, now_ms);
             }
         }
     }
 
-    /// Records that the parts of a call's prompt were at a crash.
-    fn record_crashed_parts(&mut self, call: &CrashedCall, now_ms: u64) {
-        let parts = &call.content.parts;
-        for part in self.parts.record_crash(parts, call.crash, now_ms) {
-            self.log_quarantined_part(part, OWN_SOURCE, now_ms);
-        }
-    }
-
-    fn log_quarantined_part(&self, part: PromptPart, source: &str, now_ms: u64) {
-        let crashes = self.parts.crashes(part, now_ms);
+    fn log_quarantined(&self, suspect: CrashSuspect, source: &str, now_ms: u64) {
+        let crashes = self.quarantine.crashes(suspect, now_ms);
         let crashes: Vec<String> = crashes.iter().map(|crash| format!("{crash:08x}")).collect();
         event!(
-            PartQuarantined,
-            "part={part} service={:08x} crashes={} source={source}",
-            part.service,
+            SuspectQuarantined,
+            "kind={} suspect={suspect} crashes={} source={source}",
+            suspect.kind(),
             crashes.join(",")
         );
     }
--- a/lib/src/direct_relay.rs
+++ b/lib/src/direct_relay.rs
@@ -11,6 +11,7 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+use crate::CrashSuspect;
 use crate::DirectCall;
 use crate::DirectRefusal;
 use crate::DispatchDecision;
@@ -24,7 +25,6 @@
 use crate::SendResult;
 use crate::answer_framing::AnswerFraming;
 use crate::crash_tracker::CrashTracker;
-use crate::crashed_call::CallContent;
 use crate::crashed_call::CrashedCall;
 use crate::direct_actor::DirectCommand;
 use crate::direct_actor::DispatchReply;
@@ -74,7 +74,8 @@
     pub(crate) service: String,
     pub(crate) head: request::Parts,
     pub(crate) body: Bytes,
-    pub(crate) content: CallContent,
+    /// What the call may have in common with others that crash endpoints.
+    pub(crate) suspects: Arc<[CrashSuspect]>,
     pub(crate) arrived: Instant,
     pub(crate) deadline: Instant,
     /// Ids of the endpoints that the call was sent to, the latest last.
@@ -143,7 +144,7 @@
                     let result = if answer.head.status.is_server_error() {
                         SendResult::Failed
                     } else {
-                        self.state.crash_tracker.record_survival(&self.content);
+                        self.state.crash_tracker.record_survival(&self.suspects);
                         SendResult::Answered
                     };
                     slot.release(result);
@@ -223,7 +224,7 @@
         match evidence {
             CrashEvidence::None => {}
             CrashEvidence::ConnectionBroken => {
-                let call = CrashedCall::new(&self.call.request_id, &self.content, endpoint);
+                let call = CrashedCall::new(&self.call.request_id, &self.suspects, endpoint);
                 tracker.record_broken_call(call, &endpoint.id);
                 let address = endpoint.address.clone();
                 tokio::spawn(probe_for_crash(
@@ -340,7 +341,7 @@
     /// Refuses a call that was quarantined since it arrived: while it waited, or before it is repeated
     /// or resumed.
     fn check_quarantine(&self) -> Result<(), DirectRefusal> {
-        let checked = direct_server::refuse_quarantined(&self.state, &self.call, &self.content);
+        let checked = direct_server::refuse_quarantined(&self.state, &self.call, &self.suspects);
         checked.map_err(|refusal| self.withdraw_not_run_promise(refusal))
     }
 
--- a/lib/src/direct_server.rs
+++ b/lib/src/direct_server.rs
@@ -12,6 +12,7 @@
 use volo_http::request::Request;
 
 use crate::ContentFingerprint;
+use crate::CrashSuspect;
 use crate::DirectCall;
 use crate::DirectRefusal;
 use crate::OrganisationRule;
@@ -20,8 +21,6 @@
 use crate::RouteTable;
 use crate::caller_body;
 use crate::caller_body::CallerBodyError;
-use crate::crash_tracker::QuarantineReason;
-use crate::crashed_call::CallContent;
 use crate::direct_relay::DirectRelay;
 use crate::direct_state::DirectState;
 use crate::direct_stream;
@@ -76,12 +75,13 @@
     let request = Request::from_parts(head.clone(), body);
     let body = read_body(&table, request, deadline).await?;
     let service = rule.target(rand::random()).unwrap_or_default().to_owned();
+    let content = fingerprint(&head, organisation.as_deref(), &body);
     let parts = call.shared_parts.iter();
-    let content = CallContent {
-        fingerprint: fingerprint(&head, organisation.as_deref(), &body),
-        parts: parts.map(|id| PromptPart::of(&service, *id)).collect(),
-    };
-    refuse_quarantined(state, &call, &content)?;
+    let parts = parts.map(|id| CrashSuspect::Part(PromptPart::of(&service, *id)));
+    let suspects: Arc<[CrashSuspect]> = std::iter::once(CrashSuspect::Content(content))
+        .chain(parts)
+        .collect();
+    refuse_quarantined(state, &call, &suspects)?;
     let relay = DirectRelay {
         state: Arc::clone(state),
         resume_after: call.resume_after,
@@ -91,7 +91,7 @@
         service,
         head,
         body,
-        content,
+        suspects,
         arrived,
         deadline,
         tried: Vec::new(),
@@ -149,34 +149,26 @@
 pub(crate) fn refuse_quarantined(
     state: &DirectState,
     call: &DirectCall,
-    content: &CallContent,
+    suspects: &[CrashSuspect],
 ) -> Result<(), DirectRefusal> {
-    let Some((reason, refused_for_ms)) = state.crash_tracker.refusal(content) else {
+    let Some((suspect, refused_for_ms)) = state.crash_tracker.refusal(suspects) else {
         return Ok(());
     };
-    let request_id = &call.request_id;
-    let (code, message) = match reason {
-        QuarantineReason::Content(fingerprint) => {
-            let code = "content-quarantined";
-            let fingerprint = fingerprint.0;
-            event!(
-                CallRejected,
-                "request_id={request_id} code={code} fingerprint={fingerprint:016x}"
-            );
-            (code, "the request has crashed the endpoints that ran it")
-        }
-        QuarantineReason::Part(part) => {
-            let code = "prompt-part-quarantined";
-            event!(
-                CallRejected,
-                "request_id={request_id} code={code} part={part}"
-            );
-            (
-                code,
-                "a part of the prompt has crashed the endpoints that answered it",
-            )
-        }
+    let (code, message) = match suspect {
+        CrashSuspect::Content(_) => (
+            "content-quarantined",
+            "the request has crashed the endpoints that ran it",
+        ),
+        CrashSuspect::Part(_) => (
+            "prompt-part-quarantined",
+            "a part of the prompt has crashed the endpoints that answered it",
+        ),
     };
+    let request_id = &call.request_id;
+    event!(
+        CallRejected,
+        "request_id={request_id} code={code} suspect={suspect}"
+    );
     Err(DirectRefusal::not_run(code, message, refused_for_ms))
 }
 
--- a/lib/src/direct_stream.rs
+++ b/lib/src/direct_stream.rs
@@ -285,7 +285,7 @@
 
     fn record_survival(&mut self, relay: &DirectRelay) {
         if !std::mem::replace(&mut self.has_survived, true) {
-            relay.state.crash_tracker.record_survival(&relay.content);
+            relay.state.crash_tracker.record_survival(&relay.suspects);
         }
     }
 
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -103,7 +103,7 @@
     EndpointCrashed = 403 Error "endpoint aborted requests",
     ContentQuarantined = 404 Warn "content quarantined",
     CallAtCrash = 405 Info "call was at an endpoint that crashed",
-    PartQuarantined = 406 Warn "part of prompts quarantined",
+    SuspectQuarantined = 406 Warn "content or part of prompts quarantined on the direct path",
 
     RankGroupFormed = 501 Info "rank group formed, or loaded after a start",
     MapInUse = 502 Info "expert map in use",
--- a/lib/src/gossip_loop.rs
+++ b/lib/src/gossip_loop.rs
@@ -74,7 +74,9 @@
         match GossipMessage::decode(bytes) {
             Ok(message) => {
                 if let Some(report) = &message.word {
-                    self.entry.crash_tracker().merge(report);
+                    let reports = &report.crash_suspects;
+                    let tracker = self.entry.crash_tracker();
+                    tracker.merge(reports, &report.gossip_address);
                 }
                 self.gossip.receive(&message, self.entry.clock().now_ms());
             }
@@ -93,8 +95,7 @@
         self.report.follows_platform = self.entry.endpoints().follows_platform();
         self.report.demands = to_gossip_demands(&demand);
         self.report.paces = self.gossip.own_slowdowns(now_ms);
-        self.report.crashing_contents = self.entry.crash_tracker().recent_changes();
-        self.report.crashed_parts = self.entry.crash_tracker().part_reports();
+        self.report.crash_suspects = self.entry.crash_tracker().reports();
         let message = GossipMessage {
             word: Some(self.report.clone()),
             known_addresses: self.gossip.known_addresses(now_ms),
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -151,14 +151,16 @@
             .build();
     }
 
-    /// Reports the number of refused prompt parts on each read.
+    /// Reports the number of refused contents and prompt parts on each read.
     pub(crate) fn observe_quarantine(&self, tracker: &CrashTracker) {
         let tracker = tracker.clone();
         self.provider
             .meter(SCOPE)
-            .u64_observable_gauge("pomeloramp_quarantined_prompt_parts")
-            .with_description("Parts of prompts that are refused since they crashed endpoints")
-            .with_callback(move |gauge| gauge.observe(tracker.refused_part_count() as u64, &[]))
+            .u64_observable_gauge("pomeloramp_quarantined_suspects")
+            .with_description(
+                "Contents and parts of prompts that are refused since they crashed endpoints",
+            )
+            .with_callback(move |gauge| gauge.observe(tracker.refused_count() as u64, &[]))
             .build();
     }
 
--- a/lib/src/protos/pomeloramp.control.rs
+++ b/lib/src/protos/pomeloramp.control.rs
@@ -655,34 +655,49 @@
     /// Slow endpoints that their agents have reported to the entry.
     #[prost(message, repeated, tag = "9")]
     pub paces: ::prost::alloc::vec::Vec<EndpointSlowdown>,
-    /// Recently changed entries for contents that were running when an endpoint crashed.
-    #[prost(message, repeated, tag = "10")]
-    pub crashing_contents: ::prost::alloc::vec::Vec<QuarantineEntry>,
     /// Whether the entry receives updates from the platform, so that its endpoint list is current.
     #[prost(bool, tag = "11")]
     pub follows_platform: bool,
-    /// Parts of prompts that were at crashes of endpoints: recent changes, and at times all that are refused.
+    /// Contents and parts of prompts that were at crashes of endpoints: recent changes, and at times all
+    /// that are refused.
     #[prost(message, repeated, tag = "12")]
-    pub crashed_parts: ::prost::alloc::vec::Vec<CrashedPart>,
+    pub crash_suspects: ::prost::alloc::vec::Vec<SuspectReport>,
 }
-/// Evidence on a part of prompts that was at crashes of endpoints.
+/// Evidence on a content or a part of prompts that was at crashes of endpoints.
 #[derive(Clone, PartialEq, ::prost::Message)]
-pub struct CrashedPart {
+pub struct SuspectReport {
+    #[prost(message, repeated, tag = "3")]
+    pub crashes: ::prost::alloc::vec::Vec<SuspectCrash>,
+    /// Crashes that count for at most this many milliseconds are void, since such a call survived.
+    #[prost(uint64, tag = "4")]
+    pub void_for_ms: u64,
+    #[prost(oneof = "suspect_report::Suspect", tags = "1, 2")]
+    pub suspect: ::core::option::Option<suspect_report::Suspect>,
+}
+/// Nested message and enum types in `SuspectReport`.
+pub mod suspect_report {
+    #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Oneof)]
+    pub enum Suspect {
+        /// Fingerprint of a content.
+        #[prost(fixed64, tag = "1")]
+        Content(u64),
+        #[prost(message, tag = "2")]
+        Part(super::PartId),
+    }
+}
+/// Part of the prompts of one service.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PartId {
     /// Hash of the service's name.
     #[prost(fixed32, tag = "1")]
     pub service: u32,
     /// Id of the part, as callers name it.
     #[prost(fixed64, tag = "2")]
-    pub part: u64,
-    #[prost(message, repeated, tag = "3")]
-    pub crashes: ::prost::alloc::vec::Vec<PartCrash>,
-    /// Crashes that count for at most this many milliseconds are void, since a call with the part survived.
-    #[prost(uint64, tag = "4")]
-    pub void_for_ms: u64,
+    pub id: u64,
 }
-/// Crash of an endpoint while it ran a call with a part.
+/// Crash of an endpoint while it ran such a call.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct PartCrash {
+pub struct SuspectCrash {
     /// Hash of the endpoint's id and start, which identifies the run that crashed.
     #[prost(fixed32, tag = "1")]
     pub endpoint_run: u32,
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -86,21 +86,6 @@
         }
     }
 
-    /// Records the crash of an endpoint on which these contents were running together with others
-    /// that may have caused it. A content is then quarantined only by its number of crashes.
-    pub fn record_shared_crash(&mut self, contents: &[ContentFingerprint], now_ms: u64) {
-        let mut contents = contents.to_vec();
-        contents.sort_unstable();
-        contents.dedup();
-        for content in contents {
-            let mut entry = self.entry(content, now_ms);
-            let limit = self.settings.quarantine_after_shared_crashes;
-            let uncleared_crashes = (entry.crashes + 1).saturating_sub(entry.cleared_crashes);
-            entry.quarantined |= limit > 0 && uncleared_crashes >= limit;
-            self.store_crash(content, entry, now_ms);
-        }
-    }
-
     /// Records that a suspect ran alone without a crash, which clears it.
     pub fn record_solo_success(&mut self, content: ContentFingerprint, now_ms: u64) {
         let mut entry = self.entry(content, now_ms);
--- a/lib/src/quarantine_settings.rs
+++ b/lib/src/quarantine_settings.rs
@@ -18,8 +18,4 @@
     /// Must exceed the transit time of messages between peers. Otherwise entries that peers send
     /// each other would outlive their declared lifetime.
     pub transit_margin_ms: u64,
-    /// Number of crashes together with other content after which a content is quarantined. Zero
-    /// disables this.
-    #[builder(default)]
-    pub quarantine_after_shared_crashes: u32,
 }
--- a/lib/src/part_quarantine.rs
+++ b/lib/src/suspect_quarantine.rs
@@ -1,21 +1,26 @@
-//! Quarantine of parts of prompts that crash each endpoint that answers them.
+//! Quarantine of contents and parts of prompts that crash each endpoint that answers them.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 
-use crate::PartQuarantineSettings;
+use crate::ContentFingerprint;
+use crate::CrashSuspect;
 use crate::PromptPart;
-use crate::protos::control::CrashedPart;
-use crate::protos::control::PartCrash;
+use crate::SuspectQuarantineSettings;
+use crate::protos::control::PartId;
+use crate::protos::control::SuspectCrash;
+use crate::protos::control::SuspectReport;
+use crate::protos::control::suspect_report::Suspect;
 
-/// One process's record of parts of prompts that were at crashes of endpoints.
+/// One process's record of what was at crashes of endpoints: contents and parts of prompts, called
+/// suspects.
 ///
-/// Calls that share such a part may differ in everything else, and a crash ends sound calls too. Two
-/// kinds of evidence tell the cause from the other parts that were there: a cause is at crash after
-/// crash, and no call with it goes on beyond the start of its answer. A part is refused after
-/// [`PartQuarantineSettings::min_crashes`] crashes that no survival voids.
+/// Calls that share a part of their prompts may differ in everything else, and a crash ends sound calls
+/// too. Two kinds of evidence tell the cause from the others that were there: a cause is at crash after
+/// crash, and no call with it goes on beyond the start of its answer. A suspect is refused after
+/// [`SuspectQuarantineSettings::min_crashes`] crashes that no survival voids.
 ///
-/// Parts that were at the same crashes can't be told apart. Calls that have all of them are refused,
+/// Suspects that were at the same crashes can't be told apart. Calls that have all of them are refused,
 /// and calls that have only some are accepted: one of those either survives or crashes without the
 /// others, which tells them apart.
 ///
@@ -23,12 +28,12 @@
 /// crashes are void. Reports of other entries are merged by set union, and by the minimum and maximum of
 /// the times, so that their order, number and detours do not matter.
 #[derive(Debug)]
-pub struct PartQuarantine {
-    settings: PartQuarantineSettings,
-    /// Parts that were at a crash.
-    records: HashMap<PromptPart, Record>,
-    /// For each part, when a call with it last survived.
-    survivals: HashMap<PromptPart, u64>,
+pub struct SuspectQuarantine {
+    settings: SuspectQuarantineSettings,
+    /// Suspects that were at a crash.
+    records: HashMap<CrashSuspect, Record>,
+    /// When a call with each suspect last survived.
+    survivals: HashMap<CrashSuspect, u64>,
 }
 
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -54,10 +59,10 @@
     }
 }
 
-impl PartQuarantine {
+impl SuspectQuarantine {
     /// Creates an empty quarantine.
     #[must_use]
-    pub fn new(settings: PartQuarantineSettings) -> Self {
+    pub fn new(settings: SuspectQuarantineSettings) -> Self {
         Self {
             settings,
             records: HashMap::new(),
@@ -65,45 +70,46 @@
         }
     }
 
-    /// Records that the endpoint run `crash` crashed while it ran a call with these parts; returns those
+    /// Records that the endpoint run `crash` crashed while it ran a call with these suspects; returns those
     /// that have been at enough crashes to be refused, unless a survival is reported soon.
     pub fn record_crash(
         &mut self,
-        parts: &[PromptPart],
+        suspects: &[CrashSuspect],
         crash: u32,
         now_ms: u64,
-    ) -> Vec<PromptPart> {
+    ) -> Vec<CrashSuspect> {
         let until_ms = now_ms + self.settings.evidence_ms;
         let mut quarantined = Vec::new();
-        for part in parts {
-            let void_until_ms = self.void_until_ms(*part);
+        for suspect in suspects {
+            let void_until_ms = self.void_until_ms(*suspect);
             if until_ms <= void_until_ms {
                 continue;
             }
-            let record = self.records.entry(*part).or_default();
+            let record = self.records.entry(*suspect).or_default();
             record.void_until_ms = record.void_until_ms.max(void_until_ms);
-            if record.crashes.contains_key(&crash) {
+            let Some(crash) = new_crash(record, crash, until_ms - self.settings.same_crash_ms)
+            else {
                 continue;
-            }
+            };
             record.crashes.insert(crash, until_ms);
             record.changed_ms = now_ms;
             remove_oldest_crash(record, self.settings.max_crashes);
-            if self.has_enough_crashes(*part, now_ms) {
-                quarantined.push(*part);
+            if self.has_enough_crashes(*suspect, now_ms) {
+                quarantined.push(*suspect);
             }
         }
         self.evict();
         quarantined
     }
 
-    /// Records that a call with these parts went on beyond the start of its answer.
-    pub fn record_survival(&mut self, parts: &[PromptPart], now_ms: u64) {
-        for part in parts {
-            self.survivals.insert(*part, now_ms);
-            let void_until_ms = self.void_until_ms(*part);
-            if let Some(record) = self.records.get_mut(part) {
+    /// Records that a call with these suspects went on beyond the start of its answer.
+    pub fn record_survival(&mut self, suspects: &[CrashSuspect], now_ms: u64) {
+        for suspect in suspects {
+            self.survivals.insert(*suspect, now_ms);
+            let void_until_ms = self.void_until_ms(*suspect);
+            if let Some(record) = self.records.get_mut(suspect) {
                 let is_news = record.counted(now_ms).next().is_some();
-                record.void_until_ms = void_until_ms;
+                record.void_until_ms = record.void_until_ms.max(void_until_ms);
                 if is_news {
                     record.changed_ms = now_ms;
                 }
@@ -114,42 +120,41 @@
         }
     }
 
-    /// Returns a part for which a call with these parts is refused, and for how much longer.
+    /// Returns a suspect for which a call with these suspects is refused, and for how much longer.
     #[must_use]
-    pub fn refusal(&self, parts: &[PromptPart], now_ms: u64) -> Option<(PromptPart, u64)> {
+    pub fn refusal(&self, suspects: &[CrashSuspect], now_ms: u64) -> Option<(CrashSuspect, u64)> {
         if self.records.is_empty() {
             return None;
         }
-        parts.iter().find_map(|part| {
-            let remaining_ms = self.refused_for_ms(*part, now_ms)?;
-            let is_explained = self.is_explained_without(*part, parts, now_ms);
-            (!is_explained).then_some((*part, remaining_ms))
+        suspects.iter().find_map(|suspect| {
+            let remaining_ms = self.refused_for_ms(*suspect, now_ms)?;
+            let is_explained = self.is_explained_without(*suspect, suspects, now_ms);
+            (!is_explained).then_some((*suspect, remaining_ms))
         })
     }
 
-    /// Merges the reports of another entry; returns the parts that have now been at enough crashes to
+    /// Merges the reports of another entry; returns the suspects that have now been at enough crashes to
     /// be refused.
-    pub fn merge(&mut self, reports: &[CrashedPart], now_ms: u64) -> Vec<PromptPart> {
+    pub fn merge(&mut self, reports: &[SuspectReport], now_ms: u64) -> Vec<CrashSuspect> {
         let mut quarantined = Vec::new();
         for report in reports {
-            let part = PromptPart {
-                service: report.service,
-                id: report.part,
+            let Some(suspect) = report.suspect.as_ref().map(read_suspect) else {
+                continue;
             };
-            let had_enough = self.has_enough_crashes(part, now_ms);
-            self.merge_report(part, report, now_ms);
-            if !had_enough && self.has_enough_crashes(part, now_ms) {
-                quarantined.push(part);
+            let had_enough = self.has_enough_crashes(suspect, now_ms);
+            self.merge_report(suspect, report, now_ms);
+            if !had_enough && self.has_enough_crashes(suspect, now_ms) {
+                quarantined.push(suspect);
             }
         }
         self.evict();
         quarantined
     }
 
-    fn merge_report(&mut self, part: PromptPart, report: &CrashedPart, now_ms: u64) {
+    fn merge_report(&mut self, suspect: CrashSuspect, report: &SuspectReport, now_ms: u64) {
         let settings = &self.settings;
-        let own_void_until_ms = self.void_until_ms(part);
-        let before = self.records.get(&part).cloned().unwrap_or_default();
+        let own_void_until_ms = self.void_until_ms(suspect);
+        let before = self.records.get(&suspect).cloned().unwrap_or_default();
         let mut record = before.clone();
         for crash in &report.crashes {
             let counts_for_ms = crash.counts_for_ms.min(settings.evidence_ms);
@@ -172,46 +177,46 @@
             record.changed_ms = now_ms;
         }
         if !record.crashes.is_empty() {
-            self.records.insert(part, record);
+            self.records.insert(suspect, record);
         }
     }
 
-    /// Returns what other entries have to learn: recent changes, and each refused part in every round
+    /// Returns what other entries have to learn: recent changes, and each refused suspect in every round
     /// with `is_full`. Parts with the most crashes come first.
     #[must_use]
-    pub fn reports(&self, is_full: bool, now_ms: u64) -> Vec<CrashedPart> {
+    pub fn reports(&self, is_full: bool, now_ms: u64) -> Vec<SuspectReport> {
         let is_recent = |record: &Record| {
             now_ms.saturating_sub(record.changed_ms) <= self.settings.change_relay_ms
         };
-        let due = self.records.iter().filter(|(part, record)| {
-            is_recent(record) || (is_full && self.refused_for_ms(**part, now_ms).is_some())
+        let due = self.records.iter().filter(|(suspect, record)| {
+            is_recent(record) || (is_full && self.refused_for_ms(**suspect, now_ms).is_some())
         });
         let mut due: Vec<_> = due.collect();
-        due.sort_by_key(|(part, record)| {
+        due.sort_by_key(|(suspect, record)| {
             let crashes = record.counted(now_ms).count();
-            (std::cmp::Reverse(crashes), record.changed_ms, **part)
+            (std::cmp::Reverse(crashes), record.changed_ms, **suspect)
         });
         due.truncate(self.settings.max_reports);
         let reports = due
             .into_iter()
-            .map(|(part, record)| report(*part, record, now_ms));
+            .map(|(suspect, record)| report(*suspect, record, now_ms));
         reports.collect()
     }
 
-    /// Returns the endpoint runs at whose crashes a part was and which count.
+    /// Returns the endpoint runs at whose crashes a suspect was and which count.
     #[must_use]
-    pub fn crashes(&self, part: PromptPart, now_ms: u64) -> Vec<u32> {
-        let record = self.records.get(&part);
+    pub fn crashes(&self, suspect: CrashSuspect, now_ms: u64) -> Vec<u32> {
+        let record = self.records.get(&suspect);
         let crashes = record.into_iter().flat_map(|record| record.counted(now_ms));
         crashes.map(|(crash, _)| crash).collect()
     }
 
-    /// Returns the number of parts that are refused.
+    /// Returns the number of suspects that are refused.
     #[must_use]
     pub fn refused_count(&self, now_ms: u64) -> usize {
-        let parts = self.records.keys();
-        parts
-            .filter(|part| self.refused_for_ms(**part, now_ms).is_some())
+        let suspects = self.records.keys();
+        suspects
+            .filter(|suspect| self.refused_for_ms(**suspect, now_ms).is_some())
             .count()
     }
 
@@ -224,16 +229,16 @@
         self.forget_survivals(now_ms);
     }
 
-    fn has_enough_crashes(&self, part: PromptPart, now_ms: u64) -> bool {
-        let record = self.records.get(&part);
+    fn has_enough_crashes(&self, suspect: CrashSuspect, now_ms: u64) -> bool {
+        let record = self.records.get(&suspect);
         record.is_some_and(|record| record.counted(now_ms).count() >= self.settings.min_crashes)
     }
 
-    /// Returns for how much longer a part is refused in calls that have all parts of its crashes;
+    /// Returns for how much longer a suspect is refused in calls that have all suspects of its crashes;
     /// `None` when it is accepted.
-    fn refused_for_ms(&self, part: PromptPart, now_ms: u64) -> Option<u64> {
+    fn refused_for_ms(&self, suspect: CrashSuspect, now_ms: u64) -> Option<u64> {
         let settings = &self.settings;
-        let record = self.records.get(&part)?;
+        let record = self.records.get(&suspect)?;
         let latest_until_ms = record.counted(now_ms).map(|(_, until_ms)| until_ms).max()?;
         let confirmed_until_ms = now_ms + settings.evidence_ms - settings.confirm_ms;
         let confirmed = record.counted(now_ms);
@@ -248,13 +253,18 @@
             .filter(|remaining_ms| *remaining_ms > 0)
     }
 
-    /// Returns whether refused parts that are not among `parts` were at all crashes of `part`.
-    fn is_explained_without(&self, part: PromptPart, parts: &[PromptPart], now_ms: u64) -> bool {
-        let Some(record) = self.records.get(&part) else {
+    /// Returns whether refused suspects that are not among `suspects` were at all crashes of `suspect`.
+    fn is_explained_without(
+        &self,
+        suspect: CrashSuspect,
+        suspects: &[CrashSuspect],
+        now_ms: u64,
+    ) -> bool {
+        let Some(record) = self.records.get(&suspect) else {
             return false;
         };
         let others = self.records.iter().filter(|(other, _)| {
-            !parts.contains(other) && self.refused_for_ms(**other, now_ms).is_some()
+            !suspects.contains(other) && self.refused_for_ms(**other, now_ms).is_some()
         });
         let others: Vec<&Record> = others.map(|(_, other)| other).collect();
         record
@@ -262,10 +272,10 @@
             .all(|(crash, _)| others.iter().any(|other| other.counts(crash, now_ms)))
     }
 
-    /// Returns the time until which crashes count that a survival of the part makes void.
-    fn void_until_ms(&self, part: PromptPart) -> u64 {
+    /// Returns the time until which crashes count that a survival of the suspect makes void.
+    fn void_until_ms(&self, suspect: CrashSuspect) -> u64 {
         let settings = &self.settings;
-        self.survivals.get(&part).map_or(0, |survived_ms| {
+        self.survivals.get(&suspect).map_or(0, |survived_ms| {
             survived_ms + settings.survival_covers_ms + settings.evidence_ms
         })
     }
@@ -288,18 +298,30 @@
     /// Removes the records with the fewest crashes, the oldest first, while there are too many.
     fn evict(&mut self) {
         while self.records.len() > self.settings.max_parts {
-            let least = self
-                .records
-                .iter()
-                .min_by_key(|(part, record)| (record.crashes.len(), record.changed_ms, **part));
-            let Some(part) = least.map(|(part, _)| *part) else {
+            let least = self.records.iter().min_by_key(|(suspect, record)| {
+                (record.crashes.len(), record.changed_ms, **suspect)
+            });
+            let Some(suspect) = least.map(|(suspect, _)| *suspect) else {
                 return;
             };
-            self.records.remove(&part);
+            self.records.remove(&suspect);
         }
     }
 }
 
+/// Returns the key of a crash, or `None` if it is known. A run that crashed and is found dead again, since
+/// `known_until_ms`, was started again before its new run was listed, so that this is another crash.
+fn new_crash(record: &Record, crash: u32, known_until_ms: u64) -> Option<u32> {
+    let mut key = crash;
+    while let Some(until_ms) = record.crashes.get(&key) {
+        if *until_ms > known_until_ms {
+            return None;
+        }
+        key = key.wrapping_add(1);
+    }
+    Some(key)
+}
+
 fn remove_oldest_crash(record: &mut Record, max_crashes: usize) {
     while record.crashes.len() > max_crashes {
         let oldest = record.crashes.iter().min_by_key(|(_, until_ms)| **until_ms);
@@ -310,14 +332,13 @@
     }
 }
 
-fn report(part: PromptPart, record: &Record, now_ms: u64) -> CrashedPart {
+fn report(suspect: CrashSuspect, record: &Record, now_ms: u64) -> SuspectReport {
     let crashes = record.crashes.iter();
     let crashes = crashes.filter(|(_, until_ms)| **until_ms > now_ms);
-    CrashedPart {
-        service: part.service,
-        part: part.id,
+    SuspectReport {
+        suspect: Some(message(suspect)),
         crashes: crashes
-            .map(|(endpoint_run, until_ms)| PartCrash {
+            .map(|(endpoint_run, until_ms)| SuspectCrash {
                 endpoint_run: *endpoint_run,
                 counts_for_ms: until_ms - now_ms,
             })
@@ -325,3 +346,23 @@
         void_for_ms: record.void_until_ms.saturating_sub(now_ms),
     }
 }
+
+fn message(suspect: CrashSuspect) -> Suspect {
+    match suspect {
+        CrashSuspect::Content(fingerprint) => Suspect::Content(fingerprint.0),
+        CrashSuspect::Part(part) => Suspect::Part(PartId {
+            service: part.service,
+            id: part.id,
+        }),
+    }
+}
+
+fn read_suspect(message: &Suspect) -> CrashSuspect {
+    match message {
+        Suspect::Content(fingerprint) => CrashSuspect::Content(ContentFingerprint(*fingerprint)),
+        Suspect::Part(part) => CrashSuspect::Part(PromptPart {
+            service: part.service,
+            id: part.id,
+        }),
+    }
+}
--- a/lib/tests/test_part_quarantine.rs
+++ b/lib/tests/test_suspect_quarantine.rs
@@ -1,31 +1,41 @@
-//! Tests of the quarantine of prompt parts.
+//! Tests of the quarantine of contents and prompt parts that crash endpoints.
 
 use googletest::prelude::*;
-use pomeloramp_lib::PartQuarantine;
-use pomeloramp_lib::PartQuarantineSettings;
+use pomeloramp_lib::ContentFingerprint;
+use pomeloramp_lib::CrashSuspect;
 use pomeloramp_lib::PromptPart;
+use pomeloramp_lib::SuspectQuarantine;
+use pomeloramp_lib::SuspectQuarantineSettings;
+use pomeloramp_lib::protos::control::PartId;
+use pomeloramp_lib::protos::control::suspect_report::Suspect;
 use proptest::prelude::ProptestConfig;
 use proptest::prelude::any;
 use proptest::prop_assert;
 use proptest::prop_assert_eq;
 use proptest::proptest;
 
-const CAUSE: PromptPart = PromptPart { service: 1, id: 1 };
-const COMPANION: PromptPart = PromptPart { service: 1, id: 2 };
-const OTHER: PromptPart = PromptPart { service: 1, id: 3 };
+const CAUSE: CrashSuspect = part(1, 1);
+const COMPANION: CrashSuspect = part(1, 2);
+const OTHER: CrashSuspect = part(1, 3);
+const CONTENT: CrashSuspect = CrashSuspect::Content(ContentFingerprint(1));
+
+const fn part(service: u32, id: u64) -> CrashSuspect {
+    CrashSuspect::Part(PromptPart { service, id })
+}
+
 /// Time after which a crash counts towards refusal.
 const CONFIRMED_MS: u64 = 500;
 
-fn quarantine() -> PartQuarantine {
-    PartQuarantine::new(PartQuarantineSettings::builder().build())
+fn quarantine() -> SuspectQuarantine {
+    SuspectQuarantine::new(SuspectQuarantineSettings::builder().build())
 }
 
-fn is_refused(quarantine: &PartQuarantine, parts: &[PromptPart], now_ms: u64) -> bool {
-    quarantine.refusal(parts, now_ms).is_some()
+fn is_refused(quarantine: &SuspectQuarantine, suspects: &[CrashSuspect], now_ms: u64) -> bool {
+    quarantine.refusal(suspects, now_ms).is_some()
 }
 
 /// Reports all of `from` to `to`.
-fn tell(from: &PartQuarantine, to: &mut PartQuarantine, now_ms: u64) {
+fn tell(from: &SuspectQuarantine, to: &mut SuspectQuarantine, now_ms: u64) {
     to.merge(&from.reports(true, now_ms), now_ms);
 }
 
@@ -41,17 +51,9 @@
     }
     expect_false!(is_refused(&quarantine, &[CAUSE], 5_000 + CONFIRMED_MS - 1));
     expect_true!(is_refused(&quarantine, &[CAUSE], 5_000 + CONFIRMED_MS));
-    expect_true!(is_refused(
-        &quarantine,
-        &[PromptPart { service: 1, id: 9 }, CAUSE],
-        6_000
-    ));
+    expect_true!(is_refused(&quarantine, &[part(1, 9), CAUSE], 6_000));
     expect_false!(is_refused(&quarantine, &[COMPANION, OTHER], 6_000));
-    expect_false!(is_refused(
-        &quarantine,
-        &[PromptPart { service: 2, id: 1 }],
-        6_000
-    ));
+    expect_false!(is_refused(&quarantine, &[part(2, 1)], 6_000));
 }
 
 #[googletest::test]
@@ -141,7 +143,7 @@
 
 #[googletest::test]
 fn a_refusal_ends_and_one_more_crash_brings_it_back() {
-    let settings = PartQuarantineSettings::builder().build();
+    let settings = SuspectQuarantineSettings::builder().build();
     let mut quarantine = quarantine();
     for crash in 0..3 {
         quarantine.record_crash(&[CAUSE], crash, 1_000);
@@ -162,7 +164,7 @@
 
 #[googletest::test]
 fn a_refused_part_is_reported_again_and_again_until_the_refusal_ends() {
-    let settings = PartQuarantineSettings::builder().build();
+    let settings = SuspectQuarantineSettings::builder().build();
     let mut quarantine = quarantine();
     for crash in 0..3 {
         quarantine.record_crash(&[CAUSE], crash, 1_000);
@@ -178,7 +180,7 @@
 
 #[googletest::test]
 fn entries_that_report_a_crash_to_each_other_do_not_prolong_it() {
-    let settings = PartQuarantineSettings::builder().build();
+    let settings = SuspectQuarantineSettings::builder().build();
     let mut first = quarantine();
     let mut second = quarantine();
     for crash in 0..3 {
@@ -199,35 +201,59 @@
 
 #[googletest::test]
 fn many_parts_stay_within_the_limits() {
-    let settings = PartQuarantineSettings::builder()
+    let settings = SuspectQuarantineSettings::builder()
         .max_parts(8)
         .max_survivals(8)
         .max_reports(4)
         .build();
-    let mut quarantine = PartQuarantine::new(settings);
+    let mut quarantine = SuspectQuarantine::new(settings);
     for crash in 0..3 {
         quarantine.record_crash(&[CAUSE], crash, 1_000);
     }
     for number in 0..1_000 {
-        let part = PromptPart {
-            service: 2,
-            id: number,
-        };
-        quarantine.record_crash(&[part], 7, 1_100 + number);
-        quarantine.record_survival(
-            &[PromptPart {
-                service: 3,
-                id: number,
-            }],
-            1_100 + number,
-        );
+        let suspect = part(2, number);
+        quarantine.record_crash(&[suspect], 7, 1_100 + number);
+        quarantine.record_survival(&[part(3, number)], 1_100 + number);
     }
     expect_that!(quarantine.reports(true, 2_200), len(eq(4)));
     // The part with the most crashes is kept and reported first.
-    expect_that!(quarantine.reports(true, 2_200)[0].part, eq(CAUSE.id));
+    let first = quarantine.reports(true, 2_200).swap_remove(0);
+    let cause = Suspect::Part(PartId { service: 1, id: 1 });
+    expect_that!(first.suspect, some(eq(cause)));
     expect_true!(is_refused(&quarantine, &[CAUSE], 2_200));
 }
 
+#[googletest::test]
+fn content_whose_crashes_entries_saw_at_the_same_time_was_not_quarantined() {
+    let mut entries = [quarantine(), quarantine(), quarantine()];
+    for (crash, entry) in entries.iter_mut().enumerate() {
+        entry.record_crash(&[CONTENT, CAUSE], u32::try_from(crash).unwrap(), 1_000);
+    }
+    let [first, second, third] = &mut entries;
+    for other in [second, third] {
+        tell(other, first, 1_100);
+    }
+    expect_true!(is_refused(first, &[CONTENT, CAUSE], 2_000));
+    // The parts of its prompt are served in other calls.
+    expect_false!(is_refused(first, &[COMPANION, CAUSE], 2_000));
+}
+
+#[googletest::test]
+fn crashes_of_an_endpoint_whose_new_runs_are_not_listed_count() {
+    let mut entries = [quarantine(), quarantine()];
+    for (number, now_ms) in [1_000, 6_000, 11_000].into_iter().enumerate() {
+        let [seeing, told] = &mut entries;
+        seeing.record_crash(&[CAUSE], 7, now_ms);
+        seeing.record_crash(&[CAUSE], 7, now_ms + 1_900);
+        tell(seeing, told, now_ms + 500);
+        for entry in [seeing, told] {
+            let is_third = number == 2;
+            expect_that!(is_refused(entry, &[CAUSE], now_ms + 2_500), eq(is_third));
+        }
+        entries.reverse();
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(300))]
 
@@ -243,12 +269,12 @@
         let mut last_survival = [None; 4];
         for (entry, id, crash, is_survival) in events {
             now_ms += 10;
-            let part = PromptPart { service: 1, id };
+            let suspect = part(1, id);
             if is_survival && crash == 0 {
-                entries[entry].record_survival(&[part], now_ms);
+                entries[entry].record_survival(&[suspect], now_ms);
                 last_survival[usize::try_from(id).unwrap()] = Some(now_ms);
             } else {
-                entries[entry].record_crash(&[part], crash, now_ms);
+                entries[entry].record_crash(&[suspect], crash, now_ms);
             }
         }
         let mut exchange = |from: usize, to: usize| {
@@ -267,8 +293,8 @@
         }
         let later_ms = now_ms + CONFIRMED_MS;
         for id in 0..4 {
-            let part = PromptPart { service: 1, id };
-            let refused = entries.iter().map(|entry| is_refused(entry, &[part], later_ms));
+            let suspect = part(1, id);
+            let refused = entries.iter().map(|entry| is_refused(entry, &[suspect], later_ms));
             let refused: Vec<bool> = refused.collect();
             prop_assert_eq!(refused[0], refused[1]);
             prop_assert_eq!(refused[1], refused[2]);
