suspect_quarantine: a part of prompts is refused for calls to every service

A part that crashes the endpoints of two services, of which a route uses both, would have crashed three of each.

The users' page says that such a part crashes servers whatever else the request holds, so its id alone names it.

--- a/lib/src/direct_server.rs
+++ b/lib/src/direct_server.rs
@@ -74,14 +74,14 @@
     let deadline = arrived + Duration::from_millis(limit_ms);
     let request = Request::from_parts(head.clone(), body);
     let body = read_body(&table, request, deadline).await?;
-    let service = rule.target(rand::random()).unwrap_or_default().to_owned();
     let content = fingerprint(&head, organisation.as_deref(), &body);
     let parts = call.shared_parts.iter();
-    let parts = parts.map(|id| CrashSuspect::Part(PromptPart::of(&service, *id)));
+    let parts = parts.map(|id| CrashSuspect::Part(PromptPart(*id)));
     let suspects: Arc<[CrashSuspect]> = std::iter::once(CrashSuspect::Content(content))
         .chain(parts)
         .collect();
     refuse_quarantined(state, &call, &suspects)?;
+    let service = rule.target(rand::random()).unwrap_or_default().to_owned();
     let relay = DirectRelay {
         state: Arc::clone(state),
         resume_after: call.resume_after,
--- a/lib/src/prompt_part.rs
+++ b/lib/src/prompt_part.rs
@@ -4,28 +4,12 @@
 
 use pomeloramp_proc_macros::key;
 
-use crate::short_hash::short_hash;
-
-/// Identifies a part of the prompts of one service.
+/// Identifies a part of prompts by the id that callers give it, whichever service the calls are for.
 #[key]
-pub struct PromptPart {
-    /// Hash of the service's name.
-    pub service: u32,
-    /// Id of the part, as callers name it.
-    pub id: u64,
-}
-
-impl PromptPart {
-    /// Returns the part with this id in prompts of a service.
-    #[must_use]
-    pub fn of(service: &str, id: u64) -> Self {
-        let service = short_hash(service);
-        Self { service, id }
-    }
-}
+pub struct PromptPart(pub u64);
 
 impl fmt::Display for PromptPart {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{:x}", self.id)
+        write!(formatter, "{:x}", self.0)
     }
 }
--- a/lib/src/protos/pomeloramp.control.rs
+++ b/lib/src/protos/pomeloramp.control.rs
@@ -681,20 +681,11 @@
         /// Fingerprint of a content.
         #[prost(fixed64, tag = "1")]
         Content(u64),
-        #[prost(message, tag = "2")]
-        Part(super::PartId),
+        /// Id of a part, as callers name it.
+        #[prost(fixed64, tag = "2")]
+        Part(u64),
     }
 }
-/// Part of the prompts of one service.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct PartId {
-    /// Hash of the service's name.
-    #[prost(fixed32, tag = "1")]
-    pub service: u32,
-    /// Id of the part, as callers name it.
-    #[prost(fixed64, tag = "2")]
-    pub id: u64,
-}
 /// Crash of an endpoint while it ran such a call.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct SuspectCrash {
--- a/lib/src/suspect_quarantine.rs
+++ b/lib/src/suspect_quarantine.rs
@@ -7,7 +7,6 @@
 use crate::CrashSuspect;
 use crate::PromptPart;
 use crate::SuspectQuarantineSettings;
-use crate::protos::control::PartId;
 use crate::protos::control::SuspectCrash;
 use crate::protos::control::SuspectReport;
 use crate::protos::control::suspect_report::Suspect;
@@ -350,19 +349,13 @@
 fn message(suspect: CrashSuspect) -> Suspect {
     match suspect {
         CrashSuspect::Content(fingerprint) => Suspect::Content(fingerprint.0),
-        CrashSuspect::Part(part) => Suspect::Part(PartId {
-            service: part.service,
-            id: part.id,
-        }),
+        CrashSuspect::Part(part) => Suspect::Part(part.0),
     }
 }
 
 fn read_suspect(message: &Suspect) -> CrashSuspect {
     match message {
         Suspect::Content(fingerprint) => CrashSuspect::Content(ContentFingerprint(*fingerprint)),
-        Suspect::Part(part) => CrashSuspect::Part(PromptPart {
-            service: part.service,
-            id: part.id,
-        }),
+        Suspect::Part(id) => CrashSuspect::Part(PromptPart(*id)),
     }
 }
