suspect_quarantine: one suspect explains another's crashes, not many together

Cause: bystanders of the wave, each at three crashes, together were at all of its crashes and explained them away. A part that was at the crashes of two causes and never survived counts as the cause; the test of it says so. Sixteen crashes are kept in place of six, since waves are that large.

--- a/lib/src/suspect_quarantine.rs
+++ b/lib/src/suspect_quarantine.rs
@@ -52,9 +52,10 @@
         crashes.filter(move |(_, until_ms)| *until_ms > now_ms.max(self.void_until_ms))
     }
 
-    /// Returns whether a crash counts.
-    fn counts(&self, crash: u32, now_ms: u64) -> bool {
-        self.counted(now_ms).any(|(counted, _)| counted == crash)
+    /// Returns whether every crash that counts here also counts in `other`.
+    fn is_within(&self, other: &Self, now_ms: u64) -> bool {
+        self.counted(now_ms)
+            .all(|(crash, _)| other.counted(now_ms).any(|(found, _)| found == crash))
     }
 }
 
@@ -252,7 +253,7 @@
             .filter(|remaining_ms| *remaining_ms > 0)
     }
 
-    /// Returns whether refused suspects that are not among `suspects` were at all crashes of `suspect`.
+    /// Returns whether one refused suspect that is not among `suspects` was at all crashes of `suspect`.
     fn is_explained_without(
         &self,
         suspect: CrashSuspect,
@@ -262,13 +263,11 @@
         let Some(record) = self.records.get(&suspect) else {
             return false;
         };
-        let others = self.records.iter().filter(|(other, _)| {
-            !suspects.contains(other) && self.refused_for_ms(**other, now_ms).is_some()
-        });
-        let others: Vec<&Record> = others.map(|(_, other)| other).collect();
-        record
-            .counted(now_ms)
-            .all(|(crash, _)| others.iter().any(|other| other.counts(crash, now_ms)))
+        self.records.iter().any(|(other, other_record)| {
+            !suspects.contains(other)
+                && self.refused_for_ms(*other, now_ms).is_some()
+                && record.is_within(other_record, now_ms)
+        })
     }
 
     /// Returns the time until which crashes count that a survival of the suspect makes void.
--- a/lib/src/suspect_quarantine_settings.rs
+++ b/lib/src/suspect_quarantine_settings.rs
@@ -44,7 +44,7 @@
     #[builder(default = 1_024)]
     pub max_parts: usize,
     /// Maximum number of crashes of one suspect; the latest are kept.
-    #[builder(default = 6)]
+    #[builder(default = 16)]
     pub max_crashes: usize,
     /// Maximum number of survivals.
     #[builder(default = 16_384)]
