--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -243,6 +243,7 @@
 mod subset_cache;
 mod suspect_quarantine;
 mod suspect_quarantine_settings;
+mod suspect_record;
 mod template_check;
 mod template_problem;
 mod value_patch;
--- a/lib/src/suspect_quarantine.rs
+++ b/lib/src/suspect_quarantine.rs
@@ -1,15 +1,15 @@
 //! Quarantine of contents and parts of prompts that crash each endpoint that answers them.
 
-use std::collections::BTreeMap;
+use std::cmp::Reverse;
 use std::collections::HashMap;
 
 use crate::ContentFingerprint;
 use crate::CrashSuspect;
 use crate::PromptPart;
 use crate::SuspectQuarantineSettings;
-use crate::protos::control::SuspectCrash;
 use crate::protos::control::SuspectReport;
 use crate::protos::control::suspect_report::Suspect;
+use crate::suspect_record::SuspectRecord;
 
 /// One process's record of what was at crashes of endpoints: contents and parts of prompts, called
 /// suspects.
@@ -30,35 +30,11 @@
 pub struct SuspectQuarantine {
     settings: SuspectQuarantineSettings,
     /// Suspects that were at a crash.
-    records: HashMap<CrashSuspect, Record>,
+    records: HashMap<CrashSuspect, SuspectRecord>,
     /// When a call with each suspect last survived.
     survivals: HashMap<CrashSuspect, u64>,
 }
 
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-struct Record {
-    /// Crashes by the run of the endpoint, with the time until which each counts.
-    crashes: BTreeMap<u32, u64>,
-    /// Crashes that count until this time or a shorter one are void.
-    void_until_ms: u64,
-    /// Time of the last change that other entries have to learn.
-    changed_ms: u64,
-}
-
-impl Record {
-    /// Returns the crashes that count, with the time until which each does.
-    fn counted(&self, now_ms: u64) -> impl Iterator<Item = (u32, u64)> {
-        let crashes = self.crashes.iter().map(|(crash, until)| (*crash, *until));
-        crashes.filter(move |(_, until_ms)| *until_ms > now_ms.max(self.void_until_ms))
-    }
-
-    /// Returns whether every crash that counts here also counts in `other`.
-    fn is_within(&self, other: &Self, now_ms: u64) -> bool {
-        self.counted(now_ms)
-            .all(|(crash, _)| other.counted(now_ms).any(|(found, _)| found == crash))
-    }
-}
-
 impl SuspectQuarantine {
     /// Creates an empty quarantine.
     #[must_use]
@@ -86,15 +62,9 @@
                 continue;
             }
             let record = self.records.entry(*suspect).or_default();
-            record.void_until_ms = record.void_until_ms.max(void_until_ms);
-            let Some(crash) = new_crash(record, crash, until_ms - self.settings.same_crash_ms)
-            else {
-                continue;
-            };
-            record.crashes.insert(crash, until_ms);
-            record.changed_ms = now_ms;
-            remove_oldest_crash(record, self.settings.max_crashes);
-            if self.has_enough_crashes(*suspect, now_ms) {
+            record.void_crashes(void_until_ms, now_ms);
+            let is_new = record.record_crash(crash, &self.settings, now_ms);
+            if is_new && self.has_enough_crashes(*suspect, now_ms) {
                 quarantined.push(*suspect);
             }
         }
@@ -108,11 +78,7 @@
             self.survivals.insert(*suspect, now_ms);
             let void_until_ms = self.void_until_ms(*suspect);
             if let Some(record) = self.records.get_mut(suspect) {
-                let is_news = record.counted(now_ms).next().is_some();
-                record.void_until_ms = record.void_until_ms.max(void_until_ms);
-                if is_news {
-                    record.changed_ms = now_ms;
-                }
+                record.void_crashes(void_until_ms, now_ms);
             }
         }
         if self.survivals.len() > self.settings.max_survivals {
@@ -152,54 +118,35 @@
     }
 
     fn merge_report(&mut self, suspect: CrashSuspect, report: &SuspectReport, now_ms: u64) {
-        let settings = &self.settings;
-        let own_void_until_ms = self.void_until_ms(suspect);
-        let before = self.records.get(&suspect).cloned().unwrap_or_default();
-        let mut record = before.clone();
-        for crash in &report.crashes {
-            let counts_for_ms = crash.counts_for_ms.min(settings.evidence_ms);
-            if counts_for_ms > settings.transit_margin_ms {
-                let until_ms = now_ms + counts_for_ms;
-                let known = record.crashes.entry(crash.endpoint_run).or_insert(until_ms);
-                *known = until_ms.min(*known);
-            }
-        }
-        if report.void_for_ms > 0 {
-            let longest_ms = settings.evidence_ms + settings.survival_covers_ms;
-            let void_until_ms = now_ms + report.void_for_ms.min(longest_ms);
-            record.void_until_ms = record.void_until_ms.max(void_until_ms);
-        }
-        record.void_until_ms = record.void_until_ms.max(own_void_until_ms);
-        remove_oldest_crash(&mut record, settings.max_crashes);
-        let is_news = record.crashes.keys().ne(before.crashes.keys())
-            || record.counted(now_ms).count() != before.counted(now_ms).count();
-        if is_news {
-            record.changed_ms = now_ms;
-        }
-        if !record.crashes.is_empty() {
+        let void_until_ms = self.void_until_ms(suspect);
+        let mut record = self.records.remove(&suspect).unwrap_or_default();
+        record.merge(report, &self.settings, now_ms);
+        record.void_crashes(void_until_ms, now_ms);
+        if record.has_crashes() {
             self.records.insert(suspect, record);
         }
     }
 
     /// Returns what other entries have to learn: recent changes, and each refused suspect in every round
-    /// with `is_full`. Parts with the most crashes come first.
+    /// with `is_full`. Suspects with the most crashes come first.
     #[must_use]
     pub fn reports(&self, is_full: bool, now_ms: u64) -> Vec<SuspectReport> {
-        let is_recent = |record: &Record| {
-            now_ms.saturating_sub(record.changed_ms) <= self.settings.change_relay_ms
-        };
+        let relay_ms = self.settings.change_relay_ms;
         let due = self.records.iter().filter(|(suspect, record)| {
-            is_recent(record) || (is_full && self.refused_for_ms(**suspect, now_ms).is_some())
+            let is_recent = now_ms.saturating_sub(record.changed_ms()) <= relay_ms;
+            is_recent || (is_full && self.refused_for_ms(**suspect, now_ms).is_some())
         });
         let mut due: Vec<_> = due.collect();
         due.sort_by_key(|(suspect, record)| {
             let crashes = record.counted(now_ms).count();
-            (std::cmp::Reverse(crashes), record.changed_ms, **suspect)
+            (Reverse(crashes), record.changed_ms(), **suspect)
         });
         due.truncate(self.settings.max_reports);
-        let reports = due
-            .into_iter()
-            .map(|(suspect, record)| report(*suspect, record, now_ms));
+        let reports = due.into_iter().map(|(suspect, record)| SuspectReport {
+            suspect: Some(message(*suspect)),
+            crashes: record.reported_crashes(now_ms),
+            void_for_ms: record.void_for_ms(now_ms),
+        });
         reports.collect()
     }
 
@@ -223,9 +170,9 @@
     /// Removes what no longer counts.
     pub fn expire(&mut self, now_ms: u64) {
         for record in self.records.values_mut() {
-            record.crashes.retain(|_, until_ms| *until_ms > now_ms);
+            record.expire(now_ms);
         }
-        self.records.retain(|_, record| !record.crashes.is_empty());
+        self.records.retain(|_, record| record.has_crashes());
         self.forget_survivals(now_ms);
     }
 
@@ -295,9 +242,9 @@
 
     /// Removes the records with the fewest crashes, the oldest first, while there are too many.
     fn evict(&mut self) {
-        while self.records.len() > self.settings.max_parts {
+        while self.records.len() > self.settings.max_suspects {
             let least = self.records.iter().min_by_key(|(suspect, record)| {
-                (record.crashes.len(), record.changed_ms, **suspect)
+                (record.crash_count(), record.changed_ms(), **suspect)
             });
             let Some(suspect) = least.map(|(suspect, _)| *suspect) else {
                 return;
@@ -307,44 +254,6 @@
     }
 }
 
-/// Returns the key of a crash, or `None` if it is known. A run that crashed and is found dead again, since
-/// `known_until_ms`, was started again before its new run was listed, so that this is another crash.
-fn new_crash(record: &Record, crash: u32, known_until_ms: u64) -> Option<u32> {
-    let mut key = crash;
-    while let Some(until_ms) = record.crashes.get(&key) {
-        if *until_ms > known_until_ms {
-            return None;
-        }
-        key = key.wrapping_add(1);
-    }
-    Some(key)
-}
-
-fn remove_oldest_crash(record: &mut Record, max_crashes: usize) {
-    while record.crashes.len() > max_crashes {
-        let oldest = record.crashes.iter().min_by_key(|(_, until_ms)| **until_ms);
-        let Some(crash) = oldest.map(|(crash, _)| *crash) else {
-            return;
-        };
-        record.crashes.remove(&crash);
-    }
-}
-
-fn report(suspect: CrashSuspect, record: &Record, now_ms: u64) -> SuspectReport {
-    let crashes = record.crashes.iter();
-    let crashes = crashes.filter(|(_, until_ms)| **until_ms > now_ms);
-    SuspectReport {
-        suspect: Some(message(suspect)),
-        crashes: crashes
-            .map(|(endpoint_run, until_ms)| SuspectCrash {
-                endpoint_run: *endpoint_run,
-                counts_for_ms: until_ms - now_ms,
-            })
-            .collect(),
-        void_for_ms: record.void_until_ms.saturating_sub(now_ms),
-    }
-}
-
 fn message(suspect: CrashSuspect) -> Suspect {
     match suspect {
         CrashSuspect::Content(fingerprint) => Suspect::Content(fingerprint.0),
--- a/lib/src/suspect_quarantine_settings.rs
+++ b/lib/src/suspect_quarantine_settings.rs
@@ -42,7 +42,7 @@
     pub change_relay_ms: u64,
     /// Maximum number of suspects that were at crashes.
     #[builder(default = 1_024)]
-    pub max_parts: usize,
+    pub max_suspects: usize,
     /// Maximum number of crashes of one suspect; the latest are kept.
     #[builder(default = 16)]
     pub max_crashes: usize,
--- a/lib/tests/test_suspect_quarantine.rs
+++ b/lib/tests/test_suspect_quarantine.rs
@@ -216,7 +216,7 @@
 #[googletest::test]
 fn many_parts_stay_within_the_limits() {
     let settings = SuspectQuarantineSettings::builder()
-        .max_parts(8)
+        .max_suspects(8)
         .max_survivals(8)
         .max_reports(4)
         .build();
