crash_tracker: report refused suspects less often in large fleets

At 390 entries a report to 16 of them every second would cost 1 KB/s for each refused suspect, of 6 KB/s for all control. Each entry hears one about every second all the same.

--- a/lib/src/crash_tracker.rs
+++ b/lib/src/crash_tracker.rs
@@ -15,8 +15,11 @@
 use crate::event;
 use crate::protos::control::SuspectReport;
 
-/// Time between two reports of all refused suspects, from which entries that start later learn.
+/// Time between two reports of all refused suspects, from which entries that start later learn, among
+/// up to [`FULL_REPORT_ENTRIES`] entries. Among more it grows, so that each entry still hears such a
+/// report about every second.
 const FULL_REPORT_INTERVAL_MS: u64 = 1_000;
+const FULL_REPORT_ENTRIES: usize = 16;
 /// Source in log lines of what this entry has seen itself.
 const OWN_SOURCE: &str = "own";
 
@@ -98,12 +101,13 @@
         }
     }
 
-    /// Returns what is reported to the other entries now.
-    pub(crate) fn reports(&self) -> Vec<SuspectReport> {
+    /// Returns what is reported now to the other entries, of which `entry_count` are alive.
+    pub(crate) fn reports(&self, entry_count: usize) -> Vec<SuspectReport> {
         let now_ms = self.clock.now_ms();
+        let interval_ms = full_report_interval_ms(entry_count);
         let mut state = self.lock();
         state.quarantine.expire(now_ms);
-        let is_full = now_ms.saturating_sub(state.full_report_ms) >= FULL_REPORT_INTERVAL_MS;
+        let is_full = now_ms.saturating_sub(state.full_report_ms) >= interval_ms;
         if is_full {
             state.full_report_ms = now_ms;
         }
@@ -115,6 +119,11 @@
     }
 }
 
+fn full_report_interval_ms(entry_count: usize) -> u64 {
+    let groups = entry_count.div_ceil(FULL_REPORT_ENTRIES).max(1);
+    FULL_REPORT_INTERVAL_MS.saturating_mul(u64::try_from(groups).unwrap_or(u64::MAX))
+}
+
 impl State {
     /// Records a crash of an endpoint while it ran these calls.
     fn record_crash(&mut self, calls: &[CrashedCall], endpoint: &str, now_ms: u64) {
--- a/lib/src/gossip_loop.rs
+++ b/lib/src/gossip_loop.rs
@@ -95,7 +95,8 @@
         self.report.follows_platform = self.entry.endpoints().follows_platform();
         self.report.demands = to_gossip_demands(&demand);
         self.report.paces = self.gossip.own_slowdowns(now_ms);
-        self.report.crash_suspects = self.entry.crash_tracker().reports();
+        let entry_count = self.gossip.live(now_ms).count();
+        self.report.crash_suspects = self.entry.crash_tracker().reports(entry_count);
         let message = GossipMessage {
             word: Some(self.report.clone()),
             known_addresses: self.gossip.known_addresses(now_ms),
