direct_stream: the end of a connection alone is no survival

Found while reading the diff; nobody has seen it. A stream without a length or chunks that breaks between two events is forwarded as whole, for nothing tells. Plain answers are treated alike.

--- a/lib/src/direct_relay.rs
+++ b/lib/src/direct_relay.rs
@@ -144,7 +144,7 @@
                     let result = if answer.head.status.is_server_error() {
                         SendResult::Failed
                     } else {
-                        self.state.crash_tracker.record_survival(&self.suspects);
+                        self.record_survival();
                         SendResult::Answered
                     };
                     slot.release(result);
@@ -176,6 +176,14 @@
         }
     }
 
+    /// Records that the endpoint answered the whole call, unless it may have crashed while it did: the
+    /// end of a connection alone does not tell.
+    fn record_survival(&self) {
+        if self.framing != Some(AnswerFraming::Connection) {
+            self.state.crash_tracker.record_survival(&self.suspects);
+        }
+    }
+
     /// Releases the slot of a send that ran and failed, before the call is retried.
     fn release_for_retry(&mut self, slot: DirectSlot) {
         self.may_have_run = true;
--- a/lib/src/direct_stream.rs
+++ b/lib/src/direct_stream.rs
@@ -273,10 +273,11 @@
         if is_unfinished {
             return Err(broken("stream ended inside an event"));
         }
-        if self.has_events && self.is_empty() && relay.framing == Some(AnswerFraming::Connection) {
+        let is_framed = relay.framing != Some(AnswerFraming::Connection);
+        if self.has_events && self.is_empty() && !is_framed {
             return Err(broken("connection closed before the first event"));
         }
-        if self.has_events {
+        if self.has_events && is_framed {
             self.record_survival(relay);
         }
         self.held_back.extend_from_slice(&rest);
