--- a/lib/src/direct_relay.rs
+++ b/lib/src/direct_relay.rs
@@ -144,7 +144,7 @@
                     let result = if answer.head.status.is_server_error() {
                         SendResult::Failed
                     } else {
-                        self.record_survival();
+                        self.record_whole_answer();
                         SendResult::Answered
                     };
                     slot.release(result);
@@ -176,10 +176,15 @@
         }
     }
 
+    /// Returns whether more than the end of its connection marks the end of the latest answer.
+    pub(crate) fn is_framed(&self) -> bool {
+        self.framing != Some(AnswerFraming::Connection)
+    }
+
     /// Records that the endpoint answered the whole call, unless it may have crashed while it did: the
     /// end of a connection alone does not tell.
-    fn record_survival(&self) {
-        if self.framing != Some(AnswerFraming::Connection) {
+    pub(crate) fn record_whole_answer(&self) {
+        if self.is_framed() {
             self.state.crash_tracker.record_survival(&self.suspects);
         }
     }
--- a/lib/src/direct_stream.rs
+++ b/lib/src/direct_stream.rs
@@ -21,7 +21,6 @@
 use crate::Repeatability;
 use crate::SendResult;
 use crate::StreamEvent;
-use crate::answer_framing::AnswerFraming;
 use crate::direct_relay::DirectRelay;
 use crate::direct_relay::OpenAnswer;
 use crate::direct_slot::DirectSlot;
@@ -273,23 +272,16 @@
         if is_unfinished {
             return Err(broken("stream ended inside an event"));
         }
-        let is_framed = relay.framing != Some(AnswerFraming::Connection);
-        if self.has_events && self.is_empty() && !is_framed {
+        if self.has_events && self.is_empty() && !relay.is_framed() {
             return Err(broken("connection closed before the first event"));
         }
-        if self.has_events && is_framed {
-            self.record_survival(relay);
+        if self.has_events && !self.has_survived {
+            relay.record_whole_answer();
         }
         self.held_back.extend_from_slice(&rest);
         Ok(StreamPart::End(self.held_back.split().freeze()))
     }
 
-    fn record_survival(&mut self, relay: &DirectRelay) {
-        if !std::mem::replace(&mut self.has_survived, true) {
-            relay.state.crash_tracker.record_survival(&relay.suspects);
-        }
-    }
-
     /// Returns whether the answer has brought no event that the caller lacks.
     fn is_empty(&self) -> bool {
         self.last_event.is_none() && self.held_back.is_empty()
@@ -352,8 +344,10 @@
         let now = Instant::now();
         self.event_count += 1;
         let first_event = *self.first_event.get_or_insert(now);
-        if self.event_count >= SURVIVAL_EVENTS && now - first_event >= SURVIVAL_TIME {
-            self.record_survival(relay);
+        let is_beyond_start =
+            self.event_count >= SURVIVAL_EVENTS && now - first_event >= SURVIVAL_TIME;
+        if is_beyond_start && !std::mem::replace(&mut self.has_survived, true) {
+            relay.state.crash_tracker.record_survival(&relay.suspects);
         }
         if let Some(previous) = self.last_event.replace(now) {
             relay.state.pauses.add(&relay.service, now - previous);
