--- a/lib/tests/test_crashes_in_rank_groups.rs
+++ b/lib/tests/test_crashes_in_rank_groups.rs
@@ -234,6 +234,15 @@
             self.running.clear();
             return;
         }
+        self.crash_ranks_of_crashing_calls();
+        self.crash_rank_by_chance();
+        self.record_survivals();
+        let now_ms = self.now_ms;
+        self.running
+            .retain(|call| now_ms - call.started_ms < ANSWER_MS);
+    }
+
+    fn crash_ranks_of_crashing_calls(&mut self) {
         let crash_ms = FIRST_EVENT_MS + CRASH_DELAY_MS;
         let is_due = |call: &Call, now_ms: u64| now_ms - call.started_ms >= crash_ms;
         let due = self.running.iter();
@@ -245,11 +254,17 @@
             self.outcome.crashes.push(self.now_ms);
             self.crash(*rank);
         }
+    }
+
+    fn crash_rank_by_chance(&mut self) {
         let other_crashes_ms = self.conditions.other_crashes_ms;
         if other_crashes_ms > 0 && self.rng.random_range(0..other_crashes_ms / STEP_MS) == 0 {
             let rank = self.rng.random_range(0..RANK_COUNT);
             self.crash(rank);
         }
+    }
+
+    fn record_survivals(&mut self) {
         for call in &mut self.running {
             let answered_ms = self.now_ms.saturating_sub(call.started_ms + FIRST_EVENT_MS);
             if answered_ms >= SURVIVAL_MS && !call.has_survived {
@@ -257,9 +272,6 @@
                 self.entries[call.entry].record_survival(&call.suspects, self.now_ms);
             }
         }
-        let now_ms = self.now_ms;
-        self.running
-            .retain(|call| now_ms - call.started_ms < ANSWER_MS);
     }
 
     /// Crashes a rank, which stalls the group.
