direct_actor: log the limits that endpoints name in their answers

E0610 to E0612 tell when an entry learns of a limit, of its end, or of an invalid one, and from which answer; E0601 has the limit and its age. The choice of endpoints is unchanged.

An answer without a limit lifts it only if its call was sent after the limit became known, and if the endpoint ran it. An invalid limit changes nothing.

--- a/lib/src/direct_actor.rs
+++ b/lib/src/direct_actor.rs
@@ -15,6 +15,8 @@
 use crate::DispatchDecision;
 use crate::DispatchQuery;
 use crate::EndpointList;
+use crate::LimitChange;
+use crate::NamedLimit;
 use crate::PeerDemand;
 use crate::RouteTable;
 use crate::SendResult;
@@ -22,6 +24,7 @@
 use crate::actor::ActorInput;
 use crate::clock::Clock;
 use crate::direct_service::DirectService;
+use crate::endpoint_limit::BelievedLimit;
 use crate::event;
 
 const RING_CAPACITY: usize = 4096;
@@ -58,6 +61,12 @@
     },
     /// An endpoint has begun to answer a call.
     AnswerStarted { call: u64 },
+    /// The answer to a running call says something about its endpoint's limit.
+    LimitObserved {
+        call: u64,
+        limit: NamedLimit,
+        request_id: String,
+    },
     /// A running or queued call has ended.
     End { call: u64, result: SendResult },
     /// Requests this entry's in-flight calls, to report them to the other entries.
@@ -70,6 +79,8 @@
     pub(crate) decision: DispatchDecision,
     /// Absent until the first list is received.
     pub(crate) list: Option<Arc<EndpointList>>,
+    /// The limit of the endpoint that the call is sent to, if it names one.
+    pub(crate) limit: Option<BelievedLimit>,
 }
 
 /// In-flight calls of this entry.
@@ -167,7 +178,7 @@
             ActorInput::Command(command) => state.handle(command, now_ms),
             ActorInput::Tick => {
                 let decisions = state.dispatcher.advance(now_ms);
-                state.send_decisions(decisions);
+                state.send_decisions(decisions, now_ms);
                 state.log_group_changes();
             }
         }
@@ -188,7 +199,7 @@
         if let Some(list) = take_changed(&mut self.inputs.lists) {
             let decisions = self.dispatcher.set_endpoints(&list.records, now_ms);
             self.list = Some(list);
-            self.send_decisions(decisions);
+            self.send_decisions(decisions, now_ms);
         }
     }
 
@@ -218,12 +229,22 @@
             }
             DirectCommand::AnswerStarted { call } => {
                 let decisions = self.dispatcher.record_answer_start(call, now_ms);
-                self.send_decisions(decisions);
+                self.send_decisions(decisions, now_ms);
+            }
+            DirectCommand::LimitObserved {
+                call,
+                limit,
+                request_id,
+            } => {
+                let change = self
+                    .dispatcher
+                    .observe_limit(call, &limit, &request_id, now_ms);
+                change.as_ref().map(log_limit_change);
             }
             DirectCommand::End { call, result } => {
                 self.replies.remove(&call);
                 let decisions = self.dispatcher.end(call, result, now_ms);
-                self.send_decisions(decisions);
+                self.send_decisions(decisions, now_ms);
             }
             DirectCommand::Demand { reply } => {
                 let _ = reply.send(self.demand());
@@ -269,7 +290,7 @@
         let call = query.call;
         match self.dispatcher.request_endpoint(query, now_ms) {
             Some(decision) => {
-                let _ = reply.send(self.reply_with_list(decision));
+                let _ = reply.send(self.reply_with_list(decision, now_ms));
             }
             None => {
                 self.replies.insert(call, reply);
@@ -277,18 +298,23 @@
         }
     }
 
-    fn send_decisions(&mut self, decisions: Vec<(u64, DispatchDecision)>) {
+    fn send_decisions(&mut self, decisions: Vec<(u64, DispatchDecision)>, now_ms: u64) {
         for (call, decision) in decisions {
             if let Some(reply) = self.replies.remove(&call) {
-                let _ = reply.send(self.reply_with_list(decision));
+                let _ = reply.send(self.reply_with_list(decision, now_ms));
             }
         }
     }
 
-    fn reply_with_list(&self, decision: DispatchDecision) -> DispatchReply {
+    fn reply_with_list(&self, decision: DispatchDecision, now_ms: u64) -> DispatchReply {
+        let limit = match &decision {
+            DispatchDecision::Send(record) => self.dispatcher.limit_of(record, now_ms),
+            DispatchDecision::Refuse { .. } => None,
+        };
         DispatchReply {
             decision,
             list: self.list.clone(),
+            limit,
         }
     }
 
@@ -308,6 +334,30 @@
     }
 }
 
+fn log_limit_change(change: &LimitChange) {
+    match change {
+        LimitChange::Named {
+            endpoint,
+            calls_per_s,
+            source,
+        } => event!(
+            LimitNamed,
+            "endpoint={endpoint} limit_per_s={calls_per_s} source=\"{source}\""
+        ),
+        LimitChange::Lifted { endpoint, source } => {
+            event!(LimitLifted, "endpoint={endpoint} source=\"{source}\"");
+        }
+        LimitChange::Invalid {
+            endpoint,
+            text,
+            source,
+        } => event!(
+            LimitInvalid,
+            "endpoint={endpoint} text={text:?} source=\"{source}\""
+        ),
+    }
+}
+
 /// Returns the value of an input if it has changed since it was last read.
 fn take_changed<T: Clone>(input: &mut watch::Receiver<Option<T>>) -> Option<T> {
     // The sender lives as long as the entry, so it outlives every command to the actor.
--- a/lib/src/direct_dispatcher.rs
+++ b/lib/src/direct_dispatcher.rs
@@ -9,12 +9,15 @@
 use crate::DispatchDecision;
 use crate::DispatchQuery;
 use crate::EndpointRecord;
+use crate::LimitChange;
+use crate::NamedLimit;
 use crate::PeerDemand;
 use crate::RefusalCode;
 use crate::RetryBudget;
 use crate::RouteTable;
 use crate::SendResult;
 use crate::direct_service::DirectService;
+use crate::endpoint_limit::BelievedLimit;
 use crate::short_hash::short_hash;
 
 /// Most unused retries that an entry keeps for one service.
@@ -197,6 +200,27 @@
         decisions
     }
 
+    /// Records what the answer to a running call says about its endpoint's limit; returns the change
+    /// to log.
+    pub fn observe_limit(
+        &mut self,
+        call: u64,
+        limit: &NamedLimit,
+        request_id: &str,
+        now_ms: u64,
+    ) -> Option<LimitChange> {
+        let service = self.service_by_call.get(&call)?;
+        let service = self.services.get_mut(service)?;
+        service.observe_limit(call, limit, request_id, now_ms)
+    }
+
+    /// Returns the limit that an endpoint names, as far as this entry knows.
+    #[must_use]
+    pub fn limit_of(&self, record: &EndpointRecord, now_ms: u64) -> Option<BelievedLimit> {
+        let service = self.services.get(&record.service)?;
+        service.endpoint(&record.id)?.limit.believed(now_ms)
+    }
+
     /// Advances to the time `now_ms`; returns the decisions on queued calls that are due.
     pub fn advance(&mut self, now_ms: u64) -> Vec<(u64, DispatchDecision)> {
         let services = self.services.values_mut();
--- a/lib/src/direct_endpoint.rs
+++ b/lib/src/direct_endpoint.rs
@@ -4,6 +4,7 @@
 
 use crate::EndpointRecord;
 use crate::SendResult;
+use crate::endpoint_limit::EndpointLimit;
 
 /// Time for which a full endpoint gets no further calls.
 const FULL_PAUSE_MS: u64 = 60;
@@ -36,6 +37,8 @@
     pub(crate) peer_calls: u32,
     /// Step time of the endpoint, in percent of the usual step time.
     pub(crate) slowdown_percent: u32,
+    /// What is known of the limit that the endpoint names.
+    pub(crate) limit: EndpointLimit,
     /// Share of the recent calls that failed, from 0 to 1.
     failure_rate: f64,
     mean_latency_ms: f64,
@@ -51,6 +54,7 @@
             own_calls: 0,
             peer_calls: 0,
             slowdown_percent: USUAL_STEP_TIME_PERCENT,
+            limit: EndpointLimit::default(),
             failure_rate: 0.0,
             mean_latency_ms: INITIAL_LATENCY_MS,
             consecutive_failures: 0,
--- a/lib/src/direct_exchange.rs
+++ b/lib/src/direct_exchange.rs
@@ -16,6 +16,7 @@
 use crate::DirectCall;
 use crate::DirectProtocol;
 use crate::EndpointRequestHead;
+use crate::NamedLimit;
 use crate::SendResult;
 use crate::http_client;
 use crate::http_client::HttpError;
@@ -26,7 +27,10 @@
 /// The outcome of one send.
 pub(crate) enum SendOutcome {
     /// The endpoint answered; the body of the answer is still to be read.
-    Answered(Response<Incoming>),
+    Answered {
+        response: Response<Incoming>,
+        limit: NamedLimit,
+    },
     /// No byte of the call was written.
     Unwritten { reason: String },
     /// The endpoint answered that it did not run the call.
@@ -35,6 +39,9 @@
         reason: String,
         /// Id of another endpoint that the answer reports as the cause.
         endpoint_at_fault: Option<String>,
+        /// What the endpoint says about the calls that it takes; `None` from another process at its
+        /// address.
+        limit: NamedLimit,
     },
     /// The call may have run, and no valid answer arrived.
     Lost { result: SendResult, reason: String },
@@ -87,6 +94,11 @@
                 },
                 reason: format!("endpoint did not run the call: status {status}"),
                 endpoint_at_fault: answer.endpoint_at_fault,
+                limit: if is_misdirected {
+                    NamedLimit::None
+                } else {
+                    answer.limit
+                },
             };
         }
         let damaged = |reason: String| SendOutcome::Lost {
@@ -99,6 +111,9 @@
         if status.is_success() && !answer.is_sealed {
             return damaged("endpoint does not vouch for its answer".to_owned());
         }
-        SendOutcome::Answered(Response::from_parts(head, body))
+        SendOutcome::Answered {
+            response: Response::from_parts(head, body),
+            limit: answer.limit,
+        }
     }
 }
--- a/lib/src/direct_protocol.rs
+++ b/lib/src/direct_protocol.rs
@@ -9,6 +9,7 @@
 
 use crate::DirectCall;
 use crate::DirectRefusal;
+use crate::NamedLimit;
 use crate::RouteTable;
 
 /// The fields that an entry adds to the head of a caller's request for an endpoint.
@@ -27,7 +28,7 @@
 }
 
 /// The fields of an endpoint's answer head that an entry uses, beside the status.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct EndpointAnswerHead {
     /// Id of the request that the answer belongs to.
     pub request_id: Option<String>,
@@ -37,6 +38,8 @@
     pub is_not_run: bool,
     /// Id of another endpoint, on which the answering one depends, that caused the failure.
     pub endpoint_at_fault: Option<String>,
+    /// What the endpoint says about the calls that it takes.
+    pub limit: NamedLimit,
 }
 
 /// The HTTP conventions of callers and endpoints, as functions of the platform's adapter.
--- a/lib/src/direct_relay.rs
+++ b/lib/src/direct_relay.rs
@@ -11,6 +11,7 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+use crate::BelievedLimit;
 use crate::CrashSuspect;
 use crate::DirectCall;
 use crate::DirectRefusal;
@@ -18,6 +19,7 @@
 use crate::DispatchQuery;
 use crate::EndpointRequestHead;
 use crate::ListSource;
+use crate::NamedLimit;
 use crate::OrganisationRule;
 use crate::PlatformRevision;
 use crate::Repeatability;
@@ -335,12 +337,17 @@
         if self.state.dispatcher.submit(command).is_err() {
             return Err(self.overload_refusal());
         }
-        let Ok(DispatchReply { decision, list }) = decision.await else {
+        let Ok(DispatchReply {
+            decision,
+            list,
+            limit,
+        }) = decision.await
+        else {
             return Err(self.overload_refusal());
         };
         match decision {
             DispatchDecision::Send(endpoint) => {
-                let slot = queued.assign(endpoint, list);
+                let slot = queued.assign(endpoint, list, limit);
                 self.check_quarantine()?;
                 Ok(slot)
             }
@@ -495,7 +502,8 @@
             self.tried.push(endpoint.id.clone());
         }
         match outcome? {
-            SendOutcome::Answered(response) => {
+            SendOutcome::Answered { response, limit } => {
+                slot.record_limit(limit, &self.call.request_id);
                 self.framing = Some(AnswerFraming::of(response.headers()));
                 Ok(response)
             }
@@ -504,7 +512,14 @@
                 result,
                 reason,
                 endpoint_at_fault,
-            } => Err(SendFailure::not_run(result, reason, endpoint_at_fault)),
+                limit,
+            } => {
+                // Only an answer that ran shows that an endpoint has stopped naming its limit.
+                if limit != NamedLimit::None {
+                    slot.record_limit(limit, &self.call.request_id);
+                }
+                Err(SendFailure::not_run(result, reason, endpoint_at_fault))
+            }
             SendOutcome::Lost { result, reason } if result == SendResult::Unreachable => {
                 Err(SendFailure::broken(result, reason))
             }
@@ -581,7 +596,7 @@
         event!(
             CallSent,
             "request_id={} service={} endpoint={endpoint_id} attempt={} waited_ms={} left_ms={} \
-             endpoints_era={} endpoints_revision={} endpoints_age_ms={} endpoints_from={}",
+             endpoints_era={} endpoints_revision={} endpoints_age_ms={} endpoints_from={}{}",
             self.call.request_id,
             self.service,
             self.tried.len() + 1,
@@ -590,7 +605,10 @@
             position.era,
             position.revision,
             self.state.endpoints.age_ms(),
-            list.map_or(&ListSource::Platform, |list| &list.source)
+            list.map_or(&ListSource::Platform, |list| &list.source),
+            slot.limit()
+                .map(BelievedLimit::log_fields)
+                .unwrap_or_default()
         );
     }
 
--- a/lib/src/direct_service.rs
+++ b/lib/src/direct_service.rs
@@ -16,6 +16,10 @@
 use crate::DispatchQuery;
 use crate::EndpointRecord;
 use crate::EngineModel;
+use crate::LimitChange;
+use crate::LimitObservation;
+use crate::LimitSource;
+use crate::NamedLimit;
 use crate::RefusalCode;
 use crate::SendResult;
 use crate::StreamConcurrencyLimit;
@@ -81,6 +85,8 @@
 #[derive(Debug)]
 struct RunningCall {
     endpoint: String,
+    /// Start of the endpoint's run, which an answer is from.
+    endpoint_born_ms: u64,
     since_ms: u64,
 }
 
@@ -321,6 +327,7 @@
             query.call,
             RunningCall {
                 endpoint: id,
+                endpoint_born_ms: record.born_ms,
                 since_ms: now_ms,
             },
         );
@@ -345,6 +352,52 @@
         }
     }
 
+    /// Records what the answer to a running call says about its endpoint's limit; returns the change
+    /// to log.
+    ///
+    /// An answer to a call that was sent before the limit became known does not lift it: the endpoint
+    /// may have begun the answer before it named the limit.
+    pub(crate) fn observe_limit(
+        &mut self,
+        call: u64,
+        named: &NamedLimit,
+        request_id: &str,
+        now_ms: u64,
+    ) -> Option<LimitChange> {
+        let running = self.running.get(&call)?;
+        let endpoint = self.endpoints.get_mut(&running.endpoint)?;
+        if endpoint.record.born_ms != running.endpoint_born_ms {
+            return None;
+        }
+        let source = LimitSource::Answer(request_id.to_owned());
+        let calls_per_s = match named {
+            NamedLimit::CallsPerS(calls_per_s) => Some(*calls_per_s),
+            NamedLimit::None => {
+                let known_ms = endpoint.limit.observed_ms()?;
+                if running.since_ms < known_ms {
+                    return None;
+                }
+                None
+            }
+            NamedLimit::Invalid(text) => {
+                return endpoint
+                    .limit
+                    .observe_invalid(&running.endpoint, text, source);
+            }
+        };
+        let observation = LimitObservation {
+            calls_per_s,
+            observed_ms: now_ms,
+            source,
+        };
+        endpoint.limit.observe(&running.endpoint, observation)
+    }
+
+    /// Returns the endpoint with this id.
+    pub(crate) fn endpoint(&self, id: &str) -> Option<&DirectEndpoint> {
+        self.endpoints.get(id)
+    }
+
     /// Returns whether an endpoint that is not in `exclude` accepts calls.
     pub(crate) fn has_alternative(&self, exclude: &[String], now_ms: u64) -> bool {
         let mut alternatives = self.endpoints_with_room(exclude);
--- a/lib/src/direct_slot.rs
+++ b/lib/src/direct_slot.rs
@@ -4,9 +4,11 @@
 
 use crate::EndpointList;
 use crate::EndpointRecord;
+use crate::NamedLimit;
 use crate::SendResult;
 use crate::actor::Actor;
 use crate::direct_actor::DirectCommand;
+use crate::endpoint_limit::BelievedLimit;
 
 /// The slot that a call holds at an endpoint, or its position in the queue for one.
 ///
@@ -19,6 +21,8 @@
     endpoint: Option<Arc<EndpointRecord>>,
     /// The list of endpoints from which the endpoint was chosen.
     list: Option<Arc<EndpointList>>,
+    /// The limit of the endpoint that was known when the call was assigned to it.
+    limit: Option<BelievedLimit>,
     result: SendResult,
 }
 
@@ -30,18 +34,21 @@
             call,
             endpoint: None,
             list: None,
+            limit: None,
             result: SendResult::Abandoned,
         }
     }
 
-    /// Sets the endpoint that the call was assigned to, and the list from which it was chosen.
+    /// Sets the endpoint that the call was assigned to, the list from which it was chosen, and its limit.
     pub(crate) fn assign(
         mut self,
         endpoint: Arc<EndpointRecord>,
         list: Option<Arc<EndpointList>>,
+        limit: Option<BelievedLimit>,
     ) -> Self {
         self.endpoint = Some(endpoint);
         self.list = list;
+        self.limit = limit;
         self
     }
 
@@ -55,6 +62,24 @@
         self.endpoint.as_deref()
     }
 
+    /// Returns the limit of the endpoint that was known when the call was assigned to it.
+    pub(crate) fn limit(&self) -> Option<BelievedLimit> {
+        self.limit
+    }
+
+    /// Reports to the dispatcher what an answer says about the endpoint's limit, unless there is and
+    /// was none.
+    pub(crate) fn record_limit(&self, limit: NamedLimit, request_id: &str) {
+        if limit == NamedLimit::None && self.limit.is_none() {
+            return;
+        }
+        self.submit(DirectCommand::LimitObserved {
+            call: self.call,
+            limit,
+            request_id: request_id.to_owned(),
+        });
+    }
+
     /// Reports to the dispatcher that the endpoint has begun to answer.
     pub(crate) fn record_answer_start(&self) {
         self.submit(DirectCommand::AnswerStarted { call: self.call });
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -128,6 +128,9 @@
     GroupStoodStill = 607 Warn "rank group is stalled or down",
     GroupMoved = 608 Info "rank group makes progress again",
     SlowEndpoints = 609 Info "set of slow endpoints changed",
+    LimitNamed = 610 Warn "endpoint names a limit on its calls",
+    LimitLifted = 611 Info "endpoint names no limit any more",
+    LimitInvalid = 612 Warn "endpoint names a limit that is invalid",
 }
 
 impl fmt::Display for Event {
