--- a/lib/src/direct_service.rs
+++ b/lib/src/direct_service.rs
@@ -25,6 +25,7 @@
 use crate::StreamConcurrencyLimit;
 use crate::as_f64::as_f64;
 use crate::direct_endpoint::DirectEndpoint;
+use crate::group_progress::GroupProgress;
 use crate::short_hash::short_hash;
 
 /// Assumed time for which a call holds its slot, until a call ends or an engine model is set.
@@ -33,10 +34,6 @@
 const HOLD_TIME_WEIGHT: f64 = 0.05;
 /// Longest time that a call is queued for a slot.
 const MAX_WAIT_MS: u64 = 1_500;
-/// Time between two calls that probe whether a rank group is up again.
-const GROUP_DOWN_PAUSE_MS: u64 = 150;
-/// Time without progress of any running call after which a rank group counts as stalled.
-const STALL_TIMEOUT_MS: u64 = 400;
 /// Shortest retry delay that is returned while the rank group is stalled or down.
 const STALL_RETRY_AFTER_MS: u64 = 2_000;
 const MIN_RETRY_AFTER_MS: u64 = 150;
@@ -70,15 +67,8 @@
     mean_hold_time_ms: f64,
     /// Whether `mean_hold_time_ms` rests on ended calls; until then it is an assumption.
     has_hold_time_sample: bool,
-    /// Time until which no call is sent, because the rank group of the service is down.
-    paused_until_ms: u64,
-    /// Whether the rank group was down at last contact; only one call at a time is then sent, as a
-    /// probe.
-    is_down: bool,
-    /// Whether the endpoints run in lock-step, so that all of them stall when one does.
-    is_rank_group: bool,
-    /// Time since which no running call has made progress.
-    no_progress_since_ms: u64,
+    /// Whether the rank group of the service makes progress.
+    progress: GroupProgress,
 }
 
 /// A call that holds a slot at an endpoint.
@@ -113,10 +103,7 @@
             peer_count: 0,
             mean_hold_time_ms: INITIAL_HOLD_TIME_MS,
             has_hold_time_sample: false,
-            paused_until_ms: 0,
-            is_down: false,
-            is_rank_group: false,
-            no_progress_since_ms: 0,
+            progress: GroupProgress::default(),
         }
     }
 
@@ -137,7 +124,8 @@
 
     /// Sets the engine model of the service; `None` for a service without one.
     pub(crate) fn set_engine(&mut self, model: Option<&EngineModel>) {
-        self.is_rank_group = model.is_some_and(|model| model.experts.is_some());
+        let is_rank_group = model.is_some_and(|model| model.experts.is_some());
+        self.progress.set_rank_group(is_rank_group);
         if let Some(model) = model.filter(|_| !self.has_hold_time_sample) {
             self.mean_hold_time_ms = model.mean_answer_ms().max(INITIAL_HOLD_TIME_MS);
         }
@@ -197,23 +185,19 @@
 
     /// Records that a running call has made progress.
     pub(crate) fn record_progress(&mut self, now_ms: u64) {
-        self.no_progress_since_ms = now_ms;
-        if now_ms >= self.paused_until_ms {
-            self.is_down = false;
-        }
+        self.progress.record_progress(now_ms);
     }
 
     /// Returns whether the ranks of the service are stalled: calls run, and none makes progress.
     ///
     /// Moving a call to another rank does not help then.
     pub(crate) fn is_stalled(&self, now_ms: u64) -> bool {
-        let stalled_ms = now_ms.saturating_sub(self.no_progress_since_ms);
-        self.is_rank_group && !self.running.is_empty() && stalled_ms >= STALL_TIMEOUT_MS
+        !self.running.is_empty() && self.progress.is_stalled(now_ms)
     }
 
     /// Returns whether the rank group of the service was down at last contact.
     pub(crate) fn is_down(&self) -> bool {
-        self.is_down
+        self.progress.is_down()
     }
 
     /// Assigns a call to an endpoint or refuses it; returns `None` when the call is queued.
@@ -254,10 +238,7 @@
         };
         let elapsed_ms = now_ms.saturating_sub(running.since_ms);
         match result {
-            SendResult::GroupDown => {
-                self.is_down = true;
-                self.paused_until_ms = now_ms + GROUP_DOWN_PAUSE_MS;
-            }
+            SendResult::GroupDown => self.progress.record_group_down(now_ms),
             SendResult::Answered => self.record_progress(now_ms),
             _ => {}
         }
@@ -275,9 +256,8 @@
     /// Assigns free slots to queued calls and refuses those that have waited too long.
     pub(crate) fn advance(&mut self, now_ms: u64) -> Vec<(u64, DispatchDecision)> {
         let mut decisions = Vec::new();
-        if self.is_stalled(now_ms) && !self.is_down {
-            self.is_down = true;
-            self.paused_until_ms = now_ms;
+        if self.is_stalled(now_ms) {
+            self.progress.record_stall(now_ms);
         }
         while let Some(position) = self.next_queued(now_ms) {
             let queued = self.queue.swap_remove(position);
@@ -321,7 +301,7 @@
         endpoint.own_calls += 1;
         let record = Arc::clone(&endpoint.record);
         if self.running.is_empty() {
-            self.no_progress_since_ms = now_ms;
+            self.progress.record_first_call(now_ms);
         }
         self.running.insert(
             query.call,
@@ -337,18 +317,14 @@
     /// Returns whether sending is paused: while a rank group is down, one call at a time is sent as
     /// a probe, and the others wait for its result.
     fn is_paused(&self, now_ms: u64) -> bool {
-        if now_ms < self.paused_until_ms {
-            return true;
-        }
-        let is_probing = |running: &RunningCall| running.since_ms >= self.paused_until_ms;
-        self.is_down && self.running.values().any(is_probing)
+        let sent_ms = self.running.values().map(|running| running.since_ms);
+        self.progress.is_paused(now_ms, sent_ms)
     }
 
     /// Records that an endpoint has begun to answer a call.
     pub(crate) fn record_answer_start(&mut self, call: u64, now_ms: u64) {
         if self.running.contains_key(&call) {
-            self.no_progress_since_ms = now_ms;
-            self.is_down = false;
+            self.progress.record_answer_start(now_ms);
         }
     }
 
@@ -497,7 +473,7 @@
 
     /// Returns the retry delay of a refused call that would wait `wait_ms` for its slot.
     fn retry_after_ms(&self, wait_ms: u64) -> u64 {
-        if self.is_down {
+        if self.is_down() {
             return wait_ms.max(STALL_RETRY_AFTER_MS);
         }
         wait_ms
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -120,6 +120,7 @@
 mod gossip_loop;
 mod group_agent;
 mod group_planner;
+mod group_progress;
 mod heartbeat_timing;
 mod http_client;
 mod idle_report;
