endpoint_limit: divide the limits that endpoints name among the entries

Endpoints in need got as many calls as before: the limit went to callers in the answer's head, and no entry used it.

The class: a limit that holds for all entries together can only be kept if each one knows its part.

Each entry keeps the latest that it knows of an endpoint's limit, from answers or from another entry, and a token bucket for its part. The parts come from the demand that entries report to each other: a limit is divided into few permits, which are dealt out by systematic sampling on the line of all demands, so that they add up to the limit without a message about any of them. Permits move every 20 s. An entry that hears few of the others leaves them their parts. Calls go to other endpoints at once; where all name limits, more urgent calls go first and those that would come too late are refused at once, with the time until a permit.

Checked: test_endpoint_limits (some, all, less than one a second, uneven load, entries that start, stop and freeze, limits that end, invalid ones).

--- a/lib/src/direct_actor.rs
+++ b/lib/src/direct_actor.rs
@@ -16,6 +16,8 @@
 use crate::DispatchQuery;
 use crate::EndpointList;
 use crate::LimitChange;
+use crate::LimitDivision;
+use crate::LimitReport;
 use crate::NamedLimit;
 use crate::PeerDemand;
 use crate::RouteTable;
@@ -41,6 +43,14 @@
         /// Step times of slow endpoints, in percent of the usual step time, by short hash of their
         /// address.
         slowdowns: HashMap<u32, u32>,
+        /// How the entries divide the limits of endpoints.
+        division: LimitDivision,
+    },
+    /// What another entry reports on the limits of endpoints.
+    PeerLimits {
+        /// Gossip address of the entry.
+        address: String,
+        reports: Vec<LimitReport>,
     },
     /// Requests an endpoint for a call.
     RequestEndpoint {
@@ -69,8 +79,13 @@
     },
     /// A running or queued call has ended.
     End { call: u64, result: SendResult },
-    /// Requests this entry's in-flight calls, to report them to the other entries.
-    Demand { reply: oneshot::Sender<LocalDemand> },
+    /// Requests this entry's in-flight calls and what it knows of limits, to report them to the other
+    /// entries.
+    Demand {
+        /// Most limits that are reported.
+        most_limits: usize,
+        reply: oneshot::Sender<LocalDemand>,
+    },
 }
 
 /// A decision of the dispatcher, with the list of endpoints that it is based on.
@@ -88,6 +103,8 @@
 pub(crate) struct LocalDemand {
     /// In-flight calls by name of the service.
     pub(crate) by_service: HashMap<String, ServiceDemand>,
+    /// What this entry knows of the limits of endpoints.
+    pub(crate) limits: Vec<LimitReport>,
 }
 
 /// In-flight calls of this entry for one service.
@@ -97,6 +114,8 @@
     pub(crate) calls: u32,
     /// Running calls by endpoint id.
     pub(crate) by_endpoint: Vec<(String, u32)>,
+    /// New calls in 10 s; absent while no endpoint of the service names a limit.
+    pub(crate) new_calls_per_10_s: Option<u32>,
 }
 
 /// Sum and number of the pauses between stream events since the actor last read them, by service.
@@ -210,12 +229,18 @@
                 peer_count,
                 demand_by_service,
                 slowdowns,
+                division,
             } => {
                 self.dispatcher
                     .set_peer_demand(peer_count, &demand_by_service);
+                self.dispatcher.set_limit_division(division, now_ms);
                 self.dispatcher.set_slowdowns(&slowdowns);
                 self.publish_slow_endpoints();
             }
+            DirectCommand::PeerLimits { address, reports } => {
+                let changes = self.dispatcher.merge_limits(&address, &reports, now_ms);
+                changes.iter().for_each(log_limit_change);
+            }
             DirectCommand::RequestEndpoint { query, reply } => self.dispatch(query, reply, now_ms),
             DirectCommand::Retry { service, reply } => {
                 let _ = reply.send(self.dispatcher.try_retry(&service, now_ms));
@@ -246,8 +271,8 @@
                 let decisions = self.dispatcher.end(call, result, now_ms);
                 self.send_decisions(decisions, now_ms);
             }
-            DirectCommand::Demand { reply } => {
-                let _ = reply.send(self.demand());
+            DirectCommand::Demand { most_limits, reply } => {
+                let _ = reply.send(self.demand(most_limits, now_ms));
             }
         }
     }
@@ -318,18 +343,22 @@
         }
     }
 
-    fn demand(&self) -> LocalDemand {
+    fn demand(&mut self, most_limits: usize, now_ms: u64) -> LocalDemand {
+        let limits = self.dispatcher.limit_reports(most_limits, now_ms);
+        let new_calls = self.dispatcher.report_demand(now_ms);
         let services = self.dispatcher.services();
         let demand = |(name, service): (&str, &DirectService)| {
             let owned = |(id, calls): (&str, u32)| (id.to_owned(), calls);
             let demand = ServiceDemand {
                 calls: service.demand(),
                 by_endpoint: service.own_calls().map(owned).collect(),
+                new_calls_per_10_s: new_calls.get(name).copied(),
             };
             (name.to_owned(), demand)
         };
         LocalDemand {
             by_service: services.map(demand).collect(),
+            limits,
         }
     }
 }
--- a/lib/src/direct_dispatcher.rs
+++ b/lib/src/direct_dispatcher.rs
@@ -3,13 +3,20 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use crate::BelievedLimit;
 use crate::DispatchDecision;
 use crate::DispatchQuery;
 use crate::EndpointRecord;
 use crate::LimitChange;
+use crate::LimitDivision;
+use crate::LimitObservation;
+use crate::LimitReport;
+use crate::LimitSource;
+use crate::LimitStatus;
 use crate::NamedLimit;
 use crate::PeerDemand;
 use crate::RefusalCode;
@@ -17,13 +24,15 @@
 use crate::RouteTable;
 use crate::SendResult;
 use crate::direct_service::DirectService;
-use crate::endpoint_limit::BelievedLimit;
+use crate::limit_division::ServiceDivision;
 use crate::short_hash::short_hash;
 
 /// Most unused retries that an entry keeps for one service.
 const MAX_SAVED_RETRIES: u32 = 5;
 /// Interval at which an entry earns one retry for a service even without requests.
 const RETRY_FLOOR_INTERVAL_MS: u64 = 1_800;
+/// Time for which a change of a limit is reported before what has not changed.
+const RECENT_CHANGE_MS: u64 = 2_000;
 /// Retry delay for calls of a service that is not known.
 const RETRY_AFTER_MS: u64 = 500;
 
@@ -40,6 +49,9 @@
     budgets: HashMap<String, RetryBudget>,
     /// Services of running and queued calls, by call number.
     service_by_call: HashMap<u64, String>,
+    division: LimitDivision,
+    /// Rounds of gossip in which a division was set.
+    division_rounds: u32,
 }
 
 impl DirectDispatcher {
@@ -55,6 +67,8 @@
             services: HashMap::new(),
             budgets: HashMap::new(),
             service_by_call: HashMap::new(),
+            division: LimitDivision::default(),
+            division_rounds: 0,
         }
     }
 
@@ -107,6 +121,16 @@
         }
     }
 
+    /// Sets how the entries divide the limits of endpoints in this round of gossip.
+    pub fn set_limit_division(&mut self, division: LimitDivision, now_ms: u64) {
+        self.division_rounds = self.division_rounds.saturating_add(1);
+        for (name, service) in &mut self.services {
+            let division = ServiceDivision::new(&division, name, self.division_rounds);
+            service.divide_limits(division, now_ms);
+        }
+        self.division = division;
+    }
+
     /// Sets the step times of slow endpoints, in percent of the usual step time, by short hash of
     /// their address; all other endpoints take the usual time.
     pub fn set_slowdowns(&mut self, slowdowns: &HashMap<u32, u32>) {
@@ -214,6 +238,74 @@
         service.observe_limit(call, limit, request_id, now_ms)
     }
 
+    /// Applies what the entry at `address` reports on the limits of endpoints; returns the changes to
+    /// log.
+    pub fn merge_limits(
+        &mut self,
+        address: &str,
+        reports: &[LimitReport],
+        now_ms: u64,
+    ) -> Vec<LimitChange> {
+        let source = LimitSource::Entry(address.to_owned());
+        let valid = reports.iter().filter(|report| report.is_valid());
+        let changes = valid.filter_map(|report| {
+            let observation = LimitObservation {
+                calls_per_s: report.calls_per_s,
+                observed_ms: now_ms.saturating_sub(report.age_ms),
+                source: source.clone(),
+            };
+            let mut services = self.services.values_mut();
+            services.find_map(|service| {
+                service.apply_limit(report.endpoint, observation.clone(), now_ms)
+            })
+        });
+        changes.collect()
+    }
+
+    /// Returns what this entry knows of the limits of endpoints: at most `most` of them, those that
+    /// have changed recently first, and a random choice of the others.
+    pub fn limit_reports(&mut self, most: usize, now_ms: u64) -> Vec<LimitReport> {
+        let endpoints = self.services.values().flat_map(DirectService::endpoints);
+        let mut reports: Vec<(bool, u32, LimitReport)> = endpoints
+            .filter_map(|endpoint| {
+                let known = endpoint.limit.reported(now_ms)?;
+                let changed_for_ms = now_ms.saturating_sub(endpoint.limit.changed_ms());
+                let report = LimitReport {
+                    endpoint: endpoint.limit_key,
+                    calls_per_s: known.calls_per_s,
+                    age_ms: now_ms.saturating_sub(known.observed_ms),
+                };
+                Some((
+                    changed_for_ms >= RECENT_CHANGE_MS,
+                    self.rng.random(),
+                    report,
+                ))
+            })
+            .collect();
+        if reports.len() > most {
+            reports.sort_by_key(|(is_old, number, _)| (*is_old, *number));
+            reports.truncate(most);
+        }
+        reports.into_iter().map(|(_, _, report)| report).collect()
+    }
+
+    /// Returns the new calls of services with limited endpoints in 10 s, by name of the service.
+    pub fn report_demand(&mut self, now_ms: u64) -> HashMap<String, u32> {
+        let services = self.services.iter_mut();
+        let reports = services
+            .filter_map(|(name, service)| Some((name.clone(), service.report_demand(now_ms)?)));
+        reports.collect()
+    }
+
+    /// Returns the endpoints that name limits, and what was done about it.
+    #[must_use]
+    pub fn limit_statuses(&self, now_ms: u64) -> Vec<LimitStatus> {
+        let endpoints = self.services.values().flat_map(DirectService::endpoints);
+        let statuses =
+            endpoints.filter_map(|endpoint| endpoint.limit.status(&endpoint.record.id, now_ms));
+        statuses.collect()
+    }
+
     /// Returns the limit that an endpoint names, as far as this entry knows.
     #[must_use]
     pub fn limit_of(&self, record: &EndpointRecord, now_ms: u64) -> Option<BelievedLimit> {
@@ -248,7 +340,8 @@
     fn service(&mut self, name: &str) -> &mut DirectService {
         if !self.services.contains_key(name) {
             let rng = SmallRng::from_rng(&mut self.rng);
-            let service = DirectService::new(&self.availability_zone, rng);
+            let division = ServiceDivision::new(&self.division, name, self.division_rounds);
+            let service = DirectService::new(&self.availability_zone, rng, division);
             self.services.insert(name.to_owned(), service);
         }
         self.services
--- a/lib/src/direct_endpoint.rs
+++ b/lib/src/direct_endpoint.rs
@@ -5,6 +5,7 @@
 use crate::EndpointRecord;
 use crate::SendResult;
 use crate::endpoint_limit::EndpointLimit;
+use crate::short_hash::short_hash;
 
 /// Time for which a full endpoint gets no further calls.
 const FULL_PAUSE_MS: u64 = 60;
@@ -39,6 +40,8 @@
     pub(crate) slowdown_percent: u32,
     /// What is known of the limit that the endpoint names.
     pub(crate) limit: EndpointLimit,
+    /// Hash of the id and the run of the endpoint.
+    pub(crate) limit_key: u32,
     /// Share of the recent calls that failed, from 0 to 1.
     failure_rate: f64,
     mean_latency_ms: f64,
@@ -48,6 +51,7 @@
 
 impl DirectEndpoint {
     pub(crate) fn new(record: Arc<EndpointRecord>, is_local: bool) -> Self {
+        let limit_key = short_hash(&format!("{}/{}", record.id, record.born_ms));
         Self {
             record,
             is_local,
@@ -55,6 +59,7 @@
             peer_calls: 0,
             slowdown_percent: USUAL_STEP_TIME_PERCENT,
             limit: EndpointLimit::default(),
+            limit_key,
             failure_rate: 0.0,
             mean_latency_ms: INITIAL_LATENCY_MS,
             consecutive_failures: 0,
--- a/lib/src/direct_service.rs
+++ b/lib/src/direct_service.rs
@@ -24,8 +24,13 @@
 use crate::SendResult;
 use crate::StreamConcurrencyLimit;
 use crate::as_f64::as_f64;
+use crate::demand_rate::DemandRate;
 use crate::direct_endpoint::DirectEndpoint;
+use crate::endpoint_limit::EndpointLimit;
+use crate::endpoint_limit::LimitedEndpoint;
 use crate::group_progress::GroupProgress;
+use crate::limit_division::ServiceDivision;
+use crate::permit_forecast::PermitForecast;
 use crate::short_hash::short_hash;
 
 /// Assumed time for which a call holds its slot, until a call ends or an engine model is set.
@@ -38,6 +43,7 @@
 const STALL_RETRY_AFTER_MS: u64 = 2_000;
 const MIN_RETRY_AFTER_MS: u64 = 150;
 const MAX_RETRY_AFTER_MS: u64 = 2_500;
+const MS_PER_S: f64 = 1_000.0;
 /// Slots of an endpoint whose record states none.
 const DEFAULT_SLOTS: u32 = 8;
 
@@ -69,6 +75,11 @@
     has_hold_time_sample: bool,
     /// Whether the rank group of the service makes progress.
     progress: GroupProgress,
+    /// How the entries divide the limits of the endpoints.
+    division: ServiceDivision,
+    /// Whether any endpoint names a limit.
+    has_limits: bool,
+    demand_rate: DemandRate,
 }
 
 /// A call that holds a slot at an endpoint.
@@ -89,9 +100,19 @@
     until_ms: u64,
 }
 
+/// How long a call is expected to wait, and what for.
+#[derive(Debug, Clone, Copy)]
+struct ExpectedWait {
+    wait_ms: u64,
+    /// Time after which a caller that does not wait should come again.
+    retry_after_ms: u64,
+    /// Code of the refusal of a call that can't wait so long.
+    code: RefusalCode,
+}
+
 impl DirectService {
     /// Creates a service without endpoints.
-    pub(crate) fn new(availability_zone: &str, rng: SmallRng) -> Self {
+    pub(crate) fn new(availability_zone: &str, rng: SmallRng, division: ServiceDivision) -> Self {
         Self {
             availability_zone: availability_zone.to_owned(),
             rng,
@@ -104,6 +125,9 @@
             mean_hold_time_ms: INITIAL_HOLD_TIME_MS,
             has_hold_time_sample: false,
             progress: GroupProgress::default(),
+            division,
+            has_limits: false,
+            demand_rate: DemandRate::default(),
         }
     }
 
@@ -120,6 +144,7 @@
             self.endpoints.insert(endpoint.record.id.clone(), endpoint);
         }
         self.set_peer_demand(self.peer_count, self.peer_demand.clone());
+        self.check_for_limits();
     }
 
     /// Sets the engine model of the service; `None` for a service without one.
@@ -209,13 +234,14 @@
         if !self.endpoints.values().any(|e| !e.record.is_leaving) {
             return Some(refuse(RefusalCode::NoEndpoint, MIN_RETRY_AFTER_MS));
         }
-        let wait_ms = self.expected_wait_ms(&query, now_ms);
+        if query.exclude.is_empty() {
+            self.demand_rate.record();
+        }
+        let expected = self.expected_wait(&query, now_ms);
+        let wait_ms = expected.wait_ms;
         let until_ms = query.useful_until_ms.min(now_ms + MAX_WAIT_MS);
-        if wait_ms > 0 && now_ms + wait_ms > until_ms {
-            return Some(refuse(
-                RefusalCode::Overloaded,
-                self.retry_after_ms(wait_ms),
-            ));
+        if wait_ms > 0 && now_ms.saturating_add(wait_ms) > until_ms {
+            return Some(self.refuse(expected, now_ms));
         }
         if wait_ms == 0
             && let Some(decision) = self.try_assign(&query, now_ms)
@@ -259,24 +285,57 @@
         if self.is_stalled(now_ms) {
             self.progress.record_stall(now_ms);
         }
+        self.assign_queued(now_ms, &mut decisions);
+        self.refuse_queued(now_ms, &mut decisions);
+        decisions
+    }
+
+    /// Assigns free slots to queued calls. A call that may not go to some endpoints does not hold up
+    /// those after it.
+    fn assign_queued(&mut self, now_ms: u64, decisions: &mut Vec<(u64, DispatchDecision)>) {
+        let mut left = Vec::new();
         while let Some(position) = self.next_queued(now_ms) {
             let queued = self.queue.swap_remove(position);
-            let Some(decision) = self.try_assign(&queued.query, now_ms) else {
-                self.queue.push(queued);
+            if let Some(decision) = self.try_assign(&queued.query, now_ms) {
+                decisions.push((queued.query.call, decision));
+                continue;
+            }
+            let is_restricted = !queued.query.exclude.is_empty();
+            left.push(queued);
+            if !is_restricted {
                 break;
-            };
-            decisions.push((queued.query.call, decision));
+            }
         }
-        let retry_after_ms = self.retry_after_ms(to_ms(self.mean_hold_time_ms));
-        self.queue.retain(|queued| {
+        self.queue.append(&mut left);
+    }
+
+    /// Refuses queued calls that have waited too long, and those that can't get a permit in time.
+    fn refuse_queued(&mut self, now_ms: u64, decisions: &mut Vec<(u64, DispatchDecision)>) {
+        let mut queue = std::mem::take(&mut self.queue);
+        let forecast = self.permit_forecast(&[], now_ms);
+        if forecast.is_some() {
+            queue.sort_by_key(|queued| Reverse(precedence(queued, now_ms)));
+        }
+        for queued in queue {
+            let expected = self.expected_wait_behind(self.queue.len(), forecast.as_ref());
             let is_expired = now_ms >= queued.until_ms;
-            if is_expired {
-                let decision = refuse(RefusalCode::Overloaded, retry_after_ms);
-                decisions.push((queued.query.call, decision));
+            let comes_late = now_ms.saturating_add(expected.wait_ms) > queued.until_ms;
+            if is_expired || forecast.is_some() && comes_late {
+                decisions.push((queued.query.call, self.refuse(expected, now_ms)));
+            } else {
+                self.queue.push(queued);
             }
-            !is_expired
-        });
-        decisions
+        }
+    }
+
+    /// Refuses a call that would have to wait too long.
+    fn refuse(&mut self, expected: ExpectedWait, now_ms: u64) -> DispatchDecision {
+        if expected.code == RefusalCode::EndpointsLimited {
+            for endpoint in self.endpoints.values_mut() {
+                endpoint.limit.count_refused(now_ms);
+            }
+        }
+        refuse(expected.code, expected.retry_after_ms)
     }
 
     /// Returns the number of this entry's calls, running and queued.
@@ -297,8 +356,12 @@
             return None;
         }
         let id = self.choose_endpoint(query, now_ms)?;
+        if self.has_limits {
+            self.count_elsewhere(&id, now_ms);
+        }
         let endpoint = self.endpoints.get_mut(&id)?;
         endpoint.own_calls += 1;
+        endpoint.limit.take_permit(now_ms);
         let record = Arc::clone(&endpoint.record);
         if self.running.is_empty() {
             self.progress.record_first_call(now_ms);
@@ -314,6 +377,14 @@
         Some(DispatchDecision::Send(record))
     }
 
+    /// Counts a call that goes to the endpoint `chosen` at those that have no permit.
+    fn count_elsewhere(&mut self, chosen: &str, now_ms: u64) {
+        let endpoints = self.endpoints.iter_mut();
+        for (_, endpoint) in endpoints.filter(|(id, _)| *id != chosen) {
+            endpoint.limit.count_elsewhere(now_ms);
+        }
+    }
+
     /// Returns whether sending is paused: while a rank group is down, one call at a time is sent as
     /// a probe, and the others wait for its result.
     fn is_paused(&self, now_ms: u64) -> bool {
@@ -366,7 +437,57 @@
             observed_ms: now_ms,
             source,
         };
-        endpoint.limit.observe(&running.endpoint, observation)
+        let key = endpoint.limit_key;
+        self.apply_limit(key, observation, now_ms)
+    }
+
+    /// Applies what is known of the limit of the endpoint with this key, if it is one of the service;
+    /// returns the change to log.
+    pub(crate) fn apply_limit(
+        &mut self,
+        key: u32,
+        observation: LimitObservation,
+        now_ms: u64,
+    ) -> Option<LimitChange> {
+        let mut endpoints = self.endpoints.values_mut();
+        let endpoint = endpoints.find(|endpoint| endpoint.limit_key == key)?;
+        let limited = LimitedEndpoint {
+            id: &endpoint.record.id,
+            key,
+            division: &self.division,
+        };
+        let change = endpoint.limit.observe(limited, observation, now_ms);
+        self.check_for_limits();
+        change
+    }
+
+    /// Applies a round's division of limits among entries.
+    pub(crate) fn divide_limits(&mut self, division: ServiceDivision, now_ms: u64) {
+        self.division = division;
+        for endpoint in self.endpoints.values_mut() {
+            let limited = LimitedEndpoint {
+                id: &endpoint.record.id,
+                key: endpoint.limit_key,
+                division: &division,
+            };
+            endpoint.limit.divide(limited, now_ms);
+        }
+    }
+
+    fn check_for_limits(&mut self) {
+        let mut endpoints = self.endpoints.values();
+        self.has_limits = endpoints.any(|endpoint| endpoint.limit.calls_per_s().is_some());
+    }
+
+    /// Returns the new calls in 10 s, one at least; `None` while no endpoint names a limit.
+    pub(crate) fn report_demand(&mut self, now_ms: u64) -> Option<u32> {
+        let new_calls_per_10_s = self.demand_rate.report(now_ms);
+        self.has_limits.then_some(new_calls_per_10_s)
+    }
+
+    /// Returns the endpoints of the service.
+    pub(crate) fn endpoints(&self) -> impl Iterator<Item = &DirectEndpoint> {
+        self.endpoints.values()
     }
 
     /// Returns the endpoint with this id.
@@ -376,16 +497,21 @@
 
     /// Returns whether an endpoint that is not in `exclude` accepts calls.
     pub(crate) fn has_alternative(&self, exclude: &[String], now_ms: u64) -> bool {
-        let mut alternatives = self.endpoints_with_room(exclude);
+        let mut alternatives = self.endpoints_with_room(exclude, now_ms);
         alternatives.any(|endpoint| !endpoint.is_avoided(now_ms))
     }
 
-    /// Returns the endpoints outside `exclude` that have a free slot.
-    fn endpoints_with_room(&self, exclude: &[String]) -> impl Iterator<Item = &DirectEndpoint> {
-        self.eligible_endpoints().filter(|endpoint| {
+    /// Returns the endpoints outside `exclude` that have a free slot and take a call within their
+    /// limits.
+    fn endpoints_with_room(
+        &self,
+        exclude: &[String],
+        now_ms: u64,
+    ) -> impl Iterator<Item = &DirectEndpoint> {
+        self.eligible_endpoints().filter(move |endpoint| {
             let slots = slots_of(&endpoint.record);
             let is_excluded = exclude.contains(&endpoint.record.id);
-            !is_excluded && endpoint.calls() < slots
+            !is_excluded && endpoint.calls() < slots && endpoint.limit.has_permit(now_ms)
         })
     }
 
@@ -404,7 +530,7 @@
     fn choose_endpoint(&mut self, query: &DispatchQuery, now_ms: u64) -> Option<String> {
         let ties: Vec<u32> = self.endpoints.iter().map(|_| self.rng.random()).collect();
         let mut best: Option<(bool, f64, bool, u32, &str)> = None;
-        for (endpoint, tie) in self.endpoints_with_room(&query.exclude).zip(ties) {
+        for (endpoint, tie) in self.endpoints_with_room(&query.exclude, now_ms).zip(ties) {
             let sort_key = (
                 endpoint.is_avoided(now_ms),
                 endpoint.cost(query.is_stream),
@@ -427,8 +553,8 @@
         next.map(|(position, _)| position)
     }
 
-    /// Predicts how long a call waits for a slot; zero when one is free.
-    fn expected_wait_ms(&self, query: &DispatchQuery, now_ms: u64) -> u64 {
+    /// Predicts how long a call waits for a slot and a permit; zero when it can be sent now.
+    fn expected_wait(&self, query: &DispatchQuery, now_ms: u64) -> ExpectedWait {
         let candidate = QueuedCall {
             query: query.clone(),
             since_ms: now_ms,
@@ -437,7 +563,49 @@
         let own_precedence = precedence(&candidate, now_ms);
         let ahead = self.queue.iter();
         let ahead = ahead.filter(|queued| precedence(queued, now_ms) > own_precedence);
-        let ahead = as_f64(ahead.count() + self.running.len()) + 1.0 - self.own_slot_share();
+        let forecast = self.permit_forecast(&query.exclude, now_ms);
+        self.expected_wait_behind(ahead.count(), forecast.as_ref())
+    }
+
+    /// Predicts how long a call waits with `ahead` queued calls before it.
+    fn expected_wait_behind(
+        &self,
+        ahead: usize,
+        forecast: Option<&PermitForecast>,
+    ) -> ExpectedWait {
+        let slot_wait_ms = self.slot_wait_ms(ahead);
+        let slot_wait = ExpectedWait {
+            wait_ms: slot_wait_ms,
+            retry_after_ms: self.retry_after_ms(slot_wait_ms),
+            code: RefusalCode::Overloaded,
+        };
+        let Some(forecast) = forecast else {
+            return slot_wait;
+        };
+        let permit_wait_ms = forecast.wait_ms(ahead).unwrap_or(u64::MAX);
+        if permit_wait_ms <= slot_wait_ms {
+            return slot_wait;
+        }
+        ExpectedWait {
+            wait_ms: permit_wait_ms,
+            retry_after_ms: forecast.retry_after_ms(ahead, self.peer_count + 1),
+            code: RefusalCode::EndpointsLimited,
+        }
+    }
+
+    /// Predicts when calls get permits if every endpoint outside `exclude` names a limit.
+    fn permit_forecast(&self, exclude: &[String], now_ms: u64) -> Option<PermitForecast> {
+        if !self.has_limits {
+            return None;
+        }
+        let endpoints = self.eligible_endpoints();
+        let endpoints = endpoints.filter(|endpoint| !exclude.contains(&endpoint.record.id));
+        PermitForecast::of(endpoints.map(|endpoint| &endpoint.limit), now_ms)
+    }
+
+    /// Predicts how long a call waits for a slot with `ahead` queued calls before it.
+    fn slot_wait_ms(&self, ahead: usize) -> u64 {
+        let ahead = as_f64(ahead + self.running.len()) + 1.0 - self.own_slot_share();
         if ahead <= 0.0 {
             return 0;
         }
@@ -461,11 +629,20 @@
                 .concurrency_limit
                 .as_ref()
                 .map(StreamConcurrencyLimit::slots_per_endpoint);
-            limited.map_or(slots, |limited| limited.min(slots))
+            let slots = limited.map_or(slots, |limited| limited.min(slots));
+            self.slots_within_limit(&endpoint.limit).min(slots)
         };
         self.eligible_endpoints().map(limit).sum()
     }
 
+    /// Returns how many calls run at once at an endpoint that gets as many as its limit allows.
+    fn slots_within_limit(&self, limit: &EndpointLimit) -> f64 {
+        let calls_per_s = limit.sent_calls_per_s();
+        calls_per_s.map_or(f64::INFINITY, |calls_per_s| {
+            calls_per_s * self.mean_hold_time_ms / MS_PER_S
+        })
+    }
+
     fn calls_per_endpoint(&self) -> f64 {
         let calls: u32 = self.endpoints.values().map(DirectEndpoint::calls).sum();
         f64::from(calls) / as_f64(self.eligible_endpoints().count().max(1))
--- a/lib/src/entry_gossip.rs
+++ b/lib/src/entry_gossip.rs
@@ -1,10 +1,13 @@
 //! Gossip between the entries of the direct path.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 
 use bon::Builder;
 
+use crate::DemandInterval;
+use crate::LimitDivision;
 use crate::protos::control::EndpointSlowdown;
 use crate::protos::control::GossipMessage;
 use crate::protos::control::GossipReport;
@@ -16,6 +19,8 @@
 const SLOWDOWN_LIFETIME_MS: u64 = 600;
 /// Maximum number of slow endpoints in one report.
 const MAX_REPORTED_SLOWDOWNS: usize = 32;
+/// Time after which the permits of limits move to other entries.
+const LIMIT_TURN_MS: u64 = 20_000;
 
 /// Intervals and limits of [`EntryGossip`].
 #[derive(Debug, Clone, Builder)]
@@ -51,6 +56,9 @@
     slowdowns: BTreeMap<u32, (u32, u64)>,
     /// Position from which the next round selects peers, if there are more than the fanout.
     next_peer: usize,
+    /// Latest turn of the division of limits; all entries follow the highest one.
+    limit_turn: u64,
+    limit_turn_since_ms: u64,
 }
 
 #[derive(Debug)]
@@ -70,6 +78,8 @@
             peers: BTreeMap::new(),
             slowdowns: BTreeMap::new(),
             next_peer: 0,
+            limit_turn: 0,
+            limit_turn_since_ms: 0,
         };
         gossip.add_seeds(0);
         gossip
@@ -91,6 +101,9 @@
         if report.gossip_address == self.settings.own_address {
             return;
         }
+        if report.limit_turn > self.limit_turn {
+            self.set_limit_turn(report.limit_turn, now_ms);
+        }
         let silent_after_ms = self.silent_after_ms();
         let peer = self
             .peers
@@ -106,6 +119,9 @@
     pub fn start_round(&mut self, now_ms: u64) -> Vec<String> {
         self.remove_expired(now_ms);
         self.add_seeds(now_ms);
+        if now_ms.saturating_sub(self.limit_turn_since_ms) >= LIMIT_TURN_MS {
+            self.set_limit_turn(self.limit_turn + 1, now_ms);
+        }
         let count = self.peers.len();
         let targets = count.min(self.settings.fanout);
         let addresses = self.peers.keys().cycle().skip(self.next_peer).take(targets);
@@ -170,13 +186,75 @@
         (newest.config_revision > revision).then_some(newest)
     }
 
-    /// Returns the time without a report after which an entry does not count as alive. If there are
-    /// more entries than the fanout, each receives a report only in every second or third round.
+    /// Returns the latest turn of the division of limits.
+    #[must_use]
+    pub fn limit_turn(&self) -> u64 {
+        self.limit_turn
+    }
+
+    /// Returns how the entries divide the limits of endpoints; `own` is this entry's latest report.
+    #[must_use]
+    pub fn limit_division(&self, own: &GossipReport, now_ms: u64) -> LimitDivision {
+        let sharing: Vec<&GossipReport> = self.sharing(now_ms).chain([own]).collect();
+        let demands = sharing.iter().flat_map(|report| &report.demands);
+        let reported = demands.filter(|demand| demand.new_calls_per_10_s.is_some());
+        let services: BTreeSet<u32> = reported.map(|demand| demand.service).collect();
+        let interval = |service: Option<u32>| {
+            let reports = sharing.iter();
+            let demands = reports.map(|report| {
+                let new_calls = service.and_then(|service| new_calls(report, service));
+                (report.gossip_address.as_str(), new_calls)
+            });
+            DemandInterval::of(&own.gossip_address, &demands.collect::<Vec<_>>())
+        };
+        let by_service = services.iter();
+        LimitDivision {
+            turn: self.limit_turn,
+            demand_by_service: by_service
+                .map(|service| (*service, interval(Some(*service))))
+                .collect(),
+            even_demand: interval(None),
+            settle_rounds: u32::try_from(self.silent_rounds()).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Returns the other entries that use a part of the limits of endpoints.
+    ///
+    /// An entry that falls silent is left out while most others are heard. An entry that hears few of
+    /// the others is more likely to be cut off itself, and leaves them their parts.
+    fn sharing(&self, now_ms: u64) -> impl Iterator<Item = &GossipReport> {
+        let silent_after_ms = self.silent_after_ms();
+        let is_live =
+            move |peer: &Peer| now_ms.saturating_sub(peer.last_contact_ms) < silent_after_ms;
+        let known = || {
+            let peers = self.peers.values();
+            peers.filter_map(move |peer| Some((is_live(peer), peer.report.as_ref()?)))
+        };
+        let counted = || known().filter(|(is_live, report)| *is_live || report.serves);
+        let live_count = known().filter(|(is_live, _)| *is_live).count() + 1;
+        let hears_most = 2 * live_count > counted().count() + 1;
+        counted()
+            .filter(move |(is_live, _)| *is_live || !hears_most)
+            .map(|(_, report)| report)
+    }
+
+    fn set_limit_turn(&mut self, turn: u64, now_ms: u64) {
+        self.limit_turn = turn;
+        self.limit_turn_since_ms = now_ms;
+    }
+
+    /// Returns the time without a report after which an entry does not count as alive.
     fn silent_after_ms(&self) -> u64 {
+        self.settings.interval_ms * self.silent_rounds()
+    }
+
+    /// Returns the rounds without a report after which an entry does not count as alive. If there are
+    /// more entries than the fanout, each receives a report only in every second or third round.
+    fn silent_rounds(&self) -> u64 {
         let settings = &self.settings;
         let rounds = self.peers.len().div_ceil(settings.fanout.max(1)).max(1);
         let rounds = u64::try_from(rounds).unwrap_or(u64::MAX);
-        settings.interval_ms * settings.silent_rounds * rounds
+        settings.silent_rounds * rounds
     }
 
     fn add_seeds(&mut self, now_ms: u64) {
@@ -200,6 +278,13 @@
     }
 }
 
+/// Returns the new calls for a service that an entry reports.
+fn new_calls(report: &GossipReport, service: u32) -> Option<u32> {
+    let mut demands = report.demands.iter();
+    let demand = demands.find(|demand| demand.service == service)?;
+    demand.new_calls_per_10_s
+}
+
 impl Peer {
     fn new(now_ms: u64) -> Self {
         Self {
--- a/lib/src/gossip_loop.rs
+++ b/lib/src/gossip_loop.rs
@@ -12,9 +12,12 @@
 
 use crate::DirectEntry;
 use crate::EntryGossip;
+use crate::LimitReport;
 use crate::PeerDemand;
 use crate::direct_actor::DirectCommand;
 use crate::direct_actor::LocalDemand;
+use crate::direct_actor::ServiceDemand;
+use crate::protos::control::EndpointLimitReport;
 use crate::protos::control::GossipDemand;
 use crate::protos::control::GossipMessage;
 use crate::protos::control::GossipReport;
@@ -23,6 +26,10 @@
 const MAX_DATAGRAM_BYTES: usize = 8 << 10;
 /// Maximum number of endpoints per service in a report.
 const MAX_ENDPOINTS_PER_DEMAND: usize = 64;
+/// Numbers of limits in a report, and in the reports of all entries of one round.
+const MAX_LIMITS_PER_REPORT: usize = 32;
+const MIN_LIMITS_PER_REPORT: usize = 2;
+const MAX_LIMITS_OF_ALL_REPORTS: usize = 512;
 
 /// The view of the other entries that gossip publishes for other tasks of the process.
 #[derive(Debug, Default)]
@@ -74,6 +81,7 @@
         match GossipMessage::decode(bytes) {
             Ok(message) => {
                 if let Some(report) = &message.word {
+                    self.pass_on_limits(report);
                     let reports = &report.crash_suspects;
                     let tracker = self.entry.crash_tracker();
                     tracker.merge(reports, &report.gossip_address);
@@ -84,18 +92,36 @@
         }
     }
 
+    /// Passes what another entry knows of limits to the dispatcher.
+    fn pass_on_limits(&self, report: &GossipReport) {
+        if report.limits.is_empty() || report.gossip_address == self.report.gossip_address {
+            return;
+        }
+        let reports = report.limits.iter().map(|limit| LimitReport {
+            endpoint: limit.endpoint,
+            calls_per_s: limit.calls_per_s,
+            age_ms: limit.age_ms,
+        });
+        self.entry.submit(DirectCommand::PeerLimits {
+            address: report.gossip_address.clone(),
+            reports: reports.collect(),
+        });
+    }
+
     async fn send_round(&mut self) {
         let now_ms = self.entry.clock().now_ms();
         self.publish(now_ms);
         self.send_peer_demand(now_ms);
-        let demand = self.own_demand().await;
+        let entry_count = self.gossip.live(now_ms).count();
+        let demand = self.own_demand(entry_count).await;
         self.report.sequence += 1;
         self.report.serves = self.entry.is_ready();
         self.report.config_revision = self.entry.revision().unwrap_or(0);
         self.report.follows_platform = self.entry.endpoints().follows_platform();
         self.report.demands = to_gossip_demands(&demand);
         self.report.paces = self.gossip.own_slowdowns(now_ms);
-        let entry_count = self.gossip.live(now_ms).count();
+        self.report.limits = demand.limits.iter().map(to_gossip_limit).collect();
+        self.report.limit_turn = self.gossip.limit_turn();
         self.report.crash_suspects = self.entry.crash_tracker().reports(entry_count);
         let message = GossipMessage {
             word: Some(self.report.clone()),
@@ -152,19 +178,35 @@
             peer_count: entries,
             demand_by_service: others,
             slowdowns: self.gossip.slowdowns(now_ms),
+            division: self.gossip.limit_division(&self.report, now_ms),
         });
     }
 
-    async fn own_demand(&self) -> LocalDemand {
+    /// Returns the demand of this entry and what it knows of limits, fewer of them in a large fleet.
+    async fn own_demand(&self, entry_count: usize) -> LocalDemand {
+        let most_limits = MAX_LIMITS_OF_ALL_REPORTS / entry_count.max(1);
         let (reply, answer) = oneshot::channel();
-        self.entry.submit(DirectCommand::Demand { reply });
+        self.entry.submit(DirectCommand::Demand {
+            most_limits: most_limits.clamp(MIN_LIMITS_PER_REPORT, MAX_LIMITS_PER_REPORT),
+            reply,
+        });
         answer.await.unwrap_or_default()
     }
 }
 
+fn to_gossip_limit(report: &LimitReport) -> EndpointLimitReport {
+    EndpointLimitReport {
+        endpoint: report.endpoint,
+        calls_per_s: report.calls_per_s,
+        age_ms: report.age_ms,
+    }
+}
+
 fn to_gossip_demands(demand: &LocalDemand) -> Vec<GossipDemand> {
     let services = demand.by_service.iter();
-    let busy = services.filter(|(_, service)| service.calls > 0);
+    let is_reported =
+        |service: &ServiceDemand| service.calls > 0 || service.new_calls_per_10_s.is_some();
+    let busy = services.filter(|(_, service)| is_reported(service));
     let messages = busy.map(|(name, service)| {
         let endpoints = service.by_endpoint.iter().take(MAX_ENDPOINTS_PER_DEMAND);
         let (endpoints, endpoint_calls) = endpoints
@@ -175,6 +217,7 @@
             calls: service.calls,
             endpoints,
             endpoint_calls,
+            new_calls_per_10_s: service.new_calls_per_10_s,
         }
     });
     messages.collect()
--- a/lib/src/protos/pomeloramp.control.rs
+++ b/lib/src/protos/pomeloramp.control.rs
@@ -662,6 +662,25 @@
     /// that are refused.
     #[prost(message, repeated, tag = "12")]
     pub crash_suspects: ::prost::alloc::vec::Vec<SuspectReport>,
+    /// What the entry knows of the limits of endpoints; in a large fleet a part of it at a time.
+    #[prost(message, repeated, tag = "13")]
+    pub limits: ::prost::alloc::vec::Vec<EndpointLimitReport>,
+    /// Turn of the division of limits.
+    #[prost(uint64, tag = "14")]
+    pub limit_turn: u64,
+}
+/// The latest that an entry knows of the limit that an endpoint names.
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
+pub struct EndpointLimitReport {
+    /// Hash of the id and the run of the endpoint.
+    #[prost(fixed32, tag = "1")]
+    pub endpoint: u32,
+    /// Calls a second that the endpoint takes from all entries; absent when it names no limit any more.
+    #[prost(double, optional, tag = "2")]
+    pub calls_per_s: ::core::option::Option<f64>,
+    /// Time since the endpoint answered so.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
 }
 /// Evidence on a content or a part of prompts that was at crashes of endpoints.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -710,6 +729,9 @@
     pub endpoints: ::prost::alloc::vec::Vec<u32>,
     #[prost(uint32, repeated, tag = "4")]
     pub endpoint_calls: ::prost::alloc::vec::Vec<u32>,
+    /// New calls in 10 s; absent while the entry knows no limit of an endpoint of the service.
+    #[prost(uint32, optional, tag = "5")]
+    pub new_calls_per_10_s: ::core::option::Option<u32>,
 }
 /// Datagram between the agents of a rank group on the direct path.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/lib/src/refusal_code.rs
+++ b/lib/src/refusal_code.rs
@@ -41,6 +41,8 @@
     NoEndpoint,
     /// Every endpoint's queue is too long for the deadline.
     Overloaded,
+    /// Every endpoint names a limit on its calls, and a call within them would come too late.
+    EndpointsLimited,
     /// The process is shutting down.
     Draining,
     /// The parameters in force do not name the organisation.
@@ -76,6 +78,7 @@
             Self::DeadlineTooShort => "deadline-too-short",
             Self::NoEndpoint => "no-endpoint",
             Self::Overloaded => "overloaded",
+            Self::EndpointsLimited => "endpoints-limited",
             Self::Draining => "draining",
             Self::UnknownOrganisation => "unknown-organisation",
             Self::DuplicateRequest => "duplicate-request",
