entry_gossip: pass on the addresses of all entries in turn

In fleets of more than 17 entries, those beyond the 17th by address never learnt of each other: each message passed on the same 16 addresses. They divided limits as if half the fleet did not exist, and answered callers with half the addresses.

Each round passes on the next 16.

--- a/lib/src/entry_gossip.rs
+++ b/lib/src/entry_gossip.rs
@@ -56,6 +56,8 @@
     slowdowns: BTreeMap<u32, (u32, u64)>,
     /// Position from which the next round selects peers, if there are more than the fanout.
     next_peer: usize,
+    /// Position from which the next round passes on addresses, if there are more than one message holds.
+    next_known: usize,
     /// Latest turn of the division of limits; all entries follow the highest one.
     limit_turn: u64,
     limit_turn_since_ms: u64,
@@ -78,6 +80,7 @@
             peers: BTreeMap::new(),
             slowdowns: BTreeMap::new(),
             next_peer: 0,
+            next_known: 0,
             limit_turn: 0,
             limit_turn_since_ms: 0,
         };
@@ -127,15 +130,18 @@
         let addresses = self.peers.keys().cycle().skip(self.next_peer).take(targets);
         let addresses = addresses.cloned().collect();
         self.next_peer = (self.next_peer + targets) % count.max(1);
+        self.next_known = (self.next_known + MAX_KNOWN_ADDRESSES) % count.max(1);
         addresses
     }
 
-    /// Returns the gossip addresses of live entries to pass on, without this one.
+    /// Returns the gossip addresses of live entries to pass on in this round, without this one; in a
+    /// large fleet others in each round.
     #[must_use]
     pub fn known_addresses(&self, now_ms: u64) -> Vec<String> {
-        let live = self.live(now_ms);
-        let addresses = live.map(|report| report.gossip_address.clone());
-        addresses.take(MAX_KNOWN_ADDRESSES).collect()
+        let live: Vec<&GossipReport> = self.live(now_ms).collect();
+        let passed_on = live.len().min(MAX_KNOWN_ADDRESSES);
+        let turn = live.iter().cycle().skip(self.next_known).take(passed_on);
+        turn.map(|report| report.gossip_address.clone()).collect()
     }
 
     /// Returns the last reports of the entries that are alive.
--- a/lib/tests/test_entry_gossip.rs
+++ b/lib/tests/test_entry_gossip.rs
@@ -158,3 +158,35 @@
     gossip.receive(&agent_message, 100);
     expect_that!(gossip.slowdowns(800).get(&7), none());
 }
+
+#[googletest::test]
+fn entries_of_a_large_fleet_never_learnt_of_each_other() {
+    let address = |number: usize| format!("entry-{number:02}");
+    let count = 40;
+    let mut fleet: Vec<_> = (0..count)
+        .map(|number| gossip(&address(number), &["entry-00", "entry-01"]))
+        .collect();
+    for round in 1..=50_u64 {
+        let now_ms = round * INTERVAL_MS;
+        for number in 0..count {
+            let own = report(&address(number), 1, round);
+            let known = fleet[number].known_addresses(now_ms);
+            let known: Vec<&str> = known.iter().map(String::as_str).collect();
+            let sent = message(own, &known);
+            for target in fleet[number].start_round(now_ms) {
+                let target = (0..count)
+                    .find(|number| address(*number) == target)
+                    .unwrap();
+                fleet[target].receive(&sent, now_ms);
+            }
+        }
+    }
+    let now_ms = 50 * INTERVAL_MS;
+    for (number, gossip) in fleet.iter().enumerate() {
+        expect_that!(
+            serving(gossip, now_ms).len(),
+            eq(count - 1),
+            "entry {number}"
+        );
+    }
+}
