direct_actor: advance the dispatcher also while commands leave no idle time

Queued calls waited for a tick that came only when no command had arrived for 20 ms. With 2,000 refused calls a second nothing else moved them: they were neither sent when a permit came nor refused when their time was over.

The dispatcher is advanced in every 20 ms, by whatever wakes the actor.

--- a/lib/src/direct_actor.rs
+++ b/lib/src/direct_actor.rs
@@ -30,7 +30,8 @@
 use crate::event;
 
 const RING_CAPACITY: usize = 4096;
-const TICK: Duration = Duration::from_millis(20);
+const TICK_MS: u64 = 20;
+const TICK: Duration = Duration::from_millis(TICK_MS);
 
 /// A message to the dispatch actor.
 pub(crate) enum DirectCommand {
@@ -173,6 +174,8 @@
     down_services: BTreeSet<String>,
     /// Publishes the ids of the slow endpoints.
     slow_endpoints: watch::Sender<HashSet<String>>,
+    /// Time at which the dispatcher is advanced next.
+    next_advance_ms: u64,
 }
 
 /// Starts the actor; it publishes the ids of slow endpoints on `slow_endpoints`.
@@ -189,18 +192,15 @@
         replies: HashMap::new(),
         down_services: BTreeSet::new(),
         slow_endpoints,
+        next_advance_ms: 0,
     };
     Actor::spawn("dispatch", RING_CAPACITY, TICK, move |wake| {
         let now_ms = clock.now_ms();
         state.apply_inputs(now_ms);
-        match wake {
-            ActorInput::Command(command) => state.handle(command, now_ms),
-            ActorInput::Tick => {
-                let decisions = state.dispatcher.advance(now_ms);
-                state.send_decisions(decisions, now_ms);
-                state.log_group_changes();
-            }
+        if let ActorInput::Command(command) = wake {
+            state.handle(command, now_ms);
         }
+        state.advance_if_due(now_ms);
     })
 }
 
@@ -222,6 +222,17 @@
         }
     }
 
+    /// Advances the dispatcher once in each tick, also while commands leave no idle time.
+    fn advance_if_due(&mut self, now_ms: u64) {
+        if now_ms < self.next_advance_ms {
+            return;
+        }
+        self.next_advance_ms = now_ms + TICK_MS;
+        let decisions = self.dispatcher.advance(now_ms);
+        self.send_decisions(decisions, now_ms);
+        self.log_group_changes();
+    }
+
     /// Handles one command. A reply is dropped when its requester no longer waits for it.
     fn handle(&mut self, command: DirectCommand, now_ms: u64) {
         match command {
