direct_actor: log and publish the limits in force, and what they did to calls

For one endpoint: the limit believed, from which answer, how old, this entry's part, calls sent, turned elsewhere and refused (E0613 every 5 s, gauges and a counter by endpoint, a counter of invalid limits).

--- a/lib/src/direct_actor.rs
+++ b/lib/src/direct_actor.rs
@@ -1,5 +1,6 @@
 //! The actor that runs an entry's [`DirectDispatcher`].
 
+use std::cmp::Reverse;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -18,6 +19,7 @@
 use crate::LimitChange;
 use crate::LimitDivision;
 use crate::LimitReport;
+use crate::LimitStatus;
 use crate::NamedLimit;
 use crate::PeerDemand;
 use crate::RouteTable;
@@ -28,8 +30,15 @@
 use crate::direct_service::DirectService;
 use crate::endpoint_limit::BelievedLimit;
 use crate::event;
+use crate::limit_board::LimitBoard;
 
 const RING_CAPACITY: usize = 4096;
+const LIMITS_PUBLISHED_MS: u64 = 1_000;
+const LIMITS_LOGGED_MS: u64 = 5_000;
+/// Most limits that are published for metrics, and that are logged each time; those that concern
+/// most calls come first.
+const MAX_PUBLISHED_LIMITS: usize = 64;
+const MAX_LOGGED_LIMITS: usize = 16;
 const TICK_MS: u64 = 20;
 const TICK: Duration = Duration::from_millis(TICK_MS);
 
@@ -164,6 +173,13 @@
     pub(crate) pauses: PauseSamples,
 }
 
+/// State that the actor publishes for other tasks of the process.
+pub(crate) struct DirectOutputs {
+    /// Ids of the slow endpoints.
+    pub(crate) slow_endpoints: watch::Sender<HashSet<String>>,
+    pub(crate) limits: LimitBoard,
+}
+
 struct State {
     dispatcher: DirectDispatcher,
     inputs: DirectInputs,
@@ -172,18 +188,20 @@
     replies: HashMap<u64, oneshot::Sender<DispatchReply>>,
     /// Services whose rank groups were down at the last check.
     down_services: BTreeSet<String>,
-    /// Publishes the ids of the slow endpoints.
-    slow_endpoints: watch::Sender<HashSet<String>>,
+    outputs: DirectOutputs,
     /// Time at which the dispatcher is advanced next.
     next_advance_ms: u64,
+    /// Times at which the limits of endpoints are published and logged next.
+    next_limits_published_ms: u64,
+    next_limits_logged_ms: u64,
 }
 
-/// Starts the actor; it publishes the ids of slow endpoints on `slow_endpoints`.
+/// Starts the actor.
 pub(crate) fn spawn(
     clock: Clock,
     dispatcher: DirectDispatcher,
     inputs: DirectInputs,
-    slow_endpoints: watch::Sender<HashSet<String>>,
+    outputs: DirectOutputs,
 ) -> Actor<DirectCommand> {
     let mut state = State {
         dispatcher,
@@ -191,8 +209,10 @@
         list: None,
         replies: HashMap::new(),
         down_services: BTreeSet::new(),
-        slow_endpoints,
+        outputs,
         next_advance_ms: 0,
+        next_limits_published_ms: 0,
+        next_limits_logged_ms: 0,
     };
     Actor::spawn("dispatch", RING_CAPACITY, TICK, move |wake| {
         let now_ms = clock.now_ms();
@@ -231,6 +251,24 @@
         let decisions = self.dispatcher.advance(now_ms);
         self.send_decisions(decisions, now_ms);
         self.log_group_changes();
+        self.report_limits(now_ms);
+    }
+
+    /// Publishes and logs the limits of endpoints at their intervals.
+    fn report_limits(&mut self, now_ms: u64) {
+        if now_ms < self.next_limits_published_ms {
+            return;
+        }
+        self.next_limits_published_ms = now_ms + LIMITS_PUBLISHED_MS;
+        let mut statuses = self.dispatcher.limit_statuses(now_ms);
+        statuses.sort_by_key(|status| Reverse(status.calls.concerned()));
+        statuses.truncate(MAX_PUBLISHED_LIMITS);
+        if now_ms >= self.next_limits_logged_ms {
+            self.next_limits_logged_ms = now_ms + LIMITS_LOGGED_MS;
+            let logged = statuses.iter().take(MAX_LOGGED_LIMITS);
+            logged.for_each(log_limit_status);
+        }
+        self.outputs.limits.publish(statuses);
     }
 
     /// Handles one command. A reply is dropped when its requester no longer waits for it.
@@ -272,6 +310,9 @@
                 limit,
                 request_id,
             } => {
+                if matches!(limit, NamedLimit::Invalid(_)) {
+                    self.outputs.limits.count_invalid();
+                }
                 let change = self
                     .dispatcher
                     .observe_limit(call, &limit, &request_id, now_ms);
@@ -292,7 +333,7 @@
     fn publish_slow_endpoints(&self) {
         let services = self.dispatcher.services();
         let slow: HashSet<String> = services.flat_map(|(_, s)| s.slow_endpoints()).collect();
-        self.slow_endpoints.send_if_modified(|current| {
+        self.outputs.slow_endpoints.send_if_modified(|current| {
             let is_changed = *current != slow;
             if is_changed {
                 event!(SlowEndpoints, "endpoints={}", sorted(&slow));
@@ -374,6 +415,24 @@
     }
 }
 
+fn log_limit_status(status: &LimitStatus) {
+    let LimitStatus {
+        endpoint,
+        service,
+        limit,
+        source,
+        calls,
+    } = status;
+    event!(
+        LimitInForce,
+        "service={service} endpoint={endpoint}{} source=\"{source}\" sent={} elsewhere={} refused={}",
+        limit.log_fields(),
+        calls.sent,
+        calls.elsewhere,
+        calls.refused
+    );
+}
+
 fn log_limit_change(change: &LimitChange) {
     match change {
         LimitChange::Named {
--- a/lib/src/direct_dispatcher.rs
+++ b/lib/src/direct_dispatcher.rs
@@ -302,7 +302,7 @@
     pub fn limit_statuses(&self, now_ms: u64) -> Vec<LimitStatus> {
         let endpoints = self.services.values().flat_map(DirectService::endpoints);
         let statuses =
-            endpoints.filter_map(|endpoint| endpoint.limit.status(&endpoint.record.id, now_ms));
+            endpoints.filter_map(|endpoint| endpoint.limit.status(&endpoint.record, now_ms));
         statuses.collect()
     }
 
--- a/lib/src/direct_entry.rs
+++ b/lib/src/direct_entry.rs
@@ -31,11 +31,13 @@
 use crate::direct_actor;
 use crate::direct_actor::DirectCommand;
 use crate::direct_actor::DirectInputs;
+use crate::direct_actor::DirectOutputs;
 use crate::direct_actor::PauseSamples;
 use crate::direct_server;
 use crate::direct_state::DirectState;
 use crate::event;
 use crate::in_flight::InFlightCounter;
+use crate::limit_board::LimitBoard;
 use crate::listener::listen;
 use crate::shutdown;
 
@@ -103,9 +105,15 @@
             tables: tables.subscribe(),
             pauses: pauses.clone(),
         };
-        let dispatcher = direct_actor::spawn(clock, dispatcher, inputs, slow_sender);
+        let outputs = DirectOutputs {
+            slow_endpoints: slow_sender,
+            limits: LimitBoard::default(),
+        };
+        let limits = outputs.limits.clone();
+        let dispatcher = direct_actor::spawn(clock, dispatcher, inputs, outputs);
         let metrics = Metrics::new();
         metrics.observe_endpoints(&endpoints);
+        metrics.observe_limits(&limits);
         let crash_tracker = CrashTracker::new(clock);
         metrics.observe_quarantine(&crash_tracker);
         let state = DirectState {
--- a/lib/src/endpoint_limit.rs
+++ b/lib/src/endpoint_limit.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 
+use crate::EndpointRecord;
 use crate::limit_division::ServiceDivision;
 use crate::limit_share::LimitShare;
 use crate::token_bucket::TokenBucket;
@@ -102,6 +103,8 @@
 pub struct LimitStatus {
     /// Id of the endpoint.
     pub endpoint: String,
+    /// Service of the endpoint.
+    pub service: String,
     /// The limit in force.
     pub limit: BelievedLimit,
     /// Where the entry knows it from.
@@ -121,6 +124,13 @@
     pub refused: u64,
 }
 
+impl LimitedCalls {
+    /// Returns the number of calls that the limit has concerned.
+    pub(crate) fn concerned(&self) -> u64 {
+        self.sent + self.elsewhere + self.refused
+    }
+}
+
 /// What an entry believes of the limit that one run of an endpoint names, and its part of it.
 #[derive(Debug, Default)]
 pub(crate) struct EndpointLimit {
@@ -164,9 +174,10 @@
     }
 
     /// Returns the limit in force with what was done about it; `None` without one.
-    pub(crate) fn status(&self, endpoint: &str, now_ms: u64) -> Option<LimitStatus> {
+    pub(crate) fn status(&self, endpoint: &EndpointRecord, now_ms: u64) -> Option<LimitStatus> {
         Some(LimitStatus {
-            endpoint: endpoint.to_owned(),
+            endpoint: endpoint.id.clone(),
+            service: endpoint.service.clone(),
             limit: self.believed(now_ms)?,
             source: self.latest.as_ref()?.source.clone(),
             calls: self.calls,
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -131,6 +131,7 @@
     LimitNamed = 610 Warn "endpoint names a limit on its calls",
     LimitLifted = 611 Info "endpoint names no limit any more",
     LimitInvalid = 612 Warn "endpoint names a limit that is invalid",
+    LimitInForce = 613 Info "limit of an endpoint in force",
 }
 
 impl fmt::Display for Event {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -135,6 +135,7 @@
 mod layer_search;
 mod layer_trade_off;
 mod lent_time;
+mod limit_board;
 mod limit_division;
 mod limit_report;
 mod limit_share;
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -21,11 +21,14 @@
 use volo_http::server::route::get;
 
 use crate::EndpointFeed;
+use crate::LimitStatus;
+use crate::as_f64::as_f64;
 use crate::caller_server;
 use crate::caller_server::CallerLimits;
 use crate::caller_server::CallerShutdown;
 use crate::crash_tracker::CrashTracker;
 use crate::daemon_error::DaemonError;
+use crate::limit_board::LimitBoard;
 use crate::listener::listen;
 use crate::listener::print_address;
 use crate::protos::control::IdleTime;
@@ -164,6 +167,65 @@
             .build();
     }
 
+    /// Reports the limits that endpoints name, and what was done about them, on each read.
+    pub(crate) fn observe_limits(&self, limits: &LimitBoard) {
+        let meter = self.provider.meter(SCOPE);
+        let gauge =
+            |name: &'static str, description: &'static str, read: fn(&LimitStatus) -> f64| {
+                let board = limits.clone();
+                meter
+                    .f64_observable_gauge(name)
+                    .with_description(description)
+                    .with_callback(move |gauge| {
+                        for status in &*board.statuses() {
+                            gauge.observe(read(status), &[endpoint_label(status)]);
+                        }
+                    })
+                    .build();
+            };
+        gauge(
+            "pomeloramp_endpoint_limit_per_s",
+            "Calls a second that an endpoint takes from all entries together",
+            |status| status.limit.calls_per_s,
+        );
+        gauge(
+            "pomeloramp_endpoint_own_limit_per_s",
+            "Part of an endpoint's limit that this entry may use",
+            |status| status.limit.own_calls_per_s,
+        );
+        gauge(
+            "pomeloramp_endpoint_limit_age_ms",
+            "Time since the answer from which an endpoint's limit is known",
+            |status| as_f64(status.limit.age_ms),
+        );
+        let board = limits.clone();
+        meter
+            .u64_observable_counter("pomeloramp_limited_calls")
+            .with_description(
+                "Calls that an endpoint's limit has concerned, by what became of them",
+            )
+            .with_callback(move |counter| {
+                for status in &*board.statuses() {
+                    let calls = status.calls;
+                    for (outcome, count) in [
+                        ("sent", calls.sent),
+                        ("elsewhere", calls.elsewhere),
+                        ("refused", calls.refused),
+                    ] {
+                        let labels = [endpoint_label(status), KeyValue::new("outcome", outcome)];
+                        counter.observe(count, &labels);
+                    }
+                }
+            })
+            .build();
+        let board = limits.clone();
+        meter
+            .u64_observable_counter("pomeloramp_invalid_limits")
+            .with_description("Answers that named an invalid limit")
+            .with_callback(move |counter| counter.observe(board.invalid_count(), &[]))
+            .build();
+    }
+
     /// Records the duration of a finished request.
     pub fn record_request(&self, organisation: &str, outcome: &str, elapsed: Duration) {
         let labels = [
@@ -244,6 +306,10 @@
     }
 }
 
+fn endpoint_label(status: &LimitStatus) -> KeyValue {
+    KeyValue::new("endpoint", status.endpoint.clone())
+}
+
 fn scrape_response(metrics: &Metrics) -> Response<Body> {
     let mut response = Response::new(Body::from(metrics.scrape()));
     *response.status_mut() = StatusCode::OK;
