--- a/lib/src/entry_gossip.rs
+++ b/lib/src/entry_gossip.rs
@@ -21,6 +21,9 @@
 const MAX_REPORTED_SLOWDOWNS: usize = 32;
 /// Time after which the permits of limits move to other entries.
 const LIMIT_TURN_MS: u64 = 60_000;
+/// Number of entries, the first by address, whose demand all others count. Those beyond them count
+/// no other demand: if they did, calls would wait that endpoints could take (KNOWN-RED.txt).
+const COUNTED_DEMANDS: usize = 17;
 
 /// Intervals and limits of [`EntryGossip`].
 #[derive(Debug, Clone, Builder)]
@@ -158,6 +161,20 @@
         self.live(now_ms).filter(|report| report.serves)
     }
 
+    /// Returns the last reports of the live entries whose demand this entry counts when it divides the
+    /// slots of endpoints.
+    pub fn counted_demands(&self, now_ms: u64) -> impl Iterator<Item = &GossipReport> {
+        let own_address = self.settings.own_address.as_str();
+        let before = self.live(now_ms);
+        let before = before.filter(|report| report.gossip_address.as_str() < own_address);
+        let counted = if before.count() < COUNTED_DEMANDS {
+            usize::MAX
+        } else {
+            COUNTED_DEMANDS
+        };
+        self.live(now_ms).take(counted)
+    }
+
     /// Returns the slow endpoints that agents have reported to this entry.
     #[must_use]
     pub fn own_slowdowns(&self, now_ms: u64) -> Vec<EndpointSlowdown> {
--- a/lib/src/gossip_loop.rs
+++ b/lib/src/gossip_loop.rs
@@ -158,10 +158,11 @@
 
     /// Sends the dispatcher the demand that the other entries report.
     fn send_peer_demand(&self, now_ms: u64) {
-        let entries = self.gossip.serving(now_ms).count();
+        let counted = self.gossip.counted_demands(now_ms);
+        let entries = counted.filter(|report| report.serves).count();
         let entries = u32::try_from(entries).unwrap_or(u32::MAX);
         let mut others: HashMap<u32, PeerDemand> = HashMap::new();
-        for report in self.gossip.live(now_ms) {
+        for report in self.gossip.counted_demands(now_ms) {
             for demand_report in &report.demands {
                 let demand = others.entry(demand_report.service).or_default();
                 demand.calls += demand_report.calls;
--- a/lib/tests/test_entry_gossip.rs
+++ b/lib/tests/test_entry_gossip.rs
@@ -183,6 +183,9 @@
     }
     let now_ms = 50 * INTERVAL_MS;
     for (number, gossip) in fleet.iter().enumerate() {
+        let counted = gossip.counted_demands(now_ms).count();
+        let expected = if number < 17 { count - 1 } else { 17 };
+        expect_that!(counted, eq(expected), "entry {number}");
         expect_that!(
             serving(gossip, now_ms).len(),
             eq(count - 1),
