direct_service: calls that waited too long come again after the usual hold time

A slip of the division of limits, found by reading: the Retry-After of a queued call that expires followed the calls before it in the queue, also where no endpoint names a limit; before, and now again, the usual hold time.

--- a/lib/src/direct_service.rs
+++ b/lib/src/direct_service.rs
@@ -286,7 +286,8 @@
             self.progress.record_stall(now_ms);
         }
         self.assign_queued(now_ms, &mut decisions);
-        self.refuse_queued(now_ms, &mut decisions);
+        self.refuse_late(now_ms, &mut decisions);
+        self.refuse_expired(now_ms, &mut decisions);
         decisions
     }
 
@@ -309,18 +310,29 @@
         self.queue.append(&mut left);
     }
 
-    /// Refuses queued calls that have waited too long, and those that can't get a permit in time.
-    fn refuse_queued(&mut self, now_ms: u64, decisions: &mut Vec<(u64, DispatchDecision)>) {
+    /// Refuses queued calls that have waited too long.
+    fn refuse_expired(&mut self, now_ms: u64, decisions: &mut Vec<(u64, DispatchDecision)>) {
+        let retry_after_ms = self.retry_after_ms(to_ms(self.mean_hold_time_ms));
+        self.queue.retain(|queued| {
+            let is_expired = now_ms >= queued.until_ms;
+            if is_expired {
+                let decision = refuse(RefusalCode::Overloaded, retry_after_ms);
+                decisions.push((queued.query.call, decision));
+            }
+            !is_expired
+        });
+    }
+
+    /// Refuses queued calls that can't get a permit in time.
+    fn refuse_late(&mut self, now_ms: u64, decisions: &mut Vec<(u64, DispatchDecision)>) {
+        let Some(forecast) = self.permit_forecast(&[], now_ms) else {
+            return;
+        };
         let mut queue = std::mem::take(&mut self.queue);
-        let forecast = self.permit_forecast(&[], now_ms);
-        if forecast.is_some() {
-            queue.sort_by_key(|queued| Reverse(precedence(queued, now_ms)));
-        }
+        queue.sort_by_key(|queued| Reverse(precedence(queued, now_ms)));
         for queued in queue {
-            let expected = self.expected_wait_behind(self.queue.len(), forecast.as_ref());
-            let is_expired = now_ms >= queued.until_ms;
-            let comes_late = now_ms.saturating_add(expected.wait_ms) > queued.until_ms;
-            if is_expired || forecast.is_some() && comes_late {
+            let expected = self.expected_wait_behind(self.queue.len(), Some(&forecast));
+            if now_ms.saturating_add(expected.wait_ms) > queued.until_ms {
                 decisions.push((queued.query.call, self.refuse(expected, now_ms)));
             } else {
                 self.queue.push(queued);
