gossip_loop: hand limits on as the messages that they come in

LimitReport had the fields of EndpointLimitReport, and four places copied one into the other; slow engines and suspects are handed on as messages already. No change of behaviour.

--- a/lib/src/direct_actor.rs
+++ b/lib/src/direct_actor.rs
@@ -18,7 +18,6 @@
 use crate::EndpointList;
 use crate::LimitChange;
 use crate::LimitDivision;
-use crate::LimitReport;
 use crate::LimitStatus;
 use crate::NamedLimit;
 use crate::PeerDemand;
@@ -31,6 +30,7 @@
 use crate::endpoint_limit::BelievedLimit;
 use crate::event;
 use crate::limit_board::LimitBoard;
+use crate::protos::control::EndpointLimitReport;
 
 const RING_CAPACITY: usize = 4096;
 const LIMITS_PUBLISHED_MS: u64 = 1_000;
@@ -60,7 +60,7 @@
     PeerLimits {
         /// Gossip address of the entry.
         address: String,
-        reports: Vec<LimitReport>,
+        reports: Vec<EndpointLimitReport>,
     },
     /// Requests an endpoint for a call.
     RequestEndpoint {
@@ -114,7 +114,7 @@
     /// In-flight calls by name of the service.
     pub(crate) by_service: HashMap<String, ServiceDemand>,
     /// What this entry knows of the limits of endpoints.
-    pub(crate) limits: Vec<LimitReport>,
+    pub(crate) limits: Vec<EndpointLimitReport>,
 }
 
 /// In-flight calls of this entry for one service.
--- a/lib/src/direct_dispatcher.rs
+++ b/lib/src/direct_dispatcher.rs
@@ -14,7 +14,6 @@
 use crate::LimitChange;
 use crate::LimitDivision;
 use crate::LimitObservation;
-use crate::LimitReport;
 use crate::LimitSource;
 use crate::LimitStatus;
 use crate::NamedLimit;
@@ -25,6 +24,7 @@
 use crate::SendResult;
 use crate::direct_service::DirectService;
 use crate::limit_division::ServiceDivision;
+use crate::protos::control::EndpointLimitReport;
 use crate::short_hash::short_hash;
 
 /// Most unused retries that an entry keeps for one service.
@@ -243,11 +243,11 @@
     pub fn merge_limits(
         &mut self,
         address: &str,
-        reports: &[LimitReport],
+        reports: &[EndpointLimitReport],
         now_ms: u64,
     ) -> Vec<LimitChange> {
         let source = LimitSource::Entry(address.to_owned());
-        let valid = reports.iter().filter(|report| report.is_valid());
+        let valid = reports.iter().filter(|report| is_valid(report));
         let changes = valid.filter_map(|report| {
             let observation = LimitObservation {
                 calls_per_s: report.calls_per_s,
@@ -264,13 +264,13 @@
 
     /// Returns what this entry knows of the limits of endpoints: at most `most` of them, those that
     /// have changed recently first, and a random choice of the others.
-    pub fn limit_reports(&mut self, most: usize, now_ms: u64) -> Vec<LimitReport> {
+    pub fn limit_reports(&mut self, most: usize, now_ms: u64) -> Vec<EndpointLimitReport> {
         let endpoints = self.services.values().flat_map(DirectService::endpoints);
-        let mut reports: Vec<(bool, u32, LimitReport)> = endpoints
+        let mut reports: Vec<(bool, u32, EndpointLimitReport)> = endpoints
             .filter_map(|endpoint| {
                 let known = endpoint.limit.reported(now_ms)?;
                 let changed_for_ms = now_ms.saturating_sub(endpoint.limit.changed_ms());
-                let report = LimitReport {
+                let report = EndpointLimitReport {
                     endpoint: endpoint.limit_key,
                     calls_per_s: known.calls_per_s,
                     age_ms: now_ms.saturating_sub(known.observed_ms),
@@ -350,6 +350,12 @@
     }
 }
 
+/// Returns whether a reported limit, if there is one, is a finite number and not negative.
+fn is_valid(report: &EndpointLimitReport) -> bool {
+    let calls_per_s = report.calls_per_s;
+    calls_per_s.is_none_or(|calls_per_s| calls_per_s.is_finite() && calls_per_s >= 0.0)
+}
+
 fn budget<'a>(
     budgets: &'a mut HashMap<String, RetryBudget>,
     service: &str,
--- a/lib/src/gossip_loop.rs
+++ b/lib/src/gossip_loop.rs
@@ -12,12 +12,10 @@
 
 use crate::DirectEntry;
 use crate::EntryGossip;
-use crate::LimitReport;
 use crate::PeerDemand;
 use crate::direct_actor::DirectCommand;
 use crate::direct_actor::LocalDemand;
 use crate::direct_actor::ServiceDemand;
-use crate::protos::control::EndpointLimitReport;
 use crate::protos::control::GossipDemand;
 use crate::protos::control::GossipMessage;
 use crate::protos::control::GossipReport;
@@ -97,14 +95,9 @@
         if report.limits.is_empty() || report.gossip_address == self.report.gossip_address {
             return;
         }
-        let reports = report.limits.iter().map(|limit| LimitReport {
-            endpoint: limit.endpoint,
-            calls_per_s: limit.calls_per_s,
-            age_ms: limit.age_ms,
-        });
         self.entry.submit(DirectCommand::PeerLimits {
             address: report.gossip_address.clone(),
-            reports: reports.collect(),
+            reports: report.limits.clone(),
         });
     }
 
@@ -120,7 +113,7 @@
         self.report.follows_platform = self.entry.endpoints().follows_platform();
         self.report.demands = to_gossip_demands(&demand);
         self.report.paces = self.gossip.own_slowdowns(now_ms);
-        self.report.limits = demand.limits.iter().map(to_gossip_limit).collect();
+        self.report.limits = demand.limits;
         self.report.limit_turn = self.gossip.limit_turn();
         self.report.crash_suspects = self.entry.crash_tracker().reports(entry_count);
         let message = GossipMessage {
@@ -195,14 +188,6 @@
     }
 }
 
-fn to_gossip_limit(report: &LimitReport) -> EndpointLimitReport {
-    EndpointLimitReport {
-        endpoint: report.endpoint,
-        calls_per_s: report.calls_per_s,
-        age_ms: report.age_ms,
-    }
-}
-
 fn to_gossip_demands(demand: &LocalDemand) -> Vec<GossipDemand> {
     let services = demand.by_service.iter();
     let is_reported =
--- a/lib/tests/test_limited_endpoints.rs
+++ b/lib/tests/test_limited_endpoints.rs
@@ -9,10 +9,10 @@
 use pomeloramp_lib::DispatchQuery;
 use pomeloramp_lib::EndpointRecord;
 use pomeloramp_lib::LimitChange;
-use pomeloramp_lib::LimitReport;
 use pomeloramp_lib::NamedLimit;
 use pomeloramp_lib::RefusalCode;
 use pomeloramp_lib::SendResult;
+use pomeloramp_lib::protos::control::EndpointLimitReport;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -232,7 +232,7 @@
         (Some(f64::NAN), 0),
         (Some(-1.0), 0),
     ] {
-        let report = LimitReport {
+        let report = EndpointLimitReport {
             calls_per_s,
             age_ms,
             ..report
@@ -242,7 +242,7 @@
             is_empty()
         );
     }
-    let newer = LimitReport {
+    let newer = EndpointLimitReport {
         calls_per_s: Some(7.0),
         age_ms: 50,
         ..report
--- a/lib/testutils/src/limited_fleet.rs
+++ b/lib/testutils/src/limited_fleet.rs
@@ -11,10 +11,8 @@
 use pomeloramp_lib::EndpointRecord;
 use pomeloramp_lib::EntryGossip;
 use pomeloramp_lib::GossipSettings;
-use pomeloramp_lib::LimitReport;
 use pomeloramp_lib::NamedLimit;
 use pomeloramp_lib::SendResult;
-use pomeloramp_lib::protos::control::EndpointLimitReport;
 use pomeloramp_lib::protos::control::GossipDemand;
 use pomeloramp_lib::protos::control::GossipMessage;
 use pomeloramp_lib::protos::control::GossipReport;
@@ -309,15 +307,9 @@
                 return;
             };
             if let Some(report) = &message.word {
-                let limits = report.limits.iter().map(|limit| LimitReport {
-                    endpoint: limit.endpoint,
-                    calls_per_s: limit.calls_per_s,
-                    age_ms: limit.age_ms,
-                });
-                let limits: Vec<_> = limits.collect();
                 entry
                     .dispatcher
-                    .merge_limits(&report.gossip_address, &limits, local_ms);
+                    .merge_limits(&report.gossip_address, &report.limits, local_ms);
             }
             entry.gossip.receive(&message, local_ms);
         }
@@ -425,12 +417,6 @@
 
     /// Returns the report of a round.
     fn message(&mut self, local_ms: u64) -> GossipMessage {
-        let limits = self.dispatcher.limit_reports(MAX_LIMITS, local_ms);
-        let to_message = |report: LimitReport| EndpointLimitReport {
-            endpoint: report.endpoint,
-            calls_per_s: report.calls_per_s,
-            age_ms: report.age_ms,
-        };
         let demand = self.dispatcher.report_demand(local_ms);
         let demand = demand.into_iter().map(|(service, new_calls)| GossipDemand {
             service: short_hash(&service),
@@ -438,7 +424,7 @@
             ..GossipDemand::default()
         });
         self.report.sequence += 1;
-        self.report.limits = limits.into_iter().map(to_message).collect();
+        self.report.limits = self.dispatcher.limit_reports(MAX_LIMITS, local_ms);
         self.report.demands = demand.collect();
         self.report.limit_turn = self.gossip.limit_turn();
         GossipMessage {
