--- a/lib/src/entry_gossip.rs
+++ b/lib/src/entry_gossip.rs
@@ -149,11 +149,18 @@
 
     /// Returns the last reports of the entries that are alive.
     pub fn live(&self, now_ms: u64) -> impl Iterator<Item = &GossipReport> {
+        let reports = self.reports(now_ms);
+        reports.filter_map(|(is_live, report)| is_live.then_some(report))
+    }
+
+    /// Returns the last reports of all known entries, and whether they are alive.
+    fn reports(&self, now_ms: u64) -> impl Iterator<Item = (bool, &GossipReport)> {
         let silent_after_ms = self.silent_after_ms();
         let peers = self.peers.values();
-        let live =
-            peers.filter(move |peer| now_ms.saturating_sub(peer.last_contact_ms) < silent_after_ms);
-        live.filter_map(|peer| peer.report.as_ref())
+        peers.filter_map(move |peer| {
+            let is_live = !peer.is_silent(now_ms, silent_after_ms);
+            Some((is_live, peer.report.as_ref()?))
+        })
     }
 
     /// Returns the live entries that take new work.
@@ -246,15 +253,11 @@
     /// An entry that falls silent is left out while most others are heard. An entry that hears few of
     /// the others is more likely to be cut off itself, and leaves them their parts.
     fn sharing(&self, now_ms: u64) -> impl Iterator<Item = &GossipReport> {
-        let silent_after_ms = self.silent_after_ms();
-        let is_live =
-            move |peer: &Peer| now_ms.saturating_sub(peer.last_contact_ms) < silent_after_ms;
-        let known = || {
-            let peers = self.peers.values();
-            peers.filter_map(move |peer| Some((is_live(peer), peer.report.as_ref()?)))
+        let counted = || {
+            let reports = self.reports(now_ms);
+            reports.filter(|(is_live, report)| *is_live || report.serves)
         };
-        let counted = || known().filter(|(is_live, report)| *is_live || report.serves);
-        let live_count = known().filter(|(is_live, _)| *is_live).count() + 1;
+        let live_count = self.live(now_ms).count() + 1;
         let hears_most = 2 * live_count > counted().count() + 1;
         counted()
             .filter(move |(is_live, _)| *is_live || !hears_most)
@@ -327,7 +330,11 @@
         if report.incarnation == known.incarnation {
             return report.sequence > known.sequence;
         }
-        let is_silent = now_ms.saturating_sub(self.last_contact_ms) >= silent_after_ms;
-        report.incarnation > known.incarnation || is_silent
+        report.incarnation > known.incarnation || self.is_silent(now_ms, silent_after_ms)
+    }
+
+    /// Returns whether the last report of the entry is so old that it does not count as alive.
+    fn is_silent(&self, now_ms: u64, silent_after_ms: u64) -> bool {
+        now_ms.saturating_sub(self.last_contact_ms) >= silent_after_ms
     }
 }
