direct_endpoint: apply observations of limits at the endpoint

An observation from an answer looked up its endpoint twice, by id and by key, and the endpoint's id, key and division were put together in two places. No change of behaviour.

--- a/lib/src/direct_endpoint.rs
+++ b/lib/src/direct_endpoint.rs
@@ -3,8 +3,12 @@
 use std::sync::Arc;
 
 use crate::EndpointRecord;
+use crate::LimitChange;
+use crate::LimitObservation;
 use crate::SendResult;
 use crate::endpoint_limit::EndpointLimit;
+use crate::endpoint_limit::LimitedEndpoint;
+use crate::limit_division::ServiceDivision;
 use crate::short_hash::short_hash;
 
 /// Time for which a full endpoint gets no further calls.
@@ -67,6 +71,26 @@
         }
     }
 
+    /// Applies what is known of the endpoint's limit; returns the change to log.
+    pub(crate) fn observe_limit(
+        &mut self,
+        division: &ServiceDivision,
+        observation: LimitObservation,
+        now_ms: u64,
+    ) -> Option<LimitChange> {
+        let limited = LimitedEndpoint {
+            id: &self.record.id,
+            key: self.limit_key,
+            division,
+        };
+        self.limit.observe(limited, observation, now_ms)
+    }
+
+    /// Applies a round's division of limits among entries.
+    pub(crate) fn divide_limit(&mut self, division: &ServiceDivision, now_ms: u64) {
+        self.limit.divide(self.limit_key, division, now_ms);
+    }
+
     /// Returns the running calls of this entry and those reported by other entries.
     pub(crate) fn calls(&self) -> u32 {
         self.own_calls + self.peer_calls
--- a/lib/src/direct_service.rs
+++ b/lib/src/direct_service.rs
@@ -27,7 +27,6 @@
 use crate::demand_rate::DemandRate;
 use crate::direct_endpoint::DirectEndpoint;
 use crate::endpoint_limit::EndpointLimit;
-use crate::endpoint_limit::LimitedEndpoint;
 use crate::group_progress::GroupProgress;
 use crate::limit_division::ServiceDivision;
 use crate::permit_forecast::PermitForecast;
@@ -449,8 +448,9 @@
             observed_ms: now_ms,
             source,
         };
-        let key = endpoint.limit_key;
-        self.apply_limit(key, observation, now_ms)
+        let change = endpoint.observe_limit(&self.division, observation, now_ms);
+        self.check_for_limits();
+        change
     }
 
     /// Applies what is known of the limit of the endpoint with this key, if it is one of the service;
@@ -463,12 +463,7 @@
     ) -> Option<LimitChange> {
         let mut endpoints = self.endpoints.values_mut();
         let endpoint = endpoints.find(|endpoint| endpoint.limit_key == key)?;
-        let limited = LimitedEndpoint {
-            id: &endpoint.record.id,
-            key,
-            division: &self.division,
-        };
-        let change = endpoint.limit.observe(limited, observation, now_ms);
+        let change = endpoint.observe_limit(&self.division, observation, now_ms);
         self.check_for_limits();
         change
     }
@@ -477,12 +472,7 @@
     pub(crate) fn divide_limits(&mut self, division: ServiceDivision, now_ms: u64) {
         self.division = division;
         for endpoint in self.endpoints.values_mut() {
-            let limited = LimitedEndpoint {
-                id: &endpoint.record.id,
-                key: endpoint.limit_key,
-                division: &division,
-            };
-            endpoint.limit.divide(limited, now_ms);
+            endpoint.divide_limit(&division, now_ms);
         }
     }
 
--- a/lib/src/endpoint_limit.rs
+++ b/lib/src/endpoint_limit.rs
@@ -264,14 +264,13 @@
     }
 
     /// Applies a round's division of limits among entries.
-    pub(crate) fn divide(&mut self, endpoint: LimitedEndpoint<'_>, now_ms: u64) {
+    pub(crate) fn divide(&mut self, key: u32, division: &ServiceDivision, now_ms: u64) {
         let Some(calls_per_s) = self.calls_per_s() else {
             return;
         };
-        let share = endpoint.division.share(endpoint.key, calls_per_s);
-        let settle_rounds = endpoint.division.settle_rounds;
         let had_part = self.share.value() > 0.0;
-        self.share.update(share, settle_rounds);
+        let share = division.share(key, calls_per_s);
+        self.share.update(share, division.settle_rounds);
         if !had_part {
             self.permits.truncate(MAX_KEPT_CALLS, now_ms);
         }
