--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod fleet;
 pub mod fleet_text;
 pub mod http;
+pub mod limit_bound;
 pub mod limited_fleet;
 mod map_group;
 mod map_message;
--- a/lib/testutils/src/limited_fleet.rs
+++ b/lib/testutils/src/limited_fleet.rs
@@ -4,6 +4,7 @@
 use std::collections::VecDeque;
 use std::ops::Range;
 use std::sync::Arc;
+use std::time::Duration;
 
 use pomeloramp_lib::DirectDispatcher;
 use pomeloramp_lib::DispatchDecision;
@@ -21,6 +22,10 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use crate::limit_bound;
+use crate::limit_bound::CONTACT;
+use crate::limit_bound::TOLD_TIME;
+
 const SERVICE: &str = "s1";
 const STEP_MS: u64 = 10;
 const ROUND_MS: u64 = 200;
@@ -35,14 +40,6 @@
 const LOST_SHARE: f64 = 0.01;
 /// Number of entries that a new one knows from its settings.
 const SEED_COUNT: usize = 3;
-/// Time after a fault of an entry for which the bound does not count its calls.
-const CONTACT_MS: u64 = 3_000;
-/// Time after which an entry that has passed on a limit must know it.
-const TOLD_MS: u64 = 500;
-const WINDOW_MS: u64 = 4_000;
-const WINDOW_SLACK_CALLS: f64 = 5.0;
-const EXCESS_FACTOR: f64 = 1.5;
-
 /// A fault of one entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EntryFault {
@@ -220,21 +217,15 @@
 
     fn excess(&self, endpoint: usize, counts_faulty: bool) -> Option<f64> {
         let calls_per_s = self.limits[endpoint]?;
-        let from_ms = self.named_ms[endpoint] + CONTACT_MS;
-        let counted = self.arrivals[endpoint]
-            .iter()
-            .filter(|arrival| arrival.at_ms >= from_ms && (arrival.is_counted || counts_faulty));
-        let times: Vec<u64> = counted.map(|arrival| arrival.at_ms).collect();
-        let window = |start: &u64| {
-            let in_window = times
-                .iter()
-                .filter(|at| **at >= *start && **at < start + WINDOW_MS);
-            in_window.count()
-        };
-        let most = times.iter().map(window).max().unwrap_or(0);
-        let window_s = as_f64(WINDOW_MS) / 1e3;
-        let allowed = EXCESS_FACTOR * calls_per_s * window_s + WINDOW_SLACK_CALLS;
-        Some(as_f64(most) - allowed)
+        let from = Duration::from_millis(self.named_ms[endpoint]) + CONTACT;
+        let counted = self.arrivals[endpoint].iter();
+        let counted = counted.filter(|arrival| arrival.is_counted || counts_faulty);
+        let times: Vec<Duration> = counted
+            .map(|arrival| Duration::from_millis(arrival.at_ms))
+            .filter(|at| *at >= from)
+            .collect();
+        let most = limit_bound::most_in_a_window(&times);
+        Some(f64::from(most) - limit_bound::allowed_calls(calls_per_s))
     }
 
     fn new_entry(&mut self, number: usize, calls_per_s: f64) -> Entry {
@@ -409,10 +400,13 @@
 
     /// Returns whether the bound counts a call of this entry to an endpoint.
     fn is_counted(&self, endpoint: usize, now_ms: u64) -> bool {
+        let now = Duration::from_millis(now_ms);
+        let is_past = |since_ms: u64, wait: Duration| Duration::from_millis(since_ms) + wait <= now;
         let told_ms = self.told_ms.get(&endpoint);
-        let is_told = told_ms.is_some_and(|told_ms| told_ms + TOLD_MS <= now_ms);
+        let is_told = told_ms.is_some_and(|told_ms| is_past(*told_ms, TOLD_TIME));
+        // A fault of the entry excuses its calls until it is in contact again.
         let fault_until_ms = self.fault_until_ms;
-        is_told && fault_until_ms.is_none_or(|until_ms| until_ms + CONTACT_MS <= now_ms)
+        is_told && fault_until_ms.is_none_or(|until_ms| is_past(until_ms, CONTACT))
     }
 
     /// Returns the report of a round.
