--- a/lib/tests/test_direct_dispatcher.rs
+++ b/lib/tests/test_direct_dispatcher.rs
@@ -15,10 +15,12 @@
 use pomeloramp_lib::SendResult;
 use pomeloramp_lib::ServiceRule;
 use pomeloramp_lib::short_hash;
+use pomeloramp_testutils::dispatch::SERVICE;
+use pomeloramp_testutils::dispatch::query;
+use pomeloramp_testutils::dispatch::sent_to;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-const SERVICE: &str = "drafts";
 const ZONE: &str = "zone-1";
 const RETRY_PERCENT: u32 = 15;
 const SLOTS: u32 = 2;
@@ -79,24 +81,6 @@
     dispatcher
 }
 
-fn query(call: u64, now_ms: u64) -> DispatchQuery {
-    DispatchQuery::builder()
-        .call(call)
-        .service(SERVICE.to_owned())
-        .urgency(5)
-        .is_stream(true)
-        .on_time_until_ms(now_ms + 400)
-        .useful_until_ms(now_ms + 1_200)
-        .build()
-}
-
-fn sent_to(decision: Option<&DispatchDecision>) -> Option<&str> {
-    match decision {
-        Some(DispatchDecision::Send(record)) => Some(record.id.as_str()),
-        Some(DispatchDecision::Refuse { .. }) | None => None,
-    }
-}
-
 #[googletest::test]
 fn calls_are_spread_evenly_and_are_queued_when_all_slots_are_taken() {
     let mut dispatcher = dispatcher(&["a", "b"]);
--- a/lib/tests/test_limited_endpoints.rs
+++ b/lib/tests/test_limited_endpoints.rs
@@ -6,18 +6,18 @@
 use pomeloramp_lib::DemandInterval;
 use pomeloramp_lib::DirectDispatcher;
 use pomeloramp_lib::DispatchDecision;
-use pomeloramp_lib::DispatchQuery;
 use pomeloramp_lib::EndpointRecord;
 use pomeloramp_lib::LimitChange;
 use pomeloramp_lib::NamedLimit;
 use pomeloramp_lib::RefusalCode;
 use pomeloramp_lib::SendResult;
 use pomeloramp_lib::protos::control::EndpointLimitReport;
+use pomeloramp_testutils::dispatch::SERVICE;
+use pomeloramp_testutils::dispatch::query;
+use pomeloramp_testutils::dispatch::sent_to;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-const SERVICE: &str = "drafts";
-
 fn endpoint(id: &str, born_ms: u64) -> Arc<EndpointRecord> {
     Arc::new(EndpointRecord {
         id: id.to_owned(),
@@ -39,24 +39,6 @@
     dispatcher
 }
 
-fn query(call: u64, now_ms: u64) -> DispatchQuery {
-    DispatchQuery::builder()
-        .call(call)
-        .service(SERVICE.to_owned())
-        .urgency(5)
-        .is_stream(true)
-        .on_time_until_ms(now_ms + 400)
-        .useful_until_ms(now_ms + 1_200)
-        .build()
-}
-
-fn sent_to(decision: Option<&DispatchDecision>) -> Option<&str> {
-    match decision {
-        Some(DispatchDecision::Send(record)) => Some(record.id.as_str()),
-        Some(DispatchDecision::Refuse { .. }) | None => None,
-    }
-}
-
 /// Sends one call, whose answer names limits; returns the endpoint.
 fn call(
     dispatcher: &mut DirectDispatcher,
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod caller;
 pub mod compound;
 pub mod compound_fault;
+pub mod dispatch;
 mod fake_engine;
 mod fake_rank_engine;
 pub mod fleet;
