--- a/review/3/run.py
+++ b/review/3/run.py
@@ -60,12 +60,15 @@
         request_id = f"draft-{number}-{count}"
         sent = fleet.now()
         headers = servers.caller_headers(request_id, 8000, X_Model="m", X_Token_Usage="700,100")
+        fleet.note(f"{request_id} sent to {address}")
         try:
             status, _, _ = await http1.call(address, "POST", "/s/draft", headers, b"notes")
             done += status == 200
+            fleet.note(f"{request_id} answered {status}, complete")
         except ConnectionRefusedError:
             failed.add(address)
             unconnected.append(request_id)
+            fleet.note(f"{request_id} not connected")
         except (OSError, EOFError, ValueError, asyncio.TimeoutError) as error:
             failed.add(address)
             after = sent - stopped_at.get(address, sent)
--- a/review/standins/servers.py
+++ b/review/standins/servers.py
@@ -70,7 +70,7 @@
                 else:
                     await self.work(self, request, writer)
                 await writer.drain()
-        except (ConnectionError, Crash):
+        except (ConnectionError, Crash, asyncio.CancelledError):
             pass
         finally:
             self.connections.discard(writer)
