--- a/review/standins/ranks.py
+++ b/review/standins/ranks.py
@@ -79,8 +79,11 @@
             writer.close()
 
     def answer(self, request):
+        # Servers echo the id of a request, so that a second answer can be told from the one expected.
+        request_id = request.header("x-request-id")
+        echo = [("X-Request-Id", request_id)] if request_id else []
         if request.path == "/pomeloramp/report":
-            return http1.json_bytes(200, self.report())
+            return http1.json_bytes(200, self.report(), echo)
         if request.path == "/pomeloramp/picked":
             document = {"step": self.group.step, "epoch": self.group.epoch}
             if "lists" in request.query:
@@ -88,7 +91,7 @@
                 document["prepared"] = self.prepared and {"version": self.prepared[0], "experts": self.prepared[1]}
             else:
                 document["counts"] = self.counts
-            return http1.json_bytes(200, document)
+            return http1.json_bytes(200, document, echo)
         if request.path == "/pomeloramp/order" and request.method == "POST":
             order = json.loads(request.body)
             if self.group.trouble.is_late():
@@ -96,8 +99,8 @@
                 return None
             status = self.order(order)
             self.group.note(f"rank {self.number}: {short(request)} answered {status}")
-            return http1.json_bytes(status, {})
-        return http1.json_bytes(404, {})
+            return http1.json_bytes(status, {}, echo)
+        return http1.json_bytes(404, {}, echo)
 
     async def carry_out_late(self, order):
         delay_s = self.group.trouble.random.uniform(*LATE_S)
