--- a/review/3/run.py
+++ b/review/3/run.py
@@ -13,9 +13,9 @@
 from standins import http1, servers
 
 CONTACT_S = 3.0
-ENTRIES = 3
-RESTARTS = 6
-RESTART_GAP_S = 4.0
+ENTRIES = 5
+RESTARTS = 15
+RESTART_GAP_S = 2.0
 GRACE_S = 8.0
 # A request that was sent up to this time after SIGTERM may be cut in the last sixth of the grace time.
 EXCUSED_SENT_S = 3.0
@@ -86,7 +86,7 @@
                 break
             if fleet.now() >= kept_until:
                 for directory in range(3):
-                    answer = await fleet.resolve((number + directory) % 3)
+                    answer = await fleet.resolve((number + directory) % ENTRIES)
                     if answer:
                         addresses, failed = answer, set()
                         # The callers start at different times.
