--- a/review/3/run.py
+++ b/review/3/run.py
@@ -19,6 +19,7 @@
 GRACE_S = 8.0
 # A request that was sent up to this time after SIGTERM may be cut in the last sixth of the grace time.
 EXCUSED_SENT_S = 3.0
+TIMEOUT_S = 8.0
 SERVERS = 8
 # Events of a stream of the site rcc-pomelo: 24.3 in the mean, spread 0.7, at most 60.
 MEAN_EVENTS, SPREAD, MAX_EVENTS = 24.3, 0.7, 60
@@ -33,9 +34,11 @@
 async def run(fleet, is_troubled):
     draw = random.Random(int(os.environ.get("SEED", "1")))
     stopped_at = {}
-    lost, unconnected, done = [], [], 0
+    passed_on = set()
+    lost, excused, unconnected, done = [], [], [], 0
 
     async def work(server, request, writer):
+        passed_on.add(request.header("x-request-id"))
         fleet.note(f"{request.header('x-request-id')} reaches server {server.id}")
         writer.write(servers.stream_head(request))
         events = min(MAX_EVENTS, max(1, int(MEAN_EVENTS * draw.lognormvariate(-SPREAD ** 2 / 2, SPREAD))))
@@ -71,10 +74,14 @@
             fleet.note(f"{request_id} not connected")
         except (OSError, EOFError, ValueError, asyncio.TimeoutError) as error:
             failed.add(address)
-            after = sent - stopped_at.get(address, sent)
-            fleet.note(f"{request_id} to {address}, sent {after:.2f} s after SIGTERM, broken off "
-                       f"{fleet.now() - sent:.2f} s later: {type(error).__name__}")
-            lost.append((request_id, after))
+            after, lasted = sent - stopped_at.get(address, sent), fleet.now() - sent
+            # The rule counts what was passed on to a server and ends before its deadline, for a SIGTERM until
+            # 1 s after the grace time.
+            is_counted = (request_id in passed_on and lasted < TIMEOUT_S
+                          and EXCUSED_SENT_S < after and after + lasted <= GRACE_S + 1.0)
+            fleet.note(f"{request_id} to {address}, sent {after:.2f} s after SIGTERM, broken off {lasted:.2f} s later: "
+                       f"{type(error).__name__}, {'counted' if is_counted else 'not counted'}")
+            (lost if is_counted else excused).append(request_id)
 
     async def caller(number):
         """Sends requests at random times, each on a new connection to an address from the directory."""
@@ -120,12 +127,11 @@
         restarts.append(asyncio.create_task(restart(number % ENTRIES)))
         await asyncio.sleep(RESTART_GAP_S)
     await asyncio.gather(*callers, *restarts)
-    counted = [request_id for request_id, after in lost if after > EXCUSED_SENT_S]
-    fleet.note(f"{done} streams complete, {len(unconnected)} not connected, {len(lost)} broken off, {len(counted)} of "
-               f"them sent later than {EXCUSED_SENT_S} s after SIGTERM")
+    fleet.note(f"{done} streams complete, {len(unconnected)} not connected, {len(excused)} broken off and excused, "
+               f"{len(lost)} lost: passed on and sent later than {EXCUSED_SENT_S} s after SIGTERM")
     if done < 50:
         return 2
-    return 1 if counted else 0
+    return 1 if lost else 0
 
 
 fleets.main(run, FOLDER, ["LOST held", "LOST broken", "the case could not run"])
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,6 +3,8 @@
 cd "$(dirname "$0")" || exit 2
 export PYTHONDONTWRITEBYTECODE=1
 python3 run.py
-code=$?
-[ "$code" -le 2 ] || code=2
-exit "$code"
+case "$?" in
+    10) exit 0 ;;
+    11) exit 1 ;;
+    *) exit 2 ;;
+esac
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,7 +1,6 @@
 #!/bin/sh
-# Checks what the scripts need beside the build of the deploy file. The stand-ins are Python modules
-# without dependencies, so that nothing is built.
+# The stand-ins are Python modules without dependencies, which run inside the scripts' own process. So nothing
+# is compiled; this checks that the machine's Python can load every one of them.
 set -e
 cd "$(dirname "$0")"
-test -x ../target/release/pomelorampd
-PYTHONDONTWRITEBYTECODE=1 python3 -c "import standins.fleet, standins.ranks, standins.servers"
+PYTHONDONTWRITEBYTECODE=1 python3 -c "import standins.fleet, standins.http1, standins.process, standins.ranks, standins.servers, standins.store"
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -12,6 +12,10 @@
 from .store import Store
 
 BEGIN_TIMEOUT_S = 15.0
+# A case ends within 120 s, whatever happens in it.
+CASE_TIMEOUT_S = 112.0
+# Added to a result, so that run.sh can tell it from the exit codes of Python itself.
+RESULT_BASE = 10
 
 
 class Fleet:
@@ -80,7 +84,7 @@
         fleet = Fleet(record, settings_folder)
         try:
             await fleet.start_store()
-            return await run(fleet, is_troubled)
+            return await asyncio.wait_for(run(fleet, is_troubled), CASE_TIMEOUT_S)
         finally:
             fleet.end()
 
@@ -91,4 +95,4 @@
             traceback.print_exc(file=record)
             code = 2
         record.write(f"exit {code}: {outcomes[code]}\n")
-    sys.exit(code)
+    sys.exit(RESULT_BASE + code)
