drain: log what tells the hypotheses on cut streams apart

E0601 of a call at a draining entry says how long it has been draining and how old the call's connection is; E0009 when the entry stops accepting and what is in flight then; E0006 how long the drain took.

--- a/lib/src/caller_server.rs
+++ b/lib/src/caller_server.rs
@@ -24,6 +24,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
+use tokio::time::Instant;
 use volo::METAINFO;
 use volo::Service;
 use volo::net::Address;
@@ -31,6 +32,7 @@
 use volo_http::context::ServerContext;
 use volo_http::server::route::Router;
 
+use crate::caller_connection::CallerConnection;
 use crate::event;
 use crate::socket_options;
 use crate::socket_options::KeepaliveSettings;
@@ -126,9 +128,13 @@
     if let Err(error) = socket_options::configure(&stream, KeepaliveSettings::LONG) {
         log::debug!("socket options of caller {peer}: {error}");
     }
+    let origin = CallerConnection {
+        accepted: Instant::now(),
+    };
     let has_chunks = Arc::new(AtomicBool::new(true));
     let caller_has_chunks = Arc::clone(&has_chunks);
-    let service = service_fn(move |request: Request<Incoming>| {
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        request.extensions_mut().insert(origin);
         let has_chunks = request.version() >= Version::HTTP_11;
         caller_has_chunks.store(has_chunks, Ordering::Relaxed);
         handle(Arc::clone(&router), peer, request)
--- a/lib/src/direct_entry.rs
+++ b/lib/src/direct_entry.rs
@@ -35,6 +35,7 @@
 use crate::direct_actor::PauseSamples;
 use crate::direct_server;
 use crate::direct_state::DirectState;
+use crate::drain_time::DrainTime;
 use crate::event;
 use crate::in_flight::InFlightCounter;
 use crate::limit_board::LimitBoard;
@@ -127,6 +128,7 @@
             protocol,
             metrics,
             in_flight: InFlightCounter::default(),
+            drain_time: DrainTime::default(),
             next_call: AtomicU64::new(0),
         };
         Self {
@@ -228,7 +230,7 @@
         );
         let closing = CallerShutdown { draining, closing };
         caller_server::serve(listener, router, self.limits(), closing).await;
-        event!(DrainFinished);
+        self.log_drain_end();
         Ok(())
     }
 
@@ -280,6 +282,7 @@
         if self.draining.wait_for(|draining| *draining).await.is_err() {
             return;
         }
+        self.state.drain_time.start();
         event!(DrainStarted, "in_flight={}", self.state.in_flight.count());
         let started = Instant::now();
         let grace = Duration::from_millis(self.settings.grace_ms) * DRAIN_PERCENT / 100;
@@ -288,6 +291,18 @@
         while self.state.in_flight.count() > 0 && started.elapsed() < grace {
             tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
         }
+        event!(
+            DrainClosing,
+            "draining_ms={} in_flight={}",
+            started.elapsed().as_millis(),
+            self.state.in_flight.count()
+        );
         let _ = close.send(true);
     }
+
+    fn log_drain_end(&self) {
+        let started = self.state.drain_time.started();
+        let draining_ms = started.map_or(0, |started| started.elapsed().as_millis());
+        event!(DrainFinished, "draining_ms={draining_ms}");
+    }
 }
--- a/lib/src/direct_relay.rs
+++ b/lib/src/direct_relay.rs
@@ -26,6 +26,7 @@
 use crate::RouteRule;
 use crate::SendResult;
 use crate::answer_framing::AnswerFraming;
+use crate::caller_connection::CallerConnection;
 use crate::crash_tracker::CrashTracker;
 use crate::crashed_call::CrashedCall;
 use crate::direct_actor::DirectCommand;
@@ -78,6 +79,8 @@
     pub(crate) body: Bytes,
     /// What the call may have in common with others that crash endpoints.
     pub(crate) suspects: Arc<[CrashSuspect]>,
+    /// The connection on which the call arrived.
+    pub(crate) connection: CallerConnection,
     pub(crate) arrived: Instant,
     pub(crate) deadline: Instant,
     /// Ids of the endpoints that the call was sent to, the latest last.
@@ -596,7 +599,7 @@
         event!(
             CallSent,
             "request_id={} service={} endpoint={endpoint_id} attempt={} waited_ms={} left_ms={} \
-             endpoints_era={} endpoints_revision={} endpoints_age_ms={} endpoints_from={}{}",
+             endpoints_era={} endpoints_revision={} endpoints_age_ms={} endpoints_from={}{}{}",
             self.call.request_id,
             self.service,
             self.tried.len() + 1,
@@ -608,10 +611,24 @@
             list.map_or(&ListSource::Platform, |list| &list.source),
             slot.limit()
                 .map(BelievedLimit::log_fields)
-                .unwrap_or_default()
+                .unwrap_or_default(),
+            self.drain_fields()
         );
     }
 
+    /// Returns the log fields of a call at a draining entry: the times since the signal to shut down and
+    /// since its connection was accepted.
+    fn drain_fields(&self) -> String {
+        let Some(started) = self.state.drain_time.started() else {
+            return String::new();
+        };
+        format!(
+            " draining_ms={} connection_ms={}",
+            started.elapsed().as_millis(),
+            self.connection.accepted.elapsed().as_millis()
+        )
+    }
+
     fn log_retry(&self, slot: &DirectSlot, reason: &str) {
         event!(
             CallRetried,
--- a/lib/src/direct_server.rs
+++ b/lib/src/direct_server.rs
@@ -21,6 +21,7 @@
 use crate::RouteTable;
 use crate::caller_body;
 use crate::caller_body::CallerBodyError;
+use crate::caller_connection::CallerConnection;
 use crate::direct_relay::DirectRelay;
 use crate::direct_state::DirectState;
 use crate::direct_stream;
@@ -50,6 +51,8 @@
         DirectRefusal::not_run("configuration-missing", message, NO_CONFIG_RETRY_MS)
     })?;
     let (head, body) = request.into_parts();
+    let connection = head.extensions.get().copied();
+    let connection = connection.unwrap_or(CallerConnection { accepted: arrived });
     let call = (state.protocol.read_call)(&head).inspect_err(|refusal| {
         event!(
             CallRejected,
@@ -92,6 +95,7 @@
         head,
         body,
         suspects,
+        connection,
         arrived,
         deadline,
         tried: Vec::new(),
--- a/lib/src/direct_state.rs
+++ b/lib/src/direct_state.rs
@@ -17,6 +17,7 @@
 use crate::crash_tracker::CrashTracker;
 use crate::direct_actor::DirectCommand;
 use crate::direct_actor::PauseSamples;
+use crate::drain_time::DrainTime;
 use crate::in_flight::InFlightCounter;
 
 /// State shared by the handlers of calls that an entry sends to endpoints directly.
@@ -33,6 +34,7 @@
     pub(crate) protocol: DirectProtocol,
     pub(crate) metrics: Metrics,
     pub(crate) in_flight: InFlightCounter,
+    pub(crate) drain_time: DrainTime,
     /// Number of the next call.
     pub(crate) next_call: AtomicU64,
 }
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -64,6 +64,7 @@
     DrainFinished = 6 Info "drain finished",
     StoppedAtOnce = 7 Warn "stopped with requests in flight",
     Listening = 8 Info "listening on an interface",
+    DrainClosing = 9 Info "entry stops accepting connections",
 
     ConfigAccepted = 101 Info "document accepted",
     ConfigRefused = 102 Warn "document refused",
