drain: refuse what may outlast the entry, 35 % of the grace time after SIGTERM

Cause: an entry took whatever came while any call was in flight, which under steady load of callers with kept addresses is until 7.4 s, without asking whether it could end.

Why this works: DrainPolicy takes late only a call that ends before the kill by its deadline, or by twice the longest time of the latest calls of its route (CallTimes). Everything else has not run, is told so at once and goes elsewhere at once.

--- a/lib/src/direct_entry.rs
+++ b/lib/src/direct_entry.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
@@ -17,10 +19,12 @@
 use volo_http::request::Request;
 use volo_http::server::route::Router;
 
+use crate::CallTimes;
 use crate::Clock;
 use crate::DaemonError;
 use crate::DirectDispatcher;
 use crate::DirectProtocol;
+use crate::DrainPolicy;
 use crate::EndpointFeed;
 use crate::Metrics;
 use crate::RouteTable;
@@ -35,7 +39,7 @@
 use crate::direct_actor::PauseSamples;
 use crate::direct_server;
 use crate::direct_state::DirectState;
-use crate::drain_time::DrainTime;
+use crate::entry_drain::EntryDrain;
 use crate::event;
 use crate::in_flight::InFlightCounter;
 use crate::limit_board::LimitBoard;
@@ -44,8 +48,6 @@
 
 /// Interval at which a drain checks for calls in flight.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
-/// Share of the time between SIGTERM and SIGKILL that a drain may take, in percent.
-const DRAIN_PERCENT: u32 = 93;
 
 /// Settings of an entry that sends calls to endpoints directly.
 #[derive(Debug, Clone, Builder)]
@@ -117,6 +119,9 @@
         metrics.observe_limits(&limits);
         let crash_tracker = CrashTracker::new(clock);
         metrics.observe_quarantine(&crash_tracker);
+        let policy = DrainPolicy::new(Duration::from_millis(settings.grace_ms));
+        let drain = Arc::new(EntryDrain::new(policy));
+        metrics.observe_drain(&drain);
         let state = DirectState {
             clock,
             endpoints,
@@ -128,7 +133,9 @@
             protocol,
             metrics,
             in_flight: InFlightCounter::default(),
-            drain_time: DrainTime::default(),
+            drain,
+            call_times: CallTimes::default(),
+            has_serving_peers: AtomicBool::new(false),
             next_call: AtomicU64::new(0),
         };
         Self {
@@ -230,7 +237,7 @@
         );
         let closing = CallerShutdown { draining, closing };
         caller_server::serve(listener, router, self.limits(), closing).await;
-        self.log_drain_end();
+        event!(DrainFinished, "{}", self.state.drain.log_fields());
         Ok(())
     }
 
@@ -276,33 +283,33 @@
         }
     }
 
+    /// Records whether other entries take new work.
+    pub(crate) fn set_serving_peers(&self, has_serving_peers: bool) {
+        let state = &self.state.has_serving_peers;
+        state.store(has_serving_peers, Ordering::Relaxed);
+    }
+
     /// Closes the listener once callers' cached addresses have expired and no call is in flight, at
     /// the latest when the time for the drain is over.
     async fn drain(mut self, close: watch::Sender<bool>) {
         if self.draining.wait_for(|draining| *draining).await.is_err() {
             return;
         }
-        self.state.drain_time.start();
+        let drain = &self.state.drain;
+        drain.start();
         event!(DrainStarted, "in_flight={}", self.state.in_flight.count());
-        let started = Instant::now();
-        let grace = Duration::from_millis(self.settings.grace_ms) * DRAIN_PERCENT / 100;
-        let linger = Duration::from_millis(self.settings.address_lifetime_ms).min(grace);
-        tokio::time::sleep(linger).await;
-        while self.state.in_flight.count() > 0 && started.elapsed() < grace {
+        let end = Instant::now() + drain.time_left().unwrap_or_default();
+        let linger = Duration::from_millis(self.settings.address_lifetime_ms);
+        tokio::time::sleep_until(end.min(Instant::now() + linger)).await;
+        while self.state.in_flight.count() > 0 && Instant::now() < end {
             tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
         }
         event!(
             DrainClosing,
-            "draining_ms={} in_flight={}",
-            started.elapsed().as_millis(),
+            "{} in_flight={}",
+            drain.log_fields(),
             self.state.in_flight.count()
         );
         let _ = close.send(true);
     }
-
-    fn log_drain_end(&self) {
-        let started = self.state.drain_time.started();
-        let draining_ms = started.map_or(0, |started| started.elapsed().as_millis());
-        event!(DrainFinished, "draining_ms={draining_ms}");
-    }
 }
--- a/lib/src/direct_relay.rs
+++ b/lib/src/direct_relay.rs
@@ -19,6 +19,7 @@
 use crate::DispatchQuery;
 use crate::EndpointRequestHead;
 use crate::ListSource;
+use crate::MeasuredCall;
 use crate::NamedLimit;
 use crate::OrganisationRule;
 use crate::PlatformRevision;
@@ -81,6 +82,8 @@
     pub(crate) suspects: Arc<[CrashSuspect]>,
     /// The connection on which the call arrived.
     pub(crate) connection: CallerConnection,
+    /// Measures how long the call takes.
+    pub(crate) measured: MeasuredCall,
     pub(crate) arrived: Instant,
     pub(crate) deadline: Instant,
     /// Ids of the endpoints that the call was sent to, the latest last.
@@ -352,6 +355,7 @@
             DispatchDecision::Send(endpoint) => {
                 let slot = queued.assign(endpoint, list, limit);
                 self.check_quarantine()?;
+                self.check_drain()?;
                 Ok(slot)
             }
             DispatchDecision::Refuse {
@@ -368,6 +372,17 @@
         checked.map_err(|refusal| self.withdraw_not_run_promise(refusal))
     }
 
+    /// Refuses a call that has waited so long at a draining entry that it might not end in time. A call
+    /// that was sent before is finished here.
+    fn check_drain(&self) -> Result<(), DirectRefusal> {
+        if !self.tried.is_empty() || self.state.drain.elapsed().is_none() {
+            return Ok(());
+        }
+        direct_server::refuse_while_draining(&self.state, &self.call, &self.rule, self.deadline)?;
+        self.state.drain.record_taken();
+        Ok(())
+    }
+
     /// Returns the refusal of a call that the dispatcher's full ring could not take.
     fn overload_refusal(&self) -> DirectRefusal {
         let message = "entry has no room for the request";
@@ -619,12 +634,12 @@
     /// Returns the log fields of a call at a draining entry: the times since the signal to shut down and
     /// since its connection was accepted.
     fn drain_fields(&self) -> String {
-        let Some(started) = self.state.drain_time.started() else {
+        let Some(draining) = self.state.drain.elapsed() else {
             return String::new();
         };
         format!(
             " draining_ms={} connection_ms={}",
-            started.elapsed().as_millis(),
+            draining.as_millis(),
             self.connection.accepted.elapsed().as_millis()
         )
     }
--- a/lib/src/direct_server.rs
+++ b/lib/src/direct_server.rs
@@ -84,7 +84,9 @@
         .chain(parts)
         .collect();
     refuse_quarantined(state, &call, &suspects)?;
+    refuse_while_draining(state, &call, &rule, deadline)?;
     let service = rule.target(rand::random()).unwrap_or_default().to_owned();
+    let measured = state.call_times.begin(&rule.name);
     let relay = DirectRelay {
         state: Arc::clone(state),
         resume_after: call.resume_after,
@@ -96,6 +98,7 @@
         body,
         suspects,
         connection,
+        measured,
         arrived,
         deadline,
         tried: Vec::new(),
@@ -176,6 +179,34 @@
     Err(DirectRefusal::not_run(code, message, refused_for_ms))
 }
 
+/// Refuses a call that a draining entry can't be expected to finish before it is killed.
+pub(crate) fn refuse_while_draining(
+    state: &DirectState,
+    call: &DirectCall,
+    rule: &RouteRule,
+    deadline: Instant,
+) -> Result<(), DirectRefusal> {
+    let time_left = deadline.saturating_duration_since(Instant::now());
+    let timeout = Duration::from_millis(rule.timeout_ms);
+    let longest = state.call_times.longest(&rule.name, timeout);
+    if state.drain.takes(time_left, longest) {
+        return Ok(());
+    }
+    state.drain.record_refused();
+    let retry_after_ms = state.retry_elsewhere_ms();
+    event!(
+        CallNotTaken,
+        "request_id={} route={} left_ms={} longest_ms={} retry_after_ms={retry_after_ms} {}",
+        call.request_id,
+        rule.name,
+        time_left.as_millis(),
+        longest.map_or("unknown".to_owned(), |time| time.as_millis().to_string()),
+        state.drain.log_fields()
+    );
+    let message = "entry is shutting down and might not finish the request";
+    Err(DirectRefusal::not_run("draining", message, retry_after_ms))
+}
+
 /// Reads the request body within the size limit of the route table.
 async fn read_body(
     table: &RouteTable,
@@ -204,6 +235,7 @@
     };
     relay.record_end(&outcome.to_string());
     let answer = answer?;
+    relay.measured.record_end();
     let mut response = Response::new(Body::from(answer.body));
     *response.status_mut() = answer.head.status;
     *response.headers_mut() = (relay.state.protocol.caller_headers)(&answer.head.headers);
--- a/lib/src/direct_state.rs
+++ b/lib/src/direct_state.rs
@@ -2,12 +2,14 @@
 
 use std::collections::HashSet;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
 use arc_swap::ArcSwapOption;
 use tokio::sync::watch;
 
+use crate::CallTimes;
 use crate::Clock;
 use crate::DirectProtocol;
 use crate::EndpointFeed;
@@ -17,7 +19,7 @@
 use crate::crash_tracker::CrashTracker;
 use crate::direct_actor::DirectCommand;
 use crate::direct_actor::PauseSamples;
-use crate::drain_time::DrainTime;
+use crate::entry_drain::EntryDrain;
 use crate::in_flight::InFlightCounter;
 
 /// State shared by the handlers of calls that an entry sends to endpoints directly.
@@ -34,7 +36,10 @@
     pub(crate) protocol: DirectProtocol,
     pub(crate) metrics: Metrics,
     pub(crate) in_flight: InFlightCounter,
-    pub(crate) drain_time: DrainTime,
+    pub(crate) drain: Arc<EntryDrain>,
+    pub(crate) call_times: CallTimes,
+    /// Whether other entries take new work.
+    pub(crate) has_serving_peers: AtomicBool,
     /// Number of the next call.
     pub(crate) next_call: AtomicU64,
 }
@@ -49,4 +54,14 @@
     pub(crate) fn table(&self) -> Option<Arc<RouteTable>> {
         self.table.load_full()
     }
+
+    /// Returns the retry delay of a call that this draining entry refuses: none if another entry takes
+    /// it, else the time until this one has ended.
+    pub(crate) fn retry_elsewhere_ms(&self) -> u64 {
+        if self.has_serving_peers.load(Ordering::Relaxed) {
+            return 0;
+        }
+        let time_left = self.drain.time_left().unwrap_or_default();
+        u64::try_from(time_left.as_millis()).unwrap_or(u64::MAX)
+    }
 }
--- a/lib/src/direct_stream.rs
+++ b/lib/src/direct_stream.rs
@@ -395,6 +395,7 @@
 /// Records a stream that its endpoint has ended.
 fn finish(relay: &DirectRelay, open: OpenStream) {
     open.slot.release(SendResult::Answered);
+    relay.measured.record_end();
     relay.record_end("ran");
 }
 
--- a/lib/src/entry_drain.rs
+++ b/lib/src/entry_drain.rs
@@ -70,13 +70,29 @@
         self.refused.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Returns the number of calls taken since the signal.
+    pub(crate) fn taken(&self) -> u64 {
+        self.taken.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of calls refused since the signal.
+    pub(crate) fn refused(&self) -> u64 {
+        self.refused.load(Ordering::Relaxed)
+    }
+
+    /// Returns the time since the signal; zero while the entry is not draining.
+    pub(crate) fn elapsed_ms(&self) -> u64 {
+        let elapsed = self.elapsed().unwrap_or_default();
+        u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// Returns the log fields of the drain: its time, and the calls taken and refused since the signal.
     pub(crate) fn log_fields(&self) -> String {
         format!(
             "draining_ms={} taken={} refused={}",
-            self.elapsed().unwrap_or_default().as_millis(),
-            self.taken.load(Ordering::Relaxed),
-            self.refused.load(Ordering::Relaxed)
+            self.elapsed_ms(),
+            self.taken(),
+            self.refused()
         )
     }
 }
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -133,6 +133,7 @@
     LimitLifted = 611 Info "endpoint names no limit any more",
     LimitInvalid = 612 Warn "endpoint names a limit that is invalid",
     LimitInForce = 613 Info "limit of an endpoint in force",
+    CallNotTaken = 614 Info "call refused by an entry that shuts down",
 }
 
 impl fmt::Display for Event {
--- a/lib/src/gossip_loop.rs
+++ b/lib/src/gossip_loop.rs
@@ -132,6 +132,10 @@
     /// Publishes the current view of the other entries to the other tasks of the process.
     fn publish(&self, now_ms: u64) {
         let serving = self.gossip.serving(now_ms);
+        let caller_addresses: Vec<String> = serving
+            .map(|report| report.caller_address.clone())
+            .collect();
+        self.entry.set_serving_peers(!caller_addresses.is_empty());
         let revision = self.entry.revision().unwrap_or(0);
         let newer = self.gossip.newer_config(revision, now_ms);
         let following = self
@@ -139,9 +143,7 @@
             .live(now_ms)
             .filter(|report| report.follows_platform);
         self.view.store(Arc::new(GossipView {
-            caller_addresses: serving
-                .map(|report| report.caller_address.clone())
-                .collect(),
+            caller_addresses,
             newer_config_address: newer.map(|report| report.control_address.clone()),
             platform_follower_addresses: following
                 .map(|report| report.control_address.clone())
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of a process, scraped by operators in the Prometheus text format.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use http::HeaderValue;
@@ -28,6 +29,7 @@
 use crate::caller_server::CallerShutdown;
 use crate::crash_tracker::CrashTracker;
 use crate::daemon_error::DaemonError;
+use crate::entry_drain::EntryDrain;
 use crate::limit_board::LimitBoard;
 use crate::listener::listen;
 use crate::listener::print_address;
@@ -167,6 +169,27 @@
             .build();
     }
 
+    /// Reports the drain of an entry: its time, and what became of the calls since the signal.
+    pub(crate) fn observe_drain(&self, drain: &Arc<EntryDrain>) {
+        let meter = self.provider.meter(SCOPE);
+        let observed = Arc::clone(drain);
+        meter
+            .u64_observable_gauge("pomeloramp_draining_ms")
+            .with_description("Time since the signal to shut down; zero before it")
+            .with_callback(move |gauge| gauge.observe(observed.elapsed_ms(), &[]))
+            .build();
+        let observed = Arc::clone(drain);
+        meter
+            .u64_observable_counter("pomeloramp_draining_calls")
+            .with_description("Calls since the signal to shut down, by what became of them")
+            .with_callback(move |counter| {
+                let outcome = |name: &'static str| [KeyValue::new("outcome", name)];
+                counter.observe(observed.taken(), &outcome("taken"));
+                counter.observe(observed.refused(), &outcome("refused"));
+            })
+            .build();
+    }
+
     /// Reports the limits that endpoints name, and what was done about them, on each read.
     pub(crate) fn observe_limits(&self, limits: &LimitBoard) {
         let meter = self.provider.meter(SCOPE);
--- /dev/null
+++ b/lib/tests/test_drain_policy.rs
@@ -0,0 +1,135 @@
+//! Tests of what a draining entry takes, replayed over calls that arrive while it drains.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use pomeloramp_lib::CallTimes;
+use pomeloramp_lib::DrainPolicy;
+use pomeloramp_lib::DrainingCall;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const SEEDS: std::ops::Range<u64> = 0..50;
+/// Share of the grace time within which a call must arrive to be cut by rule, in percent: 3 s of 8 s.
+const MAY_BE_CUT_PERCENT: u32 = 37;
+const ROUTE: &str = "r1";
+const TIMEOUT: Duration = Duration::from_secs(8);
+
+fn call(draining_ms: u64, time_left_ms: u64, longest_ms: Option<u64>) -> DrainingCall {
+    DrainingCall {
+        draining: Duration::from_millis(draining_ms),
+        time_left: Duration::from_millis(time_left_ms),
+        longest: longest_ms.map(Duration::from_millis),
+    }
+}
+
+fn policy() -> DrainPolicy {
+    DrainPolicy::new(Duration::from_secs(8))
+}
+
+#[googletest::test]
+fn all_calls_are_taken_at_first() {
+    expect_that!(policy().takes(&call(0, 8_000, None)), eq(true));
+    expect_that!(policy().takes(&call(2_700, 8_000, Some(8_000))), eq(true));
+}
+
+/// Guards against LOST in review case 3: streams were taken until 7.4 s after SIGTERM.
+#[googletest::test]
+fn calls_that_outlasted_the_entry_were_taken() {
+    expect_that!(policy().takes(&call(3_000, 8_000, None)), eq(false));
+    expect_that!(policy().takes(&call(3_000, 8_000, Some(3_000))), eq(false));
+    expect_that!(policy().takes(&call(7_000, 1_000, None)), eq(false));
+}
+
+#[googletest::test]
+fn calls_that_end_in_time_are_taken_late_too() {
+    expect_that!(policy().takes(&call(6_000, 1_000, None)), eq(true));
+    expect_that!(policy().takes(&call(6_000, 8_000, Some(500))), eq(true));
+}
+
+/// Draws grace times, answer times and deadlines; each call takes at most twice the longest known time.
+#[googletest::test]
+fn no_late_call_of_a_drawn_load_is_cut() {
+    for seed in SEEDS {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let grace_ms = rng.random_range(1_000..=60_000_u64);
+        let policy = DrainPolicy::new(Duration::from_millis(grace_ms));
+        let longest_ms = rng.random_range(10..=grace_ms);
+        for _ in 0..500 {
+            let arrived_ms = rng.random_range(0..=grace_ms);
+            let time_left_ms = rng.random_range(10..=2 * grace_ms);
+            let needed_ms = rng.random_range(1..=2 * longest_ms).min(time_left_ms);
+            let is_known = rng.random_bool(0.8);
+            let longest = is_known.then_some(longest_ms);
+            let is_late = arrived_ms >= grace_ms * u64::from(MAY_BE_CUT_PERCENT) / 100;
+            let is_taken = policy.takes(&call(arrived_ms, time_left_ms, longest));
+            let is_bounded = is_known || needed_ms == time_left_ms;
+            let is_cut = is_taken && arrived_ms + needed_ms > grace_ms;
+            if is_late && is_bounded {
+                expect_that!(is_cut, eq(false), "seed {seed} at {arrived_ms} ms");
+            }
+            let surely_ends = arrived_ms + time_left_ms <= grace_ms * 93 / 100;
+            expect_that!(is_taken || !surely_ends, eq(true), "seed {seed}");
+        }
+    }
+}
+
+/// Ends calls that took the given time each.
+async fn end_calls(times: &CallTimes, count: usize, time: Duration) {
+    let calls: Vec<_> = (0..count).map(|_| times.begin(ROUTE)).collect();
+    tokio::time::sleep(time).await;
+    for call in calls {
+        call.record_end();
+    }
+}
+
+#[googletest::test]
+#[tokio::test(start_paused = true)]
+async fn times_are_known_once_enough_calls_have_ended_and_long_ones_would_have() {
+    let times = CallTimes::default();
+    end_calls(&times, 40, Duration::from_secs(1)).await;
+    expect_that!(times.longest(ROUTE, TIMEOUT), none());
+    tokio::time::sleep(TIMEOUT).await;
+    let longest = times.longest(ROUTE, TIMEOUT);
+    expect_that!(longest, some(eq(Duration::from_secs(1))));
+    expect_that!(times.longest("r2", TIMEOUT), none());
+}
+
+#[googletest::test]
+#[tokio::test(start_paused = true)]
+async fn few_calls_tell_nothing() {
+    let times = CallTimes::default();
+    end_calls(&times, 29, Duration::from_secs(1)).await;
+    tokio::time::sleep(TIMEOUT).await;
+    expect_that!(times.longest(ROUTE, TIMEOUT), none());
+}
+
+/// Guards against calls that were taken on the times of short ones while long ones still ran.
+#[googletest::test]
+#[tokio::test(start_paused = true)]
+async fn the_time_of_running_calls_was_not_counted() {
+    let times = CallTimes::default();
+    end_calls(&times, 40, Duration::from_millis(100)).await;
+    tokio::time::sleep(TIMEOUT).await;
+    let running = times.begin(ROUTE);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let longest = times.longest(ROUTE, TIMEOUT);
+    expect_that!(longest, some(eq(Duration::from_secs(3))));
+    drop(running);
+    let longest = times.longest(ROUTE, TIMEOUT);
+    expect_that!(longest, some(eq(Duration::from_millis(100))));
+}
+
+#[googletest::test]
+#[tokio::test(start_paused = true)]
+async fn old_times_are_forgotten() {
+    let times = CallTimes::default();
+    end_calls(&times, 40, Duration::from_secs(5)).await;
+    for _ in 0..3 {
+        tokio::time::sleep(Duration::from_secs(30)).await;
+        end_calls(&times, 40, Duration::from_secs(1)).await;
+    }
+    let longest = times.longest(ROUTE, TIMEOUT);
+    expect_that!(longest, some(eq(Duration::from_secs(1))));
+}
