drain: addresses live as long as callers who keep them can still be served

Cause: the lifetime (2 s) had nothing to do with the time for which a draining entry takes calls.

Why this works: a lifetime is a third of the time in which all calls are taken, so who keeps it three times as long still comes in time. A draining entry that names itself, while none is ready, does so for a third of what is left. A listener closes no sooner than its address is forgotten.

--- a/lib/src/direct_entry.rs
+++ b/lib/src/direct_entry.rs
@@ -49,6 +49,9 @@
 /// Interval at which a drain checks for calls in flight.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Shortest lifetime with which a draining entry is named.
+const MIN_ADDRESS_LIFETIME: Duration = Duration::from_millis(200);
+
 /// Settings of an entry that sends calls to endpoints directly.
 #[derive(Debug, Clone, Builder)]
 pub struct DirectEntrySettings {
@@ -63,8 +66,8 @@
     pub metrics_address: String,
     /// Limit on retries, in percent of the requests of each service.
     pub retry_percent: u32,
-    /// Time for which a caller caches the addresses of the entries.
-    pub address_lifetime_ms: u64,
+    /// Longest time for which a caller may cache the addresses of the entries.
+    pub max_address_lifetime_ms: u64,
     /// Time between SIGTERM and SIGKILL.
     pub grace_ms: u64,
     /// Most connections of callers that are served at once.
@@ -205,6 +208,21 @@
         has_state && !*self.draining.borrow()
     }
 
+    /// Returns the lifetime of an answer with addresses of entries that take new work: callers that keep
+    /// it for as long as they do still come while an entry that has begun to drain takes all calls.
+    pub(crate) fn address_lifetime(&self) -> Duration {
+        let longest = Duration::from_millis(self.settings.max_address_lifetime_ms);
+        longest.min(self.state.drain.address_lifetime(Duration::ZERO))
+    }
+
+    /// Returns the same for an answer with the address of this draining entry; `None` if it is not
+    /// draining, or too little of the time is left in which it takes all calls.
+    pub(crate) fn draining_address_lifetime(&self) -> Option<Duration> {
+        let drain = &self.state.drain;
+        let lifetime = drain.address_lifetime(drain.elapsed()?);
+        (lifetime >= MIN_ADDRESS_LIFETIME).then_some(lifetime)
+    }
+
     /// Returns a receiver that turns true when the process receives the signal to shut down.
     #[must_use]
     pub fn draining(&self) -> watch::Receiver<bool> {
@@ -289,8 +307,8 @@
         state.store(has_serving_peers, Ordering::Relaxed);
     }
 
-    /// Closes the listener once callers' cached addresses have expired and no call is in flight, at
-    /// the latest when the time for the drain is over.
+    /// Closes the listener once all calls have been taken for long enough that callers' cached addresses
+    /// have expired, and no call is in flight; at the latest when the time for the drain is over.
     async fn drain(mut self, close: watch::Sender<bool>) {
         if self.draining.wait_for(|draining| *draining).await.is_err() {
             return;
@@ -299,8 +317,7 @@
         drain.start();
         event!(DrainStarted, "in_flight={}", self.state.in_flight.count());
         let end = Instant::now() + drain.time_left().unwrap_or_default();
-        let linger = Duration::from_millis(self.settings.address_lifetime_ms);
-        tokio::time::sleep_until(end.min(Instant::now() + linger)).await;
+        tokio::time::sleep(drain.open_time_left()).await;
         while self.state.in_flight.count() > 0 && Instant::now() < end {
             tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
         }
--- a/lib/src/drain_policy.rs
+++ b/lib/src/drain_policy.rs
@@ -9,6 +9,8 @@
 /// Share of the grace time in which all calls are taken, in percent. The rest is enough for most of
 /// them.
 const OPEN_PERCENT: u32 = 35;
+/// Number of lifetimes for which some callers keep an address.
+const KEPT_LIFETIMES: u32 = 3;
 /// Share of the grace time in which the calls must have ended, in percent.
 const END_PERCENT: u32 = 93;
 /// Factor by which a call may take longer than the longest of the latest ones of its route.
@@ -44,10 +46,23 @@
         self.grace * END_PERCENT / 100
     }
 
+    /// Returns the time since the signal for which all calls are taken.
+    #[must_use]
+    pub fn open_time(&self) -> Duration {
+        self.grace * OPEN_PERCENT / 100
+    }
+
+    /// Returns the longest lifetime of an address at `draining` since the signal with which all callers
+    /// that keep it come while all calls are taken.
+    #[must_use]
+    pub fn address_lifetime(&self, draining: Duration) -> Duration {
+        self.open_time().saturating_sub(draining) / KEPT_LIFETIMES
+    }
+
     /// Returns whether the entry takes a call: all at first, then those that end in time.
     #[must_use]
     pub fn takes(&self, call: &DrainingCall) -> bool {
-        let is_open = call.draining < self.grace * OPEN_PERCENT / 100;
+        let is_open = call.draining < self.open_time();
         let left = self.end().saturating_sub(call.draining);
         let expected = call.longest.map(|longest| longest * TIME_MARGIN);
         let needed = expected.map_or(call.time_left, |time| time.min(call.time_left));
--- a/lib/src/entry_peers.rs
+++ b/lib/src/entry_peers.rs
@@ -14,6 +14,7 @@
 use volo_http::server::route::Router;
 use volo_http::server::route::get;
 
+use crate::AddressAnswer;
 use crate::DaemonError;
 use crate::DirectEntry;
 use crate::EntryGossip;
@@ -115,14 +116,26 @@
         Ok(peers)
     }
 
-    /// Returns the caller addresses of the entries that take new work, this one first if it does.
+    /// Returns the caller addresses of the entries that take new work, this one first if it does. If none
+    /// does, this one is named while it drains and takes all calls, for as long as it will.
     #[must_use]
-    pub fn caller_addresses(&self) -> Vec<String> {
-        let own = self.entry.is_ready().then(|| self.caller_address.clone());
+    pub fn address_answer(&self) -> AddressAnswer {
         let view = self.view.load();
-        own.into_iter()
-            .chain(view.caller_addresses.iter().cloned())
-            .collect()
+        let others = view.caller_addresses.iter().cloned();
+        let own = self.entry.is_ready().then(|| self.caller_address.clone());
+        let addresses: Vec<String> = own.into_iter().chain(others).collect();
+        if addresses.is_empty()
+            && let Some(lifetime) = self.entry.draining_address_lifetime()
+        {
+            return AddressAnswer {
+                addresses: vec![self.caller_address.clone()],
+                lifetime_ms: as_ms(lifetime),
+            };
+        }
+        AddressAnswer {
+            addresses,
+            lifetime_ms: as_ms(self.entry.address_lifetime()),
+        }
     }
 
     fn control_router(&self) -> Router {
@@ -223,6 +236,10 @@
     }
 }
 
+fn as_ms(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Returns the incarnation of this run of the process, which is its start in milliseconds of the
 /// Unix epoch. It is higher than those of earlier runs, unless the VM's clock was set back.
 fn incarnation() -> u64 {
