caller_server: close connections without a request when a draining entry closes

What callers saw: an entry with nothing to do was killed at the end of the grace time, and came back 5 s later than it could, since a connection that was opened during its drain and had brought no request kept it.

Cause: connections accepted while draining listened to no signal. They follow the second one now, with which the listener closes. Test failed before: a_connection_without_a_request_held_a_draining_entry_ until_it_was_killed (no end within 7.3 s; 2.9 s now).

--- a/lib/src/caller_server.rs
+++ b/lib/src/caller_server.rs
@@ -57,6 +57,17 @@
     pub(crate) closing: watch::Receiver<bool>,
 }
 
+/// How long one connection of a caller stays open.
+#[derive(Debug)]
+struct CallerConnectionLimits {
+    /// Timeout for the arrival of a complete request head.
+    header_timeout: Duration,
+    /// Whether the connection is kept open for further requests.
+    keep_alive: bool,
+    /// Once true, the connection is closed after its current request, or at once if it has none.
+    stopping: watch::Receiver<bool>,
+}
+
 impl CallerShutdown {
     /// Starts to drain connections and stops accepting new ones on the same signal.
     pub(crate) fn immediate(closing: watch::Receiver<bool>) -> Self {
@@ -107,9 +118,17 @@
             }
         };
         let router = Arc::clone(&router);
-        let draining = draining.clone();
+        // A connection accepted while draining is served one request, because its caller may use an
+        // address that was published before.
+        let is_draining = *draining.borrow();
+        let stopping = if is_draining { &closing } else { &draining };
+        let served = CallerConnectionLimits {
+            header_timeout: limits.header_timeout,
+            keep_alive: !is_draining,
+            stopping: stopping.clone(),
+        };
         tokio::spawn(async move {
-            serve_connection(stream, peer, router, limits.header_timeout, draining).await;
+            serve_connection(stream, peer, router, served).await;
             drop(permit);
         });
     }
@@ -122,8 +141,7 @@
     stream: TcpStream,
     peer: SocketAddr,
     router: Arc<Router>,
-    header_timeout: Duration,
-    mut draining: watch::Receiver<bool>,
+    limits: CallerConnectionLimits,
 ) {
     if let Err(error) = socket_options::configure(&stream, KeepaliveSettings::LONG) {
         log::debug!("socket options of caller {peer}: {error}");
@@ -139,17 +157,15 @@
         caller_has_chunks.store(has_chunks, Ordering::Relaxed);
         handle(Arc::clone(&router), peer, request)
     });
-    // A connection accepted while draining is served one request, because its caller may use an
-    // address that was published before.
-    let is_draining = *draining.borrow();
+    let mut stopping = limits.stopping;
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(header_timeout)
-        .keep_alive(!is_draining)
+        .header_read_timeout(limits.header_timeout)
+        .keep_alive(limits.keep_alive)
         .serve_connection(TokioIo::new(stream), service);
     let result = tokio::select! {
         result = &mut connection => result,
-        () = wait_until_true(&mut draining), if !is_draining => {
+        () = wait_until_true(&mut stopping) => {
             std::pin::Pin::new(&mut connection).graceful_shutdown();
             (&mut connection).await
         }
