entry_daemon: close the listener when no caller can have its address, also under load

A terminated entry took calls for as long as any call was in flight, so that under steady load it never ended and was killed in the middle of them.

The listener closes once the lifetime of its address is over; requests in flight end as before, since the server waits for its connections. Test failed before: a_terminated_entry_under_steady_load_never_ ended (still running after 8 s of load).

--- a/lib/src/entry_daemon.rs
+++ b/lib/src/entry_daemon.rs
@@ -72,8 +72,6 @@
 use crate::shared_quarantine::SharedQuarantine;
 use crate::shutdown;
 
-const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-
 /// Runs the entry role until the process has shut down.
 ///
 /// # Errors
@@ -170,7 +168,7 @@
         quarantine,
     });
     let (close, closing) = watch::channel(false);
-    tokio::spawn(drain(draining, address_lifetime, in_flight, close));
+    tokio::spawn(drain(draining, address_lifetime, close));
     caller_server::serve(
         listener,
         router(&state),
@@ -251,20 +249,16 @@
 }
 
 /// Closes the listener after shutdown has begun, once no caller can still have this entry's address
-/// cached and no request is in flight.
+/// cached. Requests in flight then go on until they end.
 async fn drain(
     mut draining: watch::Receiver<bool>,
     address_lifetime: Duration,
-    in_flight: InFlightCounter,
     close: watch::Sender<bool>,
 ) {
     if draining.wait_for(|draining| *draining).await.is_err() {
         return;
     }
     tokio::time::sleep(address_lifetime).await;
-    while in_flight.count() > 0 {
-        tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
-    }
     let _ = close.send(true);
 }
 
--- a/lib/tests/test_graceful_shutdown.rs
+++ b/lib/tests/test_graceful_shutdown.rs
@@ -31,6 +31,10 @@
 const MINUTE_TIMEOUT: Duration = Duration::from_secs(100);
 const MINUTE_DEADLINE_MS: u64 = 90_000;
 const MINUTE_STREAMS: usize = 4;
+/// Tokens of the streams of steady load; each lasts longer than the time between two of them.
+const SHORT_STREAM_TOKENS: u32 = 8;
+const STEADY_LOAD_INTERVAL: Duration = Duration::from_millis(150);
+const STEADY_LOAD_TIME: Duration = Duration::from_secs(8);
 const LATEST_STOP_MS: u64 = 5_000;
 const SEED_VARIABLE: &str = "PROPTEST_RNG_SEED";
 const DEFAULT_SEED: u64 = 20_261_203;
@@ -122,6 +126,31 @@
     expect_that!(fleet.entries[0].daemon.wait(TIMEOUT), some(eq(true)));
 }
 
+/// Guards against an entry that took calls for as long as any call was in flight, which under steady load
+/// was until it was killed in the middle of them.
+#[googletest::test]
+fn a_terminated_entry_under_steady_load_never_ended() {
+    let mut fleet = Fleet::start(plan());
+    let entry = fleet.entries[0].caller_address.clone();
+    let early = draft_in_background(&entry, STREAM_TOKENS);
+    Fleet::wait_for("the stream has started", || running_requests(&fleet) > 0);
+    fleet.entries[0].daemon.terminate();
+    let terminated = Instant::now();
+    let mut late = Vec::new();
+    while fleet.entries[0].daemon.is_running() && terminated.elapsed() < STEADY_LOAD_TIME {
+        late.push(draft_in_background(&entry, SHORT_STREAM_TOKENS));
+        thread::sleep(STEADY_LOAD_INTERVAL);
+    }
+    expect_that!(fleet.entries[0].daemon.is_running(), eq(false));
+    let early = early.join().expect("no panic");
+    expect_that!(tokens_of(&early), some(eq(STREAM_TOKENS as usize)));
+    let late = late
+        .into_iter()
+        .map(|draft| draft.join().expect("no panic"));
+    let served = late.filter(|draft| tokens_of(draft) == Some(SHORT_STREAM_TOKENS as usize));
+    expect_that!(served.count(), gt(3));
+}
+
 #[googletest::test]
 fn a_terminated_agent_finishes_its_streams() {
     let mut fleet = Fleet::start(plan());
