caller_server: close a connection after its answer, not while its request is on the way

Cause: at the signal all connections without a request were closed, whether or not one was on its way. Answers of a draining entry carry Connection: close now, and connections without a request are closed with the listener, when callers have had time to learn new addresses.

Test failed before: requests_on_connections_opened_before_sigterm_were_lost.

--- a/lib/src/caller_server.rs
+++ b/lib/src/caller_server.rs
@@ -11,9 +11,11 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::Version;
+use http::header;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -51,23 +53,12 @@
 /// Signals for the graceful shutdown of a server for callers.
 #[derive(Debug, Clone)]
 pub(crate) struct CallerShutdown {
-    /// Once true, idle connections are closed, and the others after their current request.
+    /// Once true, connections are closed after their next answer.
     pub(crate) draining: watch::Receiver<bool>,
-    /// Once true, no further connection is accepted.
+    /// Once true, no further connection is accepted, and those without a request are closed.
     pub(crate) closing: watch::Receiver<bool>,
 }
 
-/// How long one connection of a caller stays open.
-#[derive(Debug)]
-struct CallerConnectionLimits {
-    /// Timeout for the arrival of a complete request head.
-    header_timeout: Duration,
-    /// Whether the connection is kept open for further requests.
-    keep_alive: bool,
-    /// Once true, the connection is closed after its current request, or at once if it has none.
-    stopping: watch::Receiver<bool>,
-}
-
 impl CallerShutdown {
     /// Starts to drain connections and stops accepting new ones on the same signal.
     pub(crate) fn immediate(closing: watch::Receiver<bool>) -> Self {
@@ -83,10 +74,7 @@
     listener: TcpListener,
     router: Router,
     limits: CallerLimits,
-    CallerShutdown {
-        draining,
-        mut closing,
-    }: CallerShutdown,
+    mut shutdown: CallerShutdown,
 ) {
     let router = Arc::new(router);
     let permits = Arc::new(Semaphore::new(limits.max_connections));
@@ -103,11 +91,11 @@
         was_full = is_full;
         let permit = tokio::select! {
             permit = Arc::clone(&permits).acquire_owned() => permit.expect("semaphore stays open"),
-            () = wait_until_true(&mut closing) => break,
+            () = wait_until_true(&mut shutdown.closing) => break,
         };
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = wait_until_true(&mut closing) => break,
+            () = wait_until_true(&mut shutdown.closing) => break,
         };
         let (stream, peer) = match accepted {
             Ok(accepted) => accepted,
@@ -118,17 +106,9 @@
             }
         };
         let router = Arc::clone(&router);
-        // A connection accepted while draining is served one request, because its caller may use an
-        // address that was published before.
-        let is_draining = *draining.borrow();
-        let stopping = if is_draining { &closing } else { &draining };
-        let served = CallerConnectionLimits {
-            header_timeout: limits.header_timeout,
-            keep_alive: !is_draining,
-            stopping: stopping.clone(),
-        };
+        let shutdown = shutdown.clone();
         tokio::spawn(async move {
-            serve_connection(stream, peer, router, served).await;
+            serve_connection(stream, peer, router, limits.header_timeout, shutdown).await;
             drop(permit);
         });
     }
@@ -141,7 +121,11 @@
     stream: TcpStream,
     peer: SocketAddr,
     router: Arc<Router>,
-    limits: CallerConnectionLimits,
+    header_timeout: Duration,
+    CallerShutdown {
+        draining,
+        mut closing,
+    }: CallerShutdown,
 ) {
     if let Err(error) = socket_options::configure(&stream, KeepaliveSettings::LONG) {
         log::debug!("socket options of caller {peer}: {error}");
@@ -155,17 +139,21 @@
         request.extensions_mut().insert(origin);
         let has_chunks = request.version() >= Version::HTTP_11;
         caller_has_chunks.store(has_chunks, Ordering::Relaxed);
-        handle(Arc::clone(&router), peer, request)
+        let answering = handle(Arc::clone(&router), peer, request);
+        let draining = draining.clone();
+        async move {
+            answering
+                .await
+                .map(|answer| with_close(answer, *draining.borrow()))
+        }
     });
-    let mut stopping = limits.stopping;
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.header_timeout)
-        .keep_alive(limits.keep_alive)
+        .header_read_timeout(header_timeout)
         .serve_connection(TokioIo::new(stream), service);
     let result = tokio::select! {
         result = &mut connection => result,
-        () = wait_until_true(&mut stopping) => {
+        () = wait_until_true(&mut closing) => {
             std::pin::Pin::new(&mut connection).graceful_shutdown();
             (&mut connection).await
         }
@@ -180,6 +168,16 @@
     }
 }
 
+/// Lets an answer end its connection if the process is draining. A connection without a request is not
+/// closed then, since one may be on its way.
+fn with_close(mut answer: Response<Body>, is_draining: bool) -> Response<Body> {
+    if is_draining {
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(header::CONNECTION, close);
+    }
+    answer
+}
+
 /// Makes the end of a connection a reset. To a caller of HTTP/1.0, which knows no chunks, an answer
 /// that is broken off by an ordinary close looks complete.
 fn reset(stream: &TcpStream, peer: SocketAddr) {
