drain: keep the listener for three lifetimes of an address, not for the whole open time

With a grace time of 8 s both are 2.8 s. With a longer one the lifetime is 2 s at most, and an entry without work would have waited 35 % of its grace time before it ended.

--- a/lib/src/direct_entry.rs
+++ b/lib/src/direct_entry.rs
@@ -39,6 +39,7 @@
 use crate::direct_actor::PauseSamples;
 use crate::direct_server;
 use crate::direct_state::DirectState;
+use crate::drain_policy::KEPT_LIFETIMES;
 use crate::entry_drain::EntryDrain;
 use crate::event;
 use crate::in_flight::InFlightCounter;
@@ -307,8 +308,8 @@
         state.store(has_serving_peers, Ordering::Relaxed);
     }
 
-    /// Closes the listener once all calls have been taken for long enough that callers' cached addresses
-    /// have expired, and no call is in flight; at the latest when the time for the drain is over.
+    /// Closes the listener once the addresses that callers keep have expired and no call is in flight, at
+    /// the latest when the time for the drain is over.
     async fn drain(mut self, close: watch::Sender<bool>) {
         if self.draining.wait_for(|draining| *draining).await.is_err() {
             return;
@@ -317,7 +318,8 @@
         drain.start();
         event!(DrainStarted, "in_flight={}", self.state.in_flight.count());
         let end = Instant::now() + drain.time_left().unwrap_or_default();
-        tokio::time::sleep(drain.open_time_left()).await;
+        let linger = self.address_lifetime() * KEPT_LIFETIMES;
+        tokio::time::sleep_until(end.min(Instant::now() + linger)).await;
         while self.state.in_flight.count() > 0 && Instant::now() < end {
             tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
         }
--- a/lib/src/drain_policy.rs
+++ b/lib/src/drain_policy.rs
@@ -10,7 +10,7 @@
 /// them.
 const OPEN_PERCENT: u32 = 35;
 /// Number of lifetimes for which some callers keep an address.
-const KEPT_LIFETIMES: u32 = 3;
+pub(crate) const KEPT_LIFETIMES: u32 = 3;
 /// Share of the grace time in which the calls must have ended, in percent.
 const END_PERCENT: u32 = 93;
 /// Factor by which a call may take longer than the longest of the latest ones of its route.
@@ -47,8 +47,7 @@
     }
 
     /// Returns the time since the signal for which all calls are taken.
-    #[must_use]
-    pub fn open_time(&self) -> Duration {
+    fn open_time(&self) -> Duration {
         self.grace * OPEN_PERCENT / 100
     }
 
--- a/lib/src/entry_drain.rs
+++ b/lib/src/entry_drain.rs
@@ -48,14 +48,6 @@
         Some(self.policy.end().saturating_sub(elapsed))
     }
 
-    /// Returns the time left for which all calls are taken; none while the entry is not draining.
-    pub(crate) fn open_time_left(&self) -> Duration {
-        let elapsed = self.elapsed();
-        elapsed.map_or(Duration::ZERO, |elapsed| {
-            self.policy.open_time().saturating_sub(elapsed)
-        })
-    }
-
     /// Returns the longest lifetime of an answer that names an entry at `draining` since its signal.
     pub(crate) fn address_lifetime(&self, draining: Duration) -> Duration {
         self.policy.address_lifetime(draining)
--- a/lib/tests/test_drain_policy.rs
+++ b/lib/tests/test_drain_policy.rs
@@ -48,6 +48,17 @@
     expect_that!(policy().takes(&call(6_000, 8_000, Some(500))), eq(true));
 }
 
+#[googletest::test]
+fn callers_that_keep_an_address_for_three_lifetimes_come_while_all_calls_are_taken() {
+    for draining_ms in [0, 500, 2_000, 2_790] {
+        let lifetime = policy().address_lifetime(Duration::from_millis(draining_ms));
+        let last_ms = draining_ms + 3 * u64::try_from(lifetime.as_millis()).unwrap();
+        expect_that!(policy().takes(&call(last_ms, 8_000, None)), eq(true));
+    }
+    let closed = policy().address_lifetime(Duration::from_secs(4));
+    expect_that!(closed, eq(Duration::ZERO));
+}
+
 /// Draws grace times, answer times and deadlines; each call takes at most twice the longest known time.
 #[googletest::test]
 fn no_late_call_of_a_drawn_load_is_cut() {
