--- a/lib/src/attempts.rs
+++ b/lib/src/attempts.rs
@@ -9,6 +9,7 @@
 use crate::RefusalCode;
 use crate::RouteChoice;
 use crate::actor::Actor;
+use crate::as_ms::as_ms;
 use crate::caller_error::CallerError;
 use crate::entry_server::overloaded;
 use crate::event;
@@ -68,7 +69,7 @@
         &self,
         mut query: RouteQuery,
     ) -> Result<Result<RoutedSend, RouteChoice>, CallerError> {
-        query.time_left_ms = u64::try_from(self.time_left().as_millis()).unwrap_or(u64::MAX);
+        query.time_left_ms = as_ms(self.time_left());
         let (reply, answer) = oneshot::channel();
         self.routing
             .submit(RoutingCommand::Choose { query, reply })
--- a/lib/src/completion.rs
+++ b/lib/src/completion.rs
@@ -23,6 +23,7 @@
 use crate::RefusalCode;
 use crate::agent_call::AgentCall;
 use crate::agent_call::AgentCallError;
+use crate::as_ms::as_ms;
 use crate::attempts::Attempts;
 use crate::caller_error::CallerError;
 use crate::caller_error::OUTCOME_HEADER;
@@ -185,7 +186,7 @@
         call.resume_after_token = self.delivered_tokens;
         self.state.add_suspicion(&mut call);
         let time_left = self.attempts.time_left();
-        call.deadline_ms = u64::try_from(time_left.as_millis()).unwrap_or(u64::MAX);
+        call.deadline_ms = as_ms(time_left);
         let opening = async {
             let mut answer = self
                 .state
--- a/lib/src/direct_entry.rs
+++ b/lib/src/direct_entry.rs
@@ -49,7 +49,6 @@
 
 /// Interval at which a drain checks for calls in flight.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
-
 /// Shortest lifetime with which a draining entry is named.
 const MIN_ADDRESS_LIFETIME: Duration = Duration::from_millis(200);
 
--- a/lib/src/direct_relay.rs
+++ b/lib/src/direct_relay.rs
@@ -27,6 +27,7 @@
 use crate::RouteRule;
 use crate::SendResult;
 use crate::answer_framing::AnswerFraming;
+use crate::as_ms::as_ms;
 use crate::caller_connection::CallerConnection;
 use crate::crash_tracker::CrashTracker;
 use crate::crashed_call::CrashedCall;
@@ -666,10 +667,6 @@
     }
 }
 
-fn as_ms(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// Checks whether an endpoint whose connection broke has crashed.
 async fn probe_for_crash(tracker: CrashTracker, endpoint_id: String, address: String) {
     tokio::time::sleep(CRASH_CHECK_DELAY).await;
--- a/lib/src/direct_state.rs
+++ b/lib/src/direct_state.rs
@@ -16,6 +16,7 @@
 use crate::Metrics;
 use crate::RouteTable;
 use crate::actor::Actor;
+use crate::as_ms::as_ms;
 use crate::crash_tracker::CrashTracker;
 use crate::direct_actor::DirectCommand;
 use crate::direct_actor::PauseSamples;
@@ -62,6 +63,6 @@
             return 0;
         }
         let time_left = self.drain.time_left().unwrap_or_default();
-        u64::try_from(time_left.as_millis()).unwrap_or(u64::MAX)
+        as_ms(time_left)
     }
 }
--- a/lib/src/entry_drain.rs
+++ b/lib/src/entry_drain.rs
@@ -9,6 +9,7 @@
 
 use crate::DrainPolicy;
 use crate::DrainingCall;
+use crate::as_ms::as_ms;
 
 /// The drain of an entry, from the signal to shut down until the process is killed.
 #[derive(Debug)]
@@ -87,8 +88,7 @@
 
     /// Returns the time since the signal; zero while the entry is not draining.
     pub(crate) fn elapsed_ms(&self) -> u64 {
-        let elapsed = self.elapsed().unwrap_or_default();
-        u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+        as_ms(self.elapsed().unwrap_or_default())
     }
 
     /// Returns the log fields of the drain: its time, and the calls taken and refused since the signal.
--- a/lib/src/entry_peers.rs
+++ b/lib/src/entry_peers.rs
@@ -21,6 +21,7 @@
 use crate::GossipSettings;
 use crate::JsonClient;
 use crate::JsonError;
+use crate::as_ms::as_ms;
 use crate::event;
 use crate::gossip_loop::GossipLoop;
 use crate::gossip_loop::GossipView;
@@ -89,7 +90,7 @@
             GossipSettings::builder()
                 .own_address(address.clone())
                 .seed_addresses(settings.seed_addresses)
-                .interval_ms(u64::try_from(GOSSIP_INTERVAL.as_millis()).unwrap_or(u64::MAX))
+                .interval_ms(as_ms(GOSSIP_INTERVAL))
                 .build(),
         );
         let gossip_loop = GossipLoop {
@@ -236,10 +237,6 @@
     }
 }
 
-fn as_ms(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// Returns the incarnation of this run of the process, which is its start in milliseconds of the
 /// Unix epoch. It is higher than those of earlier runs, unless the VM's clock was set back.
 fn incarnation() -> u64 {
@@ -247,7 +244,7 @@
     let since_epoch = now
         .duration_since(std::time::UNIX_EPOCH)
         .unwrap_or_default();
-    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+    as_ms(since_epoch)
 }
 
 fn document_response(document: Option<Bytes>) -> Response<Body> {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -16,6 +16,7 @@
 mod answer_framing;
 mod arguments;
 mod as_f64;
+mod as_ms;
 mod attempt_number;
 mod attempt_policy;
 mod attempts;
