direct_server: look up the times of calls only while the entry drains

Each call took the lock of all routes and looked its route up on arrival, although the answer is only used while the entry drains. Behaviour is the same.

--- a/lib/src/direct_server.rs
+++ b/lib/src/direct_server.rs
@@ -15,6 +15,7 @@
 use crate::CrashSuspect;
 use crate::DirectCall;
 use crate::DirectRefusal;
+use crate::DrainingCall;
 use crate::OrganisationRule;
 use crate::PromptPart;
 use crate::RouteRule;
@@ -186,10 +187,18 @@
     rule: &RouteRule,
     deadline: Instant,
 ) -> Result<(), DirectRefusal> {
+    let Some(draining) = state.drain.elapsed() else {
+        return Ok(());
+    };
     let time_left = deadline.saturating_duration_since(Instant::now());
     let timeout = Duration::from_millis(rule.timeout_ms);
     let longest = state.call_times.longest(&rule.name, timeout);
-    if state.drain.takes(time_left, longest) {
+    let asked = DrainingCall {
+        draining,
+        time_left,
+        longest,
+    };
+    if state.drain.takes(&asked) {
         return Ok(());
     }
     state.drain.record_refused();
--- a/lib/src/entry_drain.rs
+++ b/lib/src/entry_drain.rs
@@ -54,16 +54,9 @@
         self.policy.address_lifetime(draining)
     }
 
-    /// Returns whether the entry takes a call that ends by its deadline in `time_left`. Such calls of its
-    /// route took `longest` at most, if enough of them have ended.
-    pub(crate) fn takes(&self, time_left: Duration, longest: Option<Duration>) -> bool {
-        self.elapsed().is_none_or(|draining| {
-            self.policy.takes(&DrainingCall {
-                draining,
-                time_left,
-                longest,
-            })
-        })
+    /// Returns whether the draining entry takes a call.
+    pub(crate) fn takes(&self, call: &DrainingCall) -> bool {
+        self.policy.takes(call)
     }
 
     /// Counts a call that was taken since the signal.
