drain: take only calls that end before the entry by their deadline

Cause: from 35 % of the grace time on, the entry took each call whose route's latest calls had taken less than half of what was left. That holds only as long as endpoints stay as quick as they were. The class: a decision that holds only as long as the near future is like the near past.

Now the deadline of the call decides, which the entry enforces itself: nothing that endpoints do after that moment can cut what was taken.

Expectations of test_drain_policy that were wrong: a call with 8 s left at 6 s is no longer taken because earlier ones took 0.5 s; the drawn load no longer bounds how long a call takes by twice the longest known time, but by its deadline alone, so that the check of late cuts now holds for all calls.

--- a/lib/src/direct_relay.rs
+++ b/lib/src/direct_relay.rs
@@ -373,13 +373,20 @@
         checked.map_err(|refusal| self.withdraw_not_run_promise(refusal))
     }
 
-    /// Refuses a call that has waited so long at a draining entry that it might not end in time. A call
-    /// that was sent before is finished here.
+    /// Returns the refusal of a call that was not sent while the draining entry took it.
+    fn drain_refusal(&self) -> DirectRefusal {
+        direct_server::drain_refusal(&self.state, &self.call, &self.rule, self.deadline)
+    }
+
+    /// Refuses a call that the draining entry no longer takes. A call that was sent before is finished
+    /// here.
     fn check_drain(&self) -> Result<(), DirectRefusal> {
         if !self.tried.is_empty() || self.state.drain.elapsed().is_none() {
             return Ok(());
         }
-        direct_server::refuse_while_draining(&self.state, &self.call, &self.rule, self.deadline)?;
+        if !self.state.drain.takes(self.deadline) {
+            return Err(self.drain_refusal());
+        }
         self.state.drain.record_taken();
         Ok(())
     }
@@ -633,15 +640,18 @@
     }
 
     /// Returns the log fields of a call at a draining entry: the times since the signal to shut down and
-    /// since its connection was accepted.
+    /// since its connection was accepted, the time until all calls should have ended, and the longest that
+    /// the latest calls of its route took.
     fn drain_fields(&self) -> String {
         let Some(draining) = self.state.drain.elapsed() else {
             return String::new();
         };
         format!(
-            " draining_ms={} connection_ms={}",
+            " draining_ms={} connection_ms={} drain_left_ms={} longest_ms={}",
             draining.as_millis(),
-            self.connection.accepted.elapsed().as_millis()
+            self.connection.accepted.elapsed().as_millis(),
+            as_ms(self.state.drain.time_left().unwrap_or_default()),
+            self.state.longest_call_ms(&self.rule)
         )
     }
 
--- a/lib/src/direct_server.rs
+++ b/lib/src/direct_server.rs
@@ -15,11 +15,11 @@
 use crate::CrashSuspect;
 use crate::DirectCall;
 use crate::DirectRefusal;
-use crate::DrainingCall;
 use crate::OrganisationRule;
 use crate::PromptPart;
 use crate::RouteRule;
 use crate::RouteTable;
+use crate::as_ms::as_ms;
 use crate::caller_body;
 use crate::caller_body::CallerBodyError;
 use crate::caller_connection::CallerConnection;
@@ -85,7 +85,9 @@
         .chain(parts)
         .collect();
     refuse_quarantined(state, &call, &suspects)?;
-    refuse_while_draining(state, &call, &rule, deadline)?;
+    if !state.drain.takes(deadline) {
+        return Err(drain_refusal(state, &call, &rule, deadline));
+    }
     let service = rule.target(rand::random()).unwrap_or_default().to_owned();
     let measured = state.call_times.begin(&rule.name);
     let relay = DirectRelay {
@@ -180,27 +182,13 @@
     Err(DirectRefusal::not_run(code, message, refused_for_ms))
 }
 
-/// Refuses a call that a draining entry can't be expected to finish before it is killed.
-pub(crate) fn refuse_while_draining(
+/// Returns the refusal of a call that a draining entry might not finish before it is killed.
+pub(crate) fn drain_refusal(
     state: &DirectState,
     call: &DirectCall,
     rule: &RouteRule,
     deadline: Instant,
-) -> Result<(), DirectRefusal> {
-    let Some(draining) = state.drain.elapsed() else {
-        return Ok(());
-    };
-    let time_left = deadline.saturating_duration_since(Instant::now());
-    let timeout = Duration::from_millis(rule.timeout_ms);
-    let longest = state.call_times.longest(&rule.name, timeout);
-    let asked = DrainingCall {
-        draining,
-        time_left,
-        longest,
-    };
-    if state.drain.takes(&asked) {
-        return Ok(());
-    }
+) -> DirectRefusal {
     state.drain.record_refused();
     let retry_after_ms = state.retry_elsewhere_ms();
     event!(
@@ -208,12 +196,12 @@
         "request_id={} route={} left_ms={} longest_ms={} retry_after_ms={retry_after_ms} {}",
         call.request_id,
         rule.name,
-        time_left.as_millis(),
-        longest.map_or("unknown".to_owned(), |time| time.as_millis().to_string()),
+        as_ms(deadline.saturating_duration_since(Instant::now())),
+        state.longest_call_ms(rule),
         state.drain.log_fields()
     );
     let message = "entry is shutting down and might not finish the request";
-    Err(DirectRefusal::not_run("draining", message, retry_after_ms))
+    DirectRefusal::not_run("draining", message, retry_after_ms)
 }
 
 /// Reads the request body within the size limit of the route table.
--- a/lib/src/direct_state.rs
+++ b/lib/src/direct_state.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
 use tokio::sync::watch;
@@ -14,6 +15,7 @@
 use crate::DirectProtocol;
 use crate::EndpointFeed;
 use crate::Metrics;
+use crate::RouteRule;
 use crate::RouteTable;
 use crate::actor::Actor;
 use crate::as_ms::as_ms;
@@ -56,6 +58,13 @@
         self.table.load_full()
     }
 
+    /// Returns the longest time that the latest calls of a route took, for the log.
+    pub(crate) fn longest_call_ms(&self, rule: &RouteRule) -> String {
+        let timeout = Duration::from_millis(rule.timeout_ms);
+        let longest = self.call_times.longest(&rule.name, timeout);
+        longest.map_or("unknown".to_owned(), |time| as_ms(time).to_string())
+    }
+
     /// Returns the retry delay of a call that this draining entry refuses: none if another entry takes
     /// it, else the time until this one has ended.
     pub(crate) fn retry_elsewhere_ms(&self) -> u64 {
--- a/lib/src/entry_drain.rs
+++ b/lib/src/entry_drain.rs
@@ -8,7 +8,6 @@
 use tokio::time::Instant;
 
 use crate::DrainPolicy;
-use crate::DrainingCall;
 use crate::as_ms::as_ms;
 
 /// The drain of an entry, from the signal to shut down until the process is killed.
@@ -54,9 +53,13 @@
         self.policy.address_lifetime(draining)
     }
 
-    /// Returns whether the draining entry takes a call.
-    pub(crate) fn takes(&self, call: &DrainingCall) -> bool {
-        self.policy.takes(call)
+    /// Returns whether the entry takes a call that ends at `deadline` at the latest.
+    pub(crate) fn takes(&self, deadline: Instant) -> bool {
+        let Some(draining) = self.elapsed() else {
+            return true;
+        };
+        let time_left = deadline.saturating_duration_since(Instant::now());
+        self.policy.takes(draining, time_left)
     }
 
     /// Counts a call that was taken since the signal.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -324,7 +324,6 @@
 pub use dispatch_decision::DispatchDecision;
 pub use dispatch_query::DispatchQuery;
 pub use drain_policy::DrainPolicy;
-pub use drain_policy::DrainingCall;
 pub use endpoint_change::EndpointChange;
 pub use endpoint_daemon::run_endpoint;
 pub use endpoint_directory::EndpointDirectory;
--- a/lib/tests/test_drain_policy.rs
+++ b/lib/tests/test_drain_policy.rs
@@ -5,79 +5,70 @@
 use googletest::prelude::*;
 use pomeloramp_lib::CallTimes;
 use pomeloramp_lib::DrainPolicy;
-use pomeloramp_lib::DrainingCall;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
 const SEEDS: std::ops::Range<u64> = 0..50;
 /// Share of the grace time within which a call must arrive to be cut by rule, in percent: 3 s of 8 s.
-const MAY_BE_CUT_PERCENT: u32 = 37;
+const MAY_BE_CUT_PERCENT: u64 = 37;
 const ROUTE: &str = "r1";
 const TIMEOUT: Duration = Duration::from_secs(8);
 
-fn call(draining_ms: u64, time_left_ms: u64, longest_ms: Option<u64>) -> DrainingCall {
-    DrainingCall {
-        draining: Duration::from_millis(draining_ms),
-        time_left: Duration::from_millis(time_left_ms),
-        longest: longest_ms.map(Duration::from_millis),
-    }
+fn policy(grace_s: u64) -> DrainPolicy {
+    DrainPolicy::new(Duration::from_secs(grace_s))
 }
 
-fn policy() -> DrainPolicy {
-    DrainPolicy::new(Duration::from_secs(8))
+fn takes(policy: DrainPolicy, draining_ms: u64, time_left_ms: u64) -> bool {
+    let draining = Duration::from_millis(draining_ms);
+    policy.takes(draining, Duration::from_millis(time_left_ms))
 }
 
 #[googletest::test]
 fn all_calls_are_taken_at_first() {
-    expect_that!(policy().takes(&call(0, 8_000, None)), eq(true));
-    expect_that!(policy().takes(&call(2_700, 8_000, Some(8_000))), eq(true));
+    expect_that!(takes(policy(8), 0, 8_000), eq(true));
+    expect_that!(takes(policy(8), 2_700, 8_000), eq(true));
 }
 
 /// Guards against LOST in review case 3: streams were taken until 7.4 s after SIGTERM.
 #[googletest::test]
 fn calls_that_outlasted_the_entry_were_taken() {
-    expect_that!(policy().takes(&call(3_000, 8_000, None)), eq(false));
-    expect_that!(policy().takes(&call(3_000, 8_000, Some(3_000))), eq(false));
-    expect_that!(policy().takes(&call(7_000, 1_000, None)), eq(false));
+    expect_that!(takes(policy(8), 3_000, 8_000), eq(false));
+    expect_that!(takes(policy(8), 3_000, 6_000), eq(false));
+    expect_that!(takes(policy(8), 7_000, 1_000), eq(false));
 }
 
 #[googletest::test]
 fn calls_that_end_in_time_are_taken_late_too() {
-    expect_that!(policy().takes(&call(6_000, 1_000, None)), eq(true));
-    expect_that!(policy().takes(&call(6_000, 8_000, Some(500))), eq(true));
+    expect_that!(takes(policy(8), 3_000, 4_400), eq(true));
+    expect_that!(takes(policy(8), 6_000, 1_000), eq(true));
 }
 
 #[googletest::test]
 fn callers_that_keep_an_address_for_three_lifetimes_come_while_all_calls_are_taken() {
     for draining_ms in [0, 500, 2_000, 2_790] {
-        let lifetime = policy().address_lifetime(Duration::from_millis(draining_ms));
+        let lifetime = policy(8).address_lifetime(Duration::from_millis(draining_ms));
         let last_ms = draining_ms + 3 * u64::try_from(lifetime.as_millis()).unwrap();
-        expect_that!(policy().takes(&call(last_ms, 8_000, None)), eq(true));
+        expect_that!(takes(policy(8), last_ms, 8_000), eq(true));
     }
-    let closed = policy().address_lifetime(Duration::from_secs(4));
+    let closed = policy(8).address_lifetime(Duration::from_secs(4));
     expect_that!(closed, eq(Duration::ZERO));
 }
 
-/// Draws grace times, answer times and deadlines; each call takes at most twice the longest known time.
+/// Draws grace times and deadlines; a call may take all the time until its deadline.
 #[googletest::test]
 fn no_late_call_of_a_drawn_load_is_cut() {
     for seed in SEEDS {
         let mut rng = SmallRng::seed_from_u64(seed);
         let grace_ms = rng.random_range(1_000..=60_000_u64);
         let policy = DrainPolicy::new(Duration::from_millis(grace_ms));
-        let longest_ms = rng.random_range(10..=grace_ms);
+        let may_be_cut_until_ms = grace_ms * MAY_BE_CUT_PERCENT / 100;
         for _ in 0..500 {
             let arrived_ms = rng.random_range(0..=grace_ms);
             let time_left_ms = rng.random_range(10..=2 * grace_ms);
-            let needed_ms = rng.random_range(1..=2 * longest_ms).min(time_left_ms);
-            let is_known = rng.random_bool(0.8);
-            let longest = is_known.then_some(longest_ms);
-            let is_late = arrived_ms >= grace_ms * u64::from(MAY_BE_CUT_PERCENT) / 100;
-            let is_taken = policy.takes(&call(arrived_ms, time_left_ms, longest));
-            let is_bounded = is_known || needed_ms == time_left_ms;
-            let is_cut = is_taken && arrived_ms + needed_ms > grace_ms;
-            if is_late && is_bounded {
+            let is_taken = takes(policy, arrived_ms, time_left_ms);
+            if arrived_ms >= may_be_cut_until_ms {
+                let is_cut = is_taken && arrived_ms + time_left_ms > grace_ms;
                 expect_that!(is_cut, eq(false), "seed {seed} at {arrived_ms} ms");
             }
             let surely_ends = arrived_ms + time_left_ms <= grace_ms * 93 / 100;
