drain: refuse calls that wait for a slot once they can't be taken any more

What callers saw: a call that waited for a slot at a draining entry was refused when its slot came or its wait was over (up to 1.5 s), although the entry had known since the end of its open time that it would not send it.

The wait for a slot now ends with the time in which the call is taken.

--- a/lib/src/direct_relay.rs
+++ b/lib/src/direct_relay.rs
@@ -344,11 +344,18 @@
         if self.state.dispatcher.submit(command).is_err() {
             return Err(self.overload_refusal());
         }
+        let is_sent_before = !self.tried.is_empty();
+        let decision = tokio::select! {
+            decision = decision => decision,
+            () = self.state.drain.until_not_taken(self.deadline), if !is_sent_before => {
+                return Err(self.drain_refusal());
+            }
+        };
         let Ok(DispatchReply {
             decision,
             list,
             limit,
-        }) = decision.await
+        }) = decision
         else {
             return Err(self.overload_refusal());
         };
--- a/lib/src/drain_policy.rs
+++ b/lib/src/drain_policy.rs
@@ -58,7 +58,8 @@
     }
 
     /// Returns the time since the signal for which calls are taken whatever their deadline.
-    fn open_time(&self) -> Duration {
+    #[must_use]
+    pub fn open_time(&self) -> Duration {
         MAX_OPEN_TIME.min(self.grace * OPEN_PERCENT / 100)
     }
 }
--- a/lib/src/entry_drain.rs
+++ b/lib/src/entry_drain.rs
@@ -1,10 +1,10 @@
 //! The drain of an entry, from the signal to shut down until the process is killed.
 
-use std::sync::OnceLock;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 use crate::DrainPolicy;
@@ -14,7 +14,8 @@
 #[derive(Debug)]
 pub(crate) struct EntryDrain {
     policy: DrainPolicy,
-    started: OnceLock<Instant>,
+    /// Time of the signal; absent while the entry is not draining.
+    started: watch::Sender<Option<Instant>>,
     /// Calls taken since the signal.
     taken: AtomicU64,
     /// Calls refused since the signal because they might not have ended in time.
@@ -26,7 +27,7 @@
     pub(crate) fn new(policy: DrainPolicy) -> Self {
         Self {
             policy,
-            started: OnceLock::new(),
+            started: watch::channel(None).0,
             taken: AtomicU64::new(0),
             refused: AtomicU64::new(0),
         }
@@ -34,12 +35,16 @@
 
     /// Records that the process has received the signal. Further signals change nothing.
     pub(crate) fn start(&self) {
-        let _ = self.started.set(Instant::now());
+        self.started.send_if_modified(|started| {
+            let is_first = started.is_none();
+            started.get_or_insert_with(Instant::now);
+            is_first
+        });
     }
 
     /// Returns the time since the signal; `None` while the entry is not draining.
     pub(crate) fn elapsed(&self) -> Option<Duration> {
-        self.started.get().map(Instant::elapsed)
+        self.started.borrow().map(|started| started.elapsed())
     }
 
     /// Returns the time left until all calls should have ended; `None` while the entry is not draining.
@@ -62,6 +67,21 @@
         self.policy.takes(draining, time_left)
     }
 
+    /// Waits until the entry no longer takes a call that ends at `deadline` at the latest; for ever if it
+    /// goes on to take it.
+    pub(crate) async fn until_not_taken(&self, deadline: Instant) {
+        let mut started = self.started.subscribe();
+        let started = started.wait_for(Option::is_some).await;
+        let Some(started) = started.ok().and_then(|started| *started) else {
+            return std::future::pending().await;
+        };
+        let longest = deadline.saturating_duration_since(started);
+        if longest <= self.policy.end() {
+            return std::future::pending().await;
+        }
+        tokio::time::sleep_until(started + self.policy.open_time()).await;
+    }
+
     /// Counts a call that was taken since the signal.
     pub(crate) fn record_taken(&self) {
         self.taken.fetch_add(1, Ordering::Relaxed);
