drain: close idle connections when the entry ceases to take all calls

What callers saw: each connection that was kept open without a request at an entry that stops cost its caller a 503.

They are closed when the entry ceases to take all calls; callers then connect elsewhere. A connection that is opened later still brings its request, and a request that has arrived is served before its connection counts as idle.

--- a/lib/src/caller_server.rs
+++ b/lib/src/caller_server.rs
@@ -55,7 +55,9 @@
 pub(crate) struct CallerShutdown {
     /// Once true, connections are closed after their next answer.
     pub(crate) draining: watch::Receiver<bool>,
-    /// Once true, no further connection is accepted, and those without a request are closed.
+    /// Once true, open connections without a request are closed. Those accepted later still bring one.
+    pub(crate) closing_idle: watch::Receiver<bool>,
+    /// Once true, no further connection is accepted, and all without a request are closed.
     pub(crate) closing: watch::Receiver<bool>,
 }
 
@@ -64,6 +66,7 @@
     pub(crate) fn immediate(closing: watch::Receiver<bool>) -> Self {
         Self {
             draining: closing.clone(),
+            closing_idle: closing.clone(),
             closing,
         }
     }
@@ -124,9 +127,15 @@
     header_timeout: Duration,
     CallerShutdown {
         draining,
-        mut closing,
+        closing_idle,
+        closing,
     }: CallerShutdown,
 ) {
+    let mut closing = if *closing_idle.borrow() {
+        closing
+    } else {
+        closing_idle
+    };
     if let Err(error) = socket_options::configure(&stream, KeepaliveSettings::LONG) {
         log::debug!("socket options of caller {peer}: {error}");
     }
@@ -152,6 +161,8 @@
         .header_read_timeout(header_timeout)
         .serve_connection(TokioIo::new(stream), service);
     let result = tokio::select! {
+        // A request that has arrived is served before its connection counts as idle.
+        biased;
         result = &mut connection => result,
         () = wait_until_true(&mut closing) => {
             std::pin::Pin::new(&mut connection).graceful_shutdown();
--- a/lib/src/direct_entry.rs
+++ b/lib/src/direct_entry.rs
@@ -249,8 +249,9 @@
             .serve(&self.settings.metrics_address)
             .await?;
         let (close, closing) = watch::channel(false);
+        let (close_idle, closing_idle) = watch::channel(false);
         let draining = self.draining.clone();
-        tokio::spawn(self.clone().drain(close));
+        tokio::spawn(self.clone().drain(close_idle, close));
         let state = Arc::clone(&self.state);
         let router = Router::new().fallback(move |request: Request| {
             let state = Arc::clone(&state);
@@ -262,8 +263,12 @@
             "caller_address={}",
             self.settings.caller_address
         );
-        let closing = CallerShutdown { draining, closing };
-        caller_server::serve(listener, router, self.limits(), closing).await;
+        let shutdown = CallerShutdown {
+            draining,
+            closing_idle,
+            closing,
+        };
+        caller_server::serve(listener, router, self.limits(), shutdown).await;
         event!(DrainFinished, "{}", self.state.drain.log_fields());
         Ok(())
     }
@@ -316,9 +321,9 @@
         state.store(has_serving_peers, Ordering::Relaxed);
     }
 
-    /// Closes the listener once the addresses that callers keep have expired and no call is in flight, at
-    /// the latest when the time for the drain is over.
-    async fn drain(mut self, close: watch::Sender<bool>) {
+    /// Closes idle connections once the addresses that callers keep have expired, and the listener once no
+    /// call is in flight, at the latest when the time for the drain is over.
+    async fn drain(mut self, close_idle: watch::Sender<bool>, close: watch::Sender<bool>) {
         if self.draining.wait_for(|draining| *draining).await.is_err() {
             return;
         }
@@ -328,6 +333,7 @@
         let end = Instant::now() + drain.time_left().unwrap_or_default();
         let linger = self.address_lifetime() * KEPT_LIFETIMES;
         tokio::time::sleep_until(end.min(Instant::now() + linger)).await;
+        let _ = close_idle.send(true);
         while self.state.in_flight.count() > 0 && Instant::now() < end {
             tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
         }
