direct_relay: give the body of an answer a time of its own

Callers of routes whose calls may be repeated saw 502 although their endpoint answered whole and in time: where the head came after the time to send the call again, and the body a moment later.

Cause: `fetch_whole_from` read the body until the time that was set for the head. Where the dispatcher did not allow the call to move, that time had passed when the head came, so the body was given up at once and the call sent again, for which there was no endpoint. A decision on one part of the answer rested on a time that was set for another.

Now the body has its own time from the arrival of the head, and when that has passed, the dispatcher is asked, as for the head. A call that stays is read until its deadline.

--- a/lib/src/direct_relay.rs
+++ b/lib/src/direct_relay.rs
@@ -119,15 +119,15 @@
     pub(crate) body: Bytes,
 }
 
-/// The outcome of a send, or why the call was moved away from its endpoint.
-struct SendWait {
-    outcome: Result<SendOutcome, SendFailure>,
+/// What a call waited for, or why it was moved away from its endpoint.
+struct SendWait<T> {
+    outcome: Result<T, SendFailure>,
     /// Whether a retry was taken from the budget for the next send.
     has_retry: bool,
 }
 
-impl SendWait {
-    fn without_retry(outcome: Result<SendOutcome, SendFailure>) -> Self {
+impl<T> SendWait<T> {
+    fn without_retry(outcome: Result<T, SendFailure>) -> Self {
         Self {
             outcome,
             has_retry: false,
@@ -170,7 +170,7 @@
     pub(crate) async fn open_answer(&mut self) -> Result<OpenAnswer, DirectRefusal> {
         loop {
             let slot = self.reserve().await?;
-            let failure = match self.open_answer_at(&slot, self.send_deadline()).await {
+            let failure = match self.open_answer_at(&slot).await {
                 Ok(response) if self.is_retryable_failure(response.status()) => {
                     if !self.try_retry().await {
                         return Ok(OpenAnswer { slot, response });
@@ -475,25 +475,25 @@
 
     /// Sends the call to the endpoint of `slot` and reads the whole answer.
     async fn fetch_whole_from(&mut self, slot: &DirectSlot) -> Result<WholeAnswer, SendFailure> {
-        let until = self.send_deadline();
-        let response = self.open_answer_at(slot, until).await?;
+        let response = self.open_answer_at(slot).await?;
         let (head, body) = response.into_parts();
         let reading = http_client::read_body(Response::new(body), MAX_ANSWER_BYTES);
-        match tokio::time::timeout_at(until, reading).await {
-            Ok(Ok(body)) => Ok(WholeAnswer { head, body }),
-            Ok(Err(error)) => Err(SendFailure::broken(
-                SendResult::Failed,
-                format!("answer broke off: {error}"),
-            )),
-            Err(_) => Err(SendFailure::timed_out()),
-        }
+        // The head shows that the endpoint is at work: the body has a time of its own.
+        let silent_until = self.resend_time(self.tried.len());
+        let sent_to = self.tried.clone();
+        let SendWait { outcome, has_retry } = self.wait_for(reading, sent_to, silent_until).await;
+        self.has_retry = has_retry;
+        let body = outcome?.map_err(|error| {
+            let reason = format!("answer broke off: {error}");
+            SendFailure::broken(SendResult::Failed, reason)
+        })?;
+        Ok(WholeAnswer { head, body })
     }
 
     /// Sends the call to the endpoint of `slot` and waits for the head of its answer.
     pub(crate) async fn open_answer_at(
         &mut self,
         slot: &DirectSlot,
-        until: Instant,
     ) -> Result<Response<Incoming>, SendFailure> {
         let Some(endpoint) = slot.endpoint() else {
             return Err(SendFailure::unwritten(
@@ -515,7 +515,10 @@
             resume_after: self.resume_after,
         };
         let sending = exchange.send(&endpoint.address, &request_head);
-        let SendWait { outcome, has_retry } = self.wait_for(sending, &endpoint.id, until).await;
+        let mut sent_to = self.tried.clone();
+        sent_to.push(endpoint.id.clone());
+        let silent_until = self.resend_time(sent_to.len());
+        let SendWait { outcome, has_retry } = self.wait_for(sending, sent_to, silent_until).await;
         self.has_retry = has_retry;
         if !matches!(outcome, Ok(SendOutcome::Unwritten { .. })) {
             self.tried.push(endpoint.id.clone());
@@ -546,28 +549,27 @@
         }
     }
 
-    /// Waits for the outcome of a send. A call that should move to another endpoint stays when the
-    /// dispatcher does not allow it.
-    async fn wait_for(
+    /// Waits for a part of the answer of the endpoint that the call was sent to last. A call that should
+    /// move to another endpoint stays until its deadline when the dispatcher does not allow it.
+    async fn wait_for<T>(
         &self,
-        sending: impl Future<Output = SendOutcome>,
-        endpoint_id: &str,
+        answer: impl Future<Output = T>,
+        sent_to: Vec<String>,
         silent_until: Instant,
-    ) -> SendWait {
-        let mut sending = std::pin::pin!(sending);
+    ) -> SendWait<T> {
+        let mut answer = std::pin::pin!(answer);
+        let endpoint_id = sent_to.last().map_or("", String::as_str);
         let failure = tokio::select! {
-            outcome = sending.as_mut() => return SendWait::without_retry(Ok(outcome)),
+            outcome = answer.as_mut() => return SendWait::without_retry(Ok(outcome)),
             failure = self.wait_for_move_reason(endpoint_id, silent_until) => failure,
         };
-        let mut sent_to = self.tried.clone();
-        sent_to.push(endpoint_id.to_owned());
         if self.try_move(sent_to).await {
             return SendWait {
                 outcome: Err(failure),
                 has_retry: true,
             };
         }
-        let outcome = tokio::time::timeout_at(self.deadline, sending).await;
+        let outcome = tokio::time::timeout_at(self.deadline, answer).await;
         SendWait::without_retry(outcome.map_err(|_| SendFailure::timed_out()))
     }
 
@@ -592,11 +594,11 @@
         }
     }
 
-    /// Returns the time until which a send waits for its answer. A call that may be repeated leaves
-    /// time for another endpoint.
-    fn send_deadline(&self) -> Instant {
-        let attempts = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
-        let is_last = attempts + 1 >= self.rule.max_attempts;
+    /// Returns the time until which a call that was sent to `endpoints` endpoints waits for the next part
+    /// of the last one's answer. A call that may be repeated leaves time for another endpoint.
+    fn resend_time(&self, endpoints: usize) -> Instant {
+        let attempts = u32::try_from(endpoints).unwrap_or(u32::MAX);
+        let is_last = attempts >= self.rule.max_attempts;
         if is_last || self.rule.repeatability == Repeatability::Once {
             return self.deadline;
         }
