direct_relay: wait until the deadline for a stream that may run once

Callers of streams that can't be resumed saw 504 while their endpoint was at work, when it sent no head within 45 % of the silence limit of the route (0.9 s at least) and another endpoint had room.

A stream that may run once can't be sent again either: the dispatcher allowed the move, a retry was taken from the budget, the first send was given up, and then the call was refused since it may have run. A short silence was taken as a sign of a longer one, where there was nothing to gain. The users' rule: a server's silence is no reason to end an answer sooner.

Now every call that may not be repeated waits until its deadline.

--- a/lib/src/direct_relay.rs
+++ b/lib/src/direct_relay.rs
@@ -23,7 +23,6 @@
 use crate::NamedLimit;
 use crate::OrganisationRule;
 use crate::PlatformRevision;
-use crate::Repeatability;
 use crate::RouteRule;
 use crate::SendResult;
 use crate::answer_framing::AnswerFraming;
@@ -599,7 +598,7 @@
     fn resend_time(&self, endpoints: usize) -> Instant {
         let attempts = u32::try_from(endpoints).unwrap_or(u32::MAX);
         let is_last = attempts >= self.rule.max_attempts;
-        if is_last || self.rule.repeatability == Repeatability::Once {
+        if is_last || !self.rule.repeatability.may_repeat() {
             return self.deadline;
         }
         let left = self.deadline.saturating_duration_since(Instant::now());
