direct_dispatcher: reserve the slot elsewhere before a call moves

Callers of resumable streams saw a 200 that was broken off in the middle, while their endpoint was at work: when the stream was silent for 1.5 s (75 % of the silence limit), another endpoint had room, and a call waited in the entry. The same could refuse a call whose answer had not begun (502).

Cause: `try_move` answered that another endpoint has room now, and the call gave up its endpoint on that. Its slot then went to the next queued call, so that the entry's share of the slots was used up; the moved call asked again, was to wait, and had no time to wait left (70 % of the silence limit): refused as overloaded, and the stream was broken off. What was true at one moment was taken for a promise for the next.

Now a move is one step of the dispatcher: `move_call` takes the retry and a slot at the other endpoint, while the call holds the slot that it has; the relay sends the call there without asking again. Where there is no slot, or the rank group is down and its endpoint is not slow, the call stays. A call still takes an answer that comes while it asks, and stays if the reply comes too late to be served elsewhere.

Remains: the stream gives up its endpoint before the other one has answered. If that refuses or breaks, the stream ends although the first was at work.

--- a/lib/src/direct_actor.rs
+++ b/lib/src/direct_actor.rs
@@ -72,12 +72,12 @@
         service: String,
         reply: oneshot::Sender<bool>,
     },
-    /// Requests a retry to move a call away from a silent or slow endpoint.
+    /// Requests a retry and a slot at another endpoint, to move a call away from a silent or slow one,
+    /// the last in the query's `exclude`.
     Move {
-        service: String,
-        /// Ids of the endpoints that the call was sent to, the current one last.
-        exclude: Vec<String>,
-        reply: oneshot::Sender<bool>,
+        query: DispatchQuery,
+        /// Dropped when the call is to stay where it is.
+        reply: oneshot::Sender<DispatchReply>,
     },
     /// An endpoint has begun to answer a call.
     AnswerStarted { call: u64 },
@@ -294,12 +294,11 @@
             DirectCommand::Retry { service, reply } => {
                 let _ = reply.send(self.dispatcher.try_retry(&service, now_ms));
             }
-            DirectCommand::Move {
-                service,
-                exclude,
-                reply,
-            } => {
-                let _ = reply.send(self.dispatcher.try_move(&service, &exclude, now_ms));
+            DirectCommand::Move { query, reply } => {
+                if let Some(endpoint) = self.dispatcher.move_call(&query, now_ms) {
+                    let decision = DispatchDecision::Send(endpoint);
+                    let _ = reply.send(self.reply_with_list(decision, now_ms));
+                }
             }
             DirectCommand::AnswerStarted { call } => {
                 let decisions = self.dispatcher.record_answer_start(call, now_ms);
--- a/lib/src/direct_dispatcher.rs
+++ b/lib/src/direct_dispatcher.rs
@@ -189,6 +189,29 @@
         state.is_some_and(may_move) && self.try_retry(service, now_ms)
     }
 
+    /// Moves a call away from a silent or slow endpoint, the last in the query's `exclude`: takes one retry
+    /// from the budget of its service and a slot at another endpoint. The call still holds the slot that it
+    /// has, so that no queued call gets it before the move is certain.
+    ///
+    /// Returns `None` when the call is to stay where it is: [`try_move`](Self::try_move) does not allow
+    /// the move, or the rank group is down and its endpoint is not slow.
+    pub fn move_call(&mut self, query: &DispatchQuery, now_ms: u64) -> Option<Arc<EndpointRecord>> {
+        let state = self.services.get(&query.service)?;
+        let endpoint = query.exclude.last();
+        let is_at_slow_endpoint = endpoint.is_some_and(|id| state.is_slow(id));
+        if state.is_paused(now_ms) && !is_at_slow_endpoint {
+            return None;
+        }
+        if !self.try_move(&query.service, &query.exclude, now_ms) {
+            return None;
+        }
+        let state = self.services.get_mut(&query.service)?;
+        let record = state.assign(query, now_ms)?;
+        self.service_by_call
+            .insert(query.call, query.service.clone());
+        Some(record)
+    }
+
     /// Takes one retry from the budget of a service; returns `false` when none is left.
     pub fn try_retry(&mut self, service: &str, now_ms: u64) -> bool {
         budget(&mut self.budgets, service, self.retry_percent, now_ms).try_retry(now_ms)
--- a/lib/src/direct_relay.rs
+++ b/lib/src/direct_relay.rs
@@ -90,8 +90,8 @@
     pub(crate) tried: Vec<String>,
     /// Sends that failed before a byte was written.
     pub(crate) unwritten_sends: u32,
-    /// Whether a retry was taken from the budget and is not used yet.
-    pub(crate) has_retry: bool,
+    /// The slot at another endpoint that the call moves to; its retry was taken from the budget.
+    pub(crate) next_slot: Option<DirectSlot>,
     /// Whether an endpoint may have run the call, so that a refusal can't promise the contrary.
     pub(crate) may_have_run: bool,
     /// Id of the last event that the caller has received.
@@ -121,15 +121,15 @@
 /// What a call waited for, or why it was moved away from its endpoint.
 struct SendWait<T> {
     outcome: Result<T, SendFailure>,
-    /// Whether a retry was taken from the budget for the next send.
-    has_retry: bool,
+    /// The slot at another endpoint that the call moves to.
+    next_slot: Option<DirectSlot>,
 }
 
 impl<T> SendWait<T> {
-    fn without_retry(outcome: Result<T, SendFailure>) -> Self {
+    fn stayed(outcome: Result<T, SendFailure>) -> Self {
         Self {
             outcome,
-            has_retry: false,
+            next_slot: None,
         }
     }
 }
@@ -269,7 +269,7 @@
 
     /// Returns whether the call may be sent to one more endpoint; takes the retry from the budget.
     pub(crate) async fn try_retry(&mut self) -> bool {
-        if std::mem::take(&mut self.has_retry) {
+        if self.next_slot.is_some() {
             return true;
         }
         let attempts = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
@@ -279,23 +279,36 @@
         self.has_attempt_left(attempts) && self.request(command, allowed).await
     }
 
-    /// Returns whether the call may be moved away from the last endpoint in `sent_to`, which is
-    /// silent or slow; takes the retry from the budget.
-    async fn try_move(&self, sent_to: Vec<String>) -> bool {
+    /// Returns a slot at another endpoint if the call may be moved away from the last endpoint in
+    /// `sent_to`, which is silent or slow; takes the retry from the budget.
+    async fn try_move(&self, sent_to: Vec<String>) -> Option<DirectSlot> {
         let attempts = u32::try_from(sent_to.len()).unwrap_or(u32::MAX);
-        let (reply, allowed) = oneshot::channel();
-        let command = DirectCommand::Move {
-            service: self.service.clone(),
-            exclude: sent_to,
-            reply,
+        if !self.has_attempt_left(attempts) {
+            return None;
+        }
+        let number = self.state.call_number();
+        let slot = DirectSlot::queued(self.state.dispatcher.clone(), number);
+        let (reply, moved) = oneshot::channel();
+        let query = self.query(number, sent_to);
+        let command = DirectCommand::Move { query, reply };
+        if let Err(error) = self.state.dispatcher.submit(command) {
+            let request_id = &self.call.request_id;
+            log::warn!("request {request_id} can't be moved: {error}");
+            return None;
+        }
+        let reply = moved.await.ok()?;
+        let DispatchDecision::Send(endpoint) = reply.decision else {
+            return None;
         };
-        self.has_attempt_left(attempts) && self.request(command, allowed).await
+        // The dispatcher may have taken long to reply.
+        let has_time_left = self.time_left_ms() > MIN_SERVICE_MS;
+        has_time_left.then(|| slot.assign(endpoint, reply.list, reply.limit))
     }
 
     /// Decides whether a stream that has begun is moved away from its silent or slow endpoint.
     pub(crate) async fn try_move_away(&mut self) -> bool {
-        self.has_retry = self.try_move(self.tried.clone()).await;
-        self.has_retry
+        self.next_slot = self.try_move(self.tried.clone()).await;
+        self.next_slot.is_some()
     }
 
     fn has_attempt_left(&self, attempts: u32) -> bool {
@@ -331,13 +344,17 @@
         status.is_server_error() && self.rule.repeatability.may_repeat()
     }
 
-    /// Requests a slot at an endpoint and waits for it.
+    /// Requests a slot at an endpoint and waits for it. A call that moves has its slot.
     async fn reserve(&mut self) -> Result<DirectSlot, DirectRefusal> {
+        if let Some(slot) = self.next_slot.take() {
+            self.check_quarantine()?;
+            return Ok(slot);
+        }
         let number = self.state.call_number();
         let queued = DirectSlot::queued(self.state.dispatcher.clone(), number);
         let (reply, decision) = oneshot::channel();
         let command = DirectCommand::RequestEndpoint {
-            query: self.query(number),
+            query: self.query(number, self.tried.clone()),
             reply,
         };
         if self.state.dispatcher.submit(command).is_err() {
@@ -404,8 +421,9 @@
         self.withdraw_not_run_promise(DirectRefusal::not_run(code, message, retry_after_ms))
     }
 
-    /// Returns the dispatch query for the next send, as call `number` of this process.
-    fn query(&self, number: u64) -> DispatchQuery {
+    /// Returns the dispatch query for a send to an endpoint outside `exclude`, as call `number` of this
+    /// process.
+    fn query(&self, number: u64, exclude: Vec<String>) -> DispatchQuery {
         let now_ms = self.state.clock.now_ms();
         let waited_ms = as_ms(self.arrived.elapsed());
         let silent_ms = as_ms(self.times.last_event().unwrap_or(self.arrived).elapsed());
@@ -425,7 +443,7 @@
             .is_returning(self.is_returning())
             .on_time_until_ms(now_ms + target_left_ms)
             .useful_until_ms(now_ms + max_wait_ms.saturating_sub(MIN_SERVICE_MS))
-            .exclude(self.tried.clone())
+            .exclude(exclude)
             .build()
     }
 
@@ -480,8 +498,8 @@
         // The head shows that the endpoint is at work: the body has a time of its own.
         let silent_until = self.resend_time(self.tried.len());
         let sent_to = self.tried.clone();
-        let SendWait { outcome, has_retry } = self.wait_for(reading, sent_to, silent_until).await;
-        self.has_retry = has_retry;
+        let SendWait { outcome, next_slot } = self.wait_for(reading, sent_to, silent_until).await;
+        self.next_slot = next_slot;
         let body = outcome?.map_err(|error| {
             let reason = format!("answer broke off: {error}");
             SendFailure::broken(SendResult::Failed, reason)
@@ -517,8 +535,8 @@
         let mut sent_to = self.tried.clone();
         sent_to.push(endpoint.id.clone());
         let silent_until = self.resend_time(sent_to.len());
-        let SendWait { outcome, has_retry } = self.wait_for(sending, sent_to, silent_until).await;
-        self.has_retry = has_retry;
+        let SendWait { outcome, next_slot } = self.wait_for(sending, sent_to, silent_until).await;
+        self.next_slot = next_slot;
         if !matches!(outcome, Ok(SendOutcome::Unwritten { .. })) {
             self.tried.push(endpoint.id.clone());
         }
@@ -559,17 +577,22 @@
         let mut answer = std::pin::pin!(answer);
         let endpoint_id = sent_to.last().map_or("", String::as_str);
         let failure = tokio::select! {
-            outcome = answer.as_mut() => return SendWait::without_retry(Ok(outcome)),
+            outcome = answer.as_mut() => return SendWait::stayed(Ok(outcome)),
             failure = self.wait_for_move_reason(endpoint_id, silent_until) => failure,
         };
-        if self.try_move(sent_to).await {
+        let next_slot = tokio::select! {
+            biased;
+            outcome = answer.as_mut() => return SendWait::stayed(Ok(outcome)),
+            next_slot = self.try_move(sent_to) => next_slot,
+        };
+        if next_slot.is_some() {
             return SendWait {
                 outcome: Err(failure),
-                has_retry: true,
+                next_slot,
             };
         }
         let outcome = tokio::time::timeout_at(self.deadline, answer).await;
-        SendWait::without_retry(outcome.map_err(|_| SendFailure::timed_out()))
+        SendWait::stayed(outcome.map_err(|_| SendFailure::timed_out()))
     }
 
     /// Waits until the call should move away from an endpoint: because the endpoint is silent until
--- a/lib/src/direct_server.rs
+++ b/lib/src/direct_server.rs
@@ -107,7 +107,7 @@
         framing: None,
         unfinished_bytes: 0,
         unwritten_sends: 0,
-        has_retry: false,
+        next_slot: None,
         may_have_run: false,
         _guard: guard,
     };
--- a/lib/src/direct_service.rs
+++ b/lib/src/direct_service.rs
@@ -366,6 +366,15 @@
         if as_f64(self.running.len()) >= self.own_slot_share() || self.is_paused(now_ms) {
             return None;
         }
+        self.assign(query, now_ms).map(DispatchDecision::Send)
+    }
+
+    /// Assigns a call to the best endpoint with room, whatever this entry's share of the slots.
+    pub(crate) fn assign(
+        &mut self,
+        query: &DispatchQuery,
+        now_ms: u64,
+    ) -> Option<Arc<EndpointRecord>> {
         let id = self.choose_endpoint(query, now_ms)?;
         if self.has_limits {
             self.count_elsewhere(&id, now_ms);
@@ -385,7 +394,7 @@
                 since_ms: now_ms,
             },
         );
-        Some(DispatchDecision::Send(record))
+        Some(record)
     }
 
     /// Counts a call that goes to the endpoint `chosen` at those that have no permit.
@@ -398,7 +407,7 @@
 
     /// Returns whether sending is paused: while a rank group is down, one call at a time is sent as
     /// a probe, and the others wait for its result.
-    fn is_paused(&self, now_ms: u64) -> bool {
+    pub(crate) fn is_paused(&self, now_ms: u64) -> bool {
         let sent_ms = self.running.values().map(|running| running.since_ms);
         self.progress.is_paused(now_ms, sent_ms)
     }
--- a/lib/tests/test_direct_dispatcher.rs
+++ b/lib/tests/test_direct_dispatcher.rs
@@ -10,6 +10,7 @@
 use pomeloramp_lib::EndpointRecord;
 use pomeloramp_lib::EngineModel;
 use pomeloramp_lib::ExpertModel;
+use pomeloramp_lib::PeerDemand;
 use pomeloramp_lib::RefusalCode;
 use pomeloramp_lib::RouteTable;
 use pomeloramp_lib::SendResult;
@@ -350,3 +351,41 @@
         eq(false)
     );
 }
+
+/// Guards against a call that moves, and whose slot goes to a queued call before it has another.
+#[googletest::test]
+fn a_call_that_moved_lost_its_slot_to_a_queued_one() {
+    let mut dispatcher = dispatcher(&["a", "b"]);
+    let demand = PeerDemand {
+        calls: 11,
+        ..PeerDemand::default()
+    };
+    dispatcher.set_peer_demand(1, &HashMap::from([(short_hash(SERVICE), demand)]));
+    let first = dispatcher.request_endpoint(query(0, 0), 0);
+    let first = sent_to(first.as_ref()).expect("a free slot").to_owned();
+    assert_that!(dispatcher.request_endpoint(query(1, 0), 0), none());
+
+    let mut moved = query(2, 100);
+    moved.exclude = vec![first.clone()];
+    let endpoint = dispatcher.move_call(&moved, 100).expect("a slot elsewhere");
+    expect_that!(endpoint.id, not(eq(&first)));
+    expect_that!(dispatcher.end(0, SendResult::Unreachable, 100), is_empty());
+    expect_that!(dispatcher.end(2, SendResult::Answered, 110).len(), eq(1));
+}
+
+/// Guards against more than one call at a time at a rank group that is down.
+#[googletest::test]
+fn calls_moved_to_other_ranks_while_their_group_was_down() {
+    let mut dispatcher = group_dispatcher(&["a", "b"]);
+    for call in 0..2 {
+        let decision = dispatcher.request_endpoint(query(call, 0), 0);
+        assert_that!(sent_to(decision.as_ref()), some(anything()));
+    }
+    dispatcher.end(0, SendResult::GroupDown, 100);
+    let mut moved = query(2, 110);
+    moved.exclude = vec!["a".to_owned()];
+    expect_that!(dispatcher.move_call(&moved, 110), none());
+    dispatcher.set_slowdowns(&slowdowns(&["a"]));
+    let endpoint = dispatcher.move_call(&moved, 110);
+    expect_that!(endpoint.map(|endpoint| endpoint.id.clone()), some(eq("b")));
+}
