entry_peers: an address lives no longer than its entry takes all calls

Callers who kept an address as long as they may (three lifetimes) found a closed port or a 503: another entry had named a draining one after its SIGTERM.

Cause: the lifetime of an answer is a third of the time for which a draining entry takes all calls (0.933 s of 2.8 s), which counts from the SIGTERM. The answer is true only if nobody names the entry after its SIGTERM. But the report that an entry drains came into the answers with the next round of gossip, up to 200 ms later. What was known a moment ago passed for what is so now.

Now the report changes the answers when it arrives, and the lifetime leaves room for one lost report: it is shorter by a third of a round (67 ms).

--- a/lib/src/entry_peers.rs
+++ b/lib/src/entry_peers.rs
@@ -22,6 +22,7 @@
 use crate::JsonClient;
 use crate::JsonError;
 use crate::as_ms::as_ms;
+use crate::drain_policy::KEPT_LIFETIMES;
 use crate::event;
 use crate::gossip_loop::GossipLoop;
 use crate::gossip_loop::GossipView;
@@ -29,6 +30,8 @@
 use crate::protos::control::GossipReport;
 
 const GOSSIP_INTERVAL: Duration = Duration::from_millis(200);
+/// Time for which entries may still name one that has begun to drain: its report of that may be lost once.
+const LEAVING_NOTICE_TIME: Duration = GOSSIP_INTERVAL;
 /// Path at which an entry serves the configuration in force.
 const CONFIG_PATH: &str = "/v1/configuration";
 /// Path at which an entry serves the list of endpoints in use.
@@ -135,10 +138,17 @@
         }
         AddressAnswer {
             addresses,
-            lifetime_ms: as_ms(self.entry.address_lifetime()),
+            lifetime_ms: as_ms(self.address_lifetime()),
         }
     }
 
+    /// Returns the lifetime of an answer with the addresses of entries that may already have begun to
+    /// drain: callers that keep it still come while those take all calls.
+    fn address_lifetime(&self) -> Duration {
+        let notice_time = LEAVING_NOTICE_TIME / KEPT_LIFETIMES;
+        self.entry.address_lifetime().saturating_sub(notice_time)
+    }
+
     fn control_router(&self) -> Router {
         let entry = self.entry.clone();
         let config = move || {
--- a/lib/src/gossip_loop.rs
+++ b/lib/src/gossip_loop.rs
@@ -78,13 +78,18 @@
     fn receive(&mut self, bytes: &[u8]) {
         match GossipMessage::decode(bytes) {
             Ok(message) => {
+                let now_ms = self.entry.clock().now_ms();
                 if let Some(report) = &message.word {
                     self.pass_on_limits(report);
                     let reports = &report.crash_suspects;
                     let tracker = self.entry.crash_tracker();
                     tracker.merge(reports, &report.gossip_address);
                 }
-                self.gossip.receive(&message, self.entry.clock().now_ms());
+                self.gossip.receive(&message, now_ms);
+                // Callers must not be sent to an entry that has begun to drain until the next round.
+                if message.word.is_some_and(|report| !report.serves) {
+                    self.publish(now_ms);
+                }
             }
             Err(error) => log::debug!("gossip datagram is malformed: {error}"),
         }
