--- a/lib/src/direct_relay.rs
+++ b/lib/src/direct_relay.rs
@@ -23,7 +23,6 @@
 use crate::NamedLimit;
 use crate::OrganisationRule;
 use crate::PlatformRevision;
-use crate::Repeatability;
 use crate::RouteRule;
 use crate::SendResult;
 use crate::answer_framing::AnswerFraming;
@@ -91,8 +90,8 @@
     pub(crate) tried: Vec<String>,
     /// Sends that failed before a byte was written.
     pub(crate) unwritten_sends: u32,
-    /// Whether a retry was taken from the budget and is not used yet.
-    pub(crate) has_retry: bool,
+    /// The slot at another endpoint that the call moves to; its retry was taken from the budget.
+    pub(crate) next_slot: Option<DirectSlot>,
     /// Whether an endpoint may have run the call, so that a refusal can't promise the contrary.
     pub(crate) may_have_run: bool,
     /// Id of the last event that the caller has received.
@@ -119,18 +118,18 @@
     pub(crate) body: Bytes,
 }
 
-/// The outcome of a send, or why the call was moved away from its endpoint.
-struct SendWait {
-    outcome: Result<SendOutcome, SendFailure>,
-    /// Whether a retry was taken from the budget for the next send.
-    has_retry: bool,
+/// What a call waited for, or why it was moved away from its endpoint.
+struct SendWait<T> {
+    outcome: Result<T, SendFailure>,
+    /// The slot at another endpoint that the call moves to.
+    next_slot: Option<DirectSlot>,
 }
 
-impl SendWait {
-    fn without_retry(outcome: Result<SendOutcome, SendFailure>) -> Self {
+impl<T> SendWait<T> {
+    fn stayed(outcome: Result<T, SendFailure>) -> Self {
         Self {
             outcome,
-            has_retry: false,
+            next_slot: None,
         }
     }
 }
@@ -170,7 +169,7 @@
     pub(crate) async fn open_answer(&mut self) -> Result<OpenAnswer, DirectRefusal> {
         loop {
             let slot = self.reserve().await?;
-            let failure = match self.open_answer_at(&slot, self.send_deadline()).await {
+            let failure = match self.open_answer_at(&slot).await {
                 Ok(response) if self.is_retryable_failure(response.status()) => {
                     if !self.try_retry().await {
                         return Ok(OpenAnswer { slot, response });
@@ -270,7 +269,7 @@
 
     /// Returns whether the call may be sent to one more endpoint; takes the retry from the budget.
     pub(crate) async fn try_retry(&mut self) -> bool {
-        if std::mem::take(&mut self.has_retry) {
+        if self.next_slot.is_some() {
             return true;
         }
         let attempts = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
@@ -280,23 +279,36 @@
         self.has_attempt_left(attempts) && self.request(command, allowed).await
     }
 
-    /// Returns whether the call may be moved away from the last endpoint in `sent_to`, which is
-    /// silent or slow; takes the retry from the budget.
-    async fn try_move(&self, sent_to: Vec<String>) -> bool {
+    /// Returns a slot at another endpoint if the call may be moved away from the last endpoint in
+    /// `sent_to`, which is silent or slow; takes the retry from the budget.
+    async fn try_move(&self, sent_to: Vec<String>) -> Option<DirectSlot> {
         let attempts = u32::try_from(sent_to.len()).unwrap_or(u32::MAX);
-        let (reply, allowed) = oneshot::channel();
-        let command = DirectCommand::Move {
-            service: self.service.clone(),
-            exclude: sent_to,
-            reply,
+        if !self.has_attempt_left(attempts) {
+            return None;
+        }
+        let number = self.state.call_number();
+        let slot = DirectSlot::queued(self.state.dispatcher.clone(), number);
+        let (reply, moved) = oneshot::channel();
+        let query = self.query(number, sent_to);
+        let command = DirectCommand::Move { query, reply };
+        if let Err(error) = self.state.dispatcher.submit(command) {
+            let request_id = &self.call.request_id;
+            log::warn!("request {request_id} can't be moved: {error}");
+            return None;
+        }
+        let reply = moved.await.ok()?;
+        let DispatchDecision::Send(endpoint) = reply.decision else {
+            return None;
         };
-        self.has_attempt_left(attempts) && self.request(command, allowed).await
+        // The dispatcher may have taken long to reply.
+        let has_time_left = self.time_left_ms() > MIN_SERVICE_MS;
+        has_time_left.then(|| slot.assign(endpoint, reply.list, reply.limit))
     }
 
     /// Decides whether a stream that has begun is moved away from its silent or slow endpoint.
     pub(crate) async fn try_move_away(&mut self) -> bool {
-        self.has_retry = self.try_move(self.tried.clone()).await;
-        self.has_retry
+        self.next_slot = self.try_move(self.tried.clone()).await;
+        self.next_slot.is_some()
     }
 
     fn has_attempt_left(&self, attempts: u32) -> bool {
@@ -332,13 +344,17 @@
         status.is_server_error() && self.rule.repeatability.may_repeat()
     }
 
-    /// Requests a slot at an endpoint and waits for it.
+    /// Requests a slot at an endpoint and waits for it. A call that moves has its slot.
     async fn reserve(&mut self) -> Result<DirectSlot, DirectRefusal> {
+        if let Some(slot) = self.next_slot.take() {
+            self.check_quarantine()?;
+            return Ok(slot);
+        }
         let number = self.state.call_number();
         let queued = DirectSlot::queued(self.state.dispatcher.clone(), number);
         let (reply, decision) = oneshot::channel();
         let command = DirectCommand::RequestEndpoint {
-            query: self.query(number),
+            query: self.query(number, self.tried.clone()),
             reply,
         };
         if self.state.dispatcher.submit(command).is_err() {
@@ -419,8 +435,9 @@
         self.withdraw_not_run_promise(DirectRefusal::not_run(code, message, retry_after_ms))
     }
 
-    /// Returns the dispatch query for the next send, as call `number` of this process.
-    fn query(&self, number: u64) -> DispatchQuery {
+    /// Returns the dispatch query for a send to an endpoint outside `exclude`, as call `number` of this
+    /// process.
+    fn query(&self, number: u64, exclude: Vec<String>) -> DispatchQuery {
         let now_ms = self.state.clock.now_ms();
         let waited_ms = as_ms(self.arrived.elapsed());
         let silent_ms = as_ms(self.times.last_event().unwrap_or(self.arrived).elapsed());
@@ -440,7 +457,7 @@
             .is_returning(self.is_returning())
             .on_time_until_ms(now_ms + target_left_ms)
             .useful_until_ms(now_ms + max_wait_ms.saturating_sub(MIN_SERVICE_MS))
-            .exclude(self.tried.clone())
+            .exclude(exclude)
             .build()
     }
 
@@ -489,25 +506,25 @@
 
     /// Sends the call to the endpoint of `slot` and reads the whole answer.
     async fn fetch_whole_from(&mut self, slot: &DirectSlot) -> Result<WholeAnswer, SendFailure> {
-        let until = self.send_deadline();
-        let response = self.open_answer_at(slot, until).await?;
+        let response = self.open_answer_at(slot).await?;
         let (head, body) = response.into_parts();
         let reading = http_client::read_body(Response::new(body), MAX_ANSWER_BYTES);
-        match tokio::time::timeout_at(until, reading).await {
-            Ok(Ok(body)) => Ok(WholeAnswer { head, body }),
-            Ok(Err(error)) => Err(SendFailure::broken(
-                SendResult::Failed,
-                format!("answer broke off: {error}"),
-            )),
-            Err(_) => Err(SendFailure::timed_out()),
-        }
+        // The head shows that the endpoint is at work: the body has a time of its own.
+        let silent_until = self.resend_time(self.tried.len());
+        let sent_to = self.tried.clone();
+        let SendWait { outcome, next_slot } = self.wait_for(reading, sent_to, silent_until).await;
+        self.next_slot = next_slot;
+        let body = outcome?.map_err(|error| {
+            let reason = format!("answer broke off: {error}");
+            SendFailure::broken(SendResult::Failed, reason)
+        })?;
+        Ok(WholeAnswer { head, body })
     }
 
     /// Sends the call to the endpoint of `slot` and waits for the head of its answer.
     pub(crate) async fn open_answer_at(
         &mut self,
         slot: &DirectSlot,
-        until: Instant,
     ) -> Result<Response<Incoming>, SendFailure> {
         let Some(endpoint) = slot.endpoint() else {
             return Err(SendFailure::unwritten(
@@ -529,8 +546,11 @@
             resume_after: self.resume_after,
         };
         let sending = exchange.send(&endpoint.address, &request_head);
-        let SendWait { outcome, has_retry } = self.wait_for(sending, &endpoint.id, until).await;
-        self.has_retry = has_retry;
+        let mut sent_to = self.tried.clone();
+        sent_to.push(endpoint.id.clone());
+        let silent_until = self.resend_time(sent_to.len());
+        let SendWait { outcome, next_slot } = self.wait_for(sending, sent_to, silent_until).await;
+        self.next_slot = next_slot;
         if !matches!(outcome, Ok(SendOutcome::Unwritten { .. })) {
             self.tried.push(endpoint.id.clone());
         }
@@ -560,29 +580,33 @@
         }
     }
 
-    /// Waits for the outcome of a send. A call that should move to another endpoint stays when the
-    /// dispatcher does not allow it.
-    async fn wait_for(
+    /// Waits for a part of the answer of the endpoint that the call was sent to last. A call that should
+    /// move to another endpoint stays until its deadline when the dispatcher does not allow it.
+    async fn wait_for<T>(
         &self,
-        sending: impl Future<Output = SendOutcome>,
-        endpoint_id: &str,
+        answer: impl Future<Output = T>,
+        sent_to: Vec<String>,
         silent_until: Instant,
-    ) -> SendWait {
-        let mut sending = std::pin::pin!(sending);
+    ) -> SendWait<T> {
+        let mut answer = std::pin::pin!(answer);
+        let endpoint_id = sent_to.last().map_or("", String::as_str);
         let failure = tokio::select! {
-            outcome = sending.as_mut() => return SendWait::without_retry(Ok(outcome)),
+            outcome = answer.as_mut() => return SendWait::stayed(Ok(outcome)),
             failure = self.wait_for_move_reason(endpoint_id, silent_until) => failure,
         };
-        let mut sent_to = self.tried.clone();
-        sent_to.push(endpoint_id.to_owned());
-        if self.try_move(sent_to).await {
+        let next_slot = tokio::select! {
+            biased;
+            outcome = answer.as_mut() => return SendWait::stayed(Ok(outcome)),
+            next_slot = self.try_move(sent_to) => next_slot,
+        };
+        if next_slot.is_some() {
             return SendWait {
                 outcome: Err(failure),
-                has_retry: true,
+                next_slot,
             };
         }
-        let outcome = tokio::time::timeout_at(self.deadline, sending).await;
-        SendWait::without_retry(outcome.map_err(|_| SendFailure::timed_out()))
+        let outcome = tokio::time::timeout_at(self.deadline, answer).await;
+        SendWait::stayed(outcome.map_err(|_| SendFailure::timed_out()))
     }
 
     /// Waits until the call should move away from an endpoint: because the endpoint is silent until
@@ -606,12 +630,12 @@
         }
     }
 
-    /// Returns the time until which a send waits for its answer. A call that may be repeated leaves
-    /// time for another endpoint.
-    fn send_deadline(&self) -> Instant {
-        let attempts = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
-        let is_last = attempts + 1 >= self.rule.max_attempts;
-        if is_last || self.rule.repeatability == Repeatability::Once {
+    /// Returns the time until which a call that was sent to `endpoints` endpoints waits for the next part
+    /// of the last one's answer. A call that may be repeated leaves time for another endpoint.
+    fn resend_time(&self, endpoints: usize) -> Instant {
+        let attempts = u32::try_from(endpoints).unwrap_or(u32::MAX);
+        let is_last = attempts >= self.rule.max_attempts;
+        if is_last || !self.rule.repeatability.may_repeat() {
             return self.deadline;
         }
         let left = self.deadline.saturating_duration_since(Instant::now());
