group_agent: keep promises before an agent ends on SIGTERM

Callers waited: a rank group stood until an agent that got SIGTERM was back, since it ended at once, also between its hold and its go, and recovery needs an answer of every rank.

On SIGTERM the agent now promises no further hold (a prepare is refused at once, so that its coordinator aborts), stops planning, and ends once no map is undecided at its engine and it proposes none, after 3 s at the latest.

--- a/lib/src/group_agent.rs
+++ b/lib/src/group_agent.rs
@@ -14,6 +14,7 @@
 use crate::listener;
 use crate::rank_datagrams::RankDatagrams;
 use crate::rank_session::RankSession;
+use crate::shutdown;
 
 const START_RETRY_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -48,7 +49,7 @@
 }
 
 impl GroupAgent {
-    /// Runs until `closing` becomes true.
+    /// Runs until `closing` becomes true and the rank waits for nothing from this agent.
     ///
     /// # Errors
     ///
@@ -58,20 +59,24 @@
         let datagrams = RankDatagrams::new(socket);
         event!(AgentStarted, "address={}", self.address);
         let clock = Clock::start();
-        let serving = async {
-            loop {
-                let Some(run) = RankSession::start(&self, clock, &datagrams).await else {
-                    tokio::time::sleep(START_RETRY_INTERVAL).await;
-                    continue;
-                };
-                run.run().await;
-                datagrams.clear_addresses();
-            }
-        };
-        tokio::select! {
-            () = serving => {}
-            _ = closing.wait_for(|closing| *closing) => {}
+        while !*closing.borrow() {
+            let session = tokio::select! {
+                session = self.start_session(clock, &datagrams) => session,
+                () = shutdown::requested(&mut closing) => return Ok(()),
+            };
+            session.run(closing.clone()).await;
+            datagrams.clear_addresses();
         }
         Ok(())
     }
+
+    /// Starts a session once the engine answers.
+    async fn start_session(&self, clock: Clock, datagrams: &RankDatagrams) -> RankSession {
+        loop {
+            if let Some(session) = RankSession::start(self, clock, datagrams).await {
+                return session;
+            }
+            tokio::time::sleep(START_RETRY_INTERVAL).await;
+        }
+    }
 }
--- a/lib/src/map_participant.rs
+++ b/lib/src/map_participant.rs
@@ -30,6 +30,8 @@
     rank: u64,
     state: ParticipantState,
     pending: Option<PendingOrder>,
+    /// Whether the agent is about to end, so that nobody would keep a new promise.
+    is_closing: bool,
 }
 
 /// The order in flight. Commits and releases carry the id of the request to reply to, if one
@@ -61,9 +63,24 @@
             rank,
             state: ParticipantState::new(agent_incarnation),
             pending: None,
+            is_closing: false,
         }
     }
 
+    /// Makes no further promise, since the agent is about to end. What it has promised, it keeps.
+    pub fn close(&mut self) {
+        self.is_closing = true;
+    }
+
+    /// Returns whether the rank waits for nothing from this agent: no map is undecided at its engine, and
+    /// no order that may stage or decide one is in flight.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        let is_idle = matches!(self.pending, None | Some(PendingOrder::Read));
+        let engine = self.state.engine_report;
+        is_idle && engine.is_some_and(|engine| engine.uncommitted().is_none())
+    }
+
     /// Handles a request. The reply carries `call_id` and follows at once or after an engine
     /// report.
     pub fn on_request(&mut self, call_id: u64, request: &MapRequest) -> Vec<MapAction> {
@@ -245,6 +262,9 @@
             return MapRefusal::LowerBallot;
         }
         self.state.highest_ballot = request.ballot;
+        if self.is_closing {
+            return MapRefusal::NotStaged;
+        }
         let Some(engine) = self.state.engine_report else {
             return MapRefusal::NotReady;
         };
--- a/lib/src/rank_actor.rs
+++ b/lib/src/rank_actor.rs
@@ -75,6 +75,10 @@
     last_reply_ms: Vec<Option<u64>>,
     /// Since when the engine has been unreachable or a map undecided.
     waiting_since_ms: Option<u64>,
+    /// Receives a message once the rank waits for nothing from this agent, which is about to end.
+    settled_sender: Option<oneshot::Sender<()>>,
+    /// Whether the agent is about to end.
+    is_closing: bool,
     /// Whether the event for the current wait at a switch step was logged.
     is_wait_logged: bool,
     committed_plans: u64,
@@ -113,6 +117,8 @@
             coordinator: None,
             last_reply_ms: vec![None; settings.agent_addresses.len()],
             waiting_since_ms: None,
+            settled_sender: None,
+            is_closing: false,
             is_wait_logged: false,
             committed_plans: 0,
             aborted_plans: 0,
@@ -152,6 +158,11 @@
                 proposal,
                 outcome_sender,
             } => self.propose(proposal, outcome_sender, now_ms),
+            RankCommand::Close { settled } => {
+                self.is_closing = true;
+                self.participant.close();
+                self.settled_sender = Some(settled);
+            }
             RankCommand::Status { reply } => {
                 let _ = reply.send(self.status(now_ms));
             }
@@ -173,6 +184,17 @@
             self.send_coordinator_requests(requests);
             self.finish_coordinator();
         }
+        self.report_settled();
+    }
+
+    /// Reports that the agent may end, once the rank waits for nothing from it.
+    fn report_settled(&mut self) {
+        let is_settled = self.participant.is_settled()
+            && self.coordinator.is_none()
+            && self.queued_requests.is_empty();
+        if is_settled && let Some(settled) = self.settled_sender.take() {
+            let _ = settled.send(());
+        }
     }
 
     fn publish_ballot(&self) {
@@ -286,7 +308,7 @@
         now_ms: u64,
     ) {
         // Dropping the sender informs the proposer that no coordinator was started.
-        if self.coordinator.is_none() {
+        if self.coordinator.is_none() && !self.is_closing {
             self.start_coordinator(Some(proposal), Some(outcome_sender), now_ms);
         }
     }
--- a/lib/src/rank_command.rs
+++ b/lib/src/rank_command.rs
@@ -34,6 +34,9 @@
         proposal: MapProposal,
         outcome_sender: oneshot::Sender<MapOutcome>,
     },
+    /// Makes no further promise to hold a step, and reports when the rank holds none and this agent
+    /// proposes no map.
+    Close { settled: oneshot::Sender<()> },
     /// Returns the status that is shown to operators.
     Status { reply: oneshot::Sender<RankStatus> },
 }
--- a/lib/src/rank_session.rs
+++ b/lib/src/rank_session.rs
@@ -10,6 +10,7 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 use tokio::time::MissedTickBehavior;
 
 use crate::Clock;
@@ -44,6 +45,7 @@
 use crate::rank_datagrams::RankDatagrams;
 use crate::rank_request_sender::RankRequestSender;
 use crate::rank_server;
+use crate::shutdown;
 use crate::slowdown_reporter::SlowdownReporter;
 
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
@@ -63,6 +65,8 @@
 const REQUEST_QUEUE_LENGTH: usize = 256;
 /// Limit of ranks to which the planner sends a plan itself; these forward it to the others.
 const MAX_DIRECT_RECIPIENTS: usize = 16;
+/// Longest time for which an agent that is to end keeps its promises; well below the time to SIGKILL.
+const CLOSING_TIME: Duration = Duration::from_secs(3);
 /// Number of steps from the furthest known step to the switch step of a map.
 const LEAD_STEPS: u64 = 2;
 
@@ -109,6 +113,15 @@
     peers_group_incarnation: Option<u64>,
     /// Id of the map that the rank's experts were last read for, and the experts by slot.
     own_slots: Option<(u64, Vec<u32>)>,
+    /// Whether the agent is about to end.
+    is_closing: bool,
+}
+
+/// The end of an agent that still keeps its promises.
+struct Closing {
+    /// Receives a message once the rank waits for nothing from the agent.
+    settled: oneshot::Receiver<()>,
+    until: Instant,
 }
 
 /// The planner of another rank, as its last beacon describes it.
@@ -206,11 +219,14 @@
             next_model_ms: 0,
             peers_group_incarnation: None,
             own_slots: None,
+            is_closing: false,
         })
     }
 
-    /// Runs until the engine reports another rank or group.
-    pub(crate) async fn run(mut self) {
+    /// Runs until the engine reports another rank or group, or until `shutdown` is true and the rank waits
+    /// for nothing from this agent: a hold that nobody releases stops the whole group.
+    pub(crate) async fn run(mut self, mut shutdown: watch::Receiver<bool>) {
+        let mut closing = None;
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
         let mut counts = tokio::time::interval(COUNTS_INTERVAL);
         counts.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -226,6 +242,10 @@
                 }
                 _ = counts.tick() => self.report_counts().await,
                 _ = plans.tick(), if self.planner.is_some() => self.plan().await,
+                () = shutdown::requested(&mut shutdown), if closing.is_none() => {
+                    closing = Some(self.close().await);
+                }
+                () = wait_until_closed(&mut closing) => return,
                 _ = self.completed_copies.recv() => self.report_counts().await,
                 outcome = self.outcome_channel.1.recv() => {
                     let now_ms = self.clock.now_ms();
@@ -237,6 +257,19 @@
         }
     }
 
+    /// Stops planning, and has the actor report when the agent may end.
+    async fn close(&mut self) -> Closing {
+        self.is_closing = true;
+        self.planner = None;
+        let (sender, settled) = oneshot::channel();
+        let command = RankCommand::Close { settled: sender };
+        self.actor.submit_when_free(command).await;
+        Closing {
+            settled,
+            until: Instant::now() + CLOSING_TIME,
+        }
+    }
+
     /// Returns whether the engine still serves the rank that the session was started for.
     fn is_same_rank(&self) -> bool {
         self.link.report.borrow().as_ref().is_none_or(|report| {
@@ -356,6 +389,9 @@
 
     /// Starts or stops the planner: the lowest live rank plans.
     async fn update_planner(&mut self, now_ms: u64) {
+        if self.is_closing {
+            return;
+        }
         let remote = self.remote_planner.filter(|remote| {
             let is_live = now_ms.saturating_sub(remote.last_beacon_ms) < PLANNER_TIMEOUT_MS;
             is_live && remote.rank < self.rank
@@ -606,6 +642,16 @@
     }
 }
 
+/// Waits until the agent may end; forever if it is not to end.
+async fn wait_until_closed(closing: &mut Option<Closing>) {
+    match closing {
+        Some(closing) => {
+            let _ = tokio::time::timeout_at(closing.until, &mut closing.settled).await;
+        }
+        None => std::future::pending().await,
+    }
+}
+
 /// Returns the experts of a rank by set and slot, each plus one; zero for a free slot.
 fn encode_slots(experts: &[Vec<u32>], slots_per_rank: usize) -> Vec<u32> {
     let sets = experts.iter().map(|set| {
--- a/lib/src/shutdown.rs
+++ b/lib/src/shutdown.rs
@@ -44,3 +44,8 @@
     });
     receiver
 }
+
+/// Waits until the shutdown begins, or until nobody can begin it any more.
+pub(crate) async fn requested(shutdown: &mut watch::Receiver<bool>) {
+    let _ = shutdown.wait_for(|shutdown| *shutdown).await;
+}
--- a/lib/tests/test_map_participant.rs
+++ b/lib/tests/test_map_participant.rs
@@ -315,3 +315,29 @@
     let later_actions = rank.participant.tick(500);
     expect_that!(later_actions, contains(eq(&MapAction::Recover)));
 }
+
+/// Guards against a group that stands because an agent which was about to end had its rank held.
+#[googletest::test]
+fn an_agent_that_was_about_to_end_held_its_rank() {
+    let mut rank = rank();
+    rank.participant.close();
+    let refusal = rank.request_refusal(&MapRequest::Prepare(prepare(1)));
+    expect_that!(refusal, eq(MapRefusal::NotStaged));
+    expect_that!(rank.engine.staged, none());
+    expect_that!(rank.participant.is_settled(), eq(true));
+}
+
+/// Guards against an agent that ends before the map it has promised is decided.
+#[googletest::test]
+fn an_agent_counted_as_done_before_its_promise_was_decided() {
+    let mut rank = rank();
+    let promise = rank.request_refusal(&MapRequest::Prepare(prepare(1)));
+    expect_that!(promise, eq(MapRefusal::Unspecified));
+    rank.participant.close();
+    expect_that!(rank.participant.is_settled(), eq(false));
+    let repeated = rank.request_refusal(&MapRequest::Prepare(prepare(1)));
+    expect_that!(repeated, eq(MapRefusal::Unspecified));
+    let decided = rank.request_refusal(&decide(1, 1, true));
+    expect_that!(decided, eq(MapRefusal::Unspecified));
+    expect_that!(rank.participant.is_settled(), eq(true));
+}
