group_agent: refuse prepares for a while before an agent ends

An agent that is about to end now answers reads as not ready once its rank waits for nothing from it, so that no coordinator counts on it, and refuses prepares for 0.3 s before it ends. Its own coordinator is dropped while it has asked no rank for anything but its state.

--- a/lib/src/map_coordinator.rs
+++ b/lib/src/map_coordinator.rs
@@ -110,6 +110,16 @@
         self.enter_phase(Phase::Reading, now_ms)
     }
 
+    /// Returns whether no rank has been asked to hold a step or to decide a map.
+    #[must_use]
+    pub fn is_reading(&self) -> bool {
+        let is_waiting = matches!(
+            self.phase,
+            Phase::Idle | Phase::Reading | Phase::Waiting { .. }
+        );
+        is_waiting && self.proposed_map.is_none()
+    }
+
     /// Handles the reply of `rank` to the request with the id `call_id`; returns the requests to
     /// send next.
     pub fn on_reply(
--- a/lib/src/map_participant.rs
+++ b/lib/src/map_participant.rs
@@ -209,7 +209,9 @@
     #[must_use]
     pub fn state(&self) -> MapStateReply {
         let has_report = self.state.engine_report.is_some();
-        self.state.state_reply(if has_report {
+        // A coordinator that reads the state of an agent which ends would wait for its promise.
+        let is_leaving = self.is_closing && self.is_settled();
+        self.state.state_reply(if has_report && !is_leaving {
             MapRefusal::Unspecified
         } else {
             MapRefusal::NotReady
--- a/lib/src/rank_actor.rs
+++ b/lib/src/rank_actor.rs
@@ -41,6 +41,10 @@
 /// Time without a reply after which a rank is reported as unresponsive.
 const UNRESPONSIVE_AFTER_MS: u64 = 1_000;
 
+/// Time for which an agent that is about to end refuses the prepares of coordinators that have read its
+/// state before.
+const REFUSE_PREPARES_MS: u64 = 300;
+
 /// Limit of requests that are queued while an order is in flight; further ones are refused as
 /// busy.
 const MAX_QUEUED_REQUESTS: usize = 64;
@@ -79,6 +83,8 @@
     settled_sender: Option<oneshot::Sender<()>>,
     /// Whether the agent is about to end.
     is_closing: bool,
+    /// Since when the rank has been waiting for nothing from the agent that is about to end.
+    settled_since_ms: Option<u64>,
     /// Whether the event for the current wait at a switch step was logged.
     is_wait_logged: bool,
     committed_plans: u64,
@@ -119,6 +125,7 @@
             waiting_since_ms: None,
             settled_sender: None,
             is_closing: false,
+            settled_since_ms: None,
             is_wait_logged: false,
             committed_plans: 0,
             aborted_plans: 0,
@@ -184,15 +191,26 @@
             self.send_coordinator_requests(requests);
             self.finish_coordinator();
         }
-        self.report_settled();
+        if self.is_closing {
+            self.report_settled(now_ms);
+        }
     }
 
     /// Reports that the agent may end, once the rank waits for nothing from it.
-    fn report_settled(&mut self) {
+    fn report_settled(&mut self, now_ms: u64) {
+        self.coordinator
+            .take_if(|active| active.coordinator.is_reading());
         let is_settled = self.participant.is_settled()
             && self.coordinator.is_none()
             && self.queued_requests.is_empty();
-        if is_settled && let Some(settled) = self.settled_sender.take() {
+        if !is_settled {
+            self.settled_since_ms = None;
+            return;
+        }
+        let since_ms = *self.settled_since_ms.get_or_insert(now_ms);
+        if now_ms.saturating_sub(since_ms) >= REFUSE_PREPARES_MS
+            && let Some(settled) = self.settled_sender.take()
+        {
             let _ = settled.send(());
         }
     }
--- a/lib/tests/test_map_participant.rs
+++ b/lib/tests/test_map_participant.rs
@@ -321,6 +321,8 @@
 fn an_agent_that_was_about_to_end_held_its_rank() {
     let mut rank = rank();
     rank.participant.close();
+    let read = rank.request_refusal(&query(0));
+    expect_that!(read, eq(MapRefusal::NotReady));
     let refusal = rank.request_refusal(&MapRequest::Prepare(prepare(1)));
     expect_that!(refusal, eq(MapRefusal::NotStaged));
     expect_that!(rank.engine.staged, none());
