--- a/lib/src/direct_entry.rs
+++ b/lib/src/direct_entry.rs
@@ -212,17 +212,26 @@
     /// it for as long as they do still come while an entry that has begun to drain takes all calls.
     pub(crate) fn address_lifetime(&self) -> Duration {
         let longest = Duration::from_millis(self.settings.max_address_lifetime_ms);
-        longest.min(self.state.drain.address_lifetime(Duration::ZERO))
+        longest.min(self.taking_lifetime(Duration::ZERO))
     }
 
     /// Returns the same for an answer with the address of this draining entry; `None` if it is not
     /// draining, or too little of the time is left in which it takes all calls.
     pub(crate) fn draining_address_lifetime(&self) -> Option<Duration> {
-        let drain = &self.state.drain;
-        let lifetime = drain.address_lifetime(drain.elapsed()?);
+        let lifetime = self.taking_lifetime(self.state.drain.elapsed()?);
         (lifetime >= MIN_ADDRESS_LIFETIME).then_some(lifetime)
     }
 
+    /// Returns the lifetime of an address with which callers come while an entry at `draining` since its
+    /// signal takes the calls of all routes.
+    fn taking_lifetime(&self, draining: Duration) -> Duration {
+        let table = self.state.table();
+        let longest_ms = table.and_then(|table| table.longest_timeout_ms());
+        let longest = longest_ms.map_or(Duration::MAX, Duration::from_millis);
+        let policy = self.state.drain.policy();
+        policy.address_lifetime(draining, longest)
+    }
+
     /// Returns a receiver that turns true when the process receives the signal to shut down.
     #[must_use]
     pub fn draining(&self) -> watch::Receiver<bool> {
@@ -240,8 +249,9 @@
             .serve(&self.settings.metrics_address)
             .await?;
         let (close, closing) = watch::channel(false);
+        let (close_idle, closing_idle) = watch::channel(false);
         let draining = self.draining.clone();
-        tokio::spawn(self.clone().drain(close));
+        tokio::spawn(self.clone().drain(close_idle, close));
         let state = Arc::clone(&self.state);
         let router = Router::new().fallback(move |request: Request| {
             let state = Arc::clone(&state);
@@ -253,8 +263,12 @@
             "caller_address={}",
             self.settings.caller_address
         );
-        let closing = CallerShutdown { draining, closing };
-        caller_server::serve(listener, router, self.limits(), closing).await;
+        let shutdown = CallerShutdown {
+            draining,
+            closing_idle,
+            closing,
+        };
+        caller_server::serve(listener, router, self.limits(), shutdown).await;
         event!(DrainFinished, "{}", self.state.drain.log_fields());
         Ok(())
     }
@@ -307,9 +321,9 @@
         state.store(has_serving_peers, Ordering::Relaxed);
     }
 
-    /// Closes the listener once the addresses that callers keep have expired and no call is in flight, at
-    /// the latest when the time for the drain is over.
-    async fn drain(mut self, close: watch::Sender<bool>) {
+    /// Closes idle connections once the addresses that callers keep have expired, and the listener once no
+    /// call is in flight, at the latest when the time for the drain is over.
+    async fn drain(mut self, close_idle: watch::Sender<bool>, close: watch::Sender<bool>) {
         if self.draining.wait_for(|draining| *draining).await.is_err() {
             return;
         }
@@ -319,6 +333,7 @@
         let end = Instant::now() + drain.time_left().unwrap_or_default();
         let linger = self.address_lifetime() * KEPT_LIFETIMES;
         tokio::time::sleep_until(end.min(Instant::now() + linger)).await;
+        let _ = close_idle.send(true);
         while self.state.in_flight.count() > 0 && Instant::now() < end {
             tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
         }
