direct_stream: keep a stream at its endpoint until another one has taken it

Cause: a stream left an endpoint that was silent or slow as soon as the move was allowed, and asked for another one only then. When that refused it, nothing was left to read from. All streams of a slow endpoint do so at once.

The move now opens the stream at the other endpoint while the first keeps it. It stays where it is if the other does not take it, and a silent endpoint that is at work again before keeps it.

--- a/lib/src/direct_relay.rs
+++ b/lib/src/direct_relay.rs
@@ -118,6 +118,9 @@
     pub(crate) body: Bytes,
 }
 
+/// The endpoint that a stream was to move to did not take it.
+pub(crate) struct MoveFailed;
+
 /// What a call waited for, or why it was moved away from its endpoint.
 struct SendWait<T> {
     outcome: Result<T, SendFailure>,
@@ -236,6 +239,40 @@
         Err(self.withdraw_not_run_promise(failure.refusal))
     }
 
+    /// Opens the answer at the endpoint of `slot`, to which a stream is to move that has begun elsewhere.
+    ///
+    /// # Errors
+    ///
+    /// Fails when that endpoint does not take the stream; its slot is released then.
+    pub(crate) async fn open_moved(
+        &mut self,
+        slot: DirectSlot,
+    ) -> Result<(DirectSlot, Response<Incoming>), MoveFailed> {
+        if self.check_quarantine().is_err() {
+            return Err(MoveFailed);
+        }
+        let failure = match self.open_answer_at(&slot).await {
+            Ok(response) if response.status().is_success() => return Ok((slot, response)),
+            Ok(response) => {
+                let reason = format!("endpoint answered with status {}", response.status());
+                SendFailure::lost(SendResult::Failed, reason)
+            }
+            Err(failure) => failure,
+        };
+        self.record_crash_evidence(&slot, &failure.crash_evidence);
+        self.log_retry(&slot, &failure.reason);
+        slot.release(failure.result);
+        Err(MoveFailed)
+    }
+
+    /// Makes `endpoint_id` the endpoint that the call is at, after a send elsewhere was given up.
+    pub(crate) fn return_to(&mut self, endpoint_id: &str, framing: Option<AnswerFraming>) {
+        self.next_slot = None;
+        self.tried.retain(|id| id != endpoint_id);
+        self.tried.push(endpoint_id.to_owned());
+        self.framing = framing;
+    }
+
     /// Reports to the crash tracker what a failed send shows of a crash.
     fn record_crash_evidence(&self, slot: &DirectSlot, evidence: &CrashEvidence) {
         let Some(endpoint) = slot.endpoint() else {
@@ -401,8 +438,7 @@
         direct_server::drain_refusal(&self.state, &self.call, &self.rule, self.deadline)
     }
 
-    /// Refuses a call that the draining entry no longer takes. A call that was sent before is finished
-    /// here.
+    /// Refuses a call that the draining entry no longer takes. A call that may have run is finished here.
     fn check_drain(&self) -> Result<(), DirectRefusal> {
         if !self.tried.is_empty() || self.state.drain.elapsed().is_none() {
             return Ok(());
@@ -686,7 +722,7 @@
         )
     }
 
-    fn log_retry(&self, slot: &DirectSlot, reason: &str) {
+    pub(crate) fn log_retry(&self, slot: &DirectSlot, reason: &str) {
         event!(
             CallRetried,
             "request_id={} endpoint={} attempts={} reason=\"{reason}\"",
--- a/lib/src/direct_stream.rs
+++ b/lib/src/direct_stream.rs
@@ -70,8 +70,13 @@
     last_event: Option<Instant>,
     /// Events without an id since the last one with an id.
     held_back: BytesMut,
+    /// What the endpoint sent while the stream was about to move.
+    early_frame: Option<NextFrame>,
 }
 
+/// The next frame of a body; `None` at its end.
+type NextFrame = Option<Result<Frame<Bytes>, hyper::Error>>;
+
 /// The next part of a stream.
 enum StreamPart {
     Event(StreamEvent),
@@ -157,6 +162,12 @@
                 let _ = sender.send(StreamItem::End).await;
                 return;
             }
+            Err(failure) if relay.next_slot.is_some() => {
+                open = tokio::select! {
+                    open = move_stream(&mut relay, open, failure) => open,
+                    () = sender.closed() => return,
+                };
+            }
             Err(failure) => {
                 let resumed = tokio::select! {
                     resumed = resume(&mut relay, open, failure) => resumed,
@@ -181,6 +192,36 @@
     }
 }
 
+/// Moves a stream to the endpoint whose slot it has. Its present endpoint, which is silent or slow, keeps
+/// it until the other one has taken it, and for good if that does not or if it is at work again before.
+async fn move_stream(
+    relay: &mut DirectRelay,
+    mut open: OpenStream,
+    failure: SendFailure,
+) -> OpenStream {
+    let Some(slot) = relay.next_slot.take() else {
+        return open;
+    };
+    relay.log_retry(&open.slot, &failure.reason);
+    relay.may_have_run = true;
+    let framing = relay.framing;
+    let longest = Duration::from_millis(silence_ms(relay));
+    let opening = relay.open_moved(slot);
+    let moved = if failure.is_slow() {
+        tokio::time::timeout(longest, opening).await.ok()
+    } else {
+        open.unless_at_work(opening).await
+    };
+    let Some(Ok((slot, response))) = moved else {
+        let endpoint = open.slot.endpoint();
+        relay.return_to(endpoint.map_or("", |endpoint| &endpoint.id), framing);
+        return open;
+    };
+    open.slot.release(failure.result);
+    log_resumed(relay, &slot);
+    OpenStream::new(slot, response.into_body(), true)
+}
+
 /// Sends the call to another endpoint, which continues after the last event that the caller has.
 async fn resume(
     relay: &mut DirectRelay,
@@ -199,6 +240,11 @@
         slot.release(SendResult::Failed);
         return Err(format!("{reason}; resuming it ended with status {status}"));
     }
+    log_resumed(relay, &slot);
+    Ok(OpenStream::new(slot, response.into_body(), true))
+}
+
+fn log_resumed(relay: &DirectRelay, slot: &DirectSlot) {
     event!(
         StreamResumed,
         "request_id={} endpoint={} after_event={}",
@@ -206,7 +252,6 @@
         slot.endpoint().map_or("", |endpoint| endpoint.id.as_str()),
         relay.resume_after.unwrap_or(0)
     );
-    Ok(OpenStream::new(slot, response.into_body(), true))
 }
 
 impl OpenStream {
@@ -221,6 +266,7 @@
             splitter: EventSplitter::default(),
             last_event: None,
             held_back: BytesMut::new(),
+            early_frame: None,
         }
     }
 
@@ -313,15 +359,34 @@
         }
     }
 
+    /// Waits for another endpoint to take the stream; `None` if this one is at work again before.
+    async fn unless_at_work<T>(&mut self, opening: impl Future<Output = T>) -> Option<T> {
+        let mut opening = std::pin::pin!(opening);
+        let frame = tokio::select! {
+            biased;
+            opened = opening.as_mut() => return Some(opened),
+            frame = self.body.frame() => frame,
+        };
+        let is_broken = matches!(frame, Some(Err(_)));
+        self.early_frame = Some(frame);
+        if is_broken {
+            return Some(opening.await);
+        }
+        None
+    }
+
     /// Waits for the next frame until `deadline`. A call at a silent or slow endpoint stays there
     /// until its own deadline when the dispatcher does not allow it to move.
     async fn next_frame(
         &mut self,
         relay: &mut DirectRelay,
         deadline: &mut Instant,
-    ) -> Result<Option<Result<Frame<Bytes>, hyper::Error>>, SendFailure> {
+    ) -> Result<NextFrame, SendFailure> {
         let endpoint = self.slot.endpoint();
         let endpoint_id = endpoint.map_or("", |endpoint| endpoint.id.as_str());
+        if let Some(frame) = self.early_frame.take() {
+            return Ok(frame);
+        }
         if Instant::now() >= relay.deadline {
             return Err(SendFailure::timed_out());
         }
@@ -366,10 +431,15 @@
     if is_last || !relay.rule.repeatability.may_repeat() {
         return relay.deadline;
     }
-    let timeout = Duration::from_millis(relay.stream_silence_limit_ms() * SILENCE_PERCENT / 100);
+    let timeout = Duration::from_millis(silence_ms(relay));
     relay.deadline.min(Instant::now() + timeout)
 }
 
+/// Returns the silence after which a stream is resumed at another endpoint.
+fn silence_ms(relay: &DirectRelay) -> u64 {
+    relay.stream_silence_limit_ms() * SILENCE_PERCENT / 100
+}
+
 /// Drops an event that the caller already has.
 ///
 /// # Errors
--- a/lib/src/send_failure.rs
+++ b/lib/src/send_failure.rs
@@ -106,4 +106,9 @@
             ..Self::timed_out()
         }
     }
+
+    /// Returns whether the send was abandoned because the endpoint is slow.
+    pub(crate) fn is_slow(&self) -> bool {
+        self.result == SendResult::Abandoned
+    }
 }
