drain: refuse calls that certainly did not run, also after a send

Found by the review (reading): a call whose endpoint answered that it did not run it was exempt from the drain, waited for another slot and could be cut by SIGKILL while it waited. What may have run is still finished; what has not is refused with a true promise.

--- a/lib/src/direct_relay.rs
+++ b/lib/src/direct_relay.rs
@@ -397,10 +397,9 @@
         if self.state.dispatcher.submit(command).is_err() {
             return Err(self.overload_refusal());
         }
-        let is_sent_before = !self.tried.is_empty();
         let decision = tokio::select! {
             decision = decision => decision,
-            () = self.state.drain.until_not_taken(self.deadline), if !is_sent_before => {
+            () = self.state.drain.until_not_taken(self.deadline), if !self.may_have_run => {
                 return Err(self.drain_refusal());
             }
         };
@@ -440,7 +439,7 @@
 
     /// Refuses a call that the draining entry no longer takes. A call that may have run is finished here.
     fn check_drain(&self) -> Result<(), DirectRefusal> {
-        if !self.tried.is_empty() || self.state.drain.elapsed().is_none() {
+        if self.may_have_run || self.state.drain.elapsed().is_none() {
             return Ok(());
         }
         if !self.state.drain.takes(self.deadline) {
