drain: one rule for the time until which a call is taken, and a fixed lifetime of addresses

The check on arrival read the clock twice and the check while a call waits computed the same in another way; both now ask DrainPolicy::taken_until.

The lifetime is a third of the open time again, so it is 0.93 s also where the grace time is longer than 8 s (2 s before).

--- a/lib/src/direct_entry.rs
+++ b/lib/src/direct_entry.rs
@@ -212,26 +212,17 @@
     /// it for as long as they do still come while an entry that has begun to drain takes all calls.
     pub(crate) fn address_lifetime(&self) -> Duration {
         let longest = Duration::from_millis(self.settings.max_address_lifetime_ms);
-        longest.min(self.taking_lifetime(Duration::ZERO))
+        longest.min(self.state.drain.policy().address_lifetime(Duration::ZERO))
     }
 
     /// Returns the same for an answer with the address of this draining entry; `None` if it is not
     /// draining, or too little of the time is left in which it takes all calls.
     pub(crate) fn draining_address_lifetime(&self) -> Option<Duration> {
-        let lifetime = self.taking_lifetime(self.state.drain.elapsed()?);
+        let drain = &self.state.drain;
+        let lifetime = drain.policy().address_lifetime(drain.elapsed()?);
         (lifetime >= MIN_ADDRESS_LIFETIME).then_some(lifetime)
     }
 
-    /// Returns the lifetime of an address with which callers come while an entry at `draining` since its
-    /// signal takes the calls of all routes.
-    fn taking_lifetime(&self, draining: Duration) -> Duration {
-        let table = self.state.table();
-        let longest_ms = table.and_then(|table| table.longest_timeout_ms());
-        let longest = longest_ms.map_or(Duration::MAX, Duration::from_millis);
-        let policy = self.state.drain.policy();
-        policy.address_lifetime(draining, longest)
-    }
-
     /// Returns a receiver that turns true when the process receives the signal to shut down.
     #[must_use]
     pub fn draining(&self) -> watch::Receiver<bool> {
--- a/lib/src/drain_policy.rs
+++ b/lib/src/drain_policy.rs
@@ -37,29 +37,26 @@
         self.grace * END_PERCENT / 100
     }
 
-    /// Returns the time since the signal for which all calls are taken that end within `longest`.
-    #[must_use]
-    pub fn taking_time(&self, longest: Duration) -> Duration {
-        self.open_time().max(self.end().saturating_sub(longest))
-    }
-
     /// Returns the longest lifetime of an address at `draining` since the signal with which all callers
-    /// that keep it come while all calls are taken that end within `longest`.
+    /// that keep it come while all calls are taken.
     #[must_use]
-    pub fn address_lifetime(&self, draining: Duration, longest: Duration) -> Duration {
-        self.taking_time(longest).saturating_sub(draining) / KEPT_LIFETIMES
+    pub fn address_lifetime(&self, draining: Duration) -> Duration {
+        self.open_time().saturating_sub(draining) / KEPT_LIFETIMES
     }
 
-    /// Returns whether the entry takes a call at `draining` since the signal that ends within `time_left`:
-    /// all at first, then those that end before the entry whatever endpoints do.
+    /// Returns the time since the signal until which a call is taken whose deadline is `deadline` after the
+    /// signal: all at first, then those that end before the entry whatever endpoints do.
     #[must_use]
-    pub fn takes(&self, draining: Duration, time_left: Duration) -> bool {
-        draining < self.open_time() || draining + time_left <= self.end()
+    pub fn taken_until(&self, deadline: Duration) -> Duration {
+        if deadline <= self.end() {
+            deadline
+        } else {
+            self.open_time()
+        }
     }
 
     /// Returns the time since the signal for which calls are taken whatever their deadline.
-    #[must_use]
-    pub fn open_time(&self) -> Duration {
+    fn open_time(&self) -> Duration {
         MAX_OPEN_TIME.min(self.grace * OPEN_PERCENT / 100)
     }
 }
--- a/lib/src/entry_drain.rs
+++ b/lib/src/entry_drain.rs
@@ -60,26 +60,24 @@
 
     /// Returns whether the entry takes a call that ends at `deadline` at the latest.
     pub(crate) fn takes(&self, deadline: Instant) -> bool {
-        let Some(draining) = self.elapsed() else {
-            return true;
-        };
-        let time_left = deadline.saturating_duration_since(Instant::now());
-        self.policy.takes(draining, time_left)
+        let started = *self.started.borrow();
+        started.is_none_or(|started| Instant::now() < self.taken_until(started, deadline))
+    }
+
+    fn taken_until(&self, started: Instant, deadline: Instant) -> Instant {
+        let longest = deadline.saturating_duration_since(started);
+        started + self.policy.taken_until(longest)
     }
 
-    /// Waits until the entry no longer takes a call that ends at `deadline` at the latest; for ever if it
-    /// goes on to take it.
+    /// Waits until the entry no longer takes a call that ends at `deadline` at the latest; for ever if the
+    /// entry does not drain.
     pub(crate) async fn until_not_taken(&self, deadline: Instant) {
         let mut started = self.started.subscribe();
         let started = started.wait_for(Option::is_some).await;
         let Some(started) = started.ok().and_then(|started| *started) else {
             return std::future::pending().await;
         };
-        let longest = deadline.saturating_duration_since(started);
-        if longest <= self.policy.end() {
-            return std::future::pending().await;
-        }
-        tokio::time::sleep_until(started + self.policy.open_time()).await;
+        tokio::time::sleep_until(self.taken_until(started, deadline)).await;
     }
 
     /// Counts a call that was taken since the signal.
--- a/lib/src/route_table.rs
+++ b/lib/src/route_table.rs
@@ -106,12 +106,6 @@
         self.rules.values().flat_map(HashMap::values)
     }
 
-    /// Returns the longest timeout of a route; `None` without routes.
-    #[must_use]
-    pub fn longest_timeout_ms(&self) -> Option<u64> {
-        self.rules().map(|rule| rule.timeout_ms).max()
-    }
-
     /// Returns a service by name.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&ServiceRule> {
--- a/lib/tests/test_drain_policy.rs
+++ b/lib/tests/test_drain_policy.rs
@@ -21,9 +21,10 @@
     DrainPolicy::new(Duration::from_secs(grace_s))
 }
 
+/// Returns whether a call is taken that comes `draining_ms` after the signal with `time_left_ms` left.
 fn takes(policy: DrainPolicy, draining_ms: u64, time_left_ms: u64) -> bool {
-    let draining = Duration::from_millis(draining_ms);
-    policy.takes(draining, Duration::from_millis(time_left_ms))
+    let deadline = Duration::from_millis(draining_ms + time_left_ms);
+    Duration::from_millis(draining_ms) < policy.taken_until(deadline)
 }
 
 #[googletest::test]
@@ -57,21 +58,17 @@
 
 #[googletest::test]
 fn callers_that_keep_an_address_for_three_lifetimes_come_while_all_calls_are_taken() {
-    for grace_s in [1, 4, 8, 20, 60] {
-        for longest_ms in [500, 8_000, 60_000] {
-            let policy = policy(grace_s);
-            let longest = Duration::from_millis(longest_ms);
-            let taking_time = policy.taking_time(longest);
-            for percent in [0, 20, 70, 99] {
-                let draining = taking_time * percent / 100;
-                let last = draining + 3 * policy.address_lifetime(draining, longest);
-                let before_last = last - Duration::from_millis(1);
-                expect_that!(policy.takes(before_last, longest), eq(true));
-            }
-            let closed = policy.address_lifetime(taking_time, longest);
-            expect_that!(closed, eq(Duration::ZERO));
+    for draining_ms in [0, 500, 2_000, 2_790] {
+        for grace_s in [8, 20, 60] {
+            let lifetime = policy(grace_s).address_lifetime(Duration::from_millis(draining_ms));
+            let last_ms = draining_ms + 3 * u64::try_from(lifetime.as_millis()).unwrap();
+            expect_that!(takes(policy(grace_s), last_ms, 60_000), eq(true));
         }
     }
+    let lifetime = policy(8).address_lifetime(Duration::ZERO);
+    expect_that!(lifetime, gt(Duration::from_millis(900)));
+    let closed = policy(8).address_lifetime(Duration::from_secs(4));
+    expect_that!(closed, eq(Duration::ZERO));
 }
 
 /// Draws grace times and deadlines; a call may take all the time until its deadline.
