log_ring: write the last lines before the process ends

What operators saw: E0005 without E0006 of an entry that had drained whole, which events.md reads as "killed with calls in flight"; and processes stopped by a second SIGINT without E0007.

Cause: a process ended while its last lines still waited for the thread that writes them.

The writer of the users' platform is a logger of its own in place of a pipe of env_logger, whose flush can't wait for another thread.

--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,13 +1,11 @@
 //! The pomeloramp daemon.
 
 mod log_ring;
+mod ring_logger;
 
 use std::env;
 use std::fs;
-use std::io::Write;
 use std::process::ExitCode;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use pico_args::Arguments;
 use pomeloramp_lib::DaemonRole;
@@ -15,7 +13,6 @@
 use pomeloramp_lib::USAGE_EXIT_CODE;
 use pomeloramp_lib::event;
 use pomeloramp_lib::load_settings;
-use pomeloramp_lib::log_line;
 use pomeloramp_lib::run_endpoint;
 use pomeloramp_lib::run_entry;
 use pomeloramp_lib::settings_role;
@@ -23,7 +20,7 @@
 use pomeloramp_platform::PlatformSettings;
 use tokio::runtime::Runtime;
 
-use crate::log_ring::LogRing;
+use crate::ring_logger::RingLogger;
 
 const LOG_VARIABLE: &str = "RUST_LOG";
 const DEFAULT_LOG_FILTER: &str = "pomeloramp=info,warn";
@@ -54,6 +51,12 @@
 };
 
 fn main() -> ExitCode {
+    let exit_code = run_program();
+    log::logger().flush();
+    exit_code
+}
+
+fn run_program() -> ExitCode {
     let mut arguments = Arguments::from_env();
     if let Some(text) = TEXT.help_or_version(&mut arguments) {
         print!("{text}");
@@ -86,20 +89,10 @@
     let filter = env_logger::Env::default().filter_or(LOG_VARIABLE, DEFAULT_LOG_FILTER);
     let mut builder = env_logger::Builder::from_env(filter);
     if is_structured {
-        builder
-            .target(env_logger::Target::Pipe(Box::new(LogRing::start())))
-            .format(|output, record| {
-                let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-                let line = log_line(
-                    since_epoch.unwrap_or_default(),
-                    record.level().as_str(),
-                    record.target(),
-                    &record.args().to_string(),
-                );
-                writeln!(output, "{line}")
-            });
+        RingLogger::install(builder.build());
+    } else {
+        builder.init();
     }
-    builder.init();
 }
 
 fn run(path: &str) -> ExitCode {
--- a/lib/src/shutdown.rs
+++ b/lib/src/shutdown.rs
@@ -35,6 +35,7 @@
             }
             if interrupts >= 2 {
                 event!(StoppedAtOnce);
+                log::logger().flush();
                 process::exit(INTERRUPTED_EXIT_CODE);
             }
             if sender.send(true).is_err() {
--- a/lib/testutils/src/process.rs
+++ b/lib/testutils/src/process.rs
@@ -6,9 +6,12 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::sync::mpsc;
 use std::thread;
 use std::time::Duration;
@@ -19,6 +22,8 @@
 use nix::unistd::Pid;
 
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
+/// Interval at which it is checked whether standard output is still left unread.
+const HELD_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Child process that is killed when the value is dropped.
 #[derive(Debug)]
@@ -26,6 +31,8 @@
     child: Child,
     /// Lines of standard output; a closed channel after [`TestProcess::take_lines`].
     lines: Mutex<mpsc::Receiver<String>>,
+    /// Whether standard output is left unread.
+    is_output_held: Arc<AtomicBool>,
 }
 
 impl TestProcess {
@@ -55,8 +62,13 @@
             .unwrap_or_else(|error| panic!("start {}: {error}", path.display()));
         let stdout = child.stdout.take().expect("stdout is piped");
         let (sender, lines) = mpsc::channel();
+        let is_output_held: Arc<AtomicBool> = Arc::default();
+        let is_held = Arc::clone(&is_output_held);
         thread::spawn(move || {
             for line in BufReader::new(stdout).lines().map_while(Result::ok) {
+                while is_held.load(Ordering::Acquire) {
+                    thread::sleep(HELD_CHECK_INTERVAL);
+                }
                 if sender.send(line).is_err() {
                     return;
                 }
@@ -65,6 +77,7 @@
         Self {
             child,
             lines: Mutex::new(lines),
+            is_output_held,
         }
     }
 
@@ -93,6 +106,16 @@
         std::mem::replace(&mut *lock(&self.lines), mpsc::channel().1)
     }
 
+    /// Leaves standard output unread from the next line on, until [`Self::read_output`].
+    pub fn hold_output(&self) {
+        self.is_output_held.store(true, Ordering::Release);
+    }
+
+    /// Reads standard output again.
+    pub fn read_output(&self) {
+        self.is_output_held.store(false, Ordering::Release);
+    }
+
     /// Returns the process id.
     #[must_use]
     pub fn id(&self) -> u32 {
