log_ring: keep room for warnings and the drain

What operators saw: nothing of a drain, neither E0005 nor E0009 nor E0006, where standard output had not been read for a while: routine lines had taken all the room, and what comes last is dropped.

Cause: one bound for all lines.

Of the 4,096 lines that may wait, 1,024 are now left to warnings, errors and the events of the process (E00..). Routine lines are dropped, and counted, from 3,072 on. The bound on all lines together stays.

--- a/daemon/src/log_ring.rs
+++ b/daemon/src/log_ring.rs
@@ -13,8 +13,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use pomeloramp_lib::LogPriority;
+
 /// Lines that wait to be written, at most.
 const CAPACITY: usize = 4_096;
+/// The same of routine lines; the rest is left to those of high priority.
+const ROUTINE_CAPACITY: usize = 3_072;
 /// Interval at which a flush checks whether all lines are written.
 const FLUSH_CHECK_INTERVAL: Duration = Duration::from_millis(1);
 
@@ -43,10 +47,11 @@
         Self { lines, counts }
     }
 
-    /// Passes a line on, or drops it if there is no room.
-    pub(crate) fn push(&self, line: String) {
-        self.counts.waiting.fetch_add(1, Ordering::AcqRel);
-        if self.lines.try_send(line).is_err() {
+    /// Passes a line on, or drops it if there is no room for lines of its priority.
+    pub(crate) fn push(&self, priority: LogPriority, line: String) {
+        let waiting = self.counts.waiting.fetch_add(1, Ordering::AcqRel);
+        let has_room = priority == LogPriority::High || waiting < ROUTINE_CAPACITY;
+        if !has_room || self.lines.try_send(line).is_err() {
             self.counts.waiting.fetch_sub(1, Ordering::AcqRel);
             self.counts.dropped.fetch_add(1, Ordering::AcqRel);
         }
--- a/daemon/src/ring_logger.rs
+++ b/daemon/src/ring_logger.rs
@@ -7,6 +7,7 @@
 use log::Log;
 use log::Metadata;
 use log::Record;
+use pomeloramp_lib::LogPriority;
 use pomeloramp_lib::log_line;
 
 use crate::log_ring::LogRing;
@@ -43,14 +44,16 @@
         if !self.filter.matches(record) {
             return;
         }
+        let message = record.args().to_string();
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
         let line = log_line(
             since_epoch.unwrap_or_default(),
             record.level().as_str(),
             record.target(),
-            &record.args().to_string(),
+            &message,
         );
-        self.ring.push(line);
+        let priority = LogPriority::of(record.level(), &message);
+        self.ring.push(priority, line);
     }
 
     fn flush(&self) {
