direct_relay: log the end of calls whose callers leave early

What operators saw: E0601 as the last line of a call whose caller had left before the answer began, or while its stream was moved to another endpoint: the same as for a call that SIGKILL cut. A stream that broke off had E0606 without a reason.

Cause: hyper drops the task of such a call, and only ends that the task reaches itself were recorded.

The end is now recorded when the call is dropped, unless it was before; E0606 of a broken or abandoned call names the reason. A refused stream gets no line more: E0603, E0604 or E0614 names it.

--- a/lib/src/direct_relay.rs
+++ b/lib/src/direct_relay.rs
@@ -1,6 +1,8 @@
 //! Sends one call to endpoints, within its deadline, its route's attempts and the retry budget.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -103,6 +105,8 @@
     pub(crate) framing: Option<AnswerFraming>,
     /// Bytes of an unfinished event at the end of the latest answer.
     pub(crate) unfinished_bytes: usize,
+    /// Whether the end of the call was recorded.
+    pub(crate) has_ended: AtomicBool,
     /// Counts the call as in flight.
     pub(crate) _guard: InFlightGuard,
 }
@@ -444,8 +448,15 @@
             .build()
     }
 
-    /// Records the end of the call in metrics and log.
-    pub(crate) fn record_end(&self, outcome: &str) {
+    /// Returns the refusal of a call whose answer has not begun; its own line tells of its end.
+    pub(crate) fn end_refused(&self, refusal: DirectRefusal) -> DirectRefusal {
+        self.has_ended.store(true, Ordering::Relaxed);
+        refusal
+    }
+
+    /// Records the end of the call in metrics and log, with the reason if it has none of its own.
+    pub(crate) fn record_end(&self, outcome: &str, reason: &str) {
+        self.has_ended.store(true, Ordering::Relaxed);
         let elapsed = self.arrived.elapsed();
         let organisation = self.organisation.as_ref().map_or("", |o| o.name.as_str());
         let metrics = &self.state.metrics;
@@ -457,7 +468,7 @@
         event!(
             CallEnded,
             "request_id={} outcome={outcome} attempts={} elapsed_ms={} first_event_ms={} \
-             longest_pause_ms={} late_by={} framing={} unfinished_bytes={}",
+             longest_pause_ms={} late_by={} framing={} unfinished_bytes={}{}",
             self.call.request_id,
             self.tried.len(),
             elapsed.as_millis(),
@@ -465,7 +476,8 @@
             self.times.longest_pause_ms(),
             lateness.name(),
             self.framing.map_or("none", AnswerFraming::name),
-            self.unfinished_bytes
+            self.unfinished_bytes,
+            reason_field(reason)
         );
     }
 
@@ -684,6 +696,25 @@
     }
 }
 
+impl Drop for DirectRelay {
+    fn drop(&mut self) {
+        if !self.has_ended.load(Ordering::Relaxed) {
+            self.record_end(
+                "abandoned",
+                "caller disconnected while an endpoint was awaited",
+            );
+        }
+    }
+}
+
+/// Returns the log field of a reason; nothing if there is none.
+fn reason_field(reason: &str) -> String {
+    if reason.is_empty() {
+        return String::new();
+    }
+    format!(" reason=\"{}\"", reason.replace('"', "'"))
+}
+
 /// Checks whether an endpoint whose connection broke has crashed.
 async fn probe_for_crash(tracker: CrashTracker, endpoint_id: String, address: String) {
     tokio::time::sleep(CRASH_CHECK_DELAY).await;
--- a/lib/src/direct_server.rs
+++ b/lib/src/direct_server.rs
@@ -1,6 +1,7 @@
 //! Serves the requests of callers that an entry sends to endpoints directly.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -111,6 +112,7 @@
         unwritten_sends: 0,
         has_retry: false,
         may_have_run: false,
+        has_ended: AtomicBool::new(false),
         _guard: guard,
     };
     if relay.rule.repeatability.is_stream() {
@@ -230,7 +232,7 @@
         Ok(answer) => answer.head.status.as_u16(),
         Err(refusal) => refusal.status.as_u16(),
     };
-    relay.record_end(&outcome.to_string());
+    relay.record_end(&outcome.to_string(), "");
     let answer = answer?;
     relay.measured.record_end();
     let mut response = Response::new(Body::from(answer.body));
--- a/lib/src/direct_stream.rs
+++ b/lib/src/direct_stream.rs
@@ -82,7 +82,8 @@
 /// Sends a call whose answer is a stream; returns the answer once its first event has arrived.
 pub(crate) async fn respond(mut relay: DirectRelay) -> Result<Response<Body>, DirectRefusal> {
     loop {
-        let OpenAnswer { slot, response } = relay.open_answer().await?;
+        let opened = relay.open_answer().await;
+        let OpenAnswer { slot, response } = opened.map_err(|refusal| relay.end_refused(refusal))?;
         let (head, body) = response.into_parts();
         let status = head.status;
         let mut open = OpenStream::new(slot, body, status.is_success());
@@ -90,7 +91,8 @@
         let first = match open.next(&mut relay).await {
             Ok(first) => first,
             Err(failure) => {
-                relay.handle_failure(open.slot, failure).await?;
+                let handled = relay.handle_failure(open.slot, failure).await;
+                handled.map_err(|refusal| relay.end_refused(refusal))?;
                 continue;
             }
         };
@@ -165,7 +167,7 @@
                 match resumed {
                     Ok(resumed) => open = resumed,
                     Err(reason) => {
-                        relay.record_end("broken");
+                        relay.record_end("broken", &reason);
                         let _ = sender
                             .send(StreamItem::Broken(StreamBroken { reason }))
                             .await;
@@ -396,11 +398,11 @@
 fn finish(relay: &DirectRelay, open: OpenStream) {
     open.slot.release(SendResult::Answered);
     relay.measured.record_end();
-    relay.record_end("ran");
+    relay.record_end("ran", "");
 }
 
 /// Records a stream whose caller has disconnected.
 fn finish_abandoned(relay: &DirectRelay, open: OpenStream) {
     open.slot.release(SendResult::Abandoned);
-    relay.record_end("abandoned");
+    relay.record_end("abandoned", "caller disconnected");
 }
