drain: name the calls in flight at the end of a drain

What operators saw: `in_flight` above 0 in E0009, and nothing that named these calls, why they had been taken or what their endpoints did; no warning either, so that a log from which only warnings are kept shows nothing of a drain that cuts calls.

A call now has a progress (endpoint, attempts, last event) that the end of the drain reads. E0010, a warning, names each call in flight, 64 at most, the latest first: when it arrived and was sent relative to the signal, by which clause it was taken, the time to its deadline, and since the last event of the call, its endpoint and its service. E0601 and E0606 at a draining entry name the clause. E0009 adds by how much the process woke too late; when the signal was sent can't be known in the process. New metrics: `pomeloramp_draining_taken_calls` by clause, `pomeloramp_in_flight_calls`.

An entry that does not drain writes no line more.

--- a/lib/src/direct_actor.rs
+++ b/lib/src/direct_actor.rs
@@ -177,6 +177,8 @@
 pub(crate) struct DirectOutputs {
     /// Ids of the slow endpoints.
     pub(crate) slow_endpoints: watch::Sender<HashSet<String>>,
+    /// Services whose rank groups were down at the last check.
+    pub(crate) down_services: watch::Sender<BTreeSet<String>>,
     pub(crate) limits: LimitBoard,
 }
 
@@ -186,8 +188,6 @@
     list: Option<Arc<EndpointList>>,
     /// Reply channels of queued calls, by call number.
     replies: HashMap<u64, oneshot::Sender<DispatchReply>>,
-    /// Services whose rank groups were down at the last check.
-    down_services: BTreeSet<String>,
     outputs: DirectOutputs,
     /// Time at which the dispatcher is advanced next.
     next_advance_ms: u64,
@@ -208,7 +208,6 @@
         inputs,
         list: None,
         replies: HashMap::new(),
-        down_services: BTreeSet::new(),
         outputs,
         next_advance_ms: 0,
         next_limits_published_ms: 0,
@@ -250,7 +249,7 @@
         self.next_advance_ms = now_ms + TICK_MS;
         let decisions = self.dispatcher.advance(now_ms);
         self.send_decisions(decisions, now_ms);
-        self.log_group_changes();
+        self.publish_down_services();
         self.report_limits(now_ms);
     }
 
@@ -343,18 +342,22 @@
         });
     }
 
-    /// Logs the services whose rank groups have gone down or come up since the last check.
-    fn log_group_changes(&mut self) {
+    /// Publishes the services whose rank groups are down, and logs those that have gone down or come up.
+    fn publish_down_services(&self) {
         let services = self.dispatcher.services();
         let down = services.filter(|(_, service)| service.is_down());
         let down: BTreeSet<String> = down.map(|(name, _)| name.to_owned()).collect();
-        for name in down.difference(&self.down_services) {
-            event!(GroupStoodStill, "service={name}");
-        }
-        for name in self.down_services.difference(&down) {
-            event!(GroupMoved, "service={name}");
-        }
-        self.down_services = down;
+        self.outputs.down_services.send_if_modified(|before| {
+            for name in down.difference(before) {
+                event!(GroupStoodStill, "service={name}");
+            }
+            for name in before.difference(&down) {
+                event!(GroupMoved, "service={name}");
+            }
+            let is_changed = *before != down;
+            *before = down;
+            is_changed
+        });
     }
 
     /// Requests a decision on a call; the reply is sent at once, or kept while the call is queued.
--- a/lib/src/direct_entry.rs
+++ b/lib/src/direct_entry.rs
@@ -1,5 +1,6 @@
 //! An entry that sends calls to endpoints directly, without an agent in between.
 
+use std::collections::BTreeSet;
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -28,9 +29,11 @@
 use crate::EndpointFeed;
 use crate::Metrics;
 use crate::RouteTable;
+use crate::as_ms::as_ms;
 use crate::caller_server;
 use crate::caller_server::CallerLimits;
 use crate::caller_server::CallerShutdown;
+use crate::calls_in_flight::CallsInFlight;
 use crate::crash_tracker::CrashTracker;
 use crate::direct_actor;
 use crate::direct_actor::DirectCommand;
@@ -40,6 +43,8 @@
 use crate::direct_server;
 use crate::direct_state::DirectState;
 use crate::drain_policy::KEPT_LIFETIMES;
+use crate::drain_report;
+use crate::drain_report::MAX_LISTED_CALLS;
 use crate::entry_drain::EntryDrain;
 use crate::event;
 use crate::in_flight::InFlightCounter;
@@ -101,6 +106,7 @@
         let clock = Clock::start();
         let pauses = PauseSamples::default();
         let (slow_sender, slow_endpoints) = watch::channel(HashSet::new());
+        let (down_sender, down_services) = watch::channel(BTreeSet::new());
         let rng = SmallRng::seed_from_u64(rand::random());
         let zone = &settings.availability_zone;
         let dispatcher = DirectDispatcher::new(zone, settings.retry_percent, rng);
@@ -113,6 +119,7 @@
         };
         let outputs = DirectOutputs {
             slow_endpoints: slow_sender,
+            down_services: down_sender,
             limits: LimitBoard::default(),
         };
         let limits = outputs.limits.clone();
@@ -124,7 +131,8 @@
         metrics.observe_quarantine(&crash_tracker);
         let policy = DrainPolicy::new(Duration::from_millis(settings.grace_ms));
         let drain = Arc::new(EntryDrain::new(policy));
-        metrics.observe_drain(&drain);
+        let in_flight = InFlightCounter::default();
+        metrics.observe_drain(&drain, &in_flight);
         let state = DirectState {
             clock,
             endpoints,
@@ -132,10 +140,12 @@
             dispatcher,
             pauses,
             slow_endpoints,
+            down_services,
             crash_tracker,
             protocol,
             metrics,
-            in_flight: InFlightCounter::default(),
+            in_flight,
+            calls: CallsInFlight::default(),
             drain,
             call_times: CallTimes::default(),
             has_serving_peers: AtomicBool::new(false),
@@ -332,17 +342,28 @@
         event!(DrainStarted, "in_flight={}", self.state.in_flight.count());
         let end = Instant::now() + drain.time_left().unwrap_or_default();
         let linger = self.address_lifetime() * KEPT_LIFETIMES;
-        tokio::time::sleep_until(end.min(Instant::now() + linger)).await;
+        let mut latest = sleep_until(end.min(Instant::now() + linger)).await;
         let _ = close_idle.send(true);
         while self.state.in_flight.count() > 0 && Instant::now() < end {
-            tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
+            let late = sleep_until(Instant::now() + DRAIN_CHECK_INTERVAL).await;
+            latest = latest.max(late);
         }
+        let calls = self.state.calls.latest_first();
         event!(
             DrainClosing,
-            "{} in_flight={}",
+            "{} in_flight={} listed={} timers_late_ms={}",
             drain.log_fields(),
-            self.state.in_flight.count()
+            self.state.in_flight.count(),
+            calls.len().min(MAX_LISTED_CALLS),
+            as_ms(latest)
         );
+        drain_report::log_calls_in_flight(&self.state, &calls);
         let _ = close.send(true);
     }
 }
+
+/// Waits until `time`, and returns by how much later the runtime woke the task.
+async fn sleep_until(time: Instant) -> Duration {
+    tokio::time::sleep_until(time).await;
+    time.elapsed()
+}
--- a/lib/src/direct_relay.rs
+++ b/lib/src/direct_relay.rs
@@ -31,6 +31,7 @@
 use crate::answer_framing::AnswerFraming;
 use crate::as_ms::as_ms;
 use crate::caller_connection::CallerConnection;
+use crate::calls_in_flight::CallInFlight;
 use crate::crash_tracker::CrashTracker;
 use crate::crashed_call::CrashedCall;
 use crate::direct_actor::DirectCommand;
@@ -40,6 +41,7 @@
 use crate::direct_server;
 use crate::direct_slot::DirectSlot;
 use crate::direct_state::DirectState;
+use crate::drain_report;
 use crate::event;
 use crate::http_client;
 use crate::in_flight::InFlightGuard;
@@ -105,6 +107,8 @@
     pub(crate) framing: Option<AnswerFraming>,
     /// Bytes of an unfinished event at the end of the latest answer.
     pub(crate) unfinished_bytes: usize,
+    /// Lists the call among those in flight.
+    pub(crate) in_flight: CallInFlight,
     /// Whether the end of the call was recorded.
     pub(crate) has_ended: AtomicBool,
     /// Counts the call as in flight.
@@ -392,13 +396,15 @@
     /// Refuses a call that the draining entry no longer takes. A call that was sent before is finished
     /// here.
     fn check_drain(&self) -> Result<(), DirectRefusal> {
-        if !self.tried.is_empty() || self.state.drain.elapsed().is_none() {
+        if !self.tried.is_empty() {
             return Ok(());
         }
+        let clause = self.state.drain.clause();
         if !self.state.drain.takes(self.deadline) {
             return Err(self.drain_refusal());
         }
-        self.state.drain.record_taken();
+        self.in_flight.progress().record_clause(clause);
+        self.state.drain.record_taken(clause);
         Ok(())
     }
 
@@ -468,7 +474,7 @@
         event!(
             CallEnded,
             "request_id={} outcome={outcome} attempts={} elapsed_ms={} first_event_ms={} \
-             longest_pause_ms={} late_by={} framing={} unfinished_bytes={}{}",
+             longest_pause_ms={} late_by={} framing={} unfinished_bytes={}{}{}",
             self.call.request_id,
             self.tried.len(),
             elapsed.as_millis(),
@@ -477,7 +483,8 @@
             lateness.name(),
             self.framing.map_or("none", AnswerFraming::name),
             self.unfinished_bytes,
-            reason_field(reason)
+            reason_field(reason),
+            self.end_drain_fields()
         );
     }
 
@@ -527,6 +534,7 @@
             ));
         };
         self.log_send(slot, &endpoint.id);
+        self.in_flight.progress().record_send(&endpoint.id);
         let exchange = DirectExchange {
             protocol: &self.state.protocol,
             call: &self.call,
@@ -666,14 +674,31 @@
             return String::new();
         };
         format!(
-            " draining_ms={} connection_ms={} drain_left_ms={} longest_ms={}",
+            " draining_ms={} taken_by={} connection_ms={} drain_left_ms={} longest_ms={}",
             draining.as_millis(),
+            self.in_flight.progress().clause_name(),
             self.connection.accepted.elapsed().as_millis(),
             as_ms(self.state.drain.time_left().unwrap_or_default()),
             self.state.longest_call_ms(&self.rule)
         )
     }
 
+    /// Returns the log fields of a call that ends at a draining entry: the time since the signal to shut
+    /// down, when the call arrived and by which clause it was taken, and whether its rank group stands still.
+    fn end_drain_fields(&self) -> String {
+        let drain = &self.state.drain;
+        if drain.elapsed().is_none() {
+            return String::new();
+        }
+        format!(
+            " draining_ms={} arrived_ms={} taken_by={} group_still={}",
+            drain.elapsed_ms(),
+            drain.since_signal_ms(self.arrived),
+            self.in_flight.progress().clause_name(),
+            drain_report::is_group_still(&self.state, &self.service)
+        )
+    }
+
     fn log_retry(&self, slot: &DirectSlot, reason: &str) {
         event!(
             CallRetried,
--- a/lib/src/direct_server.rs
+++ b/lib/src/direct_server.rs
@@ -21,6 +21,7 @@
 use crate::RouteRule;
 use crate::RouteTable;
 use crate::as_ms::as_ms;
+use crate::call_progress::CallIdentity;
 use crate::caller_body;
 use crate::caller_body::CallerBodyError;
 use crate::caller_connection::CallerConnection;
@@ -91,6 +92,13 @@
     }
     let service = rule.target(rand::random()).unwrap_or_default().to_owned();
     let measured = state.call_times.begin(&rule.name);
+    let in_flight = state.calls.enter(CallIdentity {
+        request_id: call.request_id.clone(),
+        route: rule.name.clone(),
+        service: service.clone(),
+        arrived,
+        deadline,
+    });
     let relay = DirectRelay {
         state: Arc::clone(state),
         resume_after: call.resume_after,
@@ -112,6 +120,7 @@
         unwritten_sends: 0,
         has_retry: false,
         may_have_run: false,
+        in_flight,
         has_ended: AtomicBool::new(false),
         _guard: guard,
     };
--- a/lib/src/direct_state.rs
+++ b/lib/src/direct_state.rs
@@ -1,5 +1,6 @@
 //! State shared by the handlers of calls that an entry sends to endpoints directly.
 
+use std::collections::BTreeSet;
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -19,6 +20,7 @@
 use crate::RouteTable;
 use crate::actor::Actor;
 use crate::as_ms::as_ms;
+use crate::calls_in_flight::CallsInFlight;
 use crate::crash_tracker::CrashTracker;
 use crate::direct_actor::DirectCommand;
 use crate::direct_actor::PauseSamples;
@@ -35,10 +37,14 @@
     pub(crate) pauses: PauseSamples,
     /// Ids of the endpoints that are slow while other endpoints of their service are not.
     pub(crate) slow_endpoints: watch::Receiver<HashSet<String>>,
+    /// Services whose rank groups are down.
+    pub(crate) down_services: watch::Receiver<BTreeSet<String>>,
     pub(crate) crash_tracker: CrashTracker,
     pub(crate) protocol: DirectProtocol,
     pub(crate) metrics: Metrics,
     pub(crate) in_flight: InFlightCounter,
+    /// The calls in flight whose requests were read.
+    pub(crate) calls: CallsInFlight,
     pub(crate) drain: Arc<EntryDrain>,
     pub(crate) call_times: CallTimes,
     /// Whether other entries take new work.
--- a/lib/src/direct_stream.rs
+++ b/lib/src/direct_stream.rs
@@ -146,7 +146,9 @@
         match part {
             Ok(StreamPart::Event(event)) => {
                 relay.resume_after = event.id.or(relay.resume_after);
-                relay.times.record_event(relay.arrived, Instant::now());
+                let now = Instant::now();
+                relay.times.record_event(relay.arrived, now);
+                relay.in_flight.progress().record_event(now);
                 if sender.send(StreamItem::Bytes(event.bytes)).await.is_err() {
                     return finish_abandoned(&relay, open);
                 }
--- a/lib/src/entry_drain.rs
+++ b/lib/src/entry_drain.rs
@@ -9,6 +9,7 @@
 
 use crate::DrainPolicy;
 use crate::as_ms::as_ms;
+use crate::taking_clause::TakingClause;
 
 /// The drain of an entry, from the signal to shut down until the process is killed.
 #[derive(Debug)]
@@ -16,8 +17,10 @@
     policy: DrainPolicy,
     /// Time of the signal; absent while the entry is not draining.
     started: watch::Sender<Option<Instant>>,
-    /// Calls taken since the signal.
-    taken: AtomicU64,
+    /// Calls taken since the signal while all were.
+    taken_in_open_time: AtomicU64,
+    /// Calls taken later, since their deadline lay before the end.
+    taken_by_deadline: AtomicU64,
     /// Calls refused since the signal because they might not have ended in time.
     refused: AtomicU64,
 }
@@ -28,7 +31,8 @@
         Self {
             policy,
             started: watch::channel(None).0,
-            taken: AtomicU64::new(0),
+            taken_in_open_time: AtomicU64::new(0),
+            taken_by_deadline: AtomicU64::new(0),
             refused: AtomicU64::new(0),
         }
     }
@@ -67,6 +71,15 @@
         self.policy.takes(draining, time_left)
     }
 
+    /// Returns the clause by which a call is taken now.
+    pub(crate) fn clause(&self) -> TakingClause {
+        match self.elapsed() {
+            None => TakingClause::BeforeSignal,
+            Some(draining) if draining < self.policy.open_time() => TakingClause::OpenTime,
+            Some(_) => TakingClause::Deadline,
+        }
+    }
+
     /// Waits until the entry no longer takes a call that ends at `deadline` at the latest; for ever if it
     /// goes on to take it.
     pub(crate) async fn until_not_taken(&self, deadline: Instant) {
@@ -83,8 +96,16 @@
     }
 
     /// Counts a call that was taken since the signal.
-    pub(crate) fn record_taken(&self) {
-        self.taken.fetch_add(1, Ordering::Relaxed);
+    pub(crate) fn record_taken(&self, clause: TakingClause) {
+        match clause {
+            TakingClause::BeforeSignal => {}
+            TakingClause::OpenTime => {
+                self.taken_in_open_time.fetch_add(1, Ordering::Relaxed);
+            }
+            TakingClause::Deadline => {
+                self.taken_by_deadline.fetch_add(1, Ordering::Relaxed);
+            }
+        }
     }
 
     /// Counts a call that was refused since the signal.
@@ -92,9 +113,18 @@
         self.refused.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Returns the number of calls taken since the signal by a clause.
+    pub(crate) fn taken_by(&self, clause: TakingClause) -> u64 {
+        match clause {
+            TakingClause::BeforeSignal => 0,
+            TakingClause::OpenTime => self.taken_in_open_time.load(Ordering::Relaxed),
+            TakingClause::Deadline => self.taken_by_deadline.load(Ordering::Relaxed),
+        }
+    }
+
     /// Returns the number of calls taken since the signal.
     pub(crate) fn taken(&self) -> u64 {
-        self.taken.load(Ordering::Relaxed)
+        self.taken_by(TakingClause::OpenTime) + self.taken_by(TakingClause::Deadline)
     }
 
     /// Returns the number of calls refused since the signal.
@@ -107,6 +137,17 @@
         as_ms(self.elapsed().unwrap_or_default())
     }
 
+    /// Returns a time relative to the signal, in milliseconds; negative before it.
+    pub(crate) fn since_signal_ms(&self, at: Instant) -> String {
+        let Some(started) = *self.started.borrow() else {
+            return "none".to_owned();
+        };
+        if at < started {
+            return format!("-{}", as_ms(started - at));
+        }
+        as_ms(at - started).to_string()
+    }
+
     /// Returns the log fields of the drain: its time, and the calls taken and refused since the signal.
     pub(crate) fn log_fields(&self) -> String {
         format!(
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -65,6 +65,7 @@
     StoppedAtOnce = 7 Warn "stopped with requests in flight",
     Listening = 8 Info "listening on an interface",
     DrainClosing = 9 Info "entry stops accepting connections",
+    CallOutlastsDrain = 10 Warn "call in flight at the end of a drain",
 
     ConfigAccepted = 101 Info "document accepted",
     ConfigRefused = 102 Warn "document refused",
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -30,10 +30,12 @@
 use crate::crash_tracker::CrashTracker;
 use crate::daemon_error::DaemonError;
 use crate::entry_drain::EntryDrain;
+use crate::in_flight::InFlightCounter;
 use crate::limit_board::LimitBoard;
 use crate::listener::listen;
 use crate::listener::print_address;
 use crate::protos::control::IdleTime;
+use crate::taking_clause::TakingClause;
 
 const SCOPE: &str = "pomeloramp";
 /// Limit on the series of one instrument; organisations beyond it share one series.
@@ -170,7 +172,7 @@
     }
 
     /// Reports the drain of an entry: its time, and what became of the calls since the signal.
-    pub(crate) fn observe_drain(&self, drain: &Arc<EntryDrain>) {
+    pub(crate) fn observe_drain(&self, drain: &Arc<EntryDrain>, in_flight: &InFlightCounter) {
         let meter = self.provider.meter(SCOPE);
         let observed = Arc::clone(drain);
         meter
@@ -188,6 +190,23 @@
                 counter.observe(observed.refused(), &outcome("refused"));
             })
             .build();
+        let observed = Arc::clone(drain);
+        meter
+            .u64_observable_counter("pomeloramp_draining_taken_calls")
+            .with_description("Calls taken since the signal to shut down, by the reason")
+            .with_callback(move |counter| {
+                for clause in [TakingClause::OpenTime, TakingClause::Deadline] {
+                    let labels = [KeyValue::new("taken_by", clause.name())];
+                    counter.observe(observed.taken_by(clause), &labels);
+                }
+            })
+            .build();
+        let in_flight = in_flight.clone();
+        meter
+            .u64_observable_gauge("pomeloramp_in_flight_calls")
+            .with_description("Calls that have not been answered completely yet")
+            .with_callback(move |gauge| gauge.observe(in_flight.count() as u64, &[]))
+            .build();
     }
 
     /// Reports the limits that endpoints name, and what was done about them, on each read.
