--- a/lib/src/direct_relay.rs
+++ b/lib/src/direct_relay.rs
@@ -1,6 +1,8 @@
 //! Sends one call to endpoints, within its deadline, its route's attempts and the retry budget.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -28,6 +30,7 @@
 use crate::answer_framing::AnswerFraming;
 use crate::as_ms::as_ms;
 use crate::caller_connection::CallerConnection;
+use crate::calls_in_flight::CallInFlight;
 use crate::crash_tracker::CrashTracker;
 use crate::crashed_call::CrashedCall;
 use crate::direct_actor::DirectCommand;
@@ -37,6 +40,7 @@
 use crate::direct_server;
 use crate::direct_slot::DirectSlot;
 use crate::direct_state::DirectState;
+use crate::drain_report;
 use crate::event;
 use crate::http_client;
 use crate::in_flight::InFlightGuard;
@@ -102,6 +106,10 @@
     pub(crate) framing: Option<AnswerFraming>,
     /// Bytes of an unfinished event at the end of the latest answer.
     pub(crate) unfinished_bytes: usize,
+    /// Lists the call among those in flight.
+    pub(crate) in_flight: CallInFlight,
+    /// Whether the end of the call was recorded.
+    pub(crate) has_ended: AtomicBool,
     /// Counts the call as in flight.
     pub(crate) _guard: InFlightGuard,
 }
@@ -439,13 +447,15 @@
 
     /// Refuses a call that the draining entry no longer takes. A call that may have run is finished here.
     fn check_drain(&self) -> Result<(), DirectRefusal> {
-        if self.may_have_run || self.state.drain.elapsed().is_none() {
+        if self.may_have_run {
             return Ok(());
         }
+        let clause = self.state.drain.clause();
         if !self.state.drain.takes(self.deadline) {
             return Err(self.drain_refusal());
         }
-        self.state.drain.record_taken();
+        self.in_flight.progress().record_clause(clause);
+        self.state.drain.record_taken(clause);
         Ok(())
     }
 
@@ -496,8 +506,15 @@
             .build()
     }
 
-    /// Records the end of the call in metrics and log.
-    pub(crate) fn record_end(&self, outcome: &str) {
+    /// Returns the refusal of a call whose answer has not begun; its own line tells of its end.
+    pub(crate) fn end_refused(&self, refusal: DirectRefusal) -> DirectRefusal {
+        self.has_ended.store(true, Ordering::Relaxed);
+        refusal
+    }
+
+    /// Records the end of the call in metrics and log, with the reason if it has none of its own.
+    pub(crate) fn record_end(&self, outcome: &str, reason: &str) {
+        self.has_ended.store(true, Ordering::Relaxed);
         let elapsed = self.arrived.elapsed();
         let organisation = self.organisation.as_ref().map_or("", |o| o.name.as_str());
         let metrics = &self.state.metrics;
@@ -509,7 +526,7 @@
         event!(
             CallEnded,
             "request_id={} outcome={outcome} attempts={} elapsed_ms={} first_event_ms={} \
-             longest_pause_ms={} late_by={} framing={} unfinished_bytes={}",
+             longest_pause_ms={} late_by={} framing={} unfinished_bytes={}{}{}",
             self.call.request_id,
             self.tried.len(),
             elapsed.as_millis(),
@@ -517,7 +534,9 @@
             self.times.longest_pause_ms(),
             lateness.name(),
             self.framing.map_or("none", AnswerFraming::name),
-            self.unfinished_bytes
+            self.unfinished_bytes,
+            reason_field(reason),
+            self.end_drain_fields()
         );
     }
 
@@ -567,6 +586,7 @@
             ));
         };
         self.log_send(slot, &endpoint.id);
+        self.in_flight.progress().record_send(&endpoint.id);
         let exchange = DirectExchange {
             protocol: &self.state.protocol,
             call: &self.call,
@@ -713,14 +733,31 @@
             return String::new();
         };
         format!(
-            " draining_ms={} connection_ms={} drain_left_ms={} longest_ms={}",
+            " draining_ms={} taken_by={} connection_ms={} drain_left_ms={} longest_ms={}",
             draining.as_millis(),
+            self.in_flight.progress().clause_name(),
             self.connection.accepted.elapsed().as_millis(),
             as_ms(self.state.drain.time_left().unwrap_or_default()),
             self.state.longest_call_ms(&self.rule)
         )
     }
 
+    /// Returns the log fields of a call that ends at a draining entry: the time since the signal to shut
+    /// down, when the call arrived and by which clause it was taken, and whether its rank group stands still.
+    fn end_drain_fields(&self) -> String {
+        let drain = &self.state.drain;
+        if drain.elapsed().is_none() {
+            return String::new();
+        }
+        format!(
+            " draining_ms={} arrived_ms={} taken_by={} group_still={}",
+            drain.elapsed_ms(),
+            drain.since_signal_ms(self.arrived),
+            self.in_flight.progress().clause_name(),
+            drain_report::is_group_still(&self.state, &self.service)
+        )
+    }
+
     pub(crate) fn log_retry(&self, slot: &DirectSlot, reason: &str) {
         event!(
             CallRetried,
@@ -743,6 +780,25 @@
     }
 }
 
+impl Drop for DirectRelay {
+    fn drop(&mut self) {
+        if !self.has_ended.load(Ordering::Relaxed) {
+            self.record_end(
+                "abandoned",
+                "caller disconnected while an endpoint was awaited",
+            );
+        }
+    }
+}
+
+/// Returns the log field of a reason; nothing if there is none.
+fn reason_field(reason: &str) -> String {
+    if reason.is_empty() {
+        return String::new();
+    }
+    format!(" reason=\"{}\"", reason.replace('"', "'"))
+}
+
 /// Checks whether an endpoint whose connection broke has crashed.
 async fn probe_for_crash(tracker: CrashTracker, endpoint_id: String, address: String) {
     tokio::time::sleep(CRASH_CHECK_DELAY).await;
--- a/lib/src/direct_server.rs
+++ b/lib/src/direct_server.rs
@@ -1,6 +1,7 @@
 //! Serves the requests of callers that an entry sends to endpoints directly.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,6 +21,7 @@
 use crate::RouteRule;
 use crate::RouteTable;
 use crate::as_ms::as_ms;
+use crate::call_progress::CallIdentity;
 use crate::caller_body;
 use crate::caller_body::CallerBodyError;
 use crate::caller_connection::CallerConnection;
@@ -90,6 +92,13 @@
     }
     let service = rule.target(rand::random()).unwrap_or_default().to_owned();
     let measured = state.call_times.begin(&rule.name);
+    let in_flight = state.calls.enter(CallIdentity {
+        request_id: call.request_id.clone(),
+        route: rule.name.clone(),
+        service: service.clone(),
+        arrived,
+        deadline,
+    });
     let relay = DirectRelay {
         state: Arc::clone(state),
         resume_after: call.resume_after,
@@ -111,6 +120,8 @@
         unwritten_sends: 0,
         next_slot: None,
         may_have_run: false,
+        in_flight,
+        has_ended: AtomicBool::new(false),
         _guard: guard,
     };
     if relay.rule.repeatability.is_stream() {
@@ -230,7 +241,7 @@
         Ok(answer) => answer.head.status.as_u16(),
         Err(refusal) => refusal.status.as_u16(),
     };
-    relay.record_end(&outcome.to_string());
+    relay.record_end(&outcome.to_string(), "");
     let answer = answer?;
     relay.measured.record_end();
     let mut response = Response::new(Body::from(answer.body));
--- a/lib/src/drain_policy.rs
+++ b/lib/src/drain_policy.rs
@@ -56,7 +56,7 @@
     }
 
     /// Returns the time since the signal for which calls are taken whatever their deadline.
-    fn open_time(&self) -> Duration {
+    pub(crate) fn open_time(&self) -> Duration {
         MAX_OPEN_TIME.min(self.grace * OPEN_PERCENT / 100)
     }
 }
