drain: Retry-After of the last entry reaches to the start of its successor

What callers saw: an entry that drained while no other took calls told refused callers to come back when its drain ended, at 93 % of the grace time, or at once after that. Its process was still there until SIGKILL, and nothing took calls.

The delay is now the time until the grace time is over and a new process has started (500 ms).

--- a/lib/src/direct_state.rs
+++ b/lib/src/direct_state.rs
@@ -72,12 +72,12 @@
     }
 
     /// Returns the retry delay of a call that this draining entry refuses: none if another entry takes
-    /// it, else the time until this one has ended.
+    /// it, else the time until a process that replaces this one takes calls.
     pub(crate) fn retry_elsewhere_ms(&self) -> u64 {
         if self.has_serving_peers.load(Ordering::Relaxed) {
             return 0;
         }
-        let time_left = self.drain.time_left().unwrap_or_default();
-        as_ms(time_left)
+        let draining = self.drain.elapsed().unwrap_or_default();
+        as_ms(self.drain.policy().time_until_replaced(draining))
     }
 }
--- a/lib/src/drain_policy.rs
+++ b/lib/src/drain_policy.rs
@@ -18,6 +18,9 @@
 /// Share of the grace time in which the calls must have ended, in percent.
 const END_PERCENT: u32 = 93;
 
+/// Time from the end of an entry until a process that replaces it takes calls.
+const RESTART_TIME: Duration = Duration::from_millis(500);
+
 /// Decides which calls a draining entry still takes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct DrainPolicy {
@@ -37,6 +40,13 @@
         self.grace * END_PERCENT / 100
     }
 
+    /// Returns the time from `draining` since the signal until a process that replaces the entry takes
+    /// calls, at the latest.
+    #[must_use]
+    pub fn time_until_replaced(&self, draining: Duration) -> Duration {
+        (self.grace + RESTART_TIME).saturating_sub(draining)
+    }
+
     /// Returns the longest lifetime of an address at `draining` since the signal with which all callers
     /// that keep it come while all calls are taken.
     #[must_use]
