direct_relay: count a send as an attempt from its start

What servers would see (BUDGET): a stream that paused again and again reached more servers than its route's max_attempts.

Cause: a send was counted when its outcome was known. A move that was given up while it waited, since the first endpoint was at work again or the time for the move was over, had no outcome, so that the stream moved anew at each pause.

A send now counts from its start, and no longer if no byte was written.

--- a/lib/src/direct_relay.rs
+++ b/lib/src/direct_relay.rs
@@ -601,13 +601,14 @@
             resume_after: self.resume_after,
         };
         let sending = exchange.send(&endpoint.address, &request_head);
-        let mut sent_to = self.tried.clone();
-        sent_to.push(endpoint.id.clone());
+        // A send that is given up while it waits counts as well.
+        self.tried.push(endpoint.id.clone());
+        let sent_to = self.tried.clone();
         let silent_until = self.resend_time(sent_to.len());
         let SendWait { outcome, next_slot } = self.wait_for(sending, sent_to, silent_until).await;
         self.next_slot = next_slot;
-        if !matches!(outcome, Ok(SendOutcome::Unwritten { .. })) {
-            self.tried.push(endpoint.id.clone());
+        if matches!(outcome, Ok(SendOutcome::Unwritten { .. })) {
+            self.tried.pop();
         }
         match outcome? {
             SendOutcome::Answered { response, limit } => {
