direct_actor: log and publish for how long endpoints want no calls, and retries left

E0615 when an endpoint asks for time, longer than known; E0616 when the field is not one number; E0617 every 5 s for those in force, with the age of the answer; retries_left on E0602 and E0603; a gauge and two counters. What is known decides nothing yet.

--- a/lib/src/direct_actor.rs
+++ b/lib/src/direct_actor.rs
@@ -16,10 +16,13 @@
 use crate::DispatchDecision;
 use crate::DispatchQuery;
 use crate::EndpointList;
+use crate::EndpointNotice;
 use crate::LimitChange;
 use crate::LimitDivision;
 use crate::LimitStatus;
 use crate::NamedLimit;
+use crate::PauseChange;
+use crate::PauseStatus;
 use crate::PeerDemand;
 use crate::RouteTable;
 use crate::SendResult;
@@ -30,6 +33,7 @@
 use crate::endpoint_limit::BelievedLimit;
 use crate::event;
 use crate::limit_board::LimitBoard;
+use crate::pause_board::PauseBoard;
 use crate::protos::control::EndpointLimitReport;
 
 const RING_CAPACITY: usize = 4096;
@@ -70,7 +74,7 @@
     /// Requests a retry from the budget of a service.
     Retry {
         service: String,
-        reply: oneshot::Sender<bool>,
+        reply: oneshot::Sender<RetryReply>,
     },
     /// Requests a retry and a slot at another endpoint, to move a call away from a silent or slow one,
     /// the last in the query's `exclude`.
@@ -81,10 +85,12 @@
     },
     /// An endpoint has begun to answer a call.
     AnswerStarted { call: u64 },
-    /// The answer to a running call says something about its endpoint's limit.
-    LimitObserved {
+    /// The answer to a running call says something about the calls that its endpoint takes.
+    NoticeObserved {
         call: u64,
-        limit: NamedLimit,
+        notice: EndpointNotice,
+        /// Whether the endpoint may have run the call.
+        has_run: bool,
         request_id: String,
     },
     /// A running or queued call has ended.
@@ -108,6 +114,14 @@
     pub(crate) limit: Option<BelievedLimit>,
 }
 
+/// The answer to a request for a retry.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct RetryReply {
+    pub(crate) is_allowed: bool,
+    /// Whole retries that the budget still has.
+    pub(crate) retries_left: u64,
+}
+
 /// In-flight calls of this entry.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct LocalDemand {
@@ -180,6 +194,7 @@
     /// Services whose rank groups were down at the last check.
     pub(crate) down_services: watch::Sender<BTreeSet<String>>,
     pub(crate) limits: LimitBoard,
+    pub(crate) pauses: PauseBoard,
 }
 
 struct State {
@@ -262,7 +277,9 @@
         let mut statuses = self.dispatcher.limit_statuses(now_ms);
         statuses.sort_by_key(|status| Reverse(status.calls.concerned()));
         statuses.truncate(MAX_PUBLISHED_LIMITS);
-        if now_ms >= self.next_limits_logged_ms {
+        let is_logged = now_ms >= self.next_limits_logged_ms;
+        self.report_pauses(is_logged, now_ms);
+        if is_logged {
             self.next_limits_logged_ms = now_ms + LIMITS_LOGGED_MS;
             let logged = statuses.iter().take(MAX_LOGGED_LIMITS);
             logged.for_each(log_limit_status);
@@ -270,6 +287,29 @@
         self.outputs.limits.publish(statuses);
     }
 
+    /// Publishes the pauses of endpoints; logs them at their interval.
+    fn report_pauses(&self, is_logged: bool, now_ms: u64) {
+        let mut statuses = self.dispatcher.pause_statuses(now_ms);
+        statuses.sort_by_key(|status| Reverse(status.left_ms));
+        statuses.truncate(MAX_PUBLISHED_LIMITS);
+        if is_logged {
+            let logged = statuses.iter().take(MAX_LOGGED_LIMITS);
+            logged.for_each(log_pause_status);
+        }
+        self.outputs.pauses.publish(statuses);
+    }
+
+    /// Applies and logs what an answer says about its endpoint's limit.
+    fn observe_limit(&mut self, call: u64, limit: &NamedLimit, request_id: &str, now_ms: u64) {
+        if matches!(limit, NamedLimit::Invalid(_)) {
+            self.outputs.limits.count_invalid();
+        }
+        let change = self
+            .dispatcher
+            .observe_limit(call, limit, request_id, now_ms);
+        change.as_ref().map(log_limit_change);
+    }
+
     /// Handles one command. A reply is dropped when its requester no longer waits for it.
     fn handle(&mut self, command: DirectCommand, now_ms: u64) {
         match command {
@@ -291,7 +331,10 @@
             }
             DirectCommand::RequestEndpoint { query, reply } => self.dispatch(query, reply, now_ms),
             DirectCommand::Retry { service, reply } => {
-                let _ = reply.send(self.dispatcher.try_retry(&service, now_ms));
+                let _ = reply.send(RetryReply {
+                    is_allowed: self.dispatcher.try_retry(&service, now_ms),
+                    retries_left: self.dispatcher.retries_left(&service),
+                });
             }
             DirectCommand::Move { query, reply } => {
                 if let Some(endpoint) = self.dispatcher.move_call(&query, now_ms) {
@@ -303,18 +346,23 @@
                 let decisions = self.dispatcher.record_answer_start(call, now_ms);
                 self.send_decisions(decisions, now_ms);
             }
-            DirectCommand::LimitObserved {
+            DirectCommand::NoticeObserved {
                 call,
-                limit,
+                notice,
+                has_run,
                 request_id,
             } => {
-                if matches!(limit, NamedLimit::Invalid(_)) {
-                    self.outputs.limits.count_invalid();
+                if has_run || notice.limit != NamedLimit::None {
+                    self.observe_limit(call, &notice.limit, &request_id, now_ms);
+                }
+                let retry_after = &notice.retry_after;
+                let dispatcher = &mut self.dispatcher;
+                let changes =
+                    dispatcher.observe_retry_after(call, retry_after, &request_id, now_ms);
+                for change in &changes {
+                    self.outputs.pauses.count(change);
+                    log_pause_change(change);
                 }
-                let change = self
-                    .dispatcher
-                    .observe_limit(call, &limit, &request_id, now_ms);
-                change.as_ref().map(log_limit_change);
             }
             DirectCommand::End { call, result } => {
                 self.replies.remove(&call);
@@ -459,6 +507,42 @@
     }
 }
 
+fn log_pause_change(change: &PauseChange) {
+    match change {
+        PauseChange::Asked {
+            endpoint,
+            length_ms,
+            request_id,
+        } => event!(
+            PauseAsked,
+            "request_id={request_id} endpoint={endpoint} pause_ms={length_ms}"
+        ),
+        PauseChange::Invalid {
+            endpoint,
+            text,
+            request_id,
+        } => event!(
+            PauseInvalid,
+            "request_id={request_id} endpoint={endpoint} text={text:?}"
+        ),
+    }
+}
+
+fn log_pause_status(status: &PauseStatus) {
+    let PauseStatus {
+        endpoint,
+        service,
+        age_ms,
+        left_ms,
+        request_id,
+    } = status;
+    event!(
+        PauseInForce,
+        "service={service} endpoint={endpoint} pause_age_ms={age_ms} pause_left_ms={left_ms} \
+         source=\"request {request_id}\""
+    );
+}
+
 /// Returns the value of an input if it has changed since it was last read.
 fn take_changed<T: Clone>(input: &mut watch::Receiver<Option<T>>) -> Option<T> {
     // The sender lives as long as the entry, so it outlives every command to the actor.
--- a/lib/src/direct_dispatcher.rs
+++ b/lib/src/direct_dispatcher.rs
@@ -17,8 +17,11 @@
 use crate::LimitSource;
 use crate::LimitStatus;
 use crate::NamedLimit;
+use crate::PauseChange;
+use crate::PauseStatus;
 use crate::PeerDemand;
 use crate::RefusalCode;
+use crate::RetryAfter;
 use crate::RetryBudget;
 use crate::RouteTable;
 use crate::SendResult;
@@ -217,6 +220,13 @@
         budget(&mut self.budgets, service, self.retry_percent, now_ms).try_retry(now_ms)
     }
 
+    /// Returns the whole retries that the budget of a service has.
+    #[must_use]
+    pub fn retries_left(&self, service: &str) -> u64 {
+        let budget = self.budgets.get(service);
+        budget.map_or(0, RetryBudget::retries_left)
+    }
+
     /// Ends a running or queued call; returns the decisions on queued calls that this allows.
     pub fn end(
         &mut self,
@@ -261,6 +271,22 @@
         service.observe_limit(call, limit, request_id, now_ms)
     }
 
+    /// Records for how long the endpoint of a running call wants no calls of this entry, as its answer
+    /// says; returns what is to be logged.
+    pub fn observe_retry_after(
+        &mut self,
+        call: u64,
+        retry_after: &RetryAfter,
+        request_id: &str,
+        now_ms: u64,
+    ) -> Vec<PauseChange> {
+        let service = self.service_by_call.get(&call);
+        let service = service.and_then(|service| self.services.get_mut(service));
+        service.map_or_else(Vec::new, |service| {
+            service.observe_retry_after(call, retry_after, request_id, now_ms)
+        })
+    }
+
     /// Applies what the entry at `address` reports on the limits of endpoints; returns the changes to
     /// log.
     pub fn merge_limits(
@@ -329,6 +355,17 @@
         statuses.collect()
     }
 
+    /// Returns the endpoints that want no calls of this entry for some time.
+    #[must_use]
+    pub fn pause_statuses(&self, now_ms: u64) -> Vec<PauseStatus> {
+        let endpoints = self.services.values().flat_map(DirectService::endpoints);
+        let statuses = endpoints.filter_map(|endpoint| {
+            let record = &endpoint.record;
+            endpoint.pause.status(&record.id, &record.service, now_ms)
+        });
+        statuses.collect()
+    }
+
     /// Returns the limit that an endpoint names, as far as this entry knows.
     #[must_use]
     pub fn limit_of(&self, record: &EndpointRecord, now_ms: u64) -> Option<BelievedLimit> {
--- a/lib/src/direct_endpoint.rs
+++ b/lib/src/direct_endpoint.rs
@@ -8,6 +8,7 @@
 use crate::SendResult;
 use crate::endpoint_limit::EndpointLimit;
 use crate::endpoint_limit::LimitedEndpoint;
+use crate::endpoint_pause::EndpointPause;
 use crate::limit_division::ServiceDivision;
 use crate::short_hash::short_hash;
 
@@ -44,6 +45,8 @@
     pub(crate) slowdown_percent: u32,
     /// What is known of the limit that the endpoint names.
     pub(crate) limit: EndpointLimit,
+    /// What is known of the time for which the endpoint wants no calls.
+    pub(crate) pause: EndpointPause,
     /// Hash of the id and the run of the endpoint.
     pub(crate) limit_key: u32,
     /// Share of the recent calls that failed, from 0 to 1.
@@ -63,6 +66,7 @@
             peer_calls: 0,
             slowdown_percent: USUAL_STEP_TIME_PERCENT,
             limit: EndpointLimit::default(),
+            pause: EndpointPause::default(),
             limit_key,
             failure_rate: 0.0,
             mean_latency_ms: INITIAL_LATENCY_MS,
--- a/lib/src/direct_entry.rs
+++ b/lib/src/direct_entry.rs
@@ -50,6 +50,7 @@
 use crate::in_flight::InFlightCounter;
 use crate::limit_board::LimitBoard;
 use crate::listener::listen;
+use crate::pause_board::PauseBoard;
 use crate::shutdown;
 
 /// Interval at which a drain checks for calls in flight.
@@ -121,12 +122,15 @@
             slow_endpoints: slow_sender,
             down_services: down_sender,
             limits: LimitBoard::default(),
+            pauses: PauseBoard::default(),
         };
         let limits = outputs.limits.clone();
+        let endpoint_pauses = outputs.pauses.clone();
         let dispatcher = direct_actor::spawn(clock, dispatcher, inputs, outputs);
         let metrics = Metrics::new();
         metrics.observe_endpoints(&endpoints);
         metrics.observe_limits(&limits);
+        metrics.observe_pauses(&endpoint_pauses);
         let crash_tracker = CrashTracker::new(clock);
         metrics.observe_quarantine(&crash_tracker);
         let policy = DrainPolicy::new(Duration::from_millis(settings.grace_ms));
--- a/lib/src/direct_exchange.rs
+++ b/lib/src/direct_exchange.rs
@@ -15,8 +15,9 @@
 
 use crate::DirectCall;
 use crate::DirectProtocol;
+use crate::EndpointNotice;
 use crate::EndpointRequestHead;
-use crate::NamedLimit;
+use crate::RetryAfter;
 use crate::SendResult;
 use crate::http_client;
 use crate::http_client::HttpError;
@@ -29,7 +30,7 @@
     /// The endpoint answered; the body of the answer is still to be read.
     Answered {
         response: Response<Incoming>,
-        limit: NamedLimit,
+        notice: EndpointNotice,
     },
     /// No byte of the call was written.
     Unwritten { reason: String },
@@ -39,9 +40,9 @@
         reason: String,
         /// Id of another endpoint that the answer reports as the cause.
         endpoint_at_fault: Option<String>,
-        /// What the endpoint says about the calls that it takes; `None` from another process at its
+        /// What the endpoint says about the calls that it takes; nothing from another process at its
         /// address.
-        limit: NamedLimit,
+        notice: EndpointNotice,
     },
     /// The call may have run, and no valid answer arrived.
     Lost { result: SendResult, reason: String },
@@ -82,8 +83,11 @@
     /// Checks that the answer belongs to this call, and whether the call ran.
     fn check(&self, response: Response<Incoming>) -> SendOutcome {
         let (head, body) = response.into_parts();
-        let answer = (self.protocol.read_answer)(&head);
+        let mut answer = (self.protocol.read_answer)(&head);
         let status = head.status;
+        if status != StatusCode::SERVICE_UNAVAILABLE {
+            answer.notice.retry_after = RetryAfter::None;
+        }
         if answer.is_not_run || status == StatusCode::MISDIRECTED_REQUEST {
             let is_misdirected = status == StatusCode::MISDIRECTED_REQUEST;
             return SendOutcome::NotRun {
@@ -94,10 +98,10 @@
                 },
                 reason: format!("endpoint did not run the call: status {status}"),
                 endpoint_at_fault: answer.endpoint_at_fault,
-                limit: if is_misdirected {
-                    NamedLimit::None
+                notice: if is_misdirected {
+                    EndpointNotice::NONE
                 } else {
-                    answer.limit
+                    answer.notice
                 },
             };
         }
@@ -113,7 +117,7 @@
         }
         SendOutcome::Answered {
             response: Response::from_parts(head, body),
-            limit: answer.limit,
+            notice: answer.notice,
         }
     }
 }
--- a/lib/src/direct_protocol.rs
+++ b/lib/src/direct_protocol.rs
@@ -9,7 +9,7 @@
 
 use crate::DirectCall;
 use crate::DirectRefusal;
-use crate::NamedLimit;
+use crate::EndpointNotice;
 use crate::RouteTable;
 
 /// The fields that an entry adds to the head of a caller's request for an endpoint.
@@ -39,7 +39,7 @@
     /// Id of another endpoint, on which the answering one depends, that caused the failure.
     pub endpoint_at_fault: Option<String>,
     /// What the endpoint says about the calls that it takes.
-    pub limit: NamedLimit,
+    pub notice: EndpointNotice,
 }
 
 /// The HTTP conventions of callers and endpoints, as functions of the platform's adapter.
--- a/lib/src/direct_relay.rs
+++ b/lib/src/direct_relay.rs
@@ -22,7 +22,6 @@
 use crate::EndpointRequestHead;
 use crate::ListSource;
 use crate::MeasuredCall;
-use crate::NamedLimit;
 use crate::OrganisationRule;
 use crate::PlatformRevision;
 use crate::RouteRule;
@@ -35,6 +34,7 @@
 use crate::crashed_call::CrashedCall;
 use crate::direct_actor::DirectCommand;
 use crate::direct_actor::DispatchReply;
+use crate::direct_actor::RetryReply;
 use crate::direct_exchange::DirectExchange;
 use crate::direct_exchange::SendOutcome;
 use crate::direct_server;
@@ -92,6 +92,8 @@
     pub(crate) deadline: Instant,
     /// Ids of the endpoints that the call was sent to, the latest last.
     pub(crate) tried: Vec<String>,
+    /// Whole retries that the budget had left when the call last asked for one.
+    pub(crate) retries_left: u64,
     /// Sends that failed before a byte was written.
     pub(crate) unwritten_sends: u32,
     /// The slot at another endpoint that the call moves to; its retry was taken from the budget.
@@ -321,7 +323,12 @@
         let (reply, allowed) = oneshot::channel();
         let service = self.service.clone();
         let command = DirectCommand::Retry { service, reply };
-        self.has_attempt_left(attempts) && self.request(command, allowed).await
+        if !self.has_attempt_left(attempts) {
+            return false;
+        }
+        let reply = self.request(command, allowed).await;
+        self.retries_left = reply.retries_left;
+        reply.is_allowed
     }
 
     /// Returns a slot at another endpoint if the call may be moved away from the last endpoint in
@@ -361,15 +368,19 @@
     }
 
     /// Sends a command to the dispatcher and waits for its reply; a full ring counts as a refusal.
-    async fn request(&self, command: DirectCommand, reply: oneshot::Receiver<bool>) -> bool {
+    async fn request(
+        &self,
+        command: DirectCommand,
+        reply: oneshot::Receiver<RetryReply>,
+    ) -> RetryReply {
         if let Err(error) = self.state.dispatcher.submit(command) {
             log::warn!(
                 "retry of request {} not allowed: {error}",
                 self.call.request_id
             );
-            return false;
+            return RetryReply::default();
         }
-        reply.await.unwrap_or(false)
+        reply.await.unwrap_or_default()
     }
 
     /// Returns the time until the call's deadline.
@@ -611,8 +622,8 @@
             self.tried.pop();
         }
         match outcome? {
-            SendOutcome::Answered { response, limit } => {
-                slot.record_limit(limit, &self.call.request_id);
+            SendOutcome::Answered { response, notice } => {
+                slot.record_notice(notice, true, &self.call.request_id);
                 self.framing = Some(AnswerFraming::of(response.headers()));
                 Ok(response)
             }
@@ -621,12 +632,9 @@
                 result,
                 reason,
                 endpoint_at_fault,
-                limit,
+                notice,
             } => {
-                // Only an answer that ran shows that an endpoint has stopped naming its limit.
-                if limit != NamedLimit::None {
-                    slot.record_limit(limit, &self.call.request_id);
-                }
+                slot.record_notice(notice, false, &self.call.request_id);
                 Err(SendFailure::not_run(result, reason, endpoint_at_fault))
             }
             SendOutcome::Lost { result, reason } if result == SendResult::Unreachable => {
@@ -762,20 +770,22 @@
     pub(crate) fn log_retry(&self, slot: &DirectSlot, reason: &str) {
         event!(
             CallRetried,
-            "request_id={} endpoint={} attempts={} reason=\"{reason}\"",
+            "request_id={} endpoint={} attempts={} retries_left={} reason=\"{reason}\"",
             self.call.request_id,
             slot.endpoint().map_or("", |endpoint| endpoint.id.as_str()),
-            self.tried.len()
+            self.tried.len(),
+            self.retries_left
         );
     }
 
     fn log_failure(&self, slot: &DirectSlot, reason: &str) {
         event!(
             CallFailed,
-            "request_id={} endpoint={} attempts={} left_ms={} reason=\"{reason}\"",
+            "request_id={} endpoint={} attempts={} retries_left={} left_ms={} reason=\"{reason}\"",
             self.call.request_id,
             slot.endpoint().map_or("", |endpoint| endpoint.id.as_str()),
             self.tried.len(),
+            self.retries_left,
             self.time_left_ms()
         );
     }
--- a/lib/src/direct_service.rs
+++ b/lib/src/direct_service.rs
@@ -20,7 +20,9 @@
 use crate::LimitObservation;
 use crate::LimitSource;
 use crate::NamedLimit;
+use crate::PauseChange;
 use crate::RefusalCode;
+use crate::RetryAfter;
 use crate::SendResult;
 use crate::StreamConcurrencyLimit;
 use crate::as_f64::as_f64;
@@ -462,6 +464,27 @@
         change
     }
 
+    /// Records for how long the endpoint of a running call wants no calls of this entry, as its answer
+    /// says; returns what is to be logged.
+    pub(crate) fn observe_retry_after(
+        &mut self,
+        call: u64,
+        retry_after: &RetryAfter,
+        request_id: &str,
+        now_ms: u64,
+    ) -> Vec<PauseChange> {
+        let Some(running) = self.running.get(&call) else {
+            return Vec::new();
+        };
+        let endpoint = self.endpoints.get_mut(&running.endpoint);
+        let endpoint =
+            endpoint.filter(|endpoint| endpoint.record.born_ms == running.endpoint_born_ms);
+        endpoint.map_or_else(Vec::new, |endpoint| {
+            let id = endpoint.record.id.as_str();
+            endpoint.pause.observe(id, retry_after, request_id, now_ms)
+        })
+    }
+
     /// Applies what is known of the limit of the endpoint with this key, if it is one of the service;
     /// returns the change to log.
     pub(crate) fn apply_limit(
--- a/lib/src/direct_slot.rs
+++ b/lib/src/direct_slot.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use crate::EndpointList;
+use crate::EndpointNotice;
 use crate::EndpointRecord;
 use crate::NamedLimit;
 use crate::SendResult;
@@ -67,15 +68,18 @@
         self.limit
     }
 
-    /// Reports to the dispatcher what an answer says about the endpoint's limit, unless there is and
-    /// was none.
-    pub(crate) fn record_limit(&self, limit: NamedLimit, request_id: &str) {
-        if limit == NamedLimit::None && self.limit.is_none() {
+    /// Reports to the dispatcher what an answer says about the calls that the endpoint takes, unless
+    /// that is nothing. Only an answer to a call that ran shows that the endpoint has stopped naming its
+    /// limit.
+    pub(crate) fn record_notice(&self, notice: EndpointNotice, has_run: bool, request_id: &str) {
+        let is_lifted = has_run && self.limit.is_some() && notice.limit == NamedLimit::None;
+        if notice == EndpointNotice::NONE && !is_lifted {
             return;
         }
-        self.submit(DirectCommand::LimitObserved {
+        self.submit(DirectCommand::NoticeObserved {
             call: self.call,
-            limit,
+            notice,
+            has_run,
             request_id: request_id.to_owned(),
         });
     }
--- /dev/null
+++ b/lib/src/endpoint_pause.rs
@@ -0,0 +1,119 @@
+//! What an entry believes of the time for which an endpoint wants no calls.
+
+use crate::RetryAfter;
+
+/// Longest time for which one answer keeps calls from an endpoint.
+const MAX_PAUSE_MS: u64 = 120_000;
+
+/// What an entry believes of the time for which an endpoint wants no calls of this entry.
+#[derive(Debug, Default)]
+pub(crate) struct EndpointPause {
+    /// The answer that asked for the longest time; absent once that time is over.
+    known: Option<KnownPause>,
+    names_invalid: bool,
+}
+
+#[derive(Debug)]
+struct KnownPause {
+    /// Time of the answer.
+    asked_ms: u64,
+    /// End of the time that the answer asked for.
+    until_ms: u64,
+    /// Request that was answered so.
+    request_id: String,
+}
+
+/// What an answer says of a pause, for the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PauseChange {
+    /// The endpoint wants no calls for some time, longer than was known.
+    Asked {
+        /// Id of the endpoint.
+        endpoint: String,
+        /// Time that the answer asks for, as far as it is believed.
+        length_ms: u64,
+        /// Request that was answered so.
+        request_id: String,
+    },
+    /// The endpoint names something that is not one number of seconds.
+    Invalid {
+        /// Id of the endpoint.
+        endpoint: String,
+        /// What the endpoint names.
+        text: String,
+        /// Request that was answered so.
+        request_id: String,
+    },
+}
+
+/// A pause of an endpoint, as far as an entry knows, for the log and metrics.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PauseStatus {
+    /// Id of the endpoint.
+    pub endpoint: String,
+    /// Service of the endpoint.
+    pub service: String,
+    /// Time since the answer that asked for the pause.
+    pub age_ms: u64,
+    /// Time until the end of the pause.
+    pub left_ms: u64,
+    /// Request that was answered so.
+    pub request_id: String,
+}
+
+impl EndpointPause {
+    /// Applies what an answer of the endpoint says; returns what is to be logged.
+    pub(crate) fn observe(
+        &mut self,
+        endpoint: &str,
+        retry_after: &RetryAfter,
+        request_id: &str,
+        now_ms: u64,
+    ) -> Vec<PauseChange> {
+        let mut changes = Vec::new();
+        if let RetryAfter::Invalid { text, .. } = retry_after
+            && !std::mem::replace(&mut self.names_invalid, true)
+        {
+            changes.push(PauseChange::Invalid {
+                endpoint: endpoint.to_owned(),
+                text: text.clone(),
+                request_id: request_id.to_owned(),
+            });
+        }
+        if let RetryAfter::Ms(_) = retry_after {
+            self.names_invalid = false;
+        }
+        let length_ms = retry_after.length_ms().unwrap_or(0).min(MAX_PAUSE_MS);
+        let until_ms = now_ms + length_ms;
+        if until_ms > self.until_ms().max(now_ms) {
+            self.known = Some(KnownPause {
+                asked_ms: now_ms,
+                until_ms,
+                request_id: request_id.to_owned(),
+            });
+            changes.push(PauseChange::Asked {
+                endpoint: endpoint.to_owned(),
+                length_ms,
+                request_id: request_id.to_owned(),
+            });
+        }
+        changes
+    }
+
+    /// Returns the pause for the log and metrics, while it lasts.
+    pub(crate) fn status(&self, endpoint: &str, service: &str, now_ms: u64) -> Option<PauseStatus> {
+        let known = self.known.as_ref()?;
+        let left_ms = known.until_ms.checked_sub(now_ms)?;
+        Some(PauseStatus {
+            endpoint: endpoint.to_owned(),
+            service: service.to_owned(),
+            age_ms: now_ms.saturating_sub(known.asked_ms),
+            left_ms,
+            request_id: known.request_id.clone(),
+        })
+    }
+
+    fn until_ms(&self) -> u64 {
+        self.known.as_ref().map_or(0, |known| known.until_ms)
+    }
+}
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -135,6 +135,9 @@
     LimitInvalid = 612 Warn "endpoint names a limit that is invalid",
     LimitInForce = 613 Info "limit of an endpoint in force",
     CallNotTaken = 614 Info "call refused by an entry that shuts down",
+    PauseAsked = 615 Warn "endpoint wants no calls for some time",
+    PauseInvalid = 616 Warn "endpoint names an invalid time without calls",
+    PauseInForce = 617 Info "endpoint is in a time without calls",
 }
 
 impl fmt::Display for Event {
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -34,6 +34,7 @@
 use crate::limit_board::LimitBoard;
 use crate::listener::listen;
 use crate::listener::print_address;
+use crate::pause_board::PauseBoard;
 use crate::protos::control::IdleTime;
 use crate::taking_clause::TakingClause;
 
@@ -268,6 +269,37 @@
             .build();
     }
 
+    /// Reports the endpoints that want no calls for some time, on each read.
+    pub(crate) fn observe_pauses(&self, pauses: &PauseBoard) {
+        let meter = self.provider.meter(SCOPE);
+        let board = pauses.clone();
+        meter
+            .u64_observable_gauge("pomeloramp_endpoint_pause_left_ms")
+            .with_description("Time for which an endpoint still wants no calls of this entry")
+            .with_callback(move |gauge| {
+                for status in &*board.statuses() {
+                    let labels = [
+                        KeyValue::new("endpoint", status.endpoint.clone()),
+                        KeyValue::new("service", status.service.clone()),
+                    ];
+                    gauge.observe(status.left_ms, &labels);
+                }
+            })
+            .build();
+        let board = pauses.clone();
+        meter
+            .u64_observable_counter("pomeloramp_endpoint_pauses")
+            .with_description("Answers that asked for a time without calls")
+            .with_callback(move |counter| counter.observe(board.asked_count(), &[]))
+            .build();
+        let board = pauses.clone();
+        meter
+            .u64_observable_counter("pomeloramp_invalid_pauses")
+            .with_description("Times that an endpoint began to name an invalid time without calls")
+            .with_callback(move |counter| counter.observe(board.invalid_count(), &[]))
+            .build();
+    }
+
     /// Records the duration of a finished request.
     pub fn record_request(&self, organisation: &str, outcome: &str, elapsed: Duration) {
         let labels = [
