tests: endpoints that ask for time, and retries of whole fleets; both fail

The stand-in of plain servers turns calls away, with any text as Retry-After; the simulated fleet fails calls and counts retries.

--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -18,6 +18,8 @@
 pub mod rank_coordinator;
 pub mod rank_fleet;
 pub mod relay;
+pub mod rest_bound;
+pub mod retry_bound;
 mod routing_workload;
 mod smallest_trace;
 pub mod status;
--- a/lib/testutils/src/limited_fleet.rs
+++ b/lib/testutils/src/limited_fleet.rs
@@ -1,4 +1,4 @@
-//! A simulated fleet of entries, with their gossip, before endpoints that name limits.
+//! A simulated fleet of entries, with their gossip, before endpoints that name limits or fail.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -38,6 +38,9 @@
 const DATAGRAM_MS: Range<u64> = 1..15;
 /// Share of the datagrams that are lost.
 const LOST_SHARE: f64 = 0.01;
+/// Most retries of a call whose endpoints all fail.
+const MAX_RETRIES: usize = 3;
+const ENTRY_PREFIX: &str = "entry-";
 /// Number of entries that a new one knows from its settings.
 const SEED_COUNT: usize = 3;
 /// A fault of one entry.
@@ -87,7 +90,7 @@
     calls_per_s: f64,
 }
 
-/// A simulated fleet of entries before endpoints that name limits.
+/// A simulated fleet of entries before endpoints that name limits or fail.
 #[derive(Debug)]
 pub struct LimitedFleet {
     rng: SmallRng,
@@ -101,6 +104,11 @@
     arrivals: Vec<Vec<Arrival>>,
     next_call: u64,
     refused: u64,
+    /// Whether all endpoints fail all calls.
+    is_failing: bool,
+    /// Times of new calls and of retries.
+    new_calls_ms: Vec<u64>,
+    retries_ms: Vec<u64>,
 }
 
 impl LimitedFleet {
@@ -128,6 +136,9 @@
             arrivals: vec![Vec::new(); endpoints],
             next_call: 0,
             refused: 0,
+            is_failing: false,
+            new_calls_ms: Vec::new(),
+            retries_ms: Vec::new(),
         };
         for (number, calls_per_s) in calls_per_s.iter().enumerate() {
             let entry = fleet.new_entry(number, *calls_per_s);
@@ -145,6 +156,17 @@
         }
     }
 
+    /// Lets all endpoints fail all calls, or none.
+    pub fn set_failing(&mut self, is_failing: bool) {
+        self.is_failing = is_failing;
+    }
+
+    /// Returns the times of new calls and those of retries.
+    #[must_use]
+    pub fn retries(&self) -> (&[u64], &[u64]) {
+        (&self.new_calls_ms, &self.retries_ms)
+    }
+
     /// Sets the new calls a second at an entry.
     pub fn set_demand(&mut self, entry: usize, calls_per_s: f64) {
         self.entries[entry].calls_per_s = calls_per_s;
@@ -319,8 +341,9 @@
         for target in targets {
             let delay_ms = self.rng.random_range(DATAGRAM_MS);
             let is_lost = self.rng.random::<f64>() < LOST_SHARE;
-            let mut others = self.entries.iter_mut();
-            let Some(other) = others.find(|other| other.address == target) else {
+            let number = target.strip_prefix(ENTRY_PREFIX);
+            let number = number.and_then(|number| number.parse::<usize>().ok());
+            let Some(other) = number.and_then(|number| self.entries.get_mut(number)) else {
                 continue;
             };
             let is_down = other.started_ms > now_ms;
@@ -335,6 +358,7 @@
     fn call(&mut self, entry: usize) {
         let now_ms = self.entries[entry].local_ms(self.now_ms);
         self.next_call += 1;
+        self.new_calls_ms.push(self.now_ms);
         let query = DispatchQuery::builder()
             .call(self.next_call)
             .service(SERVICE.to_owned())
@@ -365,11 +389,29 @@
             }
             let dispatcher = &mut entry_state.dispatcher;
             dispatcher.observe_limit(call.number, &named, "7f", local_ms);
-            let decisions = dispatcher.end(call.number, SendResult::Answered, local_ms);
+            let result = if self.is_failing {
+                SendResult::Failed
+            } else {
+                SendResult::Answered
+            };
+            let decisions = dispatcher.end(call.number, result, local_ms);
+            if self.is_failing {
+                self.retry(entry);
+            }
             self.apply(entry, decisions);
         }
     }
 
+    /// Retries a call as often as the budget of its entry and its attempts allow.
+    fn retry(&mut self, entry: usize) {
+        let local_ms = self.entries[entry].local_ms(self.now_ms);
+        let dispatcher = &mut self.entries[entry].dispatcher;
+        let is_allowed = |_: &usize| dispatcher.try_retry(SERVICE, local_ms);
+        let allowed = (0..MAX_RETRIES).take_while(is_allowed).count();
+        let times = std::iter::repeat_n(self.now_ms, allowed);
+        self.retries_ms.extend(times);
+    }
+
     fn apply(&mut self, entry: usize, decisions: Vec<(u64, DispatchDecision)>) {
         for (number, decision) in decisions {
             let DispatchDecision::Send(record) = decision else {
@@ -430,7 +472,7 @@
 }
 
 fn entry_address(number: usize) -> String {
-    format!("entry-{number:03}")
+    format!("{ENTRY_PREFIX}{number:03}")
 }
 
 fn as_f64<T>(count: T) -> f64
