--- a/lib/src/direct_service.rs
+++ b/lib/src/direct_service.rs
@@ -4,7 +4,6 @@
 //! once. Queued calls that can still be on time go before those that are late, and callers that
 //! retry after a refusal go before new ones.
 
-use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -26,6 +25,8 @@
 use crate::SendResult;
 use crate::StreamConcurrencyLimit;
 use crate::as_f64::as_f64;
+use crate::call_queue::CallQueue;
+use crate::call_queue::QueuedCall;
 use crate::demand_rate::DemandRate;
 use crate::direct_endpoint::DirectEndpoint;
 use crate::endpoint_limit::EndpointLimit;
@@ -64,7 +65,7 @@
     rng: SmallRng,
     endpoints: BTreeMap<String, DirectEndpoint>,
     running: HashMap<u64, RunningCall>,
-    queue: Vec<QueuedCall>,
+    queue: CallQueue,
     /// Limit on the calls per endpoint; absent without an engine model.
     concurrency_limit: Option<StreamConcurrencyLimit>,
     peer_demand: PeerDemand,
@@ -92,15 +93,6 @@
     since_ms: u64,
 }
 
-/// A call that is queued for a slot.
-#[derive(Debug)]
-struct QueuedCall {
-    query: DispatchQuery,
-    since_ms: u64,
-    /// Time at which the call is refused unless it has a slot.
-    until_ms: u64,
-}
-
 /// How long a call is expected to wait, and what for.
 #[derive(Debug, Clone, Copy)]
 struct ExpectedWait {
@@ -119,7 +111,7 @@
             rng,
             endpoints: BTreeMap::new(),
             running: HashMap::new(),
-            queue: Vec::new(),
+            queue: CallQueue::default(),
             concurrency_limit: None,
             peer_demand: PeerDemand::default(),
             peer_count: 0,
@@ -259,7 +251,7 @@
 
     /// Ends a running or queued call; does nothing for an unknown one.
     pub(crate) fn end(&mut self, call: u64, result: SendResult, now_ms: u64) {
-        self.queue.retain(|queued| queued.query.call != call);
+        self.queue.remove(call);
         let Some(running) = self.running.remove(&call) else {
             return;
         };
@@ -296,8 +288,7 @@
     /// those after it.
     fn assign_queued(&mut self, now_ms: u64, decisions: &mut Vec<(u64, DispatchDecision)>) {
         let mut left = Vec::new();
-        while let Some(position) = self.next_queued(now_ms) {
-            let queued = self.queue.swap_remove(position);
+        while let Some(queued) = self.queue.take_next(now_ms) {
             if let Some(decision) = self.try_assign(&queued.query, now_ms) {
                 decisions.push((queued.query.call, decision));
                 continue;
@@ -308,20 +299,16 @@
                 break;
             }
         }
-        self.queue.append(&mut left);
+        self.queue.put_back(left);
     }
 
     /// Refuses queued calls that have waited too long.
     fn refuse_expired(&mut self, now_ms: u64, decisions: &mut Vec<(u64, DispatchDecision)>) {
         let retry_after_ms = self.retry_after_ms(to_ms(self.mean_hold_time_ms));
-        self.queue.retain(|queued| {
-            let is_expired = now_ms >= queued.until_ms;
-            if is_expired {
-                let decision = refuse(RefusalCode::Overloaded, retry_after_ms);
-                decisions.push((queued.query.call, decision));
-            }
-            !is_expired
-        });
+        for queued in self.queue.take_expired(now_ms) {
+            let decision = refuse(RefusalCode::Overloaded, retry_after_ms);
+            decisions.push((queued.query.call, decision));
+        }
     }
 
     /// Refuses queued calls that can't get a permit in time.
@@ -329,9 +316,7 @@
         let Some(forecast) = self.permit_forecast(&[], now_ms) else {
             return;
         };
-        let mut queue = std::mem::take(&mut self.queue);
-        queue.sort_by_key(|queued| Reverse(precedence(queued, now_ms)));
-        for queued in queue {
+        for queued in self.queue.take_all(now_ms) {
             let expected = self.expected_wait_behind(self.queue.len(), Some(&forecast));
             if now_ms.saturating_add(expected.wait_ms) > queued.until_ms {
                 decisions.push((queued.query.call, self.refuse(expected, now_ms)));
@@ -580,26 +565,11 @@
         best.map(|(_, _, _, _, id)| id.to_owned())
     }
 
-    /// Returns the position of the queued call that is served next.
-    fn next_queued(&self, now_ms: u64) -> Option<usize> {
-        let queued = self.queue.iter().enumerate();
-        let live = queued.filter(|(_, queued)| now_ms < queued.until_ms);
-        let next = live.max_by_key(|(_, queued)| precedence(queued, now_ms));
-        next.map(|(position, _)| position)
-    }
-
     /// Predicts how long a call waits for a slot and a permit; zero when it can be sent now.
     fn expected_wait(&self, query: &DispatchQuery, now_ms: u64) -> ExpectedWait {
-        let candidate = QueuedCall {
-            query: query.clone(),
-            since_ms: now_ms,
-            until_ms: query.useful_until_ms,
-        };
-        let own_precedence = precedence(&candidate, now_ms);
-        let ahead = self.queue.iter();
-        let ahead = ahead.filter(|queued| precedence(queued, now_ms) > own_precedence);
+        let ahead = self.queue.count_ahead_of(query, now_ms);
         let forecast = self.permit_forecast(&query.exclude, now_ms);
-        self.expected_wait_behind(ahead.count(), forecast.as_ref())
+        self.expected_wait_behind(ahead, forecast.as_ref())
     }
 
     /// Predicts how long a call waits with `ahead` queued calls before it.
@@ -692,19 +662,6 @@
     }
 }
 
-/// Returns the sort key of a queued call; the greatest is served first.
-fn precedence(queued: &QueuedCall, now_ms: u64) -> (u32, bool, bool, Reverse<u64>, Reverse<u64>) {
-    let query = &queued.query;
-    let is_on_time = now_ms <= query.on_time_until_ms;
-    (
-        query.urgency,
-        query.is_returning,
-        is_on_time,
-        Reverse(queued.since_ms),
-        Reverse(query.call),
-    )
-}
-
 fn is_before(a: &(bool, f64, bool, u32, &str), b: &(bool, f64, bool, u32, &str)) -> bool {
     let by_cost = a.0.cmp(&b.0).then(a.1.total_cmp(&b.1));
     by_cost.then(a.2.cmp(&b.2)).then(a.3.cmp(&b.3)).is_lt()
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -30,6 +30,7 @@
 mod call_key;
 mod call_occupancy;
 mod call_progress;
+mod call_queue;
 mod call_record;
 mod call_registry;
 mod call_registry_settings;
