direct_service: send endpoints no calls in the time in which they want none

Cause: no code read the field. A rejection made its endpoint the last choice for 60 ms, and a choice still.

Now one function, DirectEndpoint::obstacle, decides whether a call may go to an endpoint, and says why not; every send takes its slot there. A pause is of one run, survives that the endpoint is missing from the list, and is never shortened. Entries return one after the other, each with one call first. Where all pause, calls are refused at once with the time until the first takes calls again, and a call that was rejected for the last time is told when the service has room.

Why it works: the pause is set by the command that the answer submits before the call that it ended asks for its next slot, in the same ring.

A call that ends after its endpoint has restarted no longer counts at the new run.

--- a/lib/src/direct_actor.rs
+++ b/lib/src/direct_actor.rs
@@ -76,6 +76,11 @@
         service: String,
         reply: oneshot::Sender<RetryReply>,
     },
+    /// Requests the time after which a call for a service that is refused now should come again.
+    RoomAfter {
+        service: String,
+        reply: oneshot::Sender<u64>,
+    },
     /// Requests a retry and a slot at another endpoint, to move a call away from a silent or slow one,
     /// the last in the query's `exclude`.
     Move {
@@ -243,7 +248,8 @@
     fn apply_inputs(&mut self, now_ms: u64) {
         for (service, (sum_ms, count)) in self.inputs.pauses.take() {
             let mean_ms = sum_ms / f64::from(count);
-            self.dispatcher.observe_pauses(&service, mean_ms, count);
+            self.dispatcher
+                .observe_pauses(&service, mean_ms, count, now_ms);
             self.dispatcher.record_progress(&service, now_ms);
         }
         if let Some(table) = take_changed(&mut self.inputs.tables) {
@@ -336,6 +342,9 @@
                     retries_left: self.dispatcher.retries_left(&service),
                 });
             }
+            DirectCommand::RoomAfter { service, reply } => {
+                let _ = reply.send(self.dispatcher.room_after_ms(&service, now_ms));
+            }
             DirectCommand::Move { query, reply } => {
                 if let Some(endpoint) = self.dispatcher.move_call(&query, now_ms) {
                     let decision = DispatchDecision::Send(endpoint);
--- a/lib/src/direct_dispatcher.rs
+++ b/lib/src/direct_dispatcher.rs
@@ -17,6 +17,7 @@
 use crate::LimitSource;
 use crate::LimitStatus;
 use crate::NamedLimit;
+use crate::ObstacleCounts;
 use crate::PauseChange;
 use crate::PauseStatus;
 use crate::PeerDemand;
@@ -90,7 +91,7 @@
             list.push(Arc::clone(record));
         }
         for (name, records) in by_service {
-            self.service(&name).set_endpoints(records);
+            self.service(&name).set_endpoints(records, now_ms);
         }
         self.advance(now_ms)
     }
@@ -143,8 +144,9 @@
     }
 
     /// Records the mean of the last `count` pauses between events of a service's streams.
-    pub fn observe_pauses(&mut self, service: &str, mean_pause_ms: f64, count: u32) {
-        self.service(service).observe_pauses(mean_pause_ms, count);
+    pub fn observe_pauses(&mut self, service: &str, mean_pause_ms: f64, count: u32, now_ms: u64) {
+        let service = self.service(service);
+        service.observe_pauses(mean_pause_ms, count, now_ms);
     }
 
     /// Records that running calls of a service have made progress.
@@ -164,6 +166,7 @@
             return Some(DispatchDecision::Refuse {
                 code: RefusalCode::NoEndpoint,
                 retry_after_ms: RETRY_AFTER_MS,
+                obstacles: ObstacleCounts::default(),
             });
         };
         if query.exclude.is_empty() {
@@ -220,6 +223,13 @@
         budget(&mut self.budgets, service, self.retry_percent, now_ms).try_retry(now_ms)
     }
 
+    /// Returns after which time a call for a service that is refused now should come again.
+    #[must_use]
+    pub fn room_after_ms(&self, service: &str, now_ms: u64) -> u64 {
+        let service = self.services.get(service);
+        service.map_or(RETRY_AFTER_MS, |service| service.room_after_ms(now_ms))
+    }
+
     /// Returns the whole retries that the budget of a service has.
     #[must_use]
     pub fn retries_left(&self, service: &str) -> u64 {
--- a/lib/src/direct_endpoint.rs
+++ b/lib/src/direct_endpoint.rs
@@ -5,6 +5,7 @@
 use crate::EndpointRecord;
 use crate::LimitChange;
 use crate::LimitObservation;
+use crate::SendObstacle;
 use crate::SendResult;
 use crate::endpoint_limit::EndpointLimit;
 use crate::endpoint_limit::LimitedEndpoint;
@@ -28,6 +29,8 @@
 /// Step time, in percent of the usual step time, from which an endpoint counts as slow.
 const SLOW_ENDPOINT_PERCENT: u32 = 150;
 const USUAL_STEP_TIME_PERCENT: u32 = 100;
+/// Slots of an endpoint whose record states none.
+const DEFAULT_SLOTS: u32 = 8;
 /// Calls that are added to the load of an endpoint whose recent calls have all failed.
 const FAILURE_PENALTY: f64 = 24.0;
 
@@ -100,6 +103,54 @@
         self.own_calls + self.peer_calls
     }
 
+    pub(crate) fn slots(&self) -> u32 {
+        match self.record.slots {
+            0 => DEFAULT_SLOTS,
+            slots => slots,
+        }
+    }
+
+    /// Returns why no call may be sent to the endpoint now; `None` if one may. All sends are decided here.
+    ///
+    /// Whether the endpoint is slow or avoided is a preference, for the choice among those that take calls.
+    pub(crate) fn obstacle(&self, now_ms: u64) -> Option<SendObstacle> {
+        if self.record.is_leaving {
+            return Some(SendObstacle::Leaving);
+        }
+        if let Some(obstacle) = self.pause.obstacle(now_ms) {
+            return Some(obstacle);
+        }
+        if self.calls() >= self.slots() {
+            return Some(SendObstacle::Full);
+        }
+        let has_permit = self.limit.has_permit(now_ms);
+        (!has_permit).then_some(SendObstacle::Limited)
+    }
+
+    /// Returns whether the endpoint takes calls, though not always at once: it neither leaves nor has it
+    /// asked for a time without calls.
+    pub(crate) fn is_open(&self, now_ms: u64) -> bool {
+        let obstacle = self.obstacle(now_ms);
+        !matches!(obstacle, Some(SendObstacle::Leaving | SendObstacle::Paused))
+    }
+
+    /// Records that a call is sent to the endpoint.
+    pub(crate) fn record_send(&mut self, now_ms: u64) {
+        self.own_calls += 1;
+        self.limit.take_permit(now_ms);
+        self.pause.record_send(now_ms);
+    }
+
+    /// Records that a call has ended that was sent at `sent_ms`.
+    pub(crate) fn record_end(&mut self, result: SendResult, sent_ms: u64, now_ms: u64) {
+        self.own_calls = self.own_calls.saturating_sub(1);
+        self.pause.record_end(sent_ms);
+        if result == SendResult::Answered {
+            self.pause.record_answer(sent_ms, self.slots());
+        }
+        self.record_result(result, now_ms.saturating_sub(sent_ms), now_ms);
+    }
+
     pub(crate) fn is_avoided(&self, now_ms: u64) -> bool {
         now_ms < self.avoid_until_ms
     }
@@ -126,7 +177,7 @@
     }
 
     /// Records the result of a send that took `elapsed_ms`.
-    pub(crate) fn record_result(&mut self, result: SendResult, elapsed_ms: u64, now_ms: u64) {
+    fn record_result(&mut self, result: SendResult, elapsed_ms: u64, now_ms: u64) {
         let is_failure = match result {
             SendResult::Abandoned | SendResult::GroupDown => return,
             SendResult::Answered => false,
--- a/lib/src/direct_relay.rs
+++ b/lib/src/direct_relay.rs
@@ -22,8 +22,10 @@
 use crate::EndpointRequestHead;
 use crate::ListSource;
 use crate::MeasuredCall;
+use crate::ObstacleCounts;
 use crate::OrganisationRule;
 use crate::PlatformRevision;
+use crate::RefusalCode;
 use crate::RouteRule;
 use crate::SendResult;
 use crate::answer_framing::AnswerFraming;
@@ -34,7 +36,6 @@
 use crate::crashed_call::CrashedCall;
 use crate::direct_actor::DirectCommand;
 use crate::direct_actor::DispatchReply;
-use crate::direct_actor::RetryReply;
 use crate::direct_exchange::DirectExchange;
 use crate::direct_exchange::SendOutcome;
 use crate::direct_server;
@@ -246,7 +247,23 @@
         if is_retried {
             return Ok(());
         }
-        Err(self.withdraw_not_run_promise(failure.refusal))
+        let refusal = self.with_time_of_room(failure.refusal).await;
+        Err(self.withdraw_not_run_promise(refusal))
+    }
+
+    /// Sets when the caller of a refused call should come again: when the service has room.
+    async fn with_time_of_room(&self, refusal: DirectRefusal) -> DirectRefusal {
+        let Some(default_ms) = refusal.retry_after_ms else {
+            return refusal;
+        };
+        let (reply, room_after_ms) = oneshot::channel();
+        let service = self.service.clone();
+        let command = DirectCommand::RoomAfter { service, reply };
+        let room_after_ms = self.request(command, room_after_ms).await;
+        DirectRefusal {
+            retry_after_ms: Some(room_after_ms.unwrap_or(default_ms)),
+            ..refusal
+        }
     }
 
     /// Opens the answer at the endpoint of `slot`, to which a stream is to move that has begun elsewhere.
@@ -326,7 +343,7 @@
         if !self.has_attempt_left(attempts) {
             return false;
         }
-        let reply = self.request(command, allowed).await;
+        let reply = self.request(command, allowed).await.unwrap_or_default();
         self.retries_left = reply.retries_left;
         reply.is_allowed
     }
@@ -367,20 +384,13 @@
         attempts < self.rule.max_attempts && self.time_left_ms() > MIN_SERVICE_MS
     }
 
-    /// Sends a command to the dispatcher and waits for its reply; a full ring counts as a refusal.
-    async fn request(
-        &self,
-        command: DirectCommand,
-        reply: oneshot::Receiver<RetryReply>,
-    ) -> RetryReply {
+    /// Sends a command to the dispatcher and waits for its reply; `None` if the ring is full.
+    async fn request<T>(&self, command: DirectCommand, reply: oneshot::Receiver<T>) -> Option<T> {
         if let Err(error) = self.state.dispatcher.submit(command) {
-            log::warn!(
-                "retry of request {} not allowed: {error}",
-                self.call.request_id
-            );
-            return RetryReply::default();
+            log::warn!("no decision on request {}: {error}", self.call.request_id);
+            return None;
         }
-        reply.await.unwrap_or_default()
+        reply.await.ok()
     }
 
     /// Returns the time until the call's deadline.
@@ -440,7 +450,8 @@
             DispatchDecision::Refuse {
                 code,
                 retry_after_ms,
-            } => Err(self.dispatch_refusal(code.as_str(), retry_after_ms)),
+                obstacles,
+            } => Err(self.dispatch_refusal(code, retry_after_ms, obstacles)),
         }
     }
 
@@ -479,10 +490,17 @@
 
     /// Logs a refusal of the dispatcher and returns the answer to the caller; it promises nothing
     /// once the call may have run.
-    fn dispatch_refusal(&self, code: &'static str, retry_after_ms: u64) -> DirectRefusal {
+    fn dispatch_refusal(
+        &self,
+        code: RefusalCode,
+        retry_after_ms: u64,
+        obstacles: ObstacleCounts,
+    ) -> DirectRefusal {
+        let code = code.as_str();
         event!(
             CallRefused,
-            "request_id={} service={} code={code} retry_after_ms={retry_after_ms} waited_ms={}",
+            "request_id={} service={} code={code} retry_after_ms={retry_after_ms} \
+             obstacles=\"{obstacles}\" waited_ms={}",
             self.call.request_id,
             self.service,
             self.arrived.elapsed().as_millis()
--- a/lib/src/direct_service.rs
+++ b/lib/src/direct_service.rs
@@ -46,8 +46,11 @@
 const MIN_RETRY_AFTER_MS: u64 = 150;
 const MAX_RETRY_AFTER_MS: u64 = 2_500;
 const MS_PER_S: f64 = 1_000.0;
-/// Slots of an endpoint whose record states none.
-const DEFAULT_SLOTS: u32 = 8;
+/// Distance of the returns of two entries to an endpoint that had asked for a time without calls.
+const RETURN_DISTANCE_MS: u64 = 50;
+/// Bounds of the time within which all entries return.
+const MIN_RETURN_TIME_MS: u64 = 100;
+const MAX_RETURN_TIME_MS: u64 = 5_000;
 
 /// In-flight calls of the other entries for one service, as last reported by gossip.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -64,6 +67,8 @@
     availability_zone: String,
     rng: SmallRng,
     endpoints: BTreeMap<String, DirectEndpoint>,
+    /// Endpoints that are not listed any more, while they want no calls; they may be listed again.
+    unlisted: BTreeMap<String, DirectEndpoint>,
     running: HashMap<u64, RunningCall>,
     queue: CallQueue,
     /// Limit on the calls per endpoint; absent without an engine model.
@@ -110,6 +115,7 @@
             availability_zone: availability_zone.to_owned(),
             rng,
             endpoints: BTreeMap::new(),
+            unlisted: BTreeMap::new(),
             running: HashMap::new(),
             queue: CallQueue::default(),
             concurrency_limit: None,
@@ -125,17 +131,22 @@
     }
 
     /// Replaces the endpoints of the service; statistics of endpoints that remain are kept.
-    pub(crate) fn set_endpoints(&mut self, records: Vec<Arc<EndpointRecord>>) {
+    pub(crate) fn set_endpoints(&mut self, records: Vec<Arc<EndpointRecord>>, now_ms: u64) {
         let mut previous = std::mem::take(&mut self.endpoints);
         for record in records {
             let existing = previous.remove(&record.id);
+            let existing = existing.or_else(|| self.unlisted.remove(&record.id));
             let existing = existing.filter(|existing| existing.record.born_ms == record.born_ms);
             let is_local = record.availability_zone == self.availability_zone;
             let mut endpoint =
                 existing.unwrap_or_else(|| DirectEndpoint::new(Arc::clone(&record), is_local));
+            endpoint.own_calls = self.running_calls_at(&record);
             endpoint.record = record;
             self.endpoints.insert(endpoint.record.id.clone(), endpoint);
         }
+        self.unlisted.append(&mut previous);
+        self.unlisted
+            .retain(|_, endpoint| endpoint.pause.wait_ms(now_ms) > 0);
         self.set_peer_demand(self.peer_count, self.peer_demand.clone());
         self.check_for_limits();
     }
@@ -194,8 +205,8 @@
     }
 
     /// Updates the concurrency limit with the mean of `count` pauses between stream events.
-    pub(crate) fn observe_pauses(&mut self, mean_pause_ms: f64, count: u32) {
-        let requests = self.calls_per_endpoint();
+    pub(crate) fn observe_pauses(&mut self, mean_pause_ms: f64, count: u32, now_ms: u64) {
+        let requests = self.calls_per_endpoint(now_ms);
         if let Some(limit) = &mut self.concurrency_limit {
             limit.observe(mean_pause_ms, count, requests);
         }
@@ -225,7 +236,7 @@
         now_ms: u64,
     ) -> Option<DispatchDecision> {
         if !self.endpoints.values().any(|e| !e.record.is_leaving) {
-            return Some(refuse(RefusalCode::NoEndpoint, MIN_RETRY_AFTER_MS));
+            return Some(self.decide_refusal(RefusalCode::NoEndpoint, MIN_RETRY_AFTER_MS, now_ms));
         }
         if query.exclude.is_empty() {
             self.demand_rate.record();
@@ -266,9 +277,11 @@
             self.has_hold_time_sample = true;
             self.mean_hold_time_ms += HOLD_TIME_WEIGHT * (sample_ms - self.mean_hold_time_ms);
         }
-        if let Some(endpoint) = self.endpoints.get_mut(&running.endpoint) {
-            endpoint.own_calls = endpoint.own_calls.saturating_sub(1);
-            endpoint.record_result(result, elapsed_ms, now_ms);
+        let endpoint = self.endpoints.get_mut(&running.endpoint);
+        let is_same_run =
+            |endpoint: &&mut DirectEndpoint| endpoint.record.born_ms == running.endpoint_born_ms;
+        if let Some(endpoint) = endpoint.filter(is_same_run) {
+            endpoint.record_end(result, running.since_ms, now_ms);
         }
     }
 
@@ -306,18 +319,22 @@
     fn refuse_expired(&mut self, now_ms: u64, decisions: &mut Vec<(u64, DispatchDecision)>) {
         let retry_after_ms = self.retry_after_ms(to_ms(self.mean_hold_time_ms));
         for queued in self.queue.take_expired(now_ms) {
-            let decision = refuse(RefusalCode::Overloaded, retry_after_ms);
+            let decision = self.decide_refusal(RefusalCode::Overloaded, retry_after_ms, now_ms);
             decisions.push((queued.query.call, decision));
         }
     }
 
-    /// Refuses queued calls that can't get a permit in time.
+    /// Refuses queued calls that get no permit in time, or none before the end of all pauses.
     fn refuse_late(&mut self, now_ms: u64, decisions: &mut Vec<(u64, DispatchDecision)>) {
-        let Some(forecast) = self.permit_forecast(&[], now_ms) else {
+        let pause = self.pause_wait(&[], now_ms);
+        let forecast = self.permit_forecast(&[], now_ms);
+        if pause.is_none() && forecast.is_none() {
             return;
-        };
+        }
         for queued in self.queue.take_all(now_ms) {
-            let expected = self.expected_wait_behind(self.queue.len(), Some(&forecast));
+            let expected = pause.unwrap_or_else(|| {
+                self.expected_wait_behind(self.queue.len(), forecast.as_ref(), now_ms)
+            });
             if now_ms.saturating_add(expected.wait_ms) > queued.until_ms {
                 decisions.push((queued.query.call, self.refuse(expected, now_ms)));
             } else {
@@ -333,7 +350,28 @@
                 endpoint.limit.count_refused(now_ms);
             }
         }
-        refuse(expected.code, expected.retry_after_ms)
+        self.decide_refusal(expected.code, expected.retry_after_ms, now_ms)
+    }
+
+    /// Returns the refusal of a call, with what keeps calls from the endpoints.
+    fn decide_refusal(&self, code: RefusalCode, wait_ms: u64, now_ms: u64) -> DispatchDecision {
+        let endpoints = self.endpoints.values();
+        DispatchDecision::Refuse {
+            code,
+            retry_after_ms: retry_delay_ms(code, wait_ms),
+            obstacles: endpoints
+                .filter_map(|endpoint| endpoint.obstacle(now_ms))
+                .collect(),
+        }
+    }
+
+    /// Returns after which time a call that is refused now should come again.
+    pub(crate) fn room_after_ms(&self, now_ms: u64) -> u64 {
+        let expected = self.pause_wait(&[], now_ms).unwrap_or_else(|| {
+            let forecast = self.permit_forecast(&[], now_ms);
+            self.expected_wait_behind(self.queue.len(), forecast.as_ref(), now_ms)
+        });
+        retry_delay_ms(expected.code, expected.retry_after_ms)
     }
 
     /// Returns the number of this entry's calls, running and queued.
@@ -350,7 +388,7 @@
 
     /// Assigns a call to an endpoint if this entry's share of the slots allows it.
     fn try_assign(&mut self, query: &DispatchQuery, now_ms: u64) -> Option<DispatchDecision> {
-        if as_f64(self.running.len()) >= self.own_slot_share() || self.is_paused(now_ms) {
+        if as_f64(self.running.len()) >= self.own_slot_share(now_ms) || self.is_paused(now_ms) {
             return None;
         }
         self.assign(query, now_ms).map(DispatchDecision::Send)
@@ -367,8 +405,7 @@
             self.count_elsewhere(&id, now_ms);
         }
         let endpoint = self.endpoints.get_mut(&id)?;
-        endpoint.own_calls += 1;
-        endpoint.limit.take_permit(now_ms);
+        endpoint.record_send(now_ms);
         let record = Arc::clone(&endpoint.record);
         if self.running.is_empty() {
             self.progress.record_first_call(now_ms);
@@ -401,8 +438,13 @@
 
     /// Records that an endpoint has begun to answer a call.
     pub(crate) fn record_answer_start(&mut self, call: u64, now_ms: u64) {
-        if self.running.contains_key(&call) {
-            self.progress.record_answer_start(now_ms);
+        let Some(running) = self.running.get(&call) else {
+            return;
+        };
+        self.progress.record_answer_start(now_ms);
+        if let Some(endpoint) = self.endpoints.get_mut(&running.endpoint) {
+            let slots = endpoint.slots();
+            endpoint.pause.record_answer(running.since_ms, slots);
         }
     }
 
@@ -458,18 +500,30 @@
         request_id: &str,
         now_ms: u64,
     ) -> Vec<PauseChange> {
+        let return_delay_ms = self.return_delay_ms();
         let Some(running) = self.running.get(&call) else {
             return Vec::new();
         };
         let endpoint = self.endpoints.get_mut(&running.endpoint);
+        let endpoint = endpoint.or_else(|| self.unlisted.get_mut(&running.endpoint));
         let endpoint =
             endpoint.filter(|endpoint| endpoint.record.born_ms == running.endpoint_born_ms);
         endpoint.map_or_else(Vec::new, |endpoint| {
             let id = endpoint.record.id.as_str();
-            endpoint.pause.observe(id, retry_after, request_id, now_ms)
+            let pause = &mut endpoint.pause;
+            pause.observe(id, retry_after, request_id, return_delay_ms, now_ms)
         })
     }
 
+    /// Returns how long after the end of a pause this entry returns: all entries do so one after the other,
+    /// in random order.
+    fn return_delay_ms(&mut self) -> u64 {
+        let entries = u64::from(self.peer_count) + 1;
+        let longest_ms = entries * RETURN_DISTANCE_MS;
+        let longest_ms = longest_ms.clamp(MIN_RETURN_TIME_MS, MAX_RETURN_TIME_MS);
+        self.rng.random_range(0..=longest_ms)
+    }
+
     /// Applies what is known of the limit of the endpoint with this key, if it is one of the service;
     /// returns the change to log.
     pub(crate) fn apply_limit(
@@ -528,21 +582,29 @@
         exclude: &[String],
         now_ms: u64,
     ) -> impl Iterator<Item = &DirectEndpoint> {
-        self.eligible_endpoints().filter(move |endpoint| {
-            let slots = slots_of(&endpoint.record);
+        self.eligible_endpoints(now_ms).filter(move |endpoint| {
             let is_excluded = exclude.contains(&endpoint.record.id);
-            !is_excluded && endpoint.calls() < slots && endpoint.limit.has_permit(now_ms)
+            !is_excluded && endpoint.obstacle(now_ms).is_none()
         })
     }
 
-    /// Returns the endpoints that calls may be sent to; slow ones only when all are slow.
-    fn eligible_endpoints(&self) -> impl Iterator<Item = &DirectEndpoint> {
-        let staying = || {
+    /// Returns the endpoints that take calls; slow ones only when all are slow.
+    fn eligible_endpoints(&self, now_ms: u64) -> impl Iterator<Item = &DirectEndpoint> {
+        let open = move || {
             let endpoints = self.endpoints.values();
-            endpoints.filter(|endpoint| !endpoint.record.is_leaving)
+            endpoints.filter(move |endpoint| endpoint.is_open(now_ms))
         };
-        let all_slow = staying().all(DirectEndpoint::is_slow);
-        staying().filter(move |endpoint| all_slow || !endpoint.is_slow())
+        let all_slow = open().all(DirectEndpoint::is_slow);
+        open().filter(move |endpoint| all_slow || !endpoint.is_slow())
+    }
+
+    /// Returns the number of this entry's running calls at one run of an endpoint.
+    fn running_calls_at(&self, record: &EndpointRecord) -> u32 {
+        let running = self.running.values();
+        let at_endpoint = running.filter(|running| {
+            running.endpoint == record.id && running.endpoint_born_ms == record.born_ms
+        });
+        as_u32(at_endpoint.count())
     }
 
     /// Chooses the endpoint with the lowest cost. Ties go to the local availability zone; an
@@ -567,9 +629,31 @@
 
     /// Predicts how long a call waits for a slot and a permit; zero when it can be sent now.
     fn expected_wait(&self, query: &DispatchQuery, now_ms: u64) -> ExpectedWait {
+        if let Some(wait) = self.pause_wait(&query.exclude, now_ms) {
+            return ExpectedWait {
+                retry_after_ms: self.room_after_ms(now_ms),
+                ..wait
+            };
+        }
         let ahead = self.queue.count_ahead_of(query, now_ms);
         let forecast = self.permit_forecast(&query.exclude, now_ms);
-        self.expected_wait_behind(ahead, forecast.as_ref())
+        self.expected_wait_behind(ahead, forecast.as_ref(), now_ms)
+    }
+
+    /// Predicts how long a call waits while all endpoints outside `exclude` have asked for a time without
+    /// calls; `None` if one takes calls, or there is none.
+    fn pause_wait(&self, exclude: &[String], now_ms: u64) -> Option<ExpectedWait> {
+        let staying = self.endpoints.values().filter(|endpoint| {
+            let record = &endpoint.record;
+            !record.is_leaving && !exclude.contains(&record.id)
+        });
+        let waits = staying.map(|endpoint| endpoint.pause.wait_ms(now_ms));
+        let wait_ms = waits.min().filter(|wait_ms| *wait_ms > 0)?;
+        Some(ExpectedWait {
+            wait_ms,
+            retry_after_ms: wait_ms,
+            code: RefusalCode::EndpointsPaused,
+        })
     }
 
     /// Predicts how long a call waits with `ahead` queued calls before it.
@@ -577,8 +661,9 @@
         &self,
         ahead: usize,
         forecast: Option<&PermitForecast>,
+        now_ms: u64,
     ) -> ExpectedWait {
-        let slot_wait_ms = self.slot_wait_ms(ahead);
+        let slot_wait_ms = self.slot_wait_ms(ahead, now_ms);
         let slot_wait = ExpectedWait {
             wait_ms: slot_wait_ms,
             retry_after_ms: self.retry_after_ms(slot_wait_ms),
@@ -603,33 +688,34 @@
         if !self.has_limits {
             return None;
         }
-        let endpoints = self.eligible_endpoints();
+        let endpoints = self.eligible_endpoints(now_ms);
         let endpoints = endpoints.filter(|endpoint| !exclude.contains(&endpoint.record.id));
         PermitForecast::of(endpoints.map(|endpoint| &endpoint.limit), now_ms)
     }
 
     /// Predicts how long a call waits for a slot with `ahead` queued calls before it.
-    fn slot_wait_ms(&self, ahead: usize) -> u64 {
-        let ahead = as_f64(ahead + self.running.len()) + 1.0 - self.own_slot_share();
+    fn slot_wait_ms(&self, ahead: usize, now_ms: u64) -> u64 {
+        let own_slots = self.own_slot_share(now_ms);
+        let ahead = as_f64(ahead + self.running.len()) + 1.0 - own_slots;
         if ahead <= 0.0 {
             return 0;
         }
-        let wait_ms = ahead * self.mean_hold_time_ms / self.own_slot_share();
+        let wait_ms = ahead * self.mean_hold_time_ms / own_slots;
         to_ms(wait_ms).max(1)
     }
 
     /// Returns how many slots this entry may use: a share in proportion to its demand.
-    fn own_slot_share(&self) -> f64 {
+    fn own_slot_share(&self, now_ms: u64) -> f64 {
         let own = f64::from(self.demand()) + 1.0;
         let peers = f64::from(self.peer_demand.calls) + f64::from(self.peer_count);
         let share = own / (own + peers);
-        (self.usable_slots() * share).max(1.0)
+        (self.usable_slots(now_ms) * share).max(1.0)
     }
 
     /// Returns the slots of all eligible endpoints within the concurrency limit.
-    fn usable_slots(&self) -> f64 {
+    fn usable_slots(&self, now_ms: u64) -> f64 {
         let limit = |endpoint: &DirectEndpoint| {
-            let slots = f64::from(slots_of(&endpoint.record));
+            let slots = f64::from(endpoint.slots());
             let limited = self
                 .concurrency_limit
                 .as_ref()
@@ -637,7 +723,7 @@
             let slots = limited.map_or(slots, |limited| limited.min(slots));
             self.slots_within_limit(&endpoint.limit).min(slots)
         };
-        self.eligible_endpoints().map(limit).sum()
+        self.eligible_endpoints(now_ms).map(limit).sum()
     }
 
     /// Returns how many calls run at once at an endpoint that gets as many as its limit allows.
@@ -648,9 +734,9 @@
         })
     }
 
-    fn calls_per_endpoint(&self) -> f64 {
+    fn calls_per_endpoint(&self, now_ms: u64) -> f64 {
         let calls: u32 = self.endpoints.values().map(DirectEndpoint::calls).sum();
-        f64::from(calls) / as_f64(self.eligible_endpoints().count().max(1))
+        f64::from(calls) / as_f64(self.eligible_endpoints(now_ms).count().max(1))
     }
 
     /// Returns the retry delay of a refused call that would wait `wait_ms` for its slot.
@@ -667,17 +753,12 @@
     by_cost.then(a.2.cmp(&b.2)).then(a.3.cmp(&b.3)).is_lt()
 }
 
-fn refuse(code: RefusalCode, wait_ms: u64) -> DispatchDecision {
-    DispatchDecision::Refuse {
-        code,
-        retry_after_ms: wait_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS),
-    }
-}
-
-fn slots_of(record: &EndpointRecord) -> u32 {
-    match record.slots {
-        0 => DEFAULT_SLOTS,
-        slots => slots,
+/// Returns the retry delay of a call that is refused. The end of a pause is known, other waits are
+/// predicted.
+fn retry_delay_ms(code: RefusalCode, wait_ms: u64) -> u64 {
+    match code {
+        RefusalCode::EndpointsPaused => wait_ms.max(MIN_RETRY_AFTER_MS),
+        _ => wait_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS),
     }
 }
 
--- a/lib/src/dispatch_decision.rs
+++ b/lib/src/dispatch_decision.rs
@@ -5,6 +5,7 @@
 use pomeloramp_proc_macros::value;
 
 use crate::EndpointRecord;
+use crate::ObstacleCounts;
 use crate::RefusalCode;
 
 /// The dispatcher's decision on a [`DispatchQuery`](crate::DispatchQuery).
@@ -18,5 +19,7 @@
         code: RefusalCode,
         /// Time after which a slot is probably free.
         retry_after_ms: u64,
+        /// Why the endpoints of the service take no call.
+        obstacles: ObstacleCounts,
     },
 }
--- a/lib/src/endpoint_pause.rs
+++ b/lib/src/endpoint_pause.rs
@@ -1,6 +1,7 @@
 //! What an entry believes of the time for which an endpoint wants no calls.
 
 use crate::RetryAfter;
+use crate::SendObstacle;
 
 /// Longest time for which one answer keeps calls from an endpoint.
 const MAX_PAUSE_MS: u64 = 120_000;
@@ -8,7 +9,7 @@
 /// What an entry believes of the time for which an endpoint wants no calls of this entry.
 #[derive(Debug, Default)]
 pub(crate) struct EndpointPause {
-    /// The answer that asked for the longest time; absent once that time is over.
+    /// The answer that asked for the longest time; absent once the endpoint takes calls as before.
     known: Option<KnownPause>,
     names_invalid: bool,
 }
@@ -19,8 +20,14 @@
     asked_ms: u64,
     /// End of the time that the answer asked for.
     until_ms: u64,
+    /// Time from which on this entry sends calls again. Entries return one after the other.
+    resume_ms: u64,
     /// Request that was answered so.
     request_id: String,
+    /// Calls that were sent since `resume_ms` and have not ended.
+    in_flight: u32,
+    /// Most of them at once; each answer allows one more.
+    max_in_flight: u32,
 }
 
 /// What an answer says of a pause, for the log.
@@ -62,12 +69,14 @@
 }
 
 impl EndpointPause {
-    /// Applies what an answer of the endpoint says; returns what is to be logged.
+    /// Applies what an answer of the endpoint says; returns what is to be logged. This entry returns
+    /// `return_delay_ms` after the end of the pause.
     pub(crate) fn observe(
         &mut self,
         endpoint: &str,
         retry_after: &RetryAfter,
         request_id: &str,
+        return_delay_ms: u64,
         now_ms: u64,
     ) -> Vec<PauseChange> {
         let mut changes = Vec::new();
@@ -89,7 +98,10 @@
             self.known = Some(KnownPause {
                 asked_ms: now_ms,
                 until_ms,
+                resume_ms: until_ms + return_delay_ms,
                 request_id: request_id.to_owned(),
+                in_flight: 0,
+                max_in_flight: 1,
             });
             changes.push(PauseChange::Asked {
                 endpoint: endpoint.to_owned(),
@@ -113,6 +125,54 @@
         })
     }
 
+    /// Returns why the pause keeps a call from the endpoint now, if it does.
+    pub(crate) fn obstacle(&self, now_ms: u64) -> Option<SendObstacle> {
+        let known = self.known.as_ref()?;
+        if now_ms < known.resume_ms {
+            return Some(SendObstacle::Paused);
+        }
+        let is_waiting = known.in_flight >= known.max_in_flight;
+        is_waiting.then_some(SendObstacle::Returning)
+    }
+
+    /// Returns how long this entry sends the endpoint nothing yet; zero outside a pause.
+    pub(crate) fn wait_ms(&self, now_ms: u64) -> u64 {
+        let known = self.known.as_ref();
+        known.map_or(0, |known| known.resume_ms.saturating_sub(now_ms))
+    }
+
+    /// Records that a call is sent to the endpoint.
+    pub(crate) fn record_send(&mut self, now_ms: u64) {
+        if let Some(known) = &mut self.known
+            && now_ms >= known.resume_ms
+        {
+            known.in_flight += 1;
+        }
+    }
+
+    /// Records that the endpoint answers a call that was sent at `sent_ms`. Once it has answered as many
+    /// as it has slots, it gets calls as before.
+    pub(crate) fn record_answer(&mut self, sent_ms: u64, slots: u32) {
+        let Some(known) = &mut self.known else {
+            return;
+        };
+        if sent_ms >= known.resume_ms {
+            known.max_in_flight += 1;
+        }
+        if known.max_in_flight > slots {
+            self.known = None;
+        }
+    }
+
+    /// Records that a call has ended that was sent at `sent_ms`.
+    pub(crate) fn record_end(&mut self, sent_ms: u64) {
+        if let Some(known) = &mut self.known
+            && sent_ms >= known.resume_ms
+        {
+            known.in_flight = known.in_flight.saturating_sub(1);
+        }
+    }
+
     fn until_ms(&self) -> u64 {
         self.known.as_ref().map_or(0, |known| known.until_ms)
     }
--- a/lib/src/refusal_code.rs
+++ b/lib/src/refusal_code.rs
@@ -43,6 +43,8 @@
     Overloaded,
     /// Every endpoint names a limit on its calls, and a call within them would come too late.
     EndpointsLimited,
+    /// Every endpoint has asked for a time without calls, and a call after it would come too late.
+    EndpointsPaused,
     /// The process is shutting down.
     Draining,
     /// The parameters in force do not name the organisation.
@@ -79,6 +81,7 @@
             Self::NoEndpoint => "no-endpoint",
             Self::Overloaded => "overloaded",
             Self::EndpointsLimited => "endpoints-limited",
+            Self::EndpointsPaused => "endpoints-paused",
             Self::Draining => "draining",
             Self::UnknownOrganisation => "unknown-organisation",
             Self::DuplicateRequest => "duplicate-request",
--- a/lib/tests/test_limited_endpoints.rs
+++ b/lib/tests/test_limited_endpoints.rs
@@ -99,6 +99,7 @@
         if let Some(DispatchDecision::Refuse {
             code,
             retry_after_ms,
+            ..
         }) = dispatcher.request_endpoint(query(number, 10), 10)
         {
             expect_that!(code, eq(RefusalCode::EndpointsLimited));
--- a/lib/testutils/src/limited_fleet.rs
+++ b/lib/testutils/src/limited_fleet.rs
@@ -1,4 +1,5 @@
-//! A simulated fleet of entries, with their gossip, before endpoints that name limits or fail.
+//! A simulated fleet of entries, with their gossip, before endpoints that name limits,
+//! ask for time or fail.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -13,6 +14,7 @@
 use pomeloramp_lib::EntryGossip;
 use pomeloramp_lib::GossipSettings;
 use pomeloramp_lib::NamedLimit;
+use pomeloramp_lib::RetryAfter;
 use pomeloramp_lib::SendResult;
 use pomeloramp_lib::protos::control::GossipDemand;
 use pomeloramp_lib::protos::control::GossipMessage;
@@ -25,6 +27,8 @@
 use crate::limit_bound;
 use crate::limit_bound::CONTACT;
 use crate::limit_bound::TOLD_TIME;
+use crate::rest_bound;
+use crate::rest_bound::RequestForTime;
 
 const SERVICE: &str = "s1";
 const STEP_MS: u64 = 10;
@@ -58,10 +62,19 @@
 #[derive(Debug, Clone, Copy)]
 struct Arrival {
     at_ms: u64,
+    entry: usize,
     /// Whether the bound counts the call: its entry knew the limit and had no fault.
     is_counted: bool,
 }
 
+/// An answer of an endpoint that asked an entry for time.
+#[derive(Debug, Clone, Copy)]
+struct AskedEntry {
+    entry: usize,
+    at_ms: u64,
+    length_ms: u64,
+}
+
 /// A call that an endpoint is answering.
 #[derive(Debug)]
 struct RunningCall {
@@ -72,7 +85,6 @@
 
 #[derive(Debug)]
 struct Entry {
-    address: String,
     gossip: EntryGossip,
     dispatcher: DirectDispatcher,
     report: GossipReport,
@@ -90,7 +102,7 @@
     calls_per_s: f64,
 }
 
-/// A simulated fleet of entries before endpoints that name limits or fail.
+/// A simulated fleet of entries before endpoints that name limits, ask for time or fail.
 #[derive(Debug)]
 pub struct LimitedFleet {
     rng: SmallRng,
@@ -104,6 +116,10 @@
     arrivals: Vec<Vec<Arrival>>,
     next_call: u64,
     refused: u64,
+    /// Time that each endpoint asks for when it turns a call away; absent while it runs calls.
+    asked_ms: Vec<Option<u64>>,
+    /// Answers with which each endpoint asked for time.
+    requests_for_time: Vec<Vec<AskedEntry>>,
     /// Whether all endpoints fail all calls.
     is_failing: bool,
     /// Times of new calls and of retries.
@@ -136,6 +152,8 @@
             arrivals: vec![Vec::new(); endpoints],
             next_call: 0,
             refused: 0,
+            asked_ms: vec![None; endpoints],
+            requests_for_time: vec![Vec::new(); endpoints],
             is_failing: false,
             new_calls_ms: Vec::new(),
             retries_ms: Vec::new(),
@@ -156,6 +174,38 @@
         }
     }
 
+    /// Lets an endpoint turn calls away, each time asking for some time, or run them.
+    pub fn ask_for_time(&mut self, endpoint: usize, length_ms: Option<u64>) {
+        self.asked_ms[endpoint] = length_ms;
+    }
+
+    /// Returns the most calls that an endpoint got from an entry in a time in which it wanted none.
+    #[must_use]
+    pub fn most_unwanted_calls(&self) -> usize {
+        let unwanted = |(asked, arrivals): (&Vec<AskedEntry>, &Vec<Arrival>)| {
+            let entries = 0..self.entries.len();
+            let by_entry = entries.map(|entry| unwanted_calls(asked, arrivals, entry));
+            by_entry.max().unwrap_or(0)
+        };
+        let endpoints = self.requests_for_time.iter().zip(&self.arrivals);
+        endpoints.map(unwanted).max().unwrap_or(0)
+    }
+
+    /// Returns the most calls that any endpoint got within `window_ms`, from `since_ms` on.
+    #[must_use]
+    pub fn most_calls_within(&self, window_ms: u64, since_ms: u64) -> usize {
+        let of_endpoint = |arrivals: &Vec<Arrival>| {
+            let times = arrivals.iter().map(|arrival| arrival.at_ms);
+            let times: Vec<u64> = times.filter(|at_ms| *at_ms >= since_ms).collect();
+            let ends = times
+                .iter()
+                .map(|at_ms| times.partition_point(|end| *end < at_ms + window_ms));
+            let counts = ends.enumerate().map(|(start, end)| end - start);
+            counts.max().unwrap_or(0)
+        };
+        self.arrivals.iter().map(of_endpoint).max().unwrap_or(0)
+    }
+
     /// Lets all endpoints fail all calls, or none.
     pub fn set_failing(&mut self, is_failing: bool) {
         self.is_failing = is_failing;
@@ -268,7 +318,6 @@
             ..GossipReport::default()
         };
         Entry {
-            address,
             gossip: EntryGossip::new(settings),
             dispatcher,
             report,
@@ -389,7 +438,18 @@
             }
             let dispatcher = &mut entry_state.dispatcher;
             dispatcher.observe_limit(call.number, &named, "7f", local_ms);
-            let result = if self.is_failing {
+            if let Some(length_ms) = self.asked_ms[call.endpoint] {
+                let retry_after = RetryAfter::Ms(length_ms);
+                dispatcher.observe_retry_after(call.number, &retry_after, "7f", local_ms);
+                self.requests_for_time[call.endpoint].push(AskedEntry {
+                    entry,
+                    at_ms: now_ms,
+                    length_ms,
+                });
+            }
+            let result = if self.asked_ms[call.endpoint].is_some() {
+                SendResult::Full
+            } else if self.is_failing {
                 SendResult::Failed
             } else {
                 SendResult::Answered
@@ -423,6 +483,7 @@
             let is_counted = self.entries[entry].is_counted(endpoint, self.now_ms);
             self.arrivals[endpoint].push(Arrival {
                 at_ms: self.now_ms,
+                entry,
                 is_counted,
             });
             self.entries[entry].running.push(RunningCall {
@@ -471,6 +532,22 @@
     }
 }
 
+/// Returns the most calls of an entry in a time in which their endpoint wanted none.
+fn unwanted_calls(asked: &[AskedEntry], arrivals: &[Arrival], entry: usize) -> usize {
+    let asked = asked.iter().filter(|asked| asked.entry == entry);
+    let answers: Vec<_> = asked
+        .map(|asked| RequestForTime {
+            at: Duration::from_millis(asked.at_ms),
+            length: Duration::from_millis(asked.length_ms),
+        })
+        .collect();
+    let calls = arrivals.iter().filter(|arrival| arrival.entry == entry);
+    let calls: Vec<_> = calls
+        .map(|call| Duration::from_millis(call.at_ms))
+        .collect();
+    rest_bound::most_calls(&answers, &calls)
+}
+
 fn entry_address(number: usize) -> String {
     format!("{ENTRY_PREFIX}{number:03}")
 }
