direct_endpoint: avoid an endpoint longer with each rejection in a row

What callers saw: with one of six endpoints that answers each call with 503 and no time, 74 to 105 of 512 calls ended with 503 though five endpoints were free.

Cause: such an endpoint was avoided for 60 ms whatever it did; it answers at once, so that it looked fast and free and drew a fourth of all arrivals, more than the retry budget could move elsewhere.

The time doubles with each rejection in a row, up to 960 ms, and an answer ends it. Rejections of calls that were sent before an earlier one was known do not count, so that an endpoint that was full for a moment is back after 60 ms.

--- a/lib/src/direct_endpoint.rs
+++ b/lib/src/direct_endpoint.rs
@@ -13,8 +13,11 @@
 use crate::limit_division::ServiceDivision;
 use crate::short_hash::short_hash;
 
-/// Time for which a full endpoint gets no further calls.
+/// Time for which an endpoint that turned a call away is avoided; it doubles with each further
+/// rejection.
 const FULL_PAUSE_MS: u64 = 60;
+/// Number of the doublings at most. An endpoint without free slots has some again within a second.
+const MAX_FULL_DOUBLINGS: u32 = 4;
 /// Time for which an endpoint gets no calls after another process answered at its address.
 const MISDIRECTED_PAUSE_MS: u64 = 1_000;
 /// Time for which an unreachable endpoint gets no calls; it doubles with each consecutive failure.
@@ -56,6 +59,10 @@
     failure_rate: f64,
     mean_latency_ms: f64,
     consecutive_failures: u32,
+    /// Rejections since the last answer, each of a call that was sent after the one before.
+    consecutive_rejections: u32,
+    /// Time of the latest of them.
+    rejected_ms: u64,
     avoid_until_ms: u64,
 }
 
@@ -74,6 +81,8 @@
             failure_rate: 0.0,
             mean_latency_ms: INITIAL_LATENCY_MS,
             consecutive_failures: 0,
+            consecutive_rejections: 0,
+            rejected_ms: 0,
             avoid_until_ms: 0,
         }
     }
@@ -182,7 +191,7 @@
             SendResult::Abandoned | SendResult::GroupDown => return,
             SendResult::Answered => false,
             SendResult::Full => {
-                self.avoid_for(FULL_PAUSE_MS, now_ms);
+                self.record_rejection(now_ms.saturating_sub(elapsed_ms), now_ms);
                 return;
             }
             SendResult::Misdirected => {
@@ -191,6 +200,7 @@
             }
             SendResult::Failed | SendResult::Unreachable => true,
         };
+        self.consecutive_rejections = 0;
         let sample = if is_failure { 1.0 } else { 0.0 };
         self.failure_rate += FAILURE_WEIGHT * (sample - self.failure_rate);
         if result == SendResult::Unreachable {
@@ -204,6 +214,19 @@
         self.mean_latency_ms += LATENCY_WEIGHT * (elapsed_ms - self.mean_latency_ms);
     }
 
+    /// Records that the endpoint turned a call away that was sent at `sent_ms`.
+    ///
+    /// It answers rejections at once, so that it looks fast and free. Calls that were sent before an
+    /// earlier rejection was known say nothing new.
+    fn record_rejection(&mut self, sent_ms: u64, now_ms: u64) {
+        if self.consecutive_rejections == 0 || sent_ms >= self.rejected_ms {
+            let doublings = self.consecutive_rejections.min(MAX_FULL_DOUBLINGS);
+            self.avoid_for(FULL_PAUSE_MS << doublings, now_ms);
+            self.consecutive_rejections += 1;
+            self.rejected_ms = now_ms;
+        }
+    }
+
     fn avoid_for(&mut self, pause_ms: u64, now_ms: u64) {
         self.avoid_until_ms = self.avoid_until_ms.max(now_ms + pause_ms);
     }
--- a/lib/tests/test_direct_dispatcher.rs
+++ b/lib/tests/test_direct_dispatcher.rs
@@ -389,3 +389,40 @@
     let endpoint = dispatcher.move_call(&moved, 110);
     expect_that!(endpoint.map(|endpoint| endpoint.id.clone()), some(eq("b")));
 }
+
+#[googletest::test]
+fn an_endpoint_that_rejects_all_calls_was_tried_for_every_other_call() {
+    let mut dispatcher = dispatcher(&["a", "b"]);
+    let mut rejected = 0;
+    for number in 0..200 {
+        let now_ms = number * 40;
+        let decision = dispatcher.request_endpoint(query(number, now_ms), now_ms);
+        let is_rejected = sent_to(decision.as_ref()) == Some("a");
+        let result = if is_rejected {
+            rejected += 1;
+            SendResult::Full
+        } else {
+            SendResult::Answered
+        };
+        dispatcher.end(number, result, now_ms + 30);
+    }
+    // Once a second, after the first ones.
+    expect_that!(rejected, all!(ge(8), le(13)));
+}
+
+#[googletest::test]
+fn an_endpoint_that_was_full_for_a_moment_got_no_calls_for_long() {
+    let mut dispatcher = dispatcher(&["a"]);
+    for number in 0..2 {
+        dispatcher.request_endpoint(query(number, 0), 0);
+    }
+    for number in 0..2 {
+        dispatcher.end(number, SendResult::Full, 5);
+    }
+    dispatcher.set_endpoints(&[endpoint("a"), endpoint("b")], 5);
+    let decision = dispatcher.request_endpoint(query(10, 10), 10);
+    expect_that!(sent_to(decision.as_ref()), some(eq("b")));
+    dispatcher.request_endpoint(query(11, 10), 10);
+    let decision = dispatcher.request_endpoint(query(12, 66), 66);
+    expect_that!(sent_to(decision.as_ref()), some(eq("a")));
+}
