shared_retry_budget: retries of all entries within what the platform allows

Cause: each entry kept its own budget as if it were alone: five saved retries and one in 1.8 s, whatever the number of entries, and five again after each restart. retry_slack and retry_window_s, which say what all may do together, were not read. The class: a bound over all entries that each keeps by itself.

Now each has an equal share of the slack, by the entries that it hears; half of it may be saved. A new process starts with nothing and gets its share after the rounds that any rise takes. Shares count the largest fleet of the last ten minutes, so that entries which are cut off from each other do not take all of it.

RetryBudget stays as it is for the product's own interface, whose pages name no bound over entries.

--- a/lib/src/direct_actor.rs
+++ b/lib/src/direct_actor.rs
@@ -123,8 +123,8 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct RetryReply {
     pub(crate) is_allowed: bool,
-    /// Whole retries that the budget still has.
-    pub(crate) retries_left: u64,
+    /// Retries that the budget still has; a part of one can't be used yet.
+    pub(crate) retries_left: f64,
 }
 
 /// In-flight calls of this entry.
--- a/lib/src/direct_dispatcher.rs
+++ b/lib/src/direct_dispatcher.rs
@@ -23,18 +23,16 @@
 use crate::PeerDemand;
 use crate::RefusalCode;
 use crate::RetryAfter;
-use crate::RetryBudget;
+use crate::RetryAllowance;
 use crate::RouteTable;
 use crate::SendResult;
+use crate::SharedRetryBudget;
 use crate::direct_service::DirectService;
 use crate::limit_division::ServiceDivision;
+use crate::limit_share::LimitShare;
 use crate::protos::control::EndpointLimitReport;
 use crate::short_hash::short_hash;
 
-/// Most unused retries that an entry keeps for one service.
-const MAX_SAVED_RETRIES: u32 = 5;
-/// Interval at which an entry earns one retry for a service even without requests.
-const RETRY_FLOOR_INTERVAL_MS: u64 = 1_800;
 /// Time for which a change of a limit is reported before what has not changed.
 const RECENT_CHANGE_MS: u64 = 2_000;
 /// Retry delay for calls of a service that is not known.
@@ -47,10 +45,12 @@
 #[derive(Debug)]
 pub struct DirectDispatcher {
     availability_zone: String,
-    retry_percent: u32,
+    allowance: RetryAllowance,
+    /// This entry's share of the retries that are allowed whatever the number of requests.
+    retry_share: LimitShare,
     rng: SmallRng,
     services: HashMap<String, DirectService>,
-    budgets: HashMap<String, RetryBudget>,
+    budgets: HashMap<String, SharedRetryBudget>,
     /// Services of running and queued calls, by call number.
     service_by_call: HashMap<u64, String>,
     division: LimitDivision,
@@ -61,12 +61,14 @@
 impl DirectDispatcher {
     /// Creates a dispatcher without endpoints.
     ///
-    /// Retries are limited to `retry_percent` of the requests of each service.
+    /// It has the whole allowance of retries until a division among entries is set, and no part of the slack
+    /// for some rounds then.
     #[must_use]
-    pub fn new(availability_zone: &str, retry_percent: u32, rng: SmallRng) -> Self {
+    pub fn new(availability_zone: &str, allowance: RetryAllowance, rng: SmallRng) -> Self {
         Self {
             availability_zone: availability_zone.to_owned(),
-            retry_percent,
+            allowance,
+            retry_share: LimitShare::new(1.0),
             rng,
             services: HashMap::new(),
             budgets: HashMap::new(),
@@ -127,7 +129,12 @@
 
     /// Sets how the entries divide the limits of endpoints in this round of gossip.
     pub fn set_limit_division(&mut self, division: LimitDivision, now_ms: u64) {
+        if self.division_rounds == 0 {
+            self.retry_share = LimitShare::default();
+            self.budgets.clear();
+        }
         self.division_rounds = self.division_rounds.saturating_add(1);
+        self.divide_retries(&division, now_ms);
         for (name, service) in &mut self.services {
             let division = ServiceDivision::new(&division, name, self.division_rounds);
             service.divide_limits(division, now_ms);
@@ -135,6 +142,14 @@
         self.division = division;
     }
 
+    fn divide_retries(&mut self, division: &LimitDivision, now_ms: u64) {
+        self.retry_share
+            .update(division.entry_share, division.settle_rounds);
+        for budget in self.budgets.values_mut() {
+            budget.set_share(self.retry_share.value(), now_ms);
+        }
+    }
+
     /// Sets the step times of slow endpoints, in percent of the usual step time, by short hash of
     /// their address; all other endpoints take the usual time.
     pub fn set_slowdowns(&mut self, slowdowns: &HashMap<u32, u32>) {
@@ -162,18 +177,17 @@
     ) -> Option<DispatchDecision> {
         let call = query.call;
         let service = query.service.clone();
-        let Some(state) = self.services.get_mut(&service) else {
+        if !self.services.contains_key(&service) {
             return Some(DispatchDecision::Refuse {
                 code: RefusalCode::NoEndpoint,
                 retry_after_ms: RETRY_AFTER_MS,
                 obstacles: ObstacleCounts::default(),
             });
-        };
+        }
         if query.exclude.is_empty() {
-            let budget = budget(&mut self.budgets, &service, self.retry_percent, now_ms);
-            budget.record_request();
+            self.budget(&service, now_ms).record_request();
         }
-        let decision = state.request_endpoint(query, now_ms);
+        let decision = self.service(&service).request_endpoint(query, now_ms);
         if !matches!(decision, Some(DispatchDecision::Refuse { .. })) {
             self.service_by_call.insert(call, service);
         }
@@ -220,7 +234,7 @@
 
     /// Takes one retry from the budget of a service; returns `false` when none is left.
     pub fn try_retry(&mut self, service: &str, now_ms: u64) -> bool {
-        budget(&mut self.budgets, service, self.retry_percent, now_ms).try_retry(now_ms)
+        self.budget(service, now_ms).try_retry(now_ms)
     }
 
     /// Returns after which time a call for a service that is refused now should come again.
@@ -230,11 +244,11 @@
         service.map_or(RETRY_AFTER_MS, |service| service.room_after_ms(now_ms))
     }
 
-    /// Returns the whole retries that the budget of a service has.
+    /// Returns the retries that the budget of a service has; a part of one can't be used yet.
     #[must_use]
-    pub fn retries_left(&self, service: &str) -> u64 {
+    pub fn retries_left(&self, service: &str) -> f64 {
         let budget = self.budgets.get(service);
-        budget.map_or(0, RetryBudget::retries_left)
+        budget.map_or(0.0, SharedRetryBudget::retries_left)
     }
 
     /// Ends a running or queued call; returns the decisions on queued calls that this allows.
@@ -399,6 +413,16 @@
         services.map(|(name, service)| (name.as_str(), service))
     }
 
+    fn budget(&mut self, service: &str, now_ms: u64) -> &mut SharedRetryBudget {
+        let share = self.retry_share.value();
+        let budget = SharedRetryBudget::new(self.allowance.used(), share, now_ms);
+        let is_alone = self.division_rounds == 0;
+        let budgets = &mut self.budgets;
+        budgets
+            .entry(service.to_owned())
+            .or_insert_with(|| if is_alone { budget.filled() } else { budget })
+    }
+
     fn forget_refused(&mut self, decisions: &[(u64, DispatchDecision)]) {
         for (call, decision) in decisions {
             if matches!(decision, DispatchDecision::Refuse { .. }) {
@@ -425,19 +449,3 @@
     let calls_per_s = report.calls_per_s;
     calls_per_s.is_none_or(|calls_per_s| calls_per_s.is_finite() && calls_per_s >= 0.0)
 }
-
-fn budget<'a>(
-    budgets: &'a mut HashMap<String, RetryBudget>,
-    service: &str,
-    retry_percent: u32,
-    now_ms: u64,
-) -> &'a mut RetryBudget {
-    budgets.entry(service.to_owned()).or_insert_with(|| {
-        RetryBudget::new(
-            retry_percent,
-            MAX_SAVED_RETRIES,
-            RETRY_FLOOR_INTERVAL_MS,
-            now_ms,
-        )
-    })
-}
--- a/lib/src/direct_entry.rs
+++ b/lib/src/direct_entry.rs
@@ -28,6 +28,7 @@
 use crate::DrainPolicy;
 use crate::EndpointFeed;
 use crate::Metrics;
+use crate::RetryAllowance;
 use crate::RouteTable;
 use crate::as_ms::as_ms;
 use crate::caller_server;
@@ -70,8 +71,8 @@
     /// IP address and port on which metrics are served; empty for none.
     #[builder(default)]
     pub metrics_address: String,
-    /// Limit on retries, in percent of the requests of each service.
-    pub retry_percent: u32,
+    /// Retries that all entries together may make.
+    pub retry_allowance: RetryAllowance,
     /// Longest time for which a caller may cache the addresses of the entries.
     pub max_address_lifetime_ms: u64,
     /// Time between SIGTERM and SIGKILL.
@@ -110,7 +111,7 @@
         let (down_sender, down_services) = watch::channel(BTreeSet::new());
         let rng = SmallRng::seed_from_u64(rand::random());
         let zone = &settings.availability_zone;
-        let dispatcher = DirectDispatcher::new(zone, settings.retry_percent, rng);
+        let dispatcher = DirectDispatcher::new(zone, settings.retry_allowance, rng);
         let endpoints = EndpointFeed::new(clock, settings.endpoint_heartbeat_ms);
         let tables = watch::channel(None).0;
         let inputs = DirectInputs {
--- a/lib/src/direct_relay.rs
+++ b/lib/src/direct_relay.rs
@@ -93,8 +93,8 @@
     pub(crate) deadline: Instant,
     /// Ids of the endpoints that the call was sent to, the latest last.
     pub(crate) tried: Vec<String>,
-    /// Whole retries that the budget had left when the call last asked for one.
-    pub(crate) retries_left: u64,
+    /// Retries that the budget had left when the call last asked for one.
+    pub(crate) retries_left: f64,
     /// Sends that failed before a byte was written.
     pub(crate) unwritten_sends: u32,
     /// The slot at another endpoint that the call moves to; its retry was taken from the budget.
@@ -788,7 +788,7 @@
     pub(crate) fn log_retry(&self, slot: &DirectSlot, reason: &str) {
         event!(
             CallRetried,
-            "request_id={} endpoint={} attempts={} retries_left={} reason=\"{reason}\"",
+            "request_id={} endpoint={} attempts={} retries_left={:.2} reason=\"{reason}\"",
             self.call.request_id,
             slot.endpoint().map_or("", |endpoint| endpoint.id.as_str()),
             self.tried.len(),
@@ -799,7 +799,7 @@
     fn log_failure(&self, slot: &DirectSlot, reason: &str) {
         event!(
             CallFailed,
-            "request_id={} endpoint={} attempts={} retries_left={} left_ms={} reason=\"{reason}\"",
+            "request_id={} endpoint={} attempts={} retries_left={:.2} left_ms={} reason=\"{reason}\"",
             self.call.request_id,
             slot.endpoint().map_or("", |endpoint| endpoint.id.as_str()),
             self.tried.len(),
--- a/lib/src/direct_server.rs
+++ b/lib/src/direct_server.rs
@@ -117,7 +117,7 @@
         times: StreamTimes::default(),
         framing: None,
         unfinished_bytes: 0,
-        retries_left: 0,
+        retries_left: 0.0,
         unwritten_sends: 0,
         next_slot: None,
         may_have_run: false,
--- a/lib/src/entry_gossip.rs
+++ b/lib/src/entry_gossip.rs
@@ -8,6 +8,7 @@
 
 use crate::DemandInterval;
 use crate::LimitDivision;
+use crate::as_f64::as_f64;
 use crate::protos::control::EndpointSlowdown;
 use crate::protos::control::GossipMessage;
 use crate::protos::control::GossipReport;
@@ -21,6 +22,9 @@
 const MAX_REPORTED_SLOWDOWNS: usize = 32;
 /// Time after which the permits of limits move to other entries.
 const LIMIT_TURN_MS: u64 = 60_000;
+/// Time for which the largest number of entries counts that was seen at once. Entries that are cut off from
+/// each other may still send calls.
+const FLEET_SIZE_KEPT_MS: u64 = 600_000;
 /// Number of entries, the first by address, whose demand all others count. Those beyond them count
 /// no other demand: if they did, calls would wait that endpoints could take (KNOWN-RED.txt).
 const COUNTED_DEMANDS: usize = 17;
@@ -64,6 +68,8 @@
     /// Latest turn of the division of limits; all entries follow the highest one.
     limit_turn: u64,
     limit_turn_since_ms: u64,
+    /// Largest number of entries that was seen at once, and when.
+    largest_fleet: (usize, u64),
 }
 
 #[derive(Debug)]
@@ -86,6 +92,7 @@
             next_known: 0,
             limit_turn: 0,
             limit_turn_since_ms: 0,
+            largest_fleet: (1, 0),
         };
         gossip.add_seeds(0);
         gossip
@@ -125,6 +132,7 @@
     pub fn start_round(&mut self, now_ms: u64) -> Vec<String> {
         self.remove_expired(now_ms);
         self.add_seeds(now_ms);
+        self.update_largest_fleet(now_ms);
         if now_ms.saturating_sub(self.limit_turn_since_ms) >= LIMIT_TURN_MS {
             self.set_limit_turn(self.limit_turn + 1, now_ms);
         }
@@ -244,10 +252,29 @@
                 .map(|service| (*service, interval(Some(*service))))
                 .collect(),
             even_demand: interval(None),
+            entry_share: self.entry_share(sharing.len()),
             settle_rounds: u32::try_from(self.silent_rounds()).unwrap_or(u32::MAX),
         }
     }
 
+    /// Returns this entry's part of what `entries` entries may do equally often. An entry that knows of
+    /// others and has heard none has no part.
+    fn entry_share(&self, entries: usize) -> f64 {
+        let mut peers = self.peers.values();
+        if !self.peers.is_empty() && peers.all(|peer| peer.report.is_none()) {
+            return 0.0;
+        }
+        1.0 / as_f64(entries.max(self.largest_fleet.0))
+    }
+
+    fn update_largest_fleet(&mut self, now_ms: u64) {
+        let entries = self.sharing(now_ms).count() + 1;
+        let (largest, seen_ms) = self.largest_fleet;
+        if entries >= largest || now_ms.saturating_sub(seen_ms) >= FLEET_SIZE_KEPT_MS {
+            self.largest_fleet = (entries, now_ms);
+        }
+    }
+
     /// Returns the other entries that use a part of the limits of endpoints.
     ///
     /// An entry that falls silent is left out while most others are heard. An entry that hears few of
--- a/lib/src/limit_division.rs
+++ b/lib/src/limit_division.rs
@@ -24,6 +24,8 @@
     pub demand_by_service: HashMap<u32, DemandInterval>,
     /// This entry's part of services whose demand is not reported.
     pub even_demand: DemandInterval,
+    /// This entry's part of what each entry may do as often as any other, from 0 to 1.
+    pub entry_share: f64,
     /// Rounds after which all entries have noticed a change.
     pub settle_rounds: u32,
 }
@@ -35,6 +37,7 @@
             turn: 0,
             demand_by_service: HashMap::new(),
             even_demand: DemandInterval::WHOLE,
+            entry_share: 1.0,
             settle_rounds: 0,
         }
     }
--- a/lib/src/retry_budget.rs
+++ b/lib/src/retry_budget.rs
@@ -50,12 +50,6 @@
         true
     }
 
-    /// Returns the whole retries that are left.
-    #[must_use]
-    pub fn retries_left(&self) -> u64 {
-        self.units / UNITS_PER_RETRY
-    }
-
     fn earn(&mut self, units: u64) {
         self.units = self.units.saturating_add(units).min(self.max_units);
     }
--- a/lib/tests/test_direct_dispatcher.rs
+++ b/lib/tests/test_direct_dispatcher.rs
@@ -16,6 +16,7 @@
 use pomeloramp_lib::SendResult;
 use pomeloramp_lib::ServiceRule;
 use pomeloramp_lib::short_hash;
+use pomeloramp_testutils::dispatch::RETRY_ALLOWANCE;
 use pomeloramp_testutils::dispatch::SERVICE;
 use pomeloramp_testutils::dispatch::query;
 use pomeloramp_testutils::dispatch::sent_to;
@@ -23,7 +24,6 @@
 use rand::rngs::SmallRng;
 
 const ZONE: &str = "zone-1";
-const RETRY_PERCENT: u32 = 15;
 const SLOTS: u32 = 2;
 
 fn endpoint(id: &str) -> Arc<EndpointRecord> {
@@ -40,7 +40,7 @@
 
 fn dispatcher(ids: &[&str]) -> DirectDispatcher {
     let rng = SmallRng::seed_from_u64(1);
-    let mut dispatcher = DirectDispatcher::new(ZONE, RETRY_PERCENT, rng);
+    let mut dispatcher = DirectDispatcher::new(ZONE, RETRY_ALLOWANCE, rng);
     let endpoints: Vec<_> = ids.iter().map(|id| endpoint(id)).collect();
     dispatcher.set_endpoints(&endpoints, 0);
     dispatcher
--- a/lib/tests/test_limited_endpoints.rs
+++ b/lib/tests/test_limited_endpoints.rs
@@ -12,6 +12,7 @@
 use pomeloramp_lib::RefusalCode;
 use pomeloramp_lib::SendResult;
 use pomeloramp_lib::protos::control::EndpointLimitReport;
+use pomeloramp_testutils::dispatch::RETRY_ALLOWANCE;
 use pomeloramp_testutils::dispatch::SERVICE;
 use pomeloramp_testutils::dispatch::query;
 use pomeloramp_testutils::dispatch::sent_to;
@@ -33,7 +34,7 @@
 /// Returns a dispatcher without other entries.
 fn dispatcher(ids: &[&str]) -> DirectDispatcher {
     let rng = SmallRng::seed_from_u64(1);
-    let mut dispatcher = DirectDispatcher::new("zone-1", 15, rng);
+    let mut dispatcher = DirectDispatcher::new("zone-1", RETRY_ALLOWANCE, rng);
     let endpoints: Vec<_> = ids.iter().map(|id| endpoint(id, 1)).collect();
     dispatcher.set_endpoints(&endpoints, 0);
     dispatcher
--- a/lib/tests/test_paused_endpoints.rs
+++ b/lib/tests/test_paused_endpoints.rs
@@ -10,6 +10,7 @@
 use pomeloramp_lib::RefusalCode;
 use pomeloramp_lib::RetryAfter;
 use pomeloramp_lib::SendResult;
+use pomeloramp_testutils::dispatch::RETRY_ALLOWANCE;
 use pomeloramp_testutils::dispatch::SERVICE;
 use pomeloramp_testutils::dispatch::query;
 use pomeloramp_testutils::dispatch::sent_to;
@@ -35,7 +36,8 @@
 }
 
 fn dispatcher(ids: &[&str]) -> DirectDispatcher {
-    let mut dispatcher = DirectDispatcher::new("zone-1", 15, SmallRng::seed_from_u64(1));
+    let mut dispatcher =
+        DirectDispatcher::new("zone-1", RETRY_ALLOWANCE, SmallRng::seed_from_u64(1));
     let endpoints: Vec<_> = ids.iter().map(|id| endpoint(id, 1)).collect();
     dispatcher.set_endpoints(&endpoints, 0);
     dispatcher
--- a/lib/testutils/src/dispatch.rs
+++ b/lib/testutils/src/dispatch.rs
@@ -2,7 +2,14 @@
 
 use pomeloramp_lib::DispatchDecision;
 use pomeloramp_lib::DispatchQuery;
+use pomeloramp_lib::RetryAllowance;
 
+/// Retries that a small fleet may make.
+pub const RETRY_ALLOWANCE: RetryAllowance = RetryAllowance {
+    ratio: 0.2,
+    slack: 90.0,
+    window_ms: 10_000,
+};
 /// Service that the queries ask for.
 pub const SERVICE: &str = "drafts";
 
--- a/lib/testutils/src/limited_fleet.rs
+++ b/lib/testutils/src/limited_fleet.rs
@@ -15,6 +15,7 @@
 use pomeloramp_lib::GossipSettings;
 use pomeloramp_lib::NamedLimit;
 use pomeloramp_lib::RetryAfter;
+use pomeloramp_lib::RetryAllowance;
 use pomeloramp_lib::SendResult;
 use pomeloramp_lib::protos::control::GossipDemand;
 use pomeloramp_lib::protos::control::GossipMessage;
@@ -24,6 +25,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use crate::dispatch::RETRY_ALLOWANCE;
 use crate::limit_bound;
 use crate::limit_bound::CONTACT;
 use crate::limit_bound::TOLD_TIME;
@@ -114,6 +116,7 @@
     /// Time at which each endpoint first named its present limit.
     named_ms: Vec<u64>,
     arrivals: Vec<Vec<Arrival>>,
+    allowance: RetryAllowance,
     next_call: u64,
     refused: u64,
     /// Time that each endpoint asks for when it turns a call away; absent while it runs calls.
@@ -131,6 +134,17 @@
     /// Starts entries, each with its number of new calls a second, before `endpoints` endpoints.
     #[must_use]
     pub fn start(calls_per_s: &[f64], endpoints: usize, seed: u64) -> Self {
+        Self::start_with_retries(calls_per_s, endpoints, RETRY_ALLOWANCE, seed)
+    }
+
+    /// Starts the same where the platform allows so many retries.
+    #[must_use]
+    pub fn start_with_retries(
+        calls_per_s: &[f64],
+        endpoints: usize,
+        allowance: RetryAllowance,
+        seed: u64,
+    ) -> Self {
         let record = |number: usize| EndpointRecord {
             id: format!("i-{number}"),
             service: SERVICE.to_owned(),
@@ -150,6 +164,7 @@
             limits: vec![None; endpoints],
             named_ms: vec![0; endpoints],
             arrivals: vec![Vec::new(); endpoints],
+            allowance,
             next_call: 0,
             refused: 0,
             asked_ms: vec![None; endpoints],
@@ -309,7 +324,7 @@
             .interval_ms(ROUND_MS)
             .build();
         let rng = SmallRng::seed_from_u64(self.rng.random());
-        let mut dispatcher = DirectDispatcher::new("zone-1", 15, rng);
+        let mut dispatcher = DirectDispatcher::new("zone-1", self.allowance, rng);
         dispatcher.set_endpoints(&self.records, 0);
         let report = GossipReport {
             gossip_address: address.clone(),
