direct_dispatcher: a call earns its part of a retry once

A send that found nobody listening asks for an endpoint again, up to three times, and each time counted as a new call: it earned 15 % of a retry and counted in the demand by which limits are divided. With all endpoints of a service down, calls earned up to 0.6 retries each, more than the ratio that the platform allows.

Evidence: calls_that_found_nobody_listening_earned_retries_with_each_send fails with the condition as it was.

--- a/lib/src/direct_dispatcher.rs
+++ b/lib/src/direct_dispatcher.rs
@@ -184,7 +184,7 @@
                 obstacles: ObstacleCounts::default(),
             });
         }
-        if query.exclude.is_empty() {
+        if query.is_first {
             self.budget(&service, now_ms).record_request();
         }
         let decision = self.service(&service).request_endpoint(query, now_ms);
--- a/lib/src/direct_relay.rs
+++ b/lib/src/direct_relay.rs
@@ -528,6 +528,7 @@
             .service(self.service.clone())
             .urgency(self.urgency())
             .is_stream(self.rule.repeatability.is_stream())
+            .is_first(exclude.is_empty() && self.unwritten_sends == 0)
             .is_returning(self.is_returning())
             .on_time_until_ms(now_ms + target_left_ms)
             .useful_until_ms(now_ms + max_wait_ms.saturating_sub(MIN_SERVICE_MS))
--- a/lib/src/direct_service.rs
+++ b/lib/src/direct_service.rs
@@ -238,7 +238,7 @@
         if !self.endpoints.values().any(|e| !e.record.is_leaving) {
             return Some(self.decide_refusal(RefusalCode::NoEndpoint, MIN_RETRY_AFTER_MS, now_ms));
         }
-        if query.exclude.is_empty() {
+        if query.is_first {
             self.demand_rate.record();
         }
         let expected = self.expected_wait(&query, now_ms);
--- a/lib/src/dispatch_query.rs
+++ b/lib/src/dispatch_query.rs
@@ -15,6 +15,10 @@
     pub urgency: u32,
     /// Whether the answer is a stream of events.
     pub is_stream: bool,
+    /// Whether this is the call's first request for an endpoint. A call that found nobody listening makes
+    /// another one.
+    #[builder(default = true)]
+    pub is_first: bool,
     /// Whether the caller returns after a refusal.
     #[builder(default)]
     pub is_returning: bool,
--- a/lib/tests/test_direct_dispatcher.rs
+++ b/lib/tests/test_direct_dispatcher.rs
@@ -10,6 +10,7 @@
 use pomeloramp_lib::EndpointRecord;
 use pomeloramp_lib::EngineModel;
 use pomeloramp_lib::ExpertModel;
+use pomeloramp_lib::LimitDivision;
 use pomeloramp_lib::PeerDemand;
 use pomeloramp_lib::RefusalCode;
 use pomeloramp_lib::RouteTable;
@@ -426,3 +427,20 @@
     let decision = dispatcher.request_endpoint(query(12, 66), 66);
     expect_that!(sent_to(decision.as_ref()), some(eq("a")));
 }
+
+#[googletest::test]
+fn calls_that_found_nobody_listening_earned_retries_with_each_send() {
+    let mut dispatcher = dispatcher(&["a", "b"]);
+    dispatcher.set_limit_division(LimitDivision::default(), 0);
+    while dispatcher.try_retry(SERVICE, 0) {}
+    let before = dispatcher.retries_left(SERVICE);
+    let mut first = query(1, 0);
+    dispatcher.request_endpoint(first.clone(), 0);
+    dispatcher.end(1, SendResult::Unreachable, 0);
+    let earned = dispatcher.retries_left(SERVICE);
+    expect_that!(earned, gt(before));
+    first.call = 2;
+    first.is_first = false;
+    dispatcher.request_endpoint(first, 0);
+    expect_that!(dispatcher.retries_left(SERVICE), eq(earned));
+}
