direct_service: keep what is known of an unlisted endpoint while calls run there

The calls at an endpoint are counted anew only when it is listed again, not at each change of the list, and whether it takes calls at all no longer looks at its limit.

--- a/lib/src/direct_endpoint.rs
+++ b/lib/src/direct_endpoint.rs
@@ -139,8 +139,7 @@
     /// Returns whether the endpoint takes calls, though not always at once: it neither leaves nor has it
     /// asked for a time without calls.
     pub(crate) fn is_open(&self, now_ms: u64) -> bool {
-        let obstacle = self.obstacle(now_ms);
-        !matches!(obstacle, Some(SendObstacle::Leaving | SendObstacle::Paused))
+        !self.record.is_leaving && self.pause.wait_ms(now_ms) == 0
     }
 
     /// Records that a call is sent to the endpoint.
--- a/lib/src/direct_service.rs
+++ b/lib/src/direct_service.rs
@@ -67,7 +67,8 @@
     availability_zone: String,
     rng: SmallRng,
     endpoints: BTreeMap<String, DirectEndpoint>,
-    /// Endpoints that are not listed any more, while they want no calls; they may be listed again.
+    /// Endpoints that are not listed any more, while they want no calls or run some of this entry; they may
+    /// be listed again.
     unlisted: BTreeMap<String, DirectEndpoint>,
     running: HashMap<u64, RunningCall>,
     queue: CallQueue,
@@ -135,18 +136,20 @@
         let mut previous = std::mem::take(&mut self.endpoints);
         for record in records {
             let existing = previous.remove(&record.id);
-            let existing = existing.or_else(|| self.unlisted.remove(&record.id));
+            let existing = existing.or_else(|| self.take_unlisted(&record));
             let existing = existing.filter(|existing| existing.record.born_ms == record.born_ms);
             let is_local = record.availability_zone == self.availability_zone;
             let mut endpoint =
                 existing.unwrap_or_else(|| DirectEndpoint::new(Arc::clone(&record), is_local));
-            endpoint.own_calls = self.running_calls_at(&record);
             endpoint.record = record;
             self.endpoints.insert(endpoint.record.id.clone(), endpoint);
         }
-        self.unlisted.append(&mut previous);
-        self.unlisted
-            .retain(|_, endpoint| endpoint.pause.wait_ms(now_ms) > 0);
+        let mut unlisted = std::mem::take(&mut self.unlisted);
+        unlisted.append(&mut previous);
+        unlisted.retain(|_, endpoint| {
+            endpoint.pause.wait_ms(now_ms) > 0 || self.running_calls_at(&endpoint.record) > 0
+        });
+        self.unlisted = unlisted;
         self.set_peer_demand(self.peer_count, self.peer_demand.clone());
         self.check_for_limits();
     }
@@ -598,6 +601,13 @@
         open().filter(move |endpoint| all_slow || !endpoint.is_slow())
     }
 
+    /// Takes what is known of an endpoint that was not listed for a while.
+    fn take_unlisted(&mut self, record: &EndpointRecord) -> Option<DirectEndpoint> {
+        let mut endpoint = self.unlisted.remove(&record.id)?;
+        endpoint.own_calls = self.running_calls_at(record);
+        Some(endpoint)
+    }
+
     /// Returns the number of this entry's running calls at one run of an endpoint.
     fn running_calls_at(&self, record: &EndpointRecord) -> u32 {
         let running = self.running.values();
--- a/lib/tests/test_paused_endpoints.rs
+++ b/lib/tests/test_paused_endpoints.rs
@@ -140,6 +140,18 @@
     expect_that!(sent(&mut dispatcher, 20, 3_000), each(eq("b")));
 }
 
+#[googletest::test]
+fn a_pause_was_not_noticed_because_its_endpoint_was_not_listed_at_that_moment() {
+    let mut dispatcher = dispatcher(&["a"]);
+    let decision = dispatcher.request_endpoint(query(1, 0), 0);
+    expect_that!(sent_to(decision.as_ref()), some(eq("a")));
+    dispatcher.set_endpoints(&[endpoint("b", 1)], 100);
+    dispatcher.observe_retry_after(1, &RetryAfter::Ms(5_000), "7f", 200);
+    dispatcher.end(1, SendResult::Full, 200);
+    dispatcher.set_endpoints(&[endpoint("a", 1), endpoint("b", 1)], 300);
+    expect_that!(sent(&mut dispatcher, 20, 1_000), each(eq("b")));
+}
+
 #[googletest::test]
 fn a_restarted_endpoint_got_no_calls_because_its_earlier_run_had_paused() {
     let mut dispatcher = dispatcher(&["a", "b"]);
