direct_relay, direct_service: types of their own for timeouts, waits and preferences

CallTimeouts has every wait of a call, those of direct_stream too; CrashTracker looks for the crash itself; drain_report has all log fields of a drain; EndpointPreference replaces a tuple of five; PeerDemand and ExpectedWait have files. Behaviour and log lines are as before.

--- a/lib/src/crash_tracker.rs
+++ b/lib/src/crash_tracker.rs
@@ -5,6 +5,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
 
 use crate::CrashDetector;
 use crate::CrashSuspect;
@@ -13,6 +14,7 @@
 use crate::clock::Clock;
 use crate::crashed_call::CrashedCall;
 use crate::event;
+use crate::http_client;
 use crate::protos::control::SuspectReport;
 
 /// Time between two reports of all refused suspects, from which entries that start later learn, among
@@ -20,6 +22,9 @@
 /// report about every second.
 const FULL_REPORT_INTERVAL_MS: u64 = 1_000;
 const FULL_REPORT_ENTRIES: usize = 16;
+/// Delay after a broken connection after which a crashed endpoint no longer listens.
+const CRASH_CHECK_DELAY: Duration = Duration::from_millis(100);
+const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(400);
 /// Source in log lines of what this entry has seen itself.
 const OWN_SOURCE: &str = "own";
 
@@ -81,6 +86,19 @@
         }
     }
 
+    /// Checks after a while whether an endpoint whose connection broke has crashed.
+    pub(crate) fn watch_for_crash(&self, endpoint: &str, address: &str) {
+        let tracker = self.clone();
+        let endpoint = endpoint.to_owned();
+        let address = address.to_owned();
+        tokio::spawn(async move {
+            tokio::time::sleep(CRASH_CHECK_DELAY).await;
+            if !http_client::is_listening(&address, CRASH_CHECK_TIMEOUT).await {
+                tracker.record_dead_endpoint(&endpoint);
+            }
+        });
+    }
+
     /// Records that an endpoint is dead.
     pub(crate) fn record_dead_endpoint(&self, endpoint: &str) {
         let now_ms = self.clock.now_ms();
--- a/lib/src/direct_relay.rs
+++ b/lib/src/direct_relay.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http::Response;
@@ -30,9 +29,10 @@
 use crate::SendResult;
 use crate::answer_framing::AnswerFraming;
 use crate::as_ms::as_ms;
+use crate::call_timeouts::CallTimeouts;
+use crate::call_timeouts::MIN_SERVICE_MS;
 use crate::caller_connection::CallerConnection;
 use crate::calls_in_flight::CallInFlight;
-use crate::crash_tracker::CrashTracker;
 use crate::crashed_call::CrashedCall;
 use crate::direct_actor::DirectCommand;
 use crate::direct_actor::DispatchReply;
@@ -49,27 +49,12 @@
 use crate::send_failure::SendFailure;
 use crate::stream_times::StreamTimes;
 
-/// Delay after a broken connection after which a crashed endpoint no longer listens.
-const CRASH_CHECK_DELAY: Duration = Duration::from_millis(100);
-const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(400);
 /// Retry delay of a call that the dispatcher's full ring could not take.
 const RING_FULL_RETRY_MS: u64 = 500;
 /// Largest body of an answer that is not a stream.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 /// Most sends of one call that found no endpoint listening; none of them wrote a byte.
 const MAX_UNWRITTEN_SENDS: u32 = 4;
-/// Shortest time in which an endpoint can serve a call.
-const MIN_SERVICE_MS: u64 = 40;
-/// Share of the stream silence limit that a stream may be queued for its slot, in percent.
-const STREAM_QUEUE_WAIT_PERCENT: u64 = 70;
-/// Lower bound of the silence after which callers are assumed to abandon a stream.
-const MIN_SILENCE_LIMIT_MS: u64 = 2_000;
-/// Silence after which callers abandon a stream, as a multiple of the route's target latency.
-const SILENCE_LIMIT_TARGET_LATENCIES: u64 = 4;
-/// The same, as a multiple of the route's longest pause between events.
-const SILENCE_LIMIT_TARGET_PAUSES: u64 = 8;
-/// Share of the time left after which a repeatable call is sent to another endpoint, in percent.
-const RESEND_AFTER_PERCENT: u32 = 45;
 /// A caller whose time left is below this share of the route's timeout counts as returning after a
 /// refusal, in percent.
 const RETURNING_CALLER_BELOW_PERCENT: u64 = 97;
@@ -90,7 +75,7 @@
     /// Measures how long the call takes.
     pub(crate) measured: MeasuredCall,
     pub(crate) arrived: Instant,
-    pub(crate) deadline: Instant,
+    pub(crate) timeouts: CallTimeouts,
     /// Ids of the endpoints that the call was sent to, the latest last.
     pub(crate) tried: Vec<String>,
     /// Retries that the budget had left when the call last asked for one.
@@ -235,7 +220,7 @@
             may_repeat && self.try_retry().await
         } else {
             self.unwritten_sends += 1;
-            self.unwritten_sends < MAX_UNWRITTEN_SENDS && self.time_left_ms() > MIN_SERVICE_MS
+            self.unwritten_sends < MAX_UNWRITTEN_SENDS && self.timeouts.has_time_left()
         };
         if is_retried {
             self.log_retry(&slot, reason);
@@ -311,12 +296,7 @@
             CrashEvidence::ConnectionBroken => {
                 let call = CrashedCall::new(&self.call.request_id, &self.suspects, endpoint);
                 tracker.record_broken_call(call, &endpoint.id);
-                let address = endpoint.address.clone();
-                tokio::spawn(probe_for_crash(
-                    tracker.clone(),
-                    endpoint.id.clone(),
-                    address,
-                ));
+                tracker.watch_for_crash(&endpoint.id, &endpoint.address);
             }
             CrashEvidence::NotListening => tracker.record_dead_endpoint(&endpoint.id),
             CrashEvidence::OtherEndpointDead(dead) => tracker.record_dead_endpoint(dead),
@@ -336,11 +316,10 @@
         if self.next_slot.is_some() {
             return true;
         }
-        let attempts = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
         let (reply, allowed) = oneshot::channel();
         let service = self.service.clone();
         let command = DirectCommand::Retry { service, reply };
-        if !self.has_attempt_left(attempts) {
+        if !self.timeouts.has_attempt_left(self.tried.len()) {
             return false;
         }
         let reply = self.request(command, allowed).await.unwrap_or_default();
@@ -351,8 +330,7 @@
     /// Returns a slot at another endpoint if the call may be moved away from the last endpoint in
     /// `sent_to`, which is silent or slow; takes the retry from the budget.
     async fn try_move(&self, sent_to: Vec<String>) -> Option<DirectSlot> {
-        let attempts = u32::try_from(sent_to.len()).unwrap_or(u32::MAX);
-        if !self.has_attempt_left(attempts) {
+        if !self.timeouts.has_attempt_left(sent_to.len()) {
             return None;
         }
         let number = self.state.call_number();
@@ -370,7 +348,7 @@
             return None;
         };
         // The dispatcher may have taken long to reply.
-        let has_time_left = self.time_left_ms() > MIN_SERVICE_MS;
+        let has_time_left = self.timeouts.has_time_left();
         has_time_left.then(|| slot.assign(endpoint, reply.list, reply.limit))
     }
 
@@ -380,10 +358,6 @@
         self.next_slot.is_some()
     }
 
-    fn has_attempt_left(&self, attempts: u32) -> bool {
-        attempts < self.rule.max_attempts && self.time_left_ms() > MIN_SERVICE_MS
-    }
-
     /// Sends a command to the dispatcher and waits for its reply; `None` if the ring is full.
     async fn request<T>(&self, command: DirectCommand, reply: oneshot::Receiver<T>) -> Option<T> {
         if let Err(error) = self.state.dispatcher.submit(command) {
@@ -393,19 +367,6 @@
         reply.await.ok()
     }
 
-    /// Returns the time until the call's deadline.
-    pub(crate) fn time_left_ms(&self) -> u64 {
-        as_ms(self.deadline.saturating_duration_since(Instant::now()))
-    }
-
-    /// Returns the silence after which callers are assumed to abandon a stream of the route.
-    pub(crate) fn stream_silence_limit_ms(&self) -> u64 {
-        let rule = &self.rule;
-        MIN_SILENCE_LIMIT_MS
-            .max(SILENCE_LIMIT_TARGET_LATENCIES * rule.target_latency_ms)
-            .max(SILENCE_LIMIT_TARGET_PAUSES * rule.target_gap_ms)
-    }
-
     fn is_retryable_failure(&self, status: StatusCode) -> bool {
         status.is_server_error() && self.rule.repeatability.may_repeat()
     }
@@ -428,7 +389,7 @@
         }
         let decision = tokio::select! {
             decision = decision => decision,
-            () = self.state.drain.until_not_taken(self.deadline), if !self.may_have_run => {
+            () = self.state.drain.until_not_taken(self.timeouts.deadline), if !self.may_have_run => {
                 return Err(self.drain_refusal());
             }
         };
@@ -464,7 +425,7 @@
 
     /// Returns the refusal of a call that was not sent while the draining entry took it.
     fn drain_refusal(&self) -> DirectRefusal {
-        direct_server::drain_refusal(&self.state, &self.call, &self.rule, self.deadline)
+        direct_server::drain_refusal(&self.state, &self.call, &self.rule, self.timeouts.deadline)
     }
 
     /// Refuses a call that the draining entry no longer takes. A call that may have run is finished here.
@@ -473,7 +434,7 @@
             return Ok(());
         }
         let clause = self.state.drain.clause();
-        if !self.state.drain.takes(self.deadline) {
+        if !self.state.drain.takes(self.timeouts.deadline) {
             return Err(self.drain_refusal());
         }
         self.in_flight.progress().record_clause(clause);
@@ -515,13 +476,7 @@
         let now_ms = self.state.clock.now_ms();
         let waited_ms = as_ms(self.arrived.elapsed());
         let silent_ms = as_ms(self.times.last_event().unwrap_or(self.arrived).elapsed());
-        let left_ms = self.time_left_ms();
-        let max_wait_ms = if self.rule.repeatability.is_stream() {
-            let max_wait_ms = self.stream_silence_limit_ms() * STREAM_QUEUE_WAIT_PERCENT / 100;
-            max_wait_ms.saturating_sub(silent_ms).min(left_ms)
-        } else {
-            left_ms
-        };
+        let max_wait_ms = self.timeouts.max_queue_wait_ms(silent_ms);
         let target_left_ms = self.rule.target_latency_ms.saturating_sub(waited_ms);
         DispatchQuery::builder()
             .call(number)
@@ -566,7 +521,7 @@
             self.framing.map_or("none", AnswerFraming::name),
             self.unfinished_bytes,
             reason_field(reason),
-            self.end_drain_fields()
+            drain_report::end_fields(&self.state, &self.in_flight, self.arrived)
         );
     }
 
@@ -594,7 +549,7 @@
         let (head, body) = response.into_parts();
         let reading = http_client::read_body(Response::new(body), MAX_ANSWER_BYTES);
         // The head shows that the endpoint is at work: the body has a time of its own.
-        let silent_until = self.resend_time(self.tried.len());
+        let silent_until = self.timeouts.resend_time(self.tried.len());
         let sent_to = self.tried.clone();
         let SendWait { outcome, next_slot } = self.wait_for(reading, sent_to, silent_until).await;
         self.next_slot = next_slot;
@@ -627,14 +582,14 @@
             endpoint_id: &endpoint.id,
             organisation: self.organisation.as_ref().map(|o| o.name.as_str()),
             urgency: self.urgency(),
-            time_left_ms: self.time_left_ms(),
+            time_left_ms: self.timeouts.time_left_ms(),
             resume_after: self.resume_after,
         };
         let sending = exchange.send(&endpoint.address, &request_head);
         // A send that is given up while it waits counts as well.
         self.tried.push(endpoint.id.clone());
         let sent_to = self.tried.clone();
-        let silent_until = self.resend_time(sent_to.len());
+        let silent_until = self.timeouts.resend_time(sent_to.len());
         let SendWait { outcome, next_slot } = self.wait_for(sending, sent_to, silent_until).await;
         self.next_slot = next_slot;
         if matches!(outcome, Ok(SendOutcome::Unwritten { .. })) {
@@ -688,7 +643,7 @@
                 next_slot,
             };
         }
-        let outcome = tokio::time::timeout_at(self.deadline, answer).await;
+        let outcome = tokio::time::timeout_at(self.timeouts.deadline, answer).await;
         SendWait::stayed(outcome.map_err(|_| SendFailure::timed_out()))
     }
 
@@ -713,23 +668,6 @@
         }
     }
 
-    /// Returns the time until which a call that was sent to `endpoints` endpoints waits for the next part
-    /// of the last one's answer. A call that may be repeated leaves time for another endpoint.
-    fn resend_time(&self, endpoints: usize) -> Instant {
-        let attempts = u32::try_from(endpoints).unwrap_or(u32::MAX);
-        let is_last = attempts >= self.rule.max_attempts;
-        if is_last || !self.rule.repeatability.may_repeat() {
-            return self.deadline;
-        }
-        let left = self.deadline.saturating_duration_since(Instant::now());
-        let timeout = if self.rule.repeatability.is_stream() {
-            left.min(Duration::from_millis(self.stream_silence_limit_ms()))
-        } else {
-            left
-        };
-        Instant::now() + timeout * RESEND_AFTER_PERCENT / 100
-    }
-
     fn log_send(&self, slot: &DirectSlot, endpoint_id: &str) {
         let list = slot.list();
         let position = list.map_or_else(PlatformRevision::default, |list| list.position);
@@ -741,7 +679,7 @@
             self.service,
             self.tried.len() + 1,
             self.arrived.elapsed().as_millis(),
-            self.time_left_ms(),
+            self.timeouts.time_left_ms(),
             position.era,
             position.revision,
             self.state.endpoints.age_ms(),
@@ -749,43 +687,10 @@
             slot.limit()
                 .map(BelievedLimit::log_fields)
                 .unwrap_or_default(),
-            self.drain_fields()
+            drain_report::send_fields(&self.state, &self.in_flight, &self.connection, &self.rule)
         );
     }
 
-    /// Returns the log fields of a call at a draining entry: the times since the signal to shut down and
-    /// since its connection was accepted, the time until all calls should have ended, and the longest that
-    /// the latest calls of its route took.
-    fn drain_fields(&self) -> String {
-        let Some(draining) = self.state.drain.elapsed() else {
-            return String::new();
-        };
-        format!(
-            " draining_ms={} taken_by={} connection_ms={} drain_left_ms={} longest_ms={}",
-            draining.as_millis(),
-            self.in_flight.progress().clause_name(),
-            self.connection.accepted.elapsed().as_millis(),
-            as_ms(self.state.drain.time_left().unwrap_or_default()),
-            self.state.longest_call_ms(&self.rule)
-        )
-    }
-
-    /// Returns the log fields of a call that ends at a draining entry: the time since the signal to shut
-    /// down, when the call arrived and by which clause it was taken, and whether its rank group stands still.
-    fn end_drain_fields(&self) -> String {
-        let drain = &self.state.drain;
-        if drain.elapsed().is_none() {
-            return String::new();
-        }
-        format!(
-            " draining_ms={} arrived_ms={} taken_by={} group_still={}",
-            drain.elapsed_ms(),
-            drain.since_signal_ms(self.arrived),
-            self.in_flight.progress().clause_name(),
-            drain_report::is_group_still(&self.state, &self.service)
-        )
-    }
-
     pub(crate) fn log_retry(&self, slot: &DirectSlot, reason: &str) {
         event!(
             CallRetried,
@@ -805,7 +710,7 @@
             slot.endpoint().map_or("", |endpoint| endpoint.id.as_str()),
             self.tried.len(),
             self.retries_left,
-            self.time_left_ms()
+            self.timeouts.time_left_ms()
         );
     }
 }
@@ -828,11 +733,3 @@
     }
     format!(" reason=\"{}\"", reason.replace('"', "'"))
 }
-
-/// Checks whether an endpoint whose connection broke has crashed.
-async fn probe_for_crash(tracker: CrashTracker, endpoint_id: String, address: String) {
-    tokio::time::sleep(CRASH_CHECK_DELAY).await;
-    if !http_client::is_listening(&address, CRASH_CHECK_TIMEOUT).await {
-        tracker.record_dead_endpoint(&endpoint_id);
-    }
-}
--- a/lib/src/direct_server.rs
+++ b/lib/src/direct_server.rs
@@ -22,6 +22,7 @@
 use crate::RouteTable;
 use crate::as_ms::as_ms;
 use crate::call_progress::CallIdentity;
+use crate::call_timeouts::CallTimeouts;
 use crate::caller_body;
 use crate::caller_body::CallerBodyError;
 use crate::caller_connection::CallerConnection;
@@ -99,6 +100,10 @@
         arrived,
         deadline,
     });
+    let timeouts = CallTimeouts {
+        rule: Arc::clone(&rule),
+        deadline,
+    };
     let relay = DirectRelay {
         state: Arc::clone(state),
         resume_after: call.resume_after,
@@ -112,7 +117,7 @@
         connection,
         measured,
         arrived,
-        deadline,
+        timeouts,
         tried: Vec::new(),
         times: StreamTimes::default(),
         framing: None,
--- a/lib/src/direct_service.rs
+++ b/lib/src/direct_service.rs
@@ -20,6 +20,7 @@
 use crate::LimitSource;
 use crate::NamedLimit;
 use crate::PauseChange;
+use crate::PeerDemand;
 use crate::RefusalCode;
 use crate::RetryAfter;
 use crate::SendResult;
@@ -30,6 +31,10 @@
 use crate::demand_rate::DemandRate;
 use crate::direct_endpoint::DirectEndpoint;
 use crate::endpoint_limit::EndpointLimit;
+use crate::endpoint_pause::EndpointPause;
+use crate::endpoint_preference::EndpointPreference;
+use crate::expected_wait::ExpectedWait;
+use crate::expected_wait::MIN_RETRY_AFTER_MS;
 use crate::group_progress::GroupProgress;
 use crate::limit_division::ServiceDivision;
 use crate::permit_forecast::PermitForecast;
@@ -43,23 +48,7 @@
 const MAX_WAIT_MS: u64 = 1_500;
 /// Shortest retry delay that is returned while the rank group is stalled or down.
 const STALL_RETRY_AFTER_MS: u64 = 2_000;
-const MIN_RETRY_AFTER_MS: u64 = 150;
-const MAX_RETRY_AFTER_MS: u64 = 2_500;
 const MS_PER_S: f64 = 1_000.0;
-/// Distance of the returns of two entries to an endpoint that had asked for a time without calls.
-const RETURN_DISTANCE_MS: u64 = 50;
-/// Bounds of the time within which all entries return.
-const MIN_RETURN_TIME_MS: u64 = 100;
-const MAX_RETURN_TIME_MS: u64 = 5_000;
-
-/// In-flight calls of the other entries for one service, as last reported by gossip.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct PeerDemand {
-    /// Number of their calls, running and queued.
-    pub calls: u32,
-    /// Their running calls, by short hash of the endpoint id.
-    pub by_endpoint: HashMap<u32, u32>,
-}
 
 /// Assigns the calls of one service to its endpoints, and queues or refuses them when all are busy.
 #[derive(Debug)]
@@ -99,16 +88,6 @@
     since_ms: u64,
 }
 
-/// How long a call is expected to wait, and what for.
-#[derive(Debug, Clone, Copy)]
-struct ExpectedWait {
-    wait_ms: u64,
-    /// Time after which a caller that does not wait should come again.
-    retry_after_ms: u64,
-    /// Code of the refusal of a call that can't wait so long.
-    code: RefusalCode,
-}
-
 impl DirectService {
     /// Creates a service without endpoints.
     pub(crate) fn new(availability_zone: &str, rng: SmallRng, division: ServiceDivision) -> Self {
@@ -239,7 +218,8 @@
         now_ms: u64,
     ) -> Option<DispatchDecision> {
         if !self.endpoints.values().any(|e| !e.record.is_leaving) {
-            return Some(self.decide_refusal(RefusalCode::NoEndpoint, MIN_RETRY_AFTER_MS, now_ms));
+            let expected = no_wait(RefusalCode::NoEndpoint, MIN_RETRY_AFTER_MS);
+            return Some(self.decide_refusal(expected, now_ms));
         }
         if query.is_first {
             self.demand_rate.record();
@@ -321,8 +301,9 @@
     /// Refuses queued calls that have waited too long.
     fn refuse_expired(&mut self, now_ms: u64, decisions: &mut Vec<(u64, DispatchDecision)>) {
         let retry_after_ms = self.retry_after_ms(to_ms(self.mean_hold_time_ms));
+        let expected = no_wait(RefusalCode::Overloaded, retry_after_ms);
         for queued in self.queue.take_expired(now_ms) {
-            let decision = self.decide_refusal(RefusalCode::Overloaded, retry_after_ms, now_ms);
+            let decision = self.decide_refusal(expected, now_ms);
             decisions.push((queued.query.call, decision));
         }
     }
@@ -353,15 +334,15 @@
                 endpoint.limit.count_refused(now_ms);
             }
         }
-        self.decide_refusal(expected.code, expected.retry_after_ms, now_ms)
+        self.decide_refusal(expected, now_ms)
     }
 
     /// Returns the refusal of a call, with what keeps calls from the endpoints.
-    fn decide_refusal(&self, code: RefusalCode, wait_ms: u64, now_ms: u64) -> DispatchDecision {
+    fn decide_refusal(&self, expected: ExpectedWait, now_ms: u64) -> DispatchDecision {
         let endpoints = self.endpoints.values();
         DispatchDecision::Refuse {
-            code,
-            retry_after_ms: retry_delay_ms(code, wait_ms),
+            code: expected.code,
+            retry_after_ms: expected.retry_delay_ms(),
             obstacles: endpoints
                 .filter_map(|endpoint| endpoint.obstacle(now_ms))
                 .collect(),
@@ -374,7 +355,7 @@
             let forecast = self.permit_forecast(&[], now_ms);
             self.expected_wait_behind(self.queue.len(), forecast.as_ref(), now_ms)
         });
-        retry_delay_ms(expected.code, expected.retry_after_ms)
+        expected.retry_delay_ms()
     }
 
     /// Returns the number of this entry's calls, running and queued.
@@ -503,7 +484,8 @@
         request_id: &str,
         now_ms: u64,
     ) -> Vec<PauseChange> {
-        let return_delay_ms = self.return_delay_ms();
+        let longest_return_ms = EndpointPause::longest_return_ms(self.peer_count + 1);
+        let return_delay_ms = self.rng.random_range(0..=longest_return_ms);
         let Some(running) = self.running.get(&call) else {
             return Vec::new();
         };
@@ -518,15 +500,6 @@
         })
     }
 
-    /// Returns how long after the end of a pause this entry returns: all entries do so one after the other,
-    /// in random order.
-    fn return_delay_ms(&mut self) -> u64 {
-        let entries = u64::from(self.peer_count) + 1;
-        let longest_ms = entries * RETURN_DISTANCE_MS;
-        let longest_ms = longest_ms.clamp(MIN_RETURN_TIME_MS, MAX_RETURN_TIME_MS);
-        self.rng.random_range(0..=longest_ms)
-    }
-
     /// Applies what is known of the limit of the endpoint with this key, if it is one of the service;
     /// returns the change to log.
     pub(crate) fn apply_limit(
@@ -621,20 +594,18 @@
     /// avoided endpoint is chosen only when all are avoided.
     fn choose_endpoint(&mut self, query: &DispatchQuery, now_ms: u64) -> Option<String> {
         let ties: Vec<u32> = self.endpoints.iter().map(|_| self.rng.random()).collect();
-        let mut best: Option<(bool, f64, bool, u32, &str)> = None;
-        for (endpoint, tie) in self.endpoints_with_room(&query.exclude, now_ms).zip(ties) {
-            let sort_key = (
-                endpoint.is_avoided(now_ms),
-                endpoint.cost(query.is_stream),
-                !endpoint.is_local,
+        let endpoints = self.endpoints_with_room(&query.exclude, now_ms).zip(ties);
+        let preferences = endpoints.map(|(endpoint, tie)| {
+            let preference = EndpointPreference {
+                is_avoided: endpoint.is_avoided(now_ms),
+                cost: endpoint.cost(query.is_stream),
+                is_remote: !endpoint.is_local,
                 tie,
-                endpoint.record.id.as_str(),
-            );
-            if best.is_none_or(|best| is_before(&sort_key, &best)) {
-                best = Some(sort_key);
-            }
-        }
-        best.map(|(_, _, _, _, id)| id.to_owned())
+            };
+            (preference, &endpoint.record.id)
+        });
+        let best = preferences.min_by(|(a, _), (b, _)| a.compare(b));
+        best.map(|(_, id)| id.clone())
     }
 
     /// Predicts how long a call waits for a slot and a permit; zero when it can be sent now.
@@ -758,17 +729,12 @@
     }
 }
 
-fn is_before(a: &(bool, f64, bool, u32, &str), b: &(bool, f64, bool, u32, &str)) -> bool {
-    let by_cost = a.0.cmp(&b.0).then(a.1.total_cmp(&b.1));
-    by_cost.then(a.2.cmp(&b.2)).then(a.3.cmp(&b.3)).is_lt()
-}
-
-/// Returns the retry delay of a call that is refused. The end of a pause is known, other waits are
-/// predicted.
-fn retry_delay_ms(code: RefusalCode, wait_ms: u64) -> u64 {
-    match code {
-        RefusalCode::EndpointsPaused => wait_ms.max(MIN_RETRY_AFTER_MS),
-        _ => wait_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS),
+/// Returns the expectation of a call that does not wait.
+fn no_wait(code: RefusalCode, retry_after_ms: u64) -> ExpectedWait {
+    ExpectedWait {
+        wait_ms: 0,
+        retry_after_ms,
+        code,
     }
 }
 
--- a/lib/src/direct_stream.rs
+++ b/lib/src/direct_stream.rs
@@ -29,9 +29,6 @@
 
 /// Most events that are buffered for a caller that reads slowly.
 const MAX_BUFFERED_EVENTS: usize = 32;
-/// Share of the stream silence limit after which a silent stream is resumed at another endpoint, in
-/// percent.
-const SILENCE_PERCENT: u64 = 75;
 /// Events and time after the first event that an endpoint does not reach in an answer which crashes it.
 const SURVIVAL_EVENTS: u32 = 4;
 const SURVIVAL_TIME: Duration = Duration::from_millis(300);
@@ -209,7 +206,7 @@
     relay.log_retry(&open.slot, &failure.reason);
     relay.may_have_run = true;
     let framing = relay.framing;
-    let longest = Duration::from_millis(silence_ms(relay));
+    let longest = relay.timeouts.longest_silence();
     let opening = relay.open_moved(slot);
     let moved = if failure.is_slow() {
         tokio::time::timeout(longest, opening).await.ok()
@@ -279,7 +276,7 @@
     /// Where events carry ids, bytes without one are no progress: they are held back until an event
     /// with an id or the end of the stream follows.
     async fn next(&mut self, relay: &mut DirectRelay) -> Result<StreamPart, SendFailure> {
-        let mut deadline = event_deadline(relay);
+        let mut deadline = relay.timeouts.event_deadline(relay.tried.len());
         let needs_id = relay.rule.repeatability == Repeatability::ResumableStream;
         loop {
             while let Some(event) = self.splitter.next_event() {
@@ -391,7 +388,7 @@
         if let Some(frame) = self.early_frame.take() {
             return Ok(frame);
         }
-        if Instant::now() >= relay.deadline {
+        if Instant::now() >= relay.timeouts.deadline {
             return Err(SendFailure::timed_out());
         }
         let failure = tokio::select! {
@@ -402,8 +399,8 @@
         if relay.try_move_away().await {
             return Err(failure);
         }
-        *deadline = relay.deadline;
-        let frame = tokio::time::timeout_at(relay.deadline, self.body.frame());
+        *deadline = relay.timeouts.deadline;
+        let frame = tokio::time::timeout_at(relay.timeouts.deadline, self.body.frame());
         frame.await.map_err(|_| SendFailure::timed_out())
     }
 
@@ -428,22 +425,6 @@
     SendFailure::broken(SendResult::Failed, reason.to_owned())
 }
 
-/// Returns the time by which the next event must arrive.
-fn event_deadline(relay: &DirectRelay) -> Instant {
-    let attempts = u32::try_from(relay.tried.len()).unwrap_or(u32::MAX);
-    let is_last = attempts >= relay.rule.max_attempts;
-    if is_last || !relay.rule.repeatability.may_repeat() {
-        return relay.deadline;
-    }
-    let timeout = Duration::from_millis(silence_ms(relay));
-    relay.deadline.min(Instant::now() + timeout)
-}
-
-/// Returns the silence after which a stream is resumed at another endpoint.
-fn silence_ms(relay: &DirectRelay) -> u64 {
-    relay.stream_silence_limit_ms() * SILENCE_PERCENT / 100
-}
-
 /// Drops an event that the caller already has.
 ///
 /// # Errors
--- a/lib/src/drain_report.rs
+++ b/lib/src/drain_report.rs
@@ -1,13 +1,16 @@
-//! Logs the calls that are still in flight at the end of a drain, which SIGKILL may cut.
+//! What entries log of calls while they drain, and of those in flight at the end, which SIGKILL may cut.
 
 use std::collections::HashMap;
 
 use tokio::time::Instant;
 
+use crate::RouteRule;
 use crate::as_ms::as_ms;
 use crate::call_progress::CallIdentity;
 use crate::call_progress::CallPosition;
 use crate::call_progress::CallProgress;
+use crate::caller_connection::CallerConnection;
+use crate::calls_in_flight::CallInFlight;
 use crate::direct_state::DirectState;
 use crate::event;
 
@@ -45,6 +48,45 @@
     }
 }
 
+/// Returns the log fields of a call that a draining entry sends: the times since the signal to shut down and
+/// since its connection was accepted, the time until all calls should have ended, and the longest that the
+/// latest calls of its route took.
+pub(crate) fn send_fields(
+    state: &DirectState,
+    call: &CallInFlight,
+    connection: &CallerConnection,
+    rule: &RouteRule,
+) -> String {
+    let Some(draining) = state.drain.elapsed() else {
+        return String::new();
+    };
+    format!(
+        " draining_ms={} taken_by={} connection_ms={} drain_left_ms={} longest_ms={}",
+        draining.as_millis(),
+        call.progress().clause_name(),
+        connection.accepted.elapsed().as_millis(),
+        as_ms(state.drain.time_left().unwrap_or_default()),
+        state.longest_call_ms(rule)
+    )
+}
+
+/// Returns the log fields of a call that ends at a draining entry: the time since the signal to shut down,
+/// when the call arrived and by which clause it was taken, and whether its rank group stands still.
+pub(crate) fn end_fields(state: &DirectState, call: &CallInFlight, arrived: Instant) -> String {
+    let drain = &state.drain;
+    if drain.elapsed().is_none() {
+        return String::new();
+    }
+    let progress = call.progress();
+    format!(
+        " draining_ms={} arrived_ms={} taken_by={} group_still={}",
+        drain.elapsed_ms(),
+        drain.since_signal_ms(arrived),
+        progress.clause_name(),
+        is_group_still(state, &progress.identity.service)
+    )
+}
+
 /// Returns the time of the latest event of the calls in flight, by a key of the call.
 fn latest_events(
     calls: &[CallProgress],
@@ -69,7 +111,7 @@
 }
 
 /// Returns whether the rank group of a service is known to be stalled or down.
-pub(crate) fn is_group_still(state: &DirectState, service: &str) -> bool {
+fn is_group_still(state: &DirectState, service: &str) -> bool {
     state.down_services.borrow().contains(service)
 }
 
--- a/lib/src/endpoint_pause.rs
+++ b/lib/src/endpoint_pause.rs
@@ -3,6 +3,11 @@
 use crate::RetryAfter;
 use crate::SendObstacle;
 
+/// Distance of the returns of two entries to an endpoint.
+const RETURN_DISTANCE_MS: u64 = 50;
+/// Bounds of the time within which all entries return.
+const MIN_RETURN_TIME_MS: u64 = 100;
+const MAX_RETURN_TIME_MS: u64 = 5_000;
 /// Longest time for which one answer keeps calls from an endpoint.
 const MAX_PAUSE_MS: u64 = 120_000;
 
@@ -69,6 +74,13 @@
 }
 
 impl EndpointPause {
+    /// Returns the longest time after a pause by which one of `entries` entries returns, so that they do
+    /// so one after the other.
+    pub(crate) fn longest_return_ms(entries: u32) -> u64 {
+        let time_ms = u64::from(entries) * RETURN_DISTANCE_MS;
+        time_ms.clamp(MIN_RETURN_TIME_MS, MAX_RETURN_TIME_MS)
+    }
+
     /// Applies what an answer of the endpoint says; returns what is to be logged. This entry returns
     /// `return_delay_ms` after the end of the pause.
     pub(crate) fn observe(
