--- a/lib/src/shared_retry_budget.rs
+++ b/lib/src/shared_retry_budget.rs
@@ -5,7 +5,8 @@
 
 /// Share of this entry's part of the slack that it may save up; the rest is earned over the window.
 const SAVED_SHARE: f64 = 0.5;
-/// Retries that may always be saved up, so that requests can earn a whole one.
+/// Retries that may always be saved up, so that requests can earn a whole one, and that a new process has, so
+/// that its first calls can leave a slow endpoint.
 const MIN_SAVED_RETRIES: f64 = 1.0;
 
 /// This entry's part of the retries that all entries together may make for one service.
@@ -24,13 +25,13 @@
 }
 
 impl SharedRetryBudget {
-    /// Creates an empty budget of an entry with a share of the slack, from 0 to 1.
+    /// Creates the budget of a new process, which has one retry and a share of the slack, from 0 to 1.
     #[must_use]
     pub fn new(allowance: RetryAllowance, share: f64, now_ms: u64) -> Self {
         Self {
             allowance,
             share,
-            retries: 0.0,
+            retries: MIN_SAVED_RETRIES,
             earned_until_ms: now_ms,
         }
     }
