call_timeouts: send no call without time for its answer

Cause: the least time for an answer was a constant, 40 ms, whatever endpoints need.

What the latest answers of the route took decides now: mean and deviation as RFC 6298 has them, at most twice the mean. Streams are left as they were.

--- a/lib/src/call_timeouts.rs
+++ b/lib/src/call_timeouts.rs
@@ -5,11 +5,12 @@
 
 use tokio::time::Instant;
 
+use crate::AnswerTimes;
 use crate::RouteRule;
 use crate::as_ms::as_ms;
 
 /// Shortest time in which an endpoint can serve a call.
-pub(crate) const MIN_SERVICE_MS: u64 = 40;
+const MIN_SERVICE: Duration = Duration::from_millis(40);
 /// Share of the stream silence limit that a stream may be queued for its slot, in percent.
 const STREAM_QUEUE_WAIT_PERCENT: u64 = 70;
 /// Share of the stream silence limit after which a silent stream is resumed at another endpoint, in
@@ -28,6 +29,7 @@
 pub(crate) struct CallTimeouts {
     pub(crate) rule: Arc<RouteRule>,
     pub(crate) deadline: Instant,
+    pub(crate) answer_times: AnswerTimes,
 }
 
 impl CallTimeouts {
@@ -36,9 +38,17 @@
         as_ms(self.deadline.saturating_duration_since(Instant::now()))
     }
 
-    /// Returns whether an endpoint may still serve the call in time.
+    /// Returns whether an endpoint that is sent the call now is expected to serve it in time.
     pub(crate) fn has_time_left(&self) -> bool {
-        self.time_left_ms() > MIN_SERVICE_MS
+        self.deadline.saturating_duration_since(Instant::now()) > self.service_time()
+    }
+
+    /// Returns the time in which an endpoint is expected to answer the call, or to begin its stream.
+    fn service_time(&self) -> Duration {
+        if self.rule.repeatability.is_stream() {
+            return MIN_SERVICE;
+        }
+        self.answer_times.expected(&self.rule.name).max(MIN_SERVICE)
     }
 
     /// Returns whether a call that was sent to `endpoints` endpoints may be sent to one more.
@@ -49,11 +59,13 @@
     /// Returns the longest time that the call may be queued for its slot, after a silence of `silent_ms`.
     pub(crate) fn max_queue_wait_ms(&self, silent_ms: u64) -> u64 {
         let left_ms = self.time_left_ms();
-        if !self.rule.repeatability.is_stream() {
-            return left_ms;
-        }
-        let max_wait_ms = self.stream_silence_limit_ms() * STREAM_QUEUE_WAIT_PERCENT / 100;
-        max_wait_ms.saturating_sub(silent_ms).min(left_ms)
+        let max_wait_ms = if self.rule.repeatability.is_stream() {
+            let max_wait_ms = self.stream_silence_limit_ms() * STREAM_QUEUE_WAIT_PERCENT / 100;
+            max_wait_ms.saturating_sub(silent_ms).min(left_ms)
+        } else {
+            left_ms
+        };
+        max_wait_ms.saturating_sub(as_ms(self.service_time()))
     }
 
     /// Returns the time until which a call that was sent to `endpoints` endpoints waits for the next part
--- a/lib/src/direct_entry.rs
+++ b/lib/src/direct_entry.rs
@@ -20,6 +20,7 @@
 use volo_http::request::Request;
 use volo_http::server::route::Router;
 
+use crate::AnswerTimes;
 use crate::CallTimes;
 use crate::Clock;
 use crate::DaemonError;
@@ -153,6 +154,7 @@
             calls: CallsInFlight::default(),
             drain,
             call_times: CallTimes::default(),
+            answer_times: AnswerTimes::default(),
             has_serving_peers: AtomicBool::new(false),
             next_call: AtomicU64::new(0),
         };
--- a/lib/src/direct_relay.rs
+++ b/lib/src/direct_relay.rs
@@ -30,7 +30,6 @@
 use crate::answer_framing::AnswerFraming;
 use crate::as_ms::as_ms;
 use crate::call_timeouts::CallTimeouts;
-use crate::call_timeouts::MIN_SERVICE_MS;
 use crate::caller_connection::CallerConnection;
 use crate::calls_in_flight::CallInFlight;
 use crate::crashed_call::CrashedCall;
@@ -486,7 +485,7 @@
             .is_first(exclude.is_empty() && self.unwritten_sends == 0)
             .is_returning(self.is_returning())
             .on_time_until_ms(now_ms + target_left_ms)
-            .useful_until_ms(now_ms + max_wait_ms.saturating_sub(MIN_SERVICE_MS))
+            .useful_until_ms(now_ms + max_wait_ms)
             .exclude(exclude)
             .build()
     }
@@ -545,6 +544,7 @@
 
     /// Sends the call to the endpoint of `slot` and reads the whole answer.
     async fn fetch_whole_from(&mut self, slot: &DirectSlot) -> Result<WholeAnswer, SendFailure> {
+        let sent = Instant::now();
         let response = self.open_answer_at(slot).await?;
         let (head, body) = response.into_parts();
         let reading = http_client::read_body(Response::new(body), MAX_ANSWER_BYTES);
@@ -557,6 +557,10 @@
             let reason = format!("answer broke off: {error}");
             SendFailure::broken(SendResult::Failed, reason)
         })?;
+        if !head.status.is_server_error() {
+            let answer_times = &self.state.answer_times;
+            answer_times.record(&self.rule.name, sent.elapsed());
+        }
         Ok(WholeAnswer { head, body })
     }
 
--- a/lib/src/direct_server.rs
+++ b/lib/src/direct_server.rs
@@ -103,6 +103,7 @@
     let timeouts = CallTimeouts {
         rule: Arc::clone(&rule),
         deadline,
+        answer_times: state.answer_times.clone(),
     };
     let relay = DirectRelay {
         state: Arc::clone(state),
--- a/lib/src/direct_state.rs
+++ b/lib/src/direct_state.rs
@@ -11,6 +11,7 @@
 use arc_swap::ArcSwapOption;
 use tokio::sync::watch;
 
+use crate::AnswerTimes;
 use crate::CallTimes;
 use crate::Clock;
 use crate::DirectProtocol;
@@ -47,6 +48,7 @@
     pub(crate) calls: CallsInFlight,
     pub(crate) drain: Arc<EntryDrain>,
     pub(crate) call_times: CallTimes,
+    pub(crate) answer_times: AnswerTimes,
     /// Whether other entries take new work.
     pub(crate) has_serving_peers: AtomicBool,
     /// Number of the next call.
