direct_service: send no calls to endpoints that say that they leave

The notice of an answer has it now, of any status, and DirectEndpoint::obstacle keeps all sends from that run of the endpoint, also after it was missing from the list. Where all endpoints leave, queued calls are refused at once, as new ones are.

--- a/lib/src/direct_actor.rs
+++ b/lib/src/direct_actor.rs
@@ -17,6 +17,7 @@
 use crate::DispatchQuery;
 use crate::EndpointList;
 use crate::EndpointNotice;
+use crate::LeavingChange;
 use crate::LimitChange;
 use crate::LimitDivision;
 use crate::LimitStatus;
@@ -302,7 +303,27 @@
             let logged = statuses.iter().take(MAX_LOGGED_LIMITS);
             logged.for_each(log_pause_status);
         }
-        self.outputs.pauses.publish(statuses);
+        let leaving = self.dispatcher.leaving_count();
+        self.outputs.pauses.publish(statuses, leaving);
+    }
+
+    /// Applies and logs that an endpoint says that it leaves. Calls that wait for it are decided on at once.
+    fn observe_leaving(&mut self, call: u64, request_id: &str, now_ms: u64) {
+        let change = self.dispatcher.observe_leaving(call, request_id, now_ms);
+        let Some(LeavingChange {
+            endpoint,
+            service,
+            request_id,
+        }) = change
+        else {
+            return;
+        };
+        event!(
+            EndpointSaysLeaving,
+            "request_id={request_id} service={service} endpoint={endpoint}"
+        );
+        let decisions = self.dispatcher.advance(now_ms);
+        self.send_decisions(decisions, now_ms);
     }
 
     /// Applies and logs what an answer says about its endpoint's limit.
@@ -372,6 +393,9 @@
                     self.outputs.pauses.count(change);
                     log_pause_change(change);
                 }
+                if notice.is_leaving {
+                    self.observe_leaving(call, &request_id, now_ms);
+                }
             }
             DirectCommand::End { call, result } => {
                 self.replies.remove(&call);
--- a/lib/src/direct_dispatcher.rs
+++ b/lib/src/direct_dispatcher.rs
@@ -11,6 +11,7 @@
 use crate::DispatchDecision;
 use crate::DispatchQuery;
 use crate::EndpointRecord;
+use crate::LeavingChange;
 use crate::LimitChange;
 use crate::LimitDivision;
 use crate::LimitObservation;
@@ -311,6 +312,18 @@
         })
     }
 
+    /// Records that the endpoint of a running call says that it leaves; returns what is to be logged.
+    pub fn observe_leaving(
+        &mut self,
+        call: u64,
+        request_id: &str,
+        now_ms: u64,
+    ) -> Option<LeavingChange> {
+        let service = self.service_by_call.get(&call)?;
+        let service = self.services.get_mut(service)?;
+        service.observe_leaving(call, request_id, now_ms)
+    }
+
     /// Applies what the entry at `address` reports on the limits of endpoints; returns the changes to
     /// log.
     pub fn merge_limits(
@@ -390,6 +403,14 @@
         statuses.collect()
     }
 
+    /// Returns the number of listed endpoints that have said in an answer that they leave.
+    #[must_use]
+    pub fn leaving_count(&self) -> u64 {
+        let endpoints = self.services.values().flat_map(DirectService::endpoints);
+        let leaving = endpoints.filter(|endpoint| endpoint.leaving.is_known());
+        leaving.map(|_| 1).sum()
+    }
+
     /// Returns the limit that an endpoint names, as far as this entry knows.
     #[must_use]
     pub fn limit_of(&self, record: &EndpointRecord, now_ms: u64) -> Option<BelievedLimit> {
--- a/lib/src/direct_endpoint.rs
+++ b/lib/src/direct_endpoint.rs
@@ -7,6 +7,7 @@
 use crate::LimitObservation;
 use crate::SendObstacle;
 use crate::SendResult;
+use crate::endpoint_leaving::EndpointLeaving;
 use crate::endpoint_limit::EndpointLimit;
 use crate::endpoint_limit::LimitedEndpoint;
 use crate::endpoint_pause::EndpointPause;
@@ -53,6 +54,8 @@
     pub(crate) limit: EndpointLimit,
     /// What is known of the time for which the endpoint wants no calls.
     pub(crate) pause: EndpointPause,
+    /// Whether the endpoint has said that it leaves.
+    pub(crate) leaving: EndpointLeaving,
     /// Hash of the id and the run of the endpoint.
     pub(crate) limit_key: u32,
     /// Share of the recent calls that failed, from 0 to 1.
@@ -77,6 +80,7 @@
             slowdown_percent: USUAL_STEP_TIME_PERCENT,
             limit: EndpointLimit::default(),
             pause: EndpointPause::default(),
+            leaving: EndpointLeaving::default(),
             limit_key,
             failure_rate: 0.0,
             mean_latency_ms: INITIAL_LATENCY_MS,
@@ -123,7 +127,7 @@
     ///
     /// Whether the endpoint is slow or avoided is a preference, for the choice among those that take calls.
     pub(crate) fn obstacle(&self, now_ms: u64) -> Option<SendObstacle> {
-        if self.record.is_leaving {
+        if self.is_leaving() {
             return Some(SendObstacle::Leaving);
         }
         if let Some(obstacle) = self.pause.obstacle(now_ms) {
@@ -136,10 +140,15 @@
         (!has_permit).then_some(SendObstacle::Limited)
     }
 
+    /// Returns whether the endpoint leaves, as its record or an answer of it says.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.record.is_leaving || self.leaving.is_known()
+    }
+
     /// Returns whether the endpoint takes calls, though not always at once: it neither leaves nor has it
     /// asked for a time without calls.
     pub(crate) fn is_open(&self, now_ms: u64) -> bool {
-        !self.record.is_leaving && self.pause.wait_ms(now_ms) == 0
+        !self.is_leaving() && self.pause.wait_ms(now_ms) == 0
     }
 
     /// Records that a call is sent to the endpoint.
--- a/lib/src/direct_service.rs
+++ b/lib/src/direct_service.rs
@@ -15,6 +15,7 @@
 use crate::DispatchQuery;
 use crate::EndpointRecord;
 use crate::EngineModel;
+use crate::LeavingChange;
 use crate::LimitChange;
 use crate::LimitObservation;
 use crate::LimitSource;
@@ -49,6 +50,8 @@
 /// Shortest retry delay that is returned while the rank group is stalled or down.
 const STALL_RETRY_AFTER_MS: u64 = 2_000;
 const MS_PER_S: f64 = 1_000.0;
+/// What a call expects when no endpoint stays.
+const NO_ENDPOINT: ExpectedWait = no_wait(RefusalCode::NoEndpoint, MIN_RETRY_AFTER_MS);
 
 /// Assigns the calls of one service to its endpoints, and queues or refuses them when all are busy.
 #[derive(Debug)]
@@ -57,7 +60,7 @@
     rng: SmallRng,
     endpoints: BTreeMap<String, DirectEndpoint>,
     /// Endpoints that are not listed any more, while they want no calls or run some of this entry; they may
-    /// be listed again.
+    /// be listed again. For some time those that have said that they leave.
     unlisted: BTreeMap<String, DirectEndpoint>,
     running: HashMap<u64, RunningCall>,
     queue: CallQueue,
@@ -126,7 +129,9 @@
         let mut unlisted = std::mem::take(&mut self.unlisted);
         unlisted.append(&mut previous);
         unlisted.retain(|_, endpoint| {
-            endpoint.pause.wait_ms(now_ms) > 0 || self.running_calls_at(&endpoint.record) > 0
+            endpoint.pause.wait_ms(now_ms) > 0
+                || endpoint.leaving.is_kept(now_ms)
+                || self.running_calls_at(&endpoint.record) > 0
         });
         self.unlisted = unlisted;
         self.set_peer_demand(self.peer_count, self.peer_demand.clone());
@@ -217,9 +222,8 @@
         query: DispatchQuery,
         now_ms: u64,
     ) -> Option<DispatchDecision> {
-        if !self.endpoints.values().any(|e| !e.record.is_leaving) {
-            let expected = no_wait(RefusalCode::NoEndpoint, MIN_RETRY_AFTER_MS);
-            return Some(self.decide_refusal(expected, now_ms));
+        if self.all_leave() {
+            return Some(self.decide_refusal(NO_ENDPOINT, now_ms));
         }
         if query.is_first {
             self.demand_rate.record();
@@ -243,6 +247,11 @@
         None
     }
 
+    /// Returns whether no endpoint is listed that stays.
+    fn all_leave(&self) -> bool {
+        self.endpoints.values().all(DirectEndpoint::is_leaving)
+    }
+
     /// Ends a running or queued call; does nothing for an unknown one.
     pub(crate) fn end(&mut self, call: u64, result: SendResult, now_ms: u64) {
         self.queue.remove(call);
@@ -308,8 +317,16 @@
         }
     }
 
-    /// Refuses queued calls that get no permit in time, or none before the end of all pauses.
+    /// Refuses queued calls that get no permit in time, none before the end of all pauses, or none at all
+    /// because all endpoints leave.
     fn refuse_late(&mut self, now_ms: u64, decisions: &mut Vec<(u64, DispatchDecision)>) {
+        if self.all_leave() {
+            for queued in self.queue.take_all(now_ms) {
+                let decision = self.decide_refusal(NO_ENDPOINT, now_ms);
+                decisions.push((queued.query.call, decision));
+            }
+            return;
+        }
         let pause = self.pause_wait(&[], now_ms);
         let forecast = self.permit_forecast(&[], now_ms);
         if pause.is_none() && forecast.is_none() {
@@ -486,13 +503,7 @@
     ) -> Vec<PauseChange> {
         let longest_return_ms = EndpointPause::longest_return_ms(self.peer_count + 1);
         let return_delay_ms = self.rng.random_range(0..=longest_return_ms);
-        let Some(running) = self.running.get(&call) else {
-            return Vec::new();
-        };
-        let endpoint = self.endpoints.get_mut(&running.endpoint);
-        let endpoint = endpoint.or_else(|| self.unlisted.get_mut(&running.endpoint));
-        let endpoint =
-            endpoint.filter(|endpoint| endpoint.record.born_ms == running.endpoint_born_ms);
+        let endpoint = self.endpoint_of_call(call);
         endpoint.map_or_else(Vec::new, |endpoint| {
             let id = endpoint.record.id.as_str();
             let pause = &mut endpoint.pause;
@@ -500,6 +511,30 @@
         })
     }
 
+    /// Records that the endpoint of a running call says that it leaves; returns what is to be logged.
+    pub(crate) fn observe_leaving(
+        &mut self,
+        call: u64,
+        request_id: &str,
+        now_ms: u64,
+    ) -> Option<LeavingChange> {
+        let endpoint = self.endpoint_of_call(call)?;
+        let is_first = endpoint.leaving.observe(now_ms);
+        is_first.then(|| LeavingChange {
+            endpoint: endpoint.record.id.clone(),
+            service: endpoint.record.service.clone(),
+            request_id: request_id.to_owned(),
+        })
+    }
+
+    /// Returns the endpoint to which a running call was sent, listed or not, in the same run.
+    fn endpoint_of_call(&mut self, call: u64) -> Option<&mut DirectEndpoint> {
+        let running = self.running.get(&call)?;
+        let endpoint = self.endpoints.get_mut(&running.endpoint);
+        let endpoint = endpoint.or_else(|| self.unlisted.get_mut(&running.endpoint));
+        endpoint.filter(|endpoint| endpoint.record.born_ms == running.endpoint_born_ms)
+    }
+
     /// Applies what is known of the limit of the endpoint with this key, if it is one of the service;
     /// returns the change to log.
     pub(crate) fn apply_limit(
@@ -624,10 +659,10 @@
     /// Predicts how long a call waits while all endpoints outside `exclude` have asked for a time without
     /// calls; `None` if one takes calls, or there is none.
     fn pause_wait(&self, exclude: &[String], now_ms: u64) -> Option<ExpectedWait> {
-        let staying = self.endpoints.values().filter(|endpoint| {
-            let record = &endpoint.record;
-            !record.is_leaving && !exclude.contains(&record.id)
-        });
+        let staying = self
+            .endpoints
+            .values()
+            .filter(|endpoint| !endpoint.is_leaving() && !exclude.contains(&endpoint.record.id));
         let waits = staying.map(|endpoint| endpoint.pause.wait_ms(now_ms));
         let wait_ms = waits.min().filter(|wait_ms| *wait_ms > 0)?;
         Some(ExpectedWait {
@@ -730,7 +765,7 @@
 }
 
 /// Returns the expectation of a call that does not wait.
-fn no_wait(code: RefusalCode, retry_after_ms: u64) -> ExpectedWait {
+const fn no_wait(code: RefusalCode, retry_after_ms: u64) -> ExpectedWait {
     ExpectedWait {
         wait_ms: 0,
         retry_after_ms,
--- a/lib/src/endpoint_notice.rs
+++ b/lib/src/endpoint_notice.rs
@@ -10,6 +10,8 @@
     pub limit: NamedLimit,
     /// For how long it wants no calls of this entry.
     pub retry_after: RetryAfter,
+    /// Whether it leaves, so that no further calls are to be sent to it.
+    pub is_leaving: bool,
 }
 
 impl EndpointNotice {
@@ -17,5 +19,6 @@
     pub const NONE: Self = Self {
         limit: NamedLimit::None,
         retry_after: RetryAfter::None,
+        is_leaving: false,
     };
 }
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -138,6 +138,7 @@
     PauseAsked = 615 Warn "endpoint wants no calls for some time",
     PauseInvalid = 616 Warn "endpoint names an invalid time without calls",
     PauseInForce = 617 Info "endpoint is in a time without calls",
+    EndpointSaysLeaving = 618 Info "endpoint says that it leaves",
 }
 
 impl fmt::Display for Event {
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -269,7 +269,7 @@
             .build();
     }
 
-    /// Reports the endpoints that want no calls for some time, on each read.
+    /// Reports the endpoints that want no calls, for some time or because they leave, on each read.
     pub(crate) fn observe_pauses(&self, pauses: &PauseBoard) {
         let meter = self.provider.meter(SCOPE);
         let board = pauses.clone();
@@ -298,6 +298,12 @@
             .with_description("Times that an endpoint began to name an invalid time without calls")
             .with_callback(move |counter| counter.observe(board.invalid_count(), &[]))
             .build();
+        let board = pauses.clone();
+        meter
+            .u64_observable_gauge("pomeloramp_leaving_endpoints")
+            .with_description("Listed endpoints that have said in an answer that they leave")
+            .with_callback(move |gauge| gauge.observe(board.leaving_count(), &[]))
+            .build();
     }
 
     /// Records the duration of a finished request.
--- a/lib/src/pause_board.rs
+++ b/lib/src/pause_board.rs
@@ -1,4 +1,4 @@
-//! The pauses of endpoints, as the dispatcher publishes them for metrics.
+//! The endpoints that want no calls, as the dispatcher publishes them for metrics.
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
@@ -9,18 +9,25 @@
 use crate::PauseChange;
 use crate::PauseStatus;
 
-/// The pauses of endpoints, as the dispatcher publishes them for metrics.
+/// The endpoints that want no calls, for a time or because they leave, as the dispatcher publishes them for metrics.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct PauseBoard {
     statuses: Arc<ArcSwap<Vec<PauseStatus>>>,
+    leaving: Arc<AtomicU64>,
     asked: Arc<AtomicU64>,
     invalid: Arc<AtomicU64>,
 }
 
 impl PauseBoard {
-    /// Replaces the pauses that last.
-    pub(crate) fn publish(&self, statuses: Vec<PauseStatus>) {
+    /// Replaces the pauses that last and the number of endpoints that say that they leave.
+    pub(crate) fn publish(&self, statuses: Vec<PauseStatus>, leaving: u64) {
         self.statuses.store(Arc::new(statuses));
+        self.leaving.store(leaving, Ordering::Relaxed);
+    }
+
+    /// Returns the number of endpoints that say that they leave.
+    pub(crate) fn leaving_count(&self) -> u64 {
+        self.leaving.load(Ordering::Relaxed)
     }
 
     /// Returns the pauses that were published last.
