service_endpoints, relay_record: types and modules of their own for what had grown

ServiceEndpoints keeps the listed and unlisted endpoints and decides which take calls. No change of behaviour, but for the random numbers of ties, which are drawn only for endpoints with room.

--- a/lib/src/direct_relay.rs
+++ b/lib/src/direct_relay.rs
@@ -12,18 +12,15 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-use crate::BelievedLimit;
 use crate::CrashSuspect;
 use crate::DirectCall;
 use crate::DirectRefusal;
 use crate::DispatchDecision;
 use crate::DispatchQuery;
 use crate::EndpointRequestHead;
-use crate::ListSource;
 use crate::MeasuredCall;
 use crate::ObstacleCounts;
 use crate::OrganisationRule;
-use crate::PlatformRevision;
 use crate::RefusalCode;
 use crate::RouteRule;
 use crate::SendResult;
@@ -40,7 +37,6 @@
 use crate::direct_server;
 use crate::direct_slot::DirectSlot;
 use crate::direct_state::DirectState;
-use crate::drain_report;
 use crate::event;
 use crate::http_client;
 use crate::in_flight::InFlightGuard;
@@ -496,34 +492,6 @@
         refusal
     }
 
-    /// Records the end of the call in metrics and log, with the reason if it has none of its own.
-    pub(crate) fn record_end(&self, outcome: &str, reason: &str) {
-        self.has_ended.store(true, Ordering::Relaxed);
-        let elapsed = self.arrived.elapsed();
-        let organisation = self.organisation.as_ref().map_or("", |o| o.name.as_str());
-        let metrics = &self.state.metrics;
-        metrics.record_request(organisation, outcome, elapsed);
-        let rule = &self.rule;
-        let lateness = self
-            .times
-            .lateness(rule.target_latency_ms, rule.target_gap_ms);
-        event!(
-            CallEnded,
-            "request_id={} outcome={outcome} attempts={} elapsed_ms={} first_event_ms={} \
-             longest_pause_ms={} late_by={} framing={} unfinished_bytes={}{}{}",
-            self.call.request_id,
-            self.tried.len(),
-            elapsed.as_millis(),
-            self.times.first_event_ms(),
-            self.times.longest_pause_ms(),
-            lateness.name(),
-            self.framing.map_or("none", AnswerFraming::name),
-            self.unfinished_bytes,
-            reason_field(reason),
-            drain_report::end_fields(&self.state, &self.in_flight, self.arrived)
-        );
-    }
-
     /// Returns the urgency of the call: that of its organisation, else that of its route.
     pub(crate) fn urgency(&self) -> u32 {
         let organisation = self.organisation.as_ref();
@@ -671,52 +639,6 @@
             () = tokio::time::sleep_until(silent_until) => SendFailure::timed_out(),
         }
     }
-
-    fn log_send(&self, slot: &DirectSlot, endpoint_id: &str) {
-        let list = slot.list();
-        let position = list.map_or_else(PlatformRevision::default, |list| list.position);
-        event!(
-            CallSent,
-            "request_id={} service={} endpoint={endpoint_id} attempt={} waited_ms={} left_ms={} \
-             endpoints_era={} endpoints_revision={} endpoints_age_ms={} endpoints_from={}{}{}",
-            self.call.request_id,
-            self.service,
-            self.tried.len() + 1,
-            self.arrived.elapsed().as_millis(),
-            self.timeouts.time_left_ms(),
-            position.era,
-            position.revision,
-            self.state.endpoints.age_ms(),
-            list.map_or(&ListSource::Platform, |list| &list.source),
-            slot.limit()
-                .map(BelievedLimit::log_fields)
-                .unwrap_or_default(),
-            drain_report::send_fields(&self.state, &self.in_flight, &self.connection, &self.rule)
-        );
-    }
-
-    pub(crate) fn log_retry(&self, slot: &DirectSlot, reason: &str) {
-        event!(
-            CallRetried,
-            "request_id={} endpoint={} attempts={} retries_left={:.2} reason=\"{reason}\"",
-            self.call.request_id,
-            slot.endpoint().map_or("", |endpoint| endpoint.id.as_str()),
-            self.tried.len(),
-            self.retries_left
-        );
-    }
-
-    fn log_failure(&self, slot: &DirectSlot, reason: &str) {
-        event!(
-            CallFailed,
-            "request_id={} endpoint={} attempts={} retries_left={:.2} left_ms={} reason=\"{reason}\"",
-            self.call.request_id,
-            slot.endpoint().map_or("", |endpoint| endpoint.id.as_str()),
-            self.tried.len(),
-            self.retries_left,
-            self.timeouts.time_left_ms()
-        );
-    }
 }
 
 impl Drop for DirectRelay {
@@ -729,11 +651,3 @@
         }
     }
 }
-
-/// Returns the log field of a reason; nothing if there is none.
-fn reason_field(reason: &str) -> String {
-    if reason.is_empty() {
-        return String::new();
-    }
-    format!(" reason=\"{}\"", reason.replace('"', "'"))
-}
--- a/lib/src/direct_service.rs
+++ b/lib/src/direct_service.rs
@@ -4,7 +4,6 @@
 //! once. Queued calls that can still be on time go before those that are late, and callers that
 //! retry after a refusal go before new ones.
 
-use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -33,13 +32,12 @@
 use crate::direct_endpoint::DirectEndpoint;
 use crate::endpoint_limit::EndpointLimit;
 use crate::endpoint_pause::EndpointPause;
-use crate::endpoint_preference::EndpointPreference;
 use crate::expected_wait::ExpectedWait;
 use crate::expected_wait::MIN_RETRY_AFTER_MS;
 use crate::group_progress::GroupProgress;
 use crate::limit_division::ServiceDivision;
 use crate::permit_forecast::PermitForecast;
-use crate::short_hash::short_hash;
+use crate::service_endpoints::ServiceEndpoints;
 
 /// Assumed time for which a call holds its slot, until a call ends or an engine model is set.
 const INITIAL_HOLD_TIME_MS: f64 = 300.0;
@@ -56,12 +54,8 @@
 /// Assigns the calls of one service to its endpoints, and queues or refuses them when all are busy.
 #[derive(Debug)]
 pub(crate) struct DirectService {
-    availability_zone: String,
     rng: SmallRng,
-    endpoints: BTreeMap<String, DirectEndpoint>,
-    /// Endpoints that are not listed any more, while they want no calls or run some of this entry; they may
-    /// be listed again. For some time those that have said that they leave.
-    unlisted: BTreeMap<String, DirectEndpoint>,
+    endpoints: ServiceEndpoints,
     running: HashMap<u64, RunningCall>,
     queue: CallQueue,
     /// Limit on the calls per endpoint; absent without an engine model.
@@ -77,8 +71,6 @@
     progress: GroupProgress,
     /// How the entries divide the limits of the endpoints.
     division: ServiceDivision,
-    /// Whether any endpoint names a limit.
-    has_limits: bool,
     demand_rate: DemandRate,
 }
 
@@ -91,14 +83,19 @@
     since_ms: u64,
 }
 
+impl RunningCall {
+    /// Returns whether the call is at this run of an endpoint.
+    fn is_at(&self, record: &EndpointRecord) -> bool {
+        self.endpoint == record.id && self.endpoint_born_ms == record.born_ms
+    }
+}
+
 impl DirectService {
     /// Creates a service without endpoints.
     pub(crate) fn new(availability_zone: &str, rng: SmallRng, division: ServiceDivision) -> Self {
         Self {
-            availability_zone: availability_zone.to_owned(),
             rng,
-            endpoints: BTreeMap::new(),
-            unlisted: BTreeMap::new(),
+            endpoints: ServiceEndpoints::new(availability_zone),
             running: HashMap::new(),
             queue: CallQueue::default(),
             concurrency_limit: None,
@@ -108,34 +105,19 @@
             has_hold_time_sample: false,
             progress: GroupProgress::default(),
             division,
-            has_limits: false,
             demand_rate: DemandRate::default(),
         }
     }
 
     /// Replaces the endpoints of the service; statistics of endpoints that remain are kept.
     pub(crate) fn set_endpoints(&mut self, records: Vec<Arc<EndpointRecord>>, now_ms: u64) {
-        let mut previous = std::mem::take(&mut self.endpoints);
-        for record in records {
-            let existing = previous.remove(&record.id);
-            let existing = existing.or_else(|| self.take_unlisted(&record));
-            let existing = existing.filter(|existing| existing.record.born_ms == record.born_ms);
-            let is_local = record.availability_zone == self.availability_zone;
-            let mut endpoint =
-                existing.unwrap_or_else(|| DirectEndpoint::new(Arc::clone(&record), is_local));
-            endpoint.record = record;
-            self.endpoints.insert(endpoint.record.id.clone(), endpoint);
-        }
-        let mut unlisted = std::mem::take(&mut self.unlisted);
-        unlisted.append(&mut previous);
-        unlisted.retain(|_, endpoint| {
-            endpoint.pause.wait_ms(now_ms) > 0
-                || endpoint.leaving.is_kept(now_ms)
-                || self.running_calls_at(&endpoint.record) > 0
-        });
-        self.unlisted = unlisted;
-        self.set_peer_demand(self.peer_count, self.peer_demand.clone());
-        self.check_for_limits();
+        let running = &self.running;
+        let running_calls = |record: &EndpointRecord| {
+            let at_endpoint = running.values().filter(|running| running.is_at(record));
+            as_u32(at_endpoint.count())
+        };
+        self.endpoints.set(records, running_calls, now_ms);
+        self.endpoints.set_peer_calls(&self.peer_demand.by_endpoint);
     }
 
     /// Sets the engine model of the service; `None` for a service without one.
@@ -160,10 +142,7 @@
 
     /// Sets the number of other entries that accept calls and their in-flight calls.
     pub(crate) fn set_peer_demand(&mut self, peer_count: u32, peer_demand: PeerDemand) {
-        for (id, endpoint) in &mut self.endpoints {
-            let calls = peer_demand.by_endpoint.get(&short_hash(id)).copied();
-            endpoint.peer_calls = calls.unwrap_or(0);
-        }
+        self.endpoints.set_peer_calls(&peer_demand.by_endpoint);
         self.peer_demand = peer_demand;
         self.peer_count = peer_count;
     }
@@ -171,24 +150,17 @@
     /// Sets the step times of slow endpoints, in percent of the usual step time, by short hash of
     /// their address; all other endpoints take the usual time.
     pub(crate) fn set_slowdowns(&mut self, slowdowns: &HashMap<u32, u32>) {
-        for endpoint in self.endpoints.values_mut() {
-            let slowdown_percent = slowdowns.get(&short_hash(&endpoint.record.address));
-            endpoint.set_slowdown(slowdown_percent.copied());
-        }
+        self.endpoints.set_slowdowns(slowdowns);
     }
 
     /// Returns the ids of the slow endpoints; none when all endpoints are slow.
     pub(crate) fn slow_endpoints(&self) -> impl Iterator<Item = String> {
-        let all_slow = self.endpoints.values().all(DirectEndpoint::is_slow);
-        let endpoints = self.endpoints.iter();
-        let slow = endpoints.filter(move |(_, endpoint)| !all_slow && endpoint.is_slow());
-        slow.map(|(id, _)| id.clone())
+        self.endpoints.slow()
     }
 
     /// Returns whether an endpoint is slow.
     pub(crate) fn is_slow(&self, id: &str) -> bool {
-        let endpoint = self.endpoints.get(id);
-        endpoint.is_some_and(DirectEndpoint::is_slow)
+        self.endpoints.is_slow(id)
     }
 
     /// Updates the concurrency limit with the mean of `count` pauses between stream events.
@@ -222,7 +194,7 @@
         query: DispatchQuery,
         now_ms: u64,
     ) -> Option<DispatchDecision> {
-        if self.all_leave() {
+        if self.endpoints.all_leave() {
             return Some(self.decide_refusal(NO_ENDPOINT, now_ms));
         }
         if query.is_first {
@@ -247,11 +219,6 @@
         None
     }
 
-    /// Returns whether no endpoint is listed that stays.
-    fn all_leave(&self) -> bool {
-        self.endpoints.values().all(DirectEndpoint::is_leaving)
-    }
-
     /// Ends a running or queued call; does nothing for an unknown one.
     pub(crate) fn end(&mut self, call: u64, result: SendResult, now_ms: u64) {
         self.queue.remove(call);
@@ -320,7 +287,7 @@
     /// Refuses queued calls that get no permit in time, none before the end of all pauses, or none at all
     /// because all endpoints leave.
     fn refuse_late(&mut self, now_ms: u64, decisions: &mut Vec<(u64, DispatchDecision)>) {
-        if self.all_leave() {
+        if self.endpoints.all_leave() {
             for queued in self.queue.take_all(now_ms) {
                 let decision = self.decide_refusal(NO_ENDPOINT, now_ms);
                 decisions.push((queued.query.call, decision));
@@ -328,7 +295,7 @@
             return;
         }
         let pause = self.pause_wait(&[], now_ms);
-        let forecast = self.permit_forecast(&[], now_ms);
+        let forecast = self.endpoints.permit_forecast(&[], now_ms);
         if pause.is_none() && forecast.is_none() {
             return;
         }
@@ -347,7 +314,7 @@
     /// Refuses a call that would have to wait too long.
     fn refuse(&mut self, expected: ExpectedWait, now_ms: u64) -> DispatchDecision {
         if expected.code == RefusalCode::EndpointsLimited {
-            for endpoint in self.endpoints.values_mut() {
+            for endpoint in self.endpoints.iter_mut() {
                 endpoint.limit.count_refused(now_ms);
             }
         }
@@ -356,20 +323,17 @@
 
     /// Returns the refusal of a call, with what keeps calls from the endpoints.
     fn decide_refusal(&self, expected: ExpectedWait, now_ms: u64) -> DispatchDecision {
-        let endpoints = self.endpoints.values();
         DispatchDecision::Refuse {
             code: expected.code,
             retry_after_ms: expected.retry_delay_ms(),
-            obstacles: endpoints
-                .filter_map(|endpoint| endpoint.obstacle(now_ms))
-                .collect(),
+            obstacles: self.endpoints.obstacles(now_ms),
         }
     }
 
     /// Returns after which time a call that is refused now should come again.
     pub(crate) fn room_after_ms(&self, now_ms: u64) -> u64 {
         let expected = self.pause_wait(&[], now_ms).unwrap_or_else(|| {
-            let forecast = self.permit_forecast(&[], now_ms);
+            let forecast = self.endpoints.permit_forecast(&[], now_ms);
             self.expected_wait_behind(self.queue.len(), forecast.as_ref(), now_ms)
         });
         expected.retry_delay_ms()
@@ -383,8 +347,8 @@
     /// Returns the number of this entry's running calls, by endpoint id.
     pub(crate) fn own_calls(&self) -> impl Iterator<Item = (&str, u32)> {
         let endpoints = self.endpoints.iter();
-        let busy = endpoints.filter(|(_, endpoint)| endpoint.own_calls > 0);
-        busy.map(|(id, endpoint)| (id.as_str(), endpoint.own_calls))
+        let busy = endpoints.filter(|endpoint| endpoint.own_calls > 0);
+        busy.map(|endpoint| (endpoint.record.id.as_str(), endpoint.own_calls))
     }
 
     /// Assigns a call to an endpoint if this entry's share of the slots allows it.
@@ -401,13 +365,8 @@
         query: &DispatchQuery,
         now_ms: u64,
     ) -> Option<Arc<EndpointRecord>> {
-        let id = self.choose_endpoint(query, now_ms)?;
-        if self.has_limits {
-            self.count_elsewhere(&id, now_ms);
-        }
-        let endpoint = self.endpoints.get_mut(&id)?;
-        endpoint.record_send(now_ms);
-        let record = Arc::clone(&endpoint.record);
+        let id = self.endpoints.choose(query, &mut self.rng, now_ms)?;
+        let record = self.endpoints.record_send(&id, now_ms)?;
         if self.running.is_empty() {
             self.progress.record_first_call(now_ms);
         }
@@ -422,14 +381,6 @@
         Some(record)
     }
 
-    /// Counts a call that goes to the endpoint `chosen` at those that have no permit.
-    fn count_elsewhere(&mut self, chosen: &str, now_ms: u64) {
-        let endpoints = self.endpoints.iter_mut();
-        for (_, endpoint) in endpoints.filter(|(id, _)| *id != chosen) {
-            endpoint.limit.count_elsewhere(now_ms);
-        }
-    }
-
     /// Returns whether sending is paused: while a rank group is down, one call at a time is sent as
     /// a probe, and the others wait for its result.
     pub(crate) fn is_paused(&self, now_ms: u64) -> bool {
@@ -488,7 +439,7 @@
             source,
         };
         let change = endpoint.observe_limit(&self.division, observation, now_ms);
-        self.check_for_limits();
+        self.endpoints.check_for_limits();
         change
     }
 
@@ -530,9 +481,8 @@
     /// Returns the endpoint to which a running call was sent, listed or not, in the same run.
     fn endpoint_of_call(&mut self, call: u64) -> Option<&mut DirectEndpoint> {
         let running = self.running.get(&call)?;
-        let endpoint = self.endpoints.get_mut(&running.endpoint);
-        let endpoint = endpoint.or_else(|| self.unlisted.get_mut(&running.endpoint));
-        endpoint.filter(|endpoint| endpoint.record.born_ms == running.endpoint_born_ms)
+        self.endpoints
+            .get_run_mut(&running.endpoint, running.endpoint_born_ms)
     }
 
     /// Applies what is known of the limit of the endpoint with this key, if it is one of the service;
@@ -543,36 +493,30 @@
         observation: LimitObservation,
         now_ms: u64,
     ) -> Option<LimitChange> {
-        let mut endpoints = self.endpoints.values_mut();
-        let endpoint = endpoints.find(|endpoint| endpoint.limit_key == key)?;
+        let endpoint = self.endpoints.with_limit_key_mut(key)?;
         let change = endpoint.observe_limit(&self.division, observation, now_ms);
-        self.check_for_limits();
+        self.endpoints.check_for_limits();
         change
     }
 
     /// Applies a round's division of limits among entries.
     pub(crate) fn divide_limits(&mut self, division: ServiceDivision, now_ms: u64) {
         self.division = division;
-        for endpoint in self.endpoints.values_mut() {
+        for endpoint in self.endpoints.iter_mut() {
             endpoint.divide_limit(&division, now_ms);
         }
     }
 
-    fn check_for_limits(&mut self) {
-        let mut endpoints = self.endpoints.values();
-        self.has_limits = endpoints.any(|endpoint| endpoint.limit.calls_per_s().is_some());
-    }
-
     /// Returns the new calls in 10 s, a few at least; `None` while no endpoint names a
     /// limit, or they have not been counted for long enough.
     pub(crate) fn report_demand(&mut self, now_ms: u64) -> Option<u32> {
         let new_calls_per_10_s = self.demand_rate.report(now_ms);
-        new_calls_per_10_s.filter(|_| self.has_limits)
+        new_calls_per_10_s.filter(|_| self.endpoints.has_limits())
     }
 
     /// Returns the endpoints of the service.
     pub(crate) fn endpoints(&self) -> impl Iterator<Item = &DirectEndpoint> {
-        self.endpoints.values()
+        self.endpoints.iter()
     }
 
     /// Returns the endpoint with this id.
@@ -582,65 +526,7 @@
 
     /// Returns whether an endpoint that is not in `exclude` accepts calls.
     pub(crate) fn has_alternative(&self, exclude: &[String], now_ms: u64) -> bool {
-        let mut alternatives = self.endpoints_with_room(exclude, now_ms);
-        alternatives.any(|endpoint| !endpoint.is_avoided(now_ms))
-    }
-
-    /// Returns the endpoints outside `exclude` that have a free slot and take a call within their
-    /// limits.
-    fn endpoints_with_room(
-        &self,
-        exclude: &[String],
-        now_ms: u64,
-    ) -> impl Iterator<Item = &DirectEndpoint> {
-        self.eligible_endpoints(now_ms).filter(move |endpoint| {
-            let is_excluded = exclude.contains(&endpoint.record.id);
-            !is_excluded && endpoint.obstacle(now_ms).is_none()
-        })
-    }
-
-    /// Returns the endpoints that take calls; slow ones only when all are slow.
-    fn eligible_endpoints(&self, now_ms: u64) -> impl Iterator<Item = &DirectEndpoint> {
-        let open = move || {
-            let endpoints = self.endpoints.values();
-            endpoints.filter(move |endpoint| endpoint.is_open(now_ms))
-        };
-        let all_slow = open().all(DirectEndpoint::is_slow);
-        open().filter(move |endpoint| all_slow || !endpoint.is_slow())
-    }
-
-    /// Takes what is known of an endpoint that was not listed for a while.
-    fn take_unlisted(&mut self, record: &EndpointRecord) -> Option<DirectEndpoint> {
-        let mut endpoint = self.unlisted.remove(&record.id)?;
-        endpoint.own_calls = self.running_calls_at(record);
-        Some(endpoint)
-    }
-
-    /// Returns the number of this entry's running calls at one run of an endpoint.
-    fn running_calls_at(&self, record: &EndpointRecord) -> u32 {
-        let running = self.running.values();
-        let at_endpoint = running.filter(|running| {
-            running.endpoint == record.id && running.endpoint_born_ms == record.born_ms
-        });
-        as_u32(at_endpoint.count())
-    }
-
-    /// Chooses the endpoint with the lowest cost. Ties go to the local availability zone; an
-    /// avoided endpoint is chosen only when all are avoided.
-    fn choose_endpoint(&mut self, query: &DispatchQuery, now_ms: u64) -> Option<String> {
-        let ties: Vec<u32> = self.endpoints.iter().map(|_| self.rng.random()).collect();
-        let endpoints = self.endpoints_with_room(&query.exclude, now_ms).zip(ties);
-        let preferences = endpoints.map(|(endpoint, tie)| {
-            let preference = EndpointPreference {
-                is_avoided: endpoint.is_avoided(now_ms),
-                cost: endpoint.cost(query.is_stream),
-                is_remote: !endpoint.is_local,
-                tie,
-            };
-            (preference, &endpoint.record.id)
-        });
-        let best = preferences.min_by(|(a, _), (b, _)| a.compare(b));
-        best.map(|(_, id)| id.clone())
+        self.endpoints.has_alternative(exclude, now_ms)
     }
 
     /// Predicts how long a call waits for a slot and a permit; zero when it can be sent now.
@@ -652,19 +538,14 @@
             };
         }
         let ahead = self.queue.count_ahead_of(query, now_ms);
-        let forecast = self.permit_forecast(&query.exclude, now_ms);
+        let forecast = self.endpoints.permit_forecast(&query.exclude, now_ms);
         self.expected_wait_behind(ahead, forecast.as_ref(), now_ms)
     }
 
     /// Predicts how long a call waits while all endpoints outside `exclude` have asked for a time without
     /// calls; `None` if one takes calls, or there is none.
     fn pause_wait(&self, exclude: &[String], now_ms: u64) -> Option<ExpectedWait> {
-        let staying = self
-            .endpoints
-            .values()
-            .filter(|endpoint| !endpoint.is_leaving() && !exclude.contains(&endpoint.record.id));
-        let waits = staying.map(|endpoint| endpoint.pause.wait_ms(now_ms));
-        let wait_ms = waits.min().filter(|wait_ms| *wait_ms > 0)?;
+        let wait_ms = self.endpoints.pause_ms(exclude, now_ms)?;
         Some(ExpectedWait {
             wait_ms,
             retry_after_ms: wait_ms,
@@ -699,16 +580,6 @@
         }
     }
 
-    /// Predicts when calls get permits if every endpoint outside `exclude` names a limit.
-    fn permit_forecast(&self, exclude: &[String], now_ms: u64) -> Option<PermitForecast> {
-        if !self.has_limits {
-            return None;
-        }
-        let endpoints = self.eligible_endpoints(now_ms);
-        let endpoints = endpoints.filter(|endpoint| !exclude.contains(&endpoint.record.id));
-        PermitForecast::of(endpoints.map(|endpoint| &endpoint.limit), now_ms)
-    }
-
     /// Predicts how long a call waits for a slot with `ahead` queued calls before it.
     fn slot_wait_ms(&self, ahead: usize, now_ms: u64) -> u64 {
         let own_slots = self.own_slot_share(now_ms);
@@ -739,7 +610,7 @@
             let slots = limited.map_or(slots, |limited| limited.min(slots));
             self.slots_within_limit(&endpoint.limit).min(slots)
         };
-        self.eligible_endpoints(now_ms).map(limit).sum()
+        self.endpoints.eligible(now_ms).map(limit).sum()
     }
 
     /// Returns how many calls run at once at an endpoint that gets as many as its limit allows.
@@ -751,8 +622,8 @@
     }
 
     fn calls_per_endpoint(&self, now_ms: u64) -> f64 {
-        let calls: u32 = self.endpoints.values().map(DirectEndpoint::calls).sum();
-        f64::from(calls) / as_f64(self.eligible_endpoints(now_ms).count().max(1))
+        let calls: u32 = self.endpoints.iter().map(DirectEndpoint::calls).sum();
+        f64::from(calls) / as_f64(self.endpoints.eligible(now_ms).count().max(1))
     }
 
     /// Returns the retry delay of a refused call that would wait `wait_ms` for its slot.
