--- a/lib/tests/test_limited_endpoints.rs
+++ b/lib/tests/test_limited_endpoints.rs
@@ -1,44 +1,21 @@
 //! Tests of how the dispatcher of one entry treats endpoints that name limits.
 
-use std::sync::Arc;
-
 use googletest::prelude::*;
 use pomeloramp_lib::DemandInterval;
 use pomeloramp_lib::DirectDispatcher;
 use pomeloramp_lib::DispatchDecision;
-use pomeloramp_lib::EndpointRecord;
 use pomeloramp_lib::LimitChange;
 use pomeloramp_lib::NamedLimit;
 use pomeloramp_lib::RefusalCode;
 use pomeloramp_lib::SendResult;
 use pomeloramp_lib::protos::control::EndpointLimitReport;
-use pomeloramp_testutils::dispatch::RETRY_ALLOWANCE;
-use pomeloramp_testutils::dispatch::SERVICE;
+use pomeloramp_testutils::dispatch::dispatcher;
+use pomeloramp_testutils::dispatch::endpoint;
 use pomeloramp_testutils::dispatch::query;
 use pomeloramp_testutils::dispatch::sent_to;
-use rand::SeedableRng;
-use rand::rngs::SmallRng;
-
-fn endpoint(id: &str, born_ms: u64) -> Arc<EndpointRecord> {
-    Arc::new(EndpointRecord {
-        id: id.to_owned(),
-        service: SERVICE.to_owned(),
-        address: format!("{id}:80"),
-        availability_zone: "zone-1".to_owned(),
-        slots: 4,
-        is_leaving: false,
-        born_ms,
-    })
-}
 
-/// Returns a dispatcher without other entries.
-fn dispatcher(ids: &[&str]) -> DirectDispatcher {
-    let rng = SmallRng::seed_from_u64(1);
-    let mut dispatcher = DirectDispatcher::new("zone-1", RETRY_ALLOWANCE, rng);
-    let endpoints: Vec<_> = ids.iter().map(|id| endpoint(id, 1)).collect();
-    dispatcher.set_endpoints(&endpoints, 0);
-    dispatcher
-}
+/// Slots of each endpoint.
+const SLOTS: u32 = 4;
 
 /// Sends one call, whose answer names limits; returns the endpoint.
 fn call(
@@ -70,7 +47,7 @@
 
 #[googletest::test]
 fn calls_waited_for_a_limited_endpoint_although_others_had_room() {
-    let mut dispatcher = dispatcher(&["a", "b"]);
+    let mut dispatcher = dispatcher(&["a", "b"], SLOTS);
     name_limits(&mut dispatcher, &["a"], 1.0);
     for number in 100..120 {
         let sent = call(&mut dispatcher, number, 10, |_| NamedLimit::None);
@@ -80,7 +57,7 @@
 
 #[googletest::test]
 fn a_limited_endpoint_got_no_call_although_its_limit_allowed_it() {
-    let mut dispatcher = dispatcher(&["a", "b"]);
+    let mut dispatcher = dispatcher(&["a", "b"], SLOTS);
     name_limits(&mut dispatcher, &["a"], 4.0);
     let limit = |id: &str| match id {
         "a" => NamedLimit::CallsPerS(4.0),
@@ -93,7 +70,7 @@
 
 #[googletest::test]
 fn calls_that_limits_make_late_were_not_refused_at_once() {
-    let mut dispatcher = dispatcher(&["a", "b"]);
+    let mut dispatcher = dispatcher(&["a", "b"], SLOTS);
     name_limits(&mut dispatcher, &["a", "b"], 1.0);
     let mut refused = Vec::new();
     for number in 100..120 {
@@ -114,7 +91,7 @@
 
 #[googletest::test]
 fn a_less_urgent_call_got_the_permit_of_a_more_urgent_one() {
-    let mut dispatcher = dispatcher(&["a"]);
+    let mut dispatcher = dispatcher(&["a"], SLOTS);
     name_limits(&mut dispatcher, &["a"], 2.0);
     let mut urgent = query(101, 10);
     urgent.urgency = 9;
@@ -131,7 +108,7 @@
 
 #[googletest::test]
 fn queued_calls_waited_in_vain_when_limits_became_known() {
-    let mut dispatcher = dispatcher(&["a"]);
+    let mut dispatcher = dispatcher(&["a"], SLOTS);
     let running: Vec<_> = (0..4)
         .map(|number| dispatcher.request_endpoint(query(number, 0), 0))
         .collect();
@@ -149,7 +126,7 @@
 
 #[googletest::test]
 fn a_call_that_may_not_go_to_an_endpoint_held_up_others() {
-    let mut dispatcher = dispatcher(&["a"]);
+    let mut dispatcher = dispatcher(&["a"], SLOTS);
     name_limits(&mut dispatcher, &["a"], 4.0);
     let mut resumed = query(100, 10);
     resumed.exclude = vec!["a".to_owned()];
@@ -163,7 +140,7 @@
 
 #[googletest::test]
 fn an_answer_to_an_earlier_call_lifted_a_limit() {
-    let mut dispatcher = dispatcher(&["a"]);
+    let mut dispatcher = dispatcher(&["a"], SLOTS);
     for number in 0..3 {
         dispatcher.request_endpoint(query(number, 0), 0);
     }
@@ -175,7 +152,7 @@
     expect_that!(change, some(matches_pattern!(LimitChange::Invalid { .. })));
     expect_that!(
         dispatcher
-            .limit_of(&endpoint("a", 1), 120)
+            .limit_of(&endpoint("a", 1, SLOTS), 120)
             .map(|limit| limit.calls_per_s),
         some(eq(50.0))
     );
@@ -185,28 +162,28 @@
     );
     let change = dispatcher.observe_limit(3, &NamedLimit::None, "82", 150);
     expect_that!(change, some(matches_pattern!(LimitChange::Lifted { .. })));
-    expect_that!(dispatcher.limit_of(&endpoint("a", 1), 150), none());
+    expect_that!(dispatcher.limit_of(&endpoint("a", 1, SLOTS), 150), none());
 }
 
 #[googletest::test]
 fn the_limit_of_an_earlier_run_held_for_a_restarted_endpoint() {
-    let mut dispatcher = dispatcher(&["a"]);
+    let mut dispatcher = dispatcher(&["a"], SLOTS);
     dispatcher.request_endpoint(query(0, 0), 0);
     dispatcher.request_endpoint(query(1, 0), 0);
     dispatcher.observe_limit(0, &NamedLimit::CallsPerS(1.0), "7f", 10);
     let reports = dispatcher.limit_reports(8, 20);
     expect_that!(reports.len(), eq(1));
-    dispatcher.set_endpoints(&[endpoint("a", 2)], 30);
-    expect_that!(dispatcher.limit_of(&endpoint("a", 2), 30), none());
+    dispatcher.set_endpoints(&[endpoint("a", 2, SLOTS)], 30);
+    expect_that!(dispatcher.limit_of(&endpoint("a", 2, SLOTS), 30), none());
     // What the earlier run still answers, and what others report of it, does not count.
     dispatcher.observe_limit(1, &NamedLimit::CallsPerS(1.0), "80", 40);
     dispatcher.merge_limits("entry-2", &reports, 50);
-    expect_that!(dispatcher.limit_of(&endpoint("a", 2), 50), none());
+    expect_that!(dispatcher.limit_of(&endpoint("a", 2, SLOTS), 50), none());
 }
 
 #[googletest::test]
 fn older_or_invalid_reports_of_other_entries_replaced_a_limit() {
-    let mut dispatcher = dispatcher(&["a"]);
+    let mut dispatcher = dispatcher(&["a"], SLOTS);
     dispatcher.request_endpoint(query(0, 0), 0);
     dispatcher.observe_limit(0, &NamedLimit::CallsPerS(3.0), "7f", 1_000);
     let report = dispatcher.limit_reports(8, 1_100)[0];
@@ -241,7 +218,7 @@
 fn reports_of_limits_grew_with_the_number_of_endpoints() {
     let ids: Vec<String> = (0..1_300).map(|number| format!("i-{number}")).collect();
     let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
-    let mut dispatcher = dispatcher(&ids);
+    let mut dispatcher = dispatcher(&ids, SLOTS);
     for number in 0..5_200 {
         dispatcher.request_endpoint(query(number, 0), 0);
         dispatcher.observe_limit(number, &NamedLimit::CallsPerS(1.0), "7f", 0);
--- a/lib/tests/test_paused_endpoints.rs
+++ b/lib/tests/test_paused_endpoints.rs
@@ -1,48 +1,25 @@
 //! Tests of how entries treat endpoints that have asked for a time without calls.
 
-use std::sync::Arc;
-
 use googletest::prelude::*;
 use pomeloramp_lib::DirectDispatcher;
 use pomeloramp_lib::DispatchDecision;
-use pomeloramp_lib::EndpointRecord;
 use pomeloramp_lib::PauseChange;
 use pomeloramp_lib::RefusalCode;
 use pomeloramp_lib::RetryAfter;
 use pomeloramp_lib::SendResult;
-use pomeloramp_testutils::dispatch::RETRY_ALLOWANCE;
 use pomeloramp_testutils::dispatch::SERVICE;
+use pomeloramp_testutils::dispatch::dispatcher;
+use pomeloramp_testutils::dispatch::endpoint;
 use pomeloramp_testutils::dispatch::query;
+use pomeloramp_testutils::dispatch::sent;
 use pomeloramp_testutils::dispatch::sent_to;
 use pomeloramp_testutils::limited_fleet::LimitedFleet;
 use pomeloramp_testutils::rest_bound;
-use rand::SeedableRng;
-use rand::rngs::SmallRng;
 
 const SLOTS: u32 = 4;
 /// Longest time after a pause by which an entry without others returns.
 const LONGEST_RETURN_MS: u64 = 100;
 
-fn endpoint(id: &str, born_ms: u64) -> Arc<EndpointRecord> {
-    Arc::new(EndpointRecord {
-        id: id.to_owned(),
-        service: SERVICE.to_owned(),
-        address: format!("{id}:80"),
-        availability_zone: "zone-1".to_owned(),
-        slots: SLOTS,
-        is_leaving: false,
-        born_ms,
-    })
-}
-
-fn dispatcher(ids: &[&str]) -> DirectDispatcher {
-    let mut dispatcher =
-        DirectDispatcher::new("zone-1", RETRY_ALLOWANCE, SmallRng::seed_from_u64(1));
-    let endpoints: Vec<_> = ids.iter().map(|id| endpoint(id, 1)).collect();
-    dispatcher.set_endpoints(&endpoints, 0);
-    dispatcher
-}
-
 /// Sends calls until each of `ids` has turned one away and asked for time; returns what was logged.
 fn ask(
     dispatcher: &mut DirectDispatcher,
@@ -65,21 +42,9 @@
     changes
 }
 
-/// Returns the endpoints to which calls go, one after the other, each of which is answered.
-fn sent(dispatcher: &mut DirectDispatcher, count: u64, now_ms: u64) -> Vec<String> {
-    let numbers = 1_000..1_000 + count;
-    let ids = numbers.filter_map(|number| {
-        let decision = dispatcher.request_endpoint(query(number, now_ms), now_ms);
-        let id = sent_to(decision.as_ref()).map(str::to_owned);
-        dispatcher.end(number, SendResult::Answered, now_ms);
-        id
-    });
-    ids.collect()
-}
-
 #[googletest::test]
 fn a_paused_endpoint_got_calls_because_all_others_were_avoided_or_full() {
-    let mut dispatcher = dispatcher(&["a", "b"]);
+    let mut dispatcher = dispatcher(&["a", "b"], SLOTS);
     ask(&mut dispatcher, &["a"], &RetryAfter::Ms(5_000));
     for number in 100..100 + u64::from(SLOTS) {
         let decision = dispatcher.request_endpoint(query(number, 10), 10);
@@ -97,7 +62,7 @@
 
 #[googletest::test]
 fn a_call_moved_or_was_repeated_to_a_paused_endpoint() {
-    let mut dispatcher = dispatcher(&["a", "b"]);
+    let mut dispatcher = dispatcher(&["a", "b"], SLOTS);
     ask(&mut dispatcher, &["a"], &RetryAfter::Ms(5_000));
     let mut moved = query(300, 10);
     moved.exclude = vec!["b".to_owned()];
@@ -114,7 +79,7 @@
 
 #[googletest::test]
 fn a_later_answer_shortened_a_pause() {
-    let mut dispatcher = dispatcher(&["a", "b"]);
+    let mut dispatcher = dispatcher(&["a", "b"], SLOTS);
     let decisions: Vec<_> = (0..u64::from(SLOTS) * 2)
         .map(|number| (number, dispatcher.request_endpoint(query(number, 0), 0)))
         .collect();
@@ -133,36 +98,36 @@
 
 #[googletest::test]
 fn a_pause_was_forgotten_when_its_endpoint_was_listed_again() {
-    let mut dispatcher = dispatcher(&["a", "b"]);
+    let mut dispatcher = dispatcher(&["a", "b"], SLOTS);
     ask(&mut dispatcher, &["a"], &RetryAfter::Ms(5_000));
-    dispatcher.set_endpoints(&[endpoint("b", 1)], 1_000);
-    dispatcher.set_endpoints(&[endpoint("a", 1), endpoint("b", 1)], 2_000);
+    dispatcher.set_endpoints(&[endpoint("b", 1, SLOTS)], 1_000);
+    dispatcher.set_endpoints(&[endpoint("a", 1, SLOTS), endpoint("b", 1, SLOTS)], 2_000);
     expect_that!(sent(&mut dispatcher, 20, 3_000), each(eq("b")));
 }
 
 #[googletest::test]
 fn a_pause_was_not_noticed_because_its_endpoint_was_not_listed_at_that_moment() {
-    let mut dispatcher = dispatcher(&["a"]);
+    let mut dispatcher = dispatcher(&["a"], SLOTS);
     let decision = dispatcher.request_endpoint(query(1, 0), 0);
     expect_that!(sent_to(decision.as_ref()), some(eq("a")));
-    dispatcher.set_endpoints(&[endpoint("b", 1)], 100);
+    dispatcher.set_endpoints(&[endpoint("b", 1, SLOTS)], 100);
     dispatcher.observe_retry_after(1, &RetryAfter::Ms(5_000), "7f", 200);
     dispatcher.end(1, SendResult::Full, 200);
-    dispatcher.set_endpoints(&[endpoint("a", 1), endpoint("b", 1)], 300);
+    dispatcher.set_endpoints(&[endpoint("a", 1, SLOTS), endpoint("b", 1, SLOTS)], 300);
     expect_that!(sent(&mut dispatcher, 20, 1_000), each(eq("b")));
 }
 
 #[googletest::test]
 fn a_restarted_endpoint_got_no_calls_because_its_earlier_run_had_paused() {
-    let mut dispatcher = dispatcher(&["a", "b"]);
+    let mut dispatcher = dispatcher(&["a", "b"], SLOTS);
     ask(&mut dispatcher, &["a", "b"], &RetryAfter::Ms(60_000));
-    dispatcher.set_endpoints(&[endpoint("a", 2), endpoint("b", 1)], 1_000);
+    dispatcher.set_endpoints(&[endpoint("a", 2, SLOTS), endpoint("b", 1, SLOTS)], 1_000);
     expect_that!(sent(&mut dispatcher, 20, 1_000).len(), eq(20));
 }
 
 #[googletest::test]
 fn calls_that_a_pause_makes_late_were_not_refused_at_once() {
-    let mut dispatcher = dispatcher(&["a", "b"]);
+    let mut dispatcher = dispatcher(&["a", "b"], SLOTS);
     ask(&mut dispatcher, &["a"], &RetryAfter::Ms(1_000));
     for number in 100..100 + u64::from(SLOTS) {
         expect_that!(
@@ -197,7 +162,7 @@
 
 #[googletest::test]
 fn a_refused_call_was_not_told_when_the_first_endpoint_takes_calls_again() {
-    let mut dispatcher = dispatcher(&["a", "b"]);
+    let mut dispatcher = dispatcher(&["a", "b"], SLOTS);
     ask(&mut dispatcher, &["a"], &RetryAfter::Ms(9_000));
     ask(&mut dispatcher, &["b"], &RetryAfter::Ms(20_000));
     let refused = dispatcher.request_endpoint(query(200, 1_000), 1_000);
@@ -213,7 +178,7 @@
 
 #[googletest::test]
 fn all_that_waited_returned_to_an_endpoint_at_once() {
-    let mut dispatcher = dispatcher(&["a"]);
+    let mut dispatcher = dispatcher(&["a"], SLOTS);
     ask(&mut dispatcher, &["a"], &RetryAfter::Ms(1_000));
     for number in 100..103 {
         expect_that!(dispatcher.request_endpoint(query(number, 500), 500), none());
@@ -229,7 +194,7 @@
 
 #[googletest::test]
 fn an_endpoint_that_named_a_huge_time_was_lost_for_good() {
-    let mut dispatcher = dispatcher(&["a"]);
+    let mut dispatcher = dispatcher(&["a"], SLOTS);
     let changes = ask(&mut dispatcher, &["a"], &RetryAfter::Ms(u64::MAX));
     expect_that!(
         changes.first(),
@@ -247,7 +212,7 @@
 
 #[googletest::test]
 fn an_invalid_time_kept_calls_from_an_endpoint() {
-    let mut dispatcher = dispatcher(&["a"]);
+    let mut dispatcher = dispatcher(&["a"], SLOTS);
     let invalid = |text: &str, longest_ms| RetryAfter::Invalid {
         text: text.to_owned(),
         longest_ms,
