membership: remember failed requests to VMs that are not listed

A VM that could not be reached, left the list before its first report and was listed again counted as alive on an old answer, made before the failure: an entry could be named to callers, and counted for shares, that nobody reached.

Cause: a member without a report was forgotten with its failure as soon as it left the list, and a failure of a VM that is no member was dropped. Both are kept now, as long as reports are.

--- a/lib/src/member.rs
+++ b/lib/src/member.rs
@@ -210,6 +210,11 @@
         self.report.is_some() && is_acknowledged && !self.is_unreachable()
     }
 
+    /// Returns the time at which a request last failed to reach the process.
+    pub(crate) fn failed_ms(&self) -> Option<u64> {
+        self.failed_ms
+    }
+
     fn is_unreachable(&self) -> bool {
         self.failed_ms
             .is_some_and(|failed_ms| self.latest_report_ms <= failed_ms)
--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -28,6 +28,8 @@
 pub struct Membership {
     settings: MembershipSettings,
     members: BTreeMap<String, Member>,
+    /// Times at which requests to VMs that are no members failed last; they may be listed again.
+    failures_ms: BTreeMap<String, u64>,
     /// Digest of the state that heartbeats carry; without one they only request reports.
     update_digest: Option<u64>,
 }
@@ -39,6 +41,7 @@
         Self {
             settings,
             members: BTreeMap::new(),
+            failures_ms: BTreeMap::new(),
             update_digest: None,
         }
     }
@@ -70,7 +73,10 @@
                 continue;
             }
             let first_heartbeat_ms = now_ms.saturating_add(self.heartbeat_offset_ms(&vm.vm_name));
-            let member = Member::new(vm.clone(), first_heartbeat_ms);
+            let mut member = Member::new(vm.clone(), first_heartbeat_ms);
+            if let Some(failed_ms) = self.failures_ms.remove(&vm.vm_name) {
+                member.observe_failure(failed_ms);
+            }
             self.members.insert(vm.vm_name.clone(), member);
         }
         self.forget(now_ms);
@@ -93,8 +99,11 @@
     ///
     /// The VM is suspected until it sends a report made after this.
     pub fn observe_failure(&mut self, vm_name: &str, now_ms: u64) {
-        if let Some(member) = self.members.get_mut(vm_name) {
-            member.observe_failure(now_ms);
+        match self.members.get_mut(vm_name) {
+            Some(member) => member.observe_failure(now_ms),
+            None => {
+                self.failures_ms.insert(vm_name.to_owned(), now_ms);
+            }
         }
     }
 
@@ -196,11 +205,16 @@
     /// Forgets VMs that are no longer on the list and have not answered for `forget_after_ms`.
     pub fn forget(&mut self, now_ms: u64) {
         let forget_after_ms = self.settings.forget_after_ms;
-        self.members.retain(|_, member| {
-            let silent_ms = now_ms.saturating_sub(member.latest_report_ms());
+        let is_recent = |at_ms: u64| now_ms.saturating_sub(at_ms) <= forget_after_ms;
+        let forgotten = self.members.extract_if(.., |_, member| {
             let has_reported = member.report().is_some();
-            member.is_listed || (has_reported && silent_ms <= forget_after_ms)
+            let is_heard = has_reported && is_recent(member.latest_report_ms());
+            !member.is_listed && !is_heard
         });
+        let failures = forgotten.filter_map(|(name, member)| Some((name, member.failed_ms()?)));
+        self.failures_ms.extend(failures);
+        self.failures_ms
+            .retain(|_, failed_ms| is_recent(*failed_ms));
     }
 
     /// Returns a delay that spreads the first heartbeats of processes that start at the same time.
--- a/lib/tests/test_membership.rs
+++ b/lib/tests/test_membership.rs
@@ -206,3 +206,23 @@
     expect_that!(members.state("b", 200), some(eq(MemberState::EndpointDown)));
     expect_that!(members.highest_config_revision(), eq(9));
 }
+
+#[googletest::test]
+fn a_failed_request_to_a_vm_that_had_left_the_list_was_forgotten() {
+    for is_listed_at_failure in [true, false] {
+        let mut members = membership(&[vm("a", false)]);
+        if is_listed_at_failure {
+            members.observe_failure("a", 500);
+        }
+        members.observe_list(&[], 600);
+        if !is_listed_at_failure {
+            members.observe_failure("a", 700);
+        }
+        members.observe_list(&[vm("a", false)], 800);
+        // The answer was made before the failure.
+        members.observe_report(&report("a", 5), 400, 900);
+        expect_that!(members.state("a", 900), some(eq(MemberState::Suspected)));
+        members.observe_report(&report("a", 5), 1_000, 1_010);
+        expect_that!(members.state("a", 1_010), some(eq(MemberState::Alive)));
+    }
+}
