--- a/lib/src/pause_board.rs
+++ b/lib/src/pause_board.rs
@@ -9,7 +9,8 @@
 use crate::PauseChange;
 use crate::PauseStatus;
 
-/// The endpoints that want no calls, for a time or because they leave, as the dispatcher publishes them for metrics.
+/// The endpoints that want no calls, for a time or because they leave, as the dispatcher publishes them
+/// for metrics.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct PauseBoard {
     statuses: Arc<ArcSwap<Vec<PauseStatus>>>,
