--- /dev/null
+++ b/review/6/run.py
@@ -0,0 +1,171 @@
+"""BUDGET: a part of prompts that crashes servers is not found behind the 64th part of a prompt.
+
+Three entries, eight model servers and a steady load of sound streams whose prompts have 80 shared parts and one of
+their own. Now and then a request comes that has one more shared part, which crashes each server that begins to
+write an answer on it. PLACE says how many sound parts stand before it (70; with PLACE=10 the part is found).
+"""
+
+import asyncio
+import os
+import pathlib
+import random
+import sys
+import time
+
+CASE = pathlib.Path(__file__).resolve().parent
+sys.path.insert(0, str(CASE.parent))
+import fleet2 as f  # noqa: E402
+
+SERVICE = "draft-writer"
+ENTRIES, SERVERS, SLOTS = 3, 8, 12
+PARTS, PLACE = 80, int(os.environ.get("PLACE", "70"))
+BAD_PART = "bad00bad:30"
+SOUND_EVERY_S, BAD_EVERY_S = 0.04, 0.7
+CALM_S, PLAY_S = 4.0, 40.0
+EVENTS, EVENT_S = 16, 0.036
+DOWN_S = 3.0
+MAX_LATE, CRASHES = 3, 5
+CONTACT_S = f.BOUNDS["contact_ms"] / 1000
+
+
+def config():
+    route = {
+        "name": "r-draft", "host": "a.example", "prefix": "/draft/", "kind": "streaming", "timeout_ms": 8000,
+        "target_latency_ms": 500, "priority": 1, "service": SERVICE, "max_attempts": 2, "public": False,
+        "sticky": True, "resumable": True, "target_gap_ms": 120,
+    }
+    return {
+        "version": 7, "routes": [route],
+        "services": [{"name": SERVICE, "health_path": "/health", "max_conns": 348}],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000,
+                   "idle_timeout_ms": 15000},
+        "tenants": [{"name": "t1", "api_keys": ["key-1"], "priority": 1}],
+    }
+
+
+class Server:
+    """A model server. It crashes when it begins to write an answer on the bad part, and is back after some seconds."""
+
+    def __init__(self, fleet, number, play):
+        self.fleet, self.number, self.play = fleet, number, play
+        self.id, self.born, self.running = f"i-{number}", int(time.time() * 1000), 0
+        self.listener = f.Listener(fleet.ip(20 + number), f.SERVER, self.serve)
+
+    async def start(self):
+        await self.listener.start()
+        await self.fleet.store.put(f"servers/{self.id}", {
+            "service": SERVICE, "address": f"{self.listener.ip}:{f.SERVER}", "zone": "zone-1", "version": "v1",
+            "slots": SLOTS, "state": "ready", "cold_remaining_ms": 0, "seq": 1, "born": self.born, "stage": "both",
+            "models": [{"name": "m", "version": 1, "adapters": []}]})
+
+    def crash(self, request_id):
+        now = time.monotonic()
+        self.play.crashes.append(now)
+        self.fleet.record.line(f"crash {len(self.play.crashes)}: {self.id} crashes as it begins to answer {request_id}")
+        self.listener.server.close()
+        for writer in list(self.listener.tasks.values()):
+            writer.transport.abort()
+        asyncio.create_task(self.come_back())
+
+    async def come_back(self):
+        await asyncio.sleep(DOWN_S)
+        self.born, self.running = int(time.time() * 1000), 0
+        self.listener = f.Listener(self.listener.ip, f.SERVER, self.serve)
+        await self.start()
+
+    async def serve(self, reader, writer):
+        request = await f.read_request(reader)
+        request_id = request.headers.get("x-request-id")
+        echo = [("X-Request-Id", request_id)]
+        if request.headers.get("x-expect-instance") != self.id:
+            writer.write(f.answer_bytes(421, b"", echo))
+            return
+        parts = request.headers.get("x-prefix-hash", "").split(",")
+        is_bad = BAD_PART in parts[:-1]
+        if is_bad:
+            self.play.bad_arrivals.append(time.monotonic())
+            self.fleet.record.line(f"{self.id} gets {request_id}, which has the bad part")
+        if self.running >= SLOTS:
+            writer.write(f.answer_bytes(503, b"", [("X-Not-Executed", "1"), *echo]))
+            return
+        self.running += 1
+        try:
+            await asyncio.sleep(EVENT_S)
+            head = ["HTTP/1.1 200 OK", f"X-Request-Id: {request_id}", "X-Response-Seal: s", "X-Weight-Versions: 1",
+                    "Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
+            writer.write(("\r\n".join(head) + "\r\n\r\n").encode())
+            await writer.drain()
+            if is_bad and f.TROUBLE:
+                self.crash(request_id)
+                return
+            for number in range(int(request.headers.get("last-event-id", 0)) + 1, EVENTS + 1):
+                event = f"id: {number}\ndata: e{number}\n\n".encode()
+                writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+                await writer.drain()
+                await asyncio.sleep(EVENT_S)
+            writer.write(b"0\r\n\r\n")
+            await writer.drain()
+        finally:
+            self.running = max(0, self.running - 1)
+
+
+class Play:
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.crashes, self.bad_arrivals, self.counts = [], [], {"sound": {}, "bad": {}}
+        self.entries, self.number = [], 0
+
+    async def send(self, kind):
+        self.number += 1
+        request_id = f"{kind}-{self.number}"
+        parts = [f"{0xc0000000 + number:x}:30" for number in range(PARTS)]
+        if kind == "bad":
+            parts.insert(PLACE, BAD_PART)
+        parts.append(f"{random.getrandbits(32):x}:250")
+        entry = random.choice(self.entries)
+        answer = await f.call(entry.ip, f.FRONT, "POST", f"/draft/{request_id}", {
+            "Host": "a.example", "X-Request-Id": request_id, "X-Model": "m",
+            "X-Token-Usage": f"{30 * (len(parts) - 1) + 250},64", "X-Prefix-Hash": ",".join(parts),
+            "X-Deadline-Ms": "8000", "Authorization": "Bearer key-1"}, request_id.encode(), timeout=9)
+        is_served = answer.status == 200 and answer.is_whole and answer.body.count(b"id: ") == EVENTS
+        outcome = "served" if is_served else f"{answer.status}{'' if answer.is_whole else ' broken off'}"
+        self.counts[kind][outcome] = self.counts[kind].get(outcome, 0) + 1
+        self.fleet.record.line(f"client: {request_id} at {entry.node}: {outcome}")
+
+    async def load(self, kind, every_s):
+        while True:
+            asyncio.create_task(self.send(kind))
+            await asyncio.sleep(every_s)
+
+
+async def main(fleet):
+    await fleet.start_store()
+    await fleet.store.put("op/config", config())
+    play = Play(fleet)
+    for number in range(SERVERS):
+        await Server(fleet, number, play).start()
+    play.entries = [fleet.entry(host, [1, 2, 3]) for host in range(1, ENTRIES + 1)]
+    for entry in play.entries:
+        entry.start()
+    await fleet.wait_until_ready(play.entries)
+    # All machines are in touch before the first crash.
+    sound = asyncio.create_task(play.load("sound", SOUND_EVERY_S))
+    await asyncio.sleep(max(CALM_S, CONTACT_S + 0.5))
+    fleet.record.say(f"requests with the bad part begin, {PLACE} sound parts before it")
+    bad = asyncio.create_task(play.load("bad", BAD_EVERY_S))
+    await asyncio.sleep(PLAY_S)
+    bad.cancel()
+    await asyncio.sleep(2)
+    sound.cancel()
+    bound = play.crashes[CRASHES - 1] + CONTACT_S if len(play.crashes) >= CRASHES else None
+    late = [at for at in play.bad_arrivals if bound and at > bound]
+    fleet.record.say(f"{len(play.crashes)} crashes; {len(play.bad_arrivals)} requests with the bad part reached servers, "
+                     f"{len(late)} of them later than {CONTACT_S:.0f} s after the fifth crash; answers {play.counts}")
+    if not play.counts["sound"].get("served"):
+        raise f.CaseFailed("no sound request was served")
+    if len(late) > MAX_LATE:
+        fleet.record.say(f"BUDGET broken: {len(late)} requests with a part that crashes servers, {MAX_LATE} are allowed")
+    return len(late) > MAX_LATE
+
+
+f.run_case(CASE, main)
