--- a/review/fleet2.py
+++ b/review/fleet2.py
@@ -17,6 +17,7 @@
 import sys
 import tempfile
 import time
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PROGRAM = ROOT / "target" / "release" / "pomelorampd"
@@ -200,8 +201,9 @@
     except CaseFailed as error:
         print(f"the case could not run: {error}")
         code = NOT_RUN
-    except (OSError, asyncio.TimeoutError) as error:
-        print(f"the case could not run: {error!r}")
+    except Exception:  # Whatever else goes wrong here says nothing about the rule.
+        traceback.print_exc()
+        print("the case could not run")
         code = NOT_RUN
     finally:
         if fleet:
