--- a/review/8/run.py
+++ b/review/8/run.py
@@ -1,6 +1,6 @@
 """BUDGET: a part of prompts that crashes servers is not found where the servers go dark.
 
-Three entries, eight model servers and a steady load of sound streams. Now and then a request comes with a part that
+Three entries, sixteen model servers and a steady load of sound streams. Now and then a request comes with a part that
 crashes each server that begins to write an answer on it. The crashed server falls silent: its open connections bring
 nothing any more, and connections to it are not accepted. After some seconds it is back in a new incarnation, and the
 old connections are reset. RESETS=1 plays the same with servers that reset their connections as they crash; the part
@@ -21,11 +21,12 @@
 import fleet2 as f  # noqa: E402
 
 SERVICE = "draft-writer"
-ENTRIES, SERVERS, SLOTS, PARTS = 3, 8, 12, 6
+ENTRIES, SERVERS, SLOTS, PARTS = 3, 16, 12, 6
 IS_SILENT = os.environ.get("RESETS") != "1"
 BAD_PART = "bad00bad:30"
-SOUND_EVERY_S, BAD_EVERY_S = 0.05, 2.0
-CALM_S, PLAY_S = 4.0, 44.0
+# A request with the bad part takes two servers down, 1.5 s apart, so that at most 2 of 16 are dark at once.
+SOUND_EVERY_S, BAD_EVERY_S = 0.05, 5.0
+CALM_S, PLAY_S = 4.0, 45.0
 EVENTS, EVENT_S = 16, 0.036
 DOWN_S = 3.0
 # Clients abandon a stream after a gap of two seconds (PROTOCOL.md).
@@ -67,6 +68,8 @@
 
     def crash(self, request_id):
         self.play.crashes.append(time.monotonic())
+        self.play.down += 1
+        self.play.most_down = max(self.play.most_down, self.play.down)
         self.fleet.record.line(f"crash {len(self.play.crashes)}: {self.id} crashes as it begins to answer {request_id}")
         self.is_down = True
         self.listener.server.close()
@@ -99,6 +102,7 @@
     async def come_back(self):
         sockets = self.fall_silent() if IS_SILENT else []
         await asyncio.sleep(DOWN_S)
+        self.play.down -= 1
         for one in sockets:
             one.close()
         self.reset_connections()
@@ -152,6 +156,7 @@
         self.fleet = fleet
         self.crashes, self.bad_arrivals, self.counts = [], [], {"sound": {}, "bad": {}}
         self.entries, self.number = [], 0
+        self.down = self.most_down = 0
         self.never = asyncio.Event()
 
     async def stream(self, entry, head):
@@ -224,7 +229,7 @@
     await asyncio.sleep(DEADLINE_S / 2)
     bound = play.crashes[CRASHES - 1] + CONTACT_S if len(play.crashes) >= CRASHES else None
     late = [at for at in play.bad_arrivals if bound and at > bound]
-    fleet.record.say(f"{len(play.crashes)} crashes; {len(play.bad_arrivals)} requests with the bad part reached servers, "
+    fleet.record.say(f"{len(play.crashes)} crashes, {play.most_down} of {SERVERS} servers down at once; {len(play.bad_arrivals)} requests with the bad part reached servers, "
                      f"{len(late)} of them later than {CONTACT_S:.0f} s after the fifth crash; answers {play.counts}")
     if not play.counts["sound"].get("served"):
         raise f.CaseFailed("no sound request was served")
--- a/review/fleet2.py
+++ b/review/fleet2.py
@@ -23,6 +23,8 @@
 PROGRAM = ROOT / "target" / "release" / "pomelorampd"
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+# A case may take 120 s.
+LONGEST_S = 110
 BOUNDS = {
     "seed_lag_s": 3, "reuse_after_s": 2, "contact_ms": 3000, "ack_ms": 4000, "catch_up_s": 4, "drain_ms": 2000,
     "grace_s": 8, "loss_slack_ms": 200, "config_apply_ms": 2000, "rollback_slack_ms": 250, "outer_ms": 5000,
@@ -196,7 +198,7 @@
         fleet = Fleet(case_folder)
         signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
         loop = asyncio.new_event_loop()
-        is_broken = loop.run_until_complete(main(fleet))
+        is_broken = loop.run_until_complete(asyncio.wait_for(main(fleet), LONGEST_S))
         code = BROKEN if is_broken else HELD
     except CaseFailed as error:
         print(f"the case could not run: {error}")
