endpoint_directory: an item of an unnamed service hides no endpoint

Cause: of several records with one address only the endpoint that started last is listed, as only the latest process answers there. Whether its service exists was not asked.

Records of services that the configuration names go before all others now, and the list is published again when the configuration names other services. A service that is named later is used from then on, as before.

--- a/lib/src/direct_entry.rs
+++ b/lib/src/direct_entry.rs
@@ -207,6 +207,7 @@
         }
         event!(ConfigAccepted, "revision={}", table.revision());
         let table = Arc::new(table);
+        self.endpoints().set_named_services(table.service_names());
         self.state.table.store(Some(Arc::clone(&table)));
         self.tables.send_replace(Some(table));
         true
--- a/lib/src/endpoint_directory.rs
+++ b/lib/src/endpoint_directory.rs
@@ -34,6 +34,8 @@
 #[derive(Debug)]
 pub struct EndpointDirectory {
     endpoints: BTreeMap<String, KnownEndpoint>,
+    /// Services that the configuration in force names.
+    named_services: BTreeSet<String>,
     min_outage_ms: u64,
     /// Time after the start of an era within which every live endpoint has written its record again
     /// and all other records of the copy have lapsed.
@@ -76,6 +78,7 @@
     pub fn for_heartbeat(heartbeat_ms: u64) -> Self {
         Self {
             endpoints: BTreeMap::new(),
+            named_services: BTreeSet::new(),
             min_outage_ms: heartbeat_ms * MIN_OUTAGE_HEARTBEATS,
             settle_ms: heartbeat_ms * LAPSE_HEARTBEATS + REPUBLISH_GRACE_MS,
             position: PlatformRevision::default(),
@@ -88,6 +91,11 @@
         }
     }
 
+    /// Sets the services that the configuration in force names.
+    pub fn set_named_services(&mut self, services: BTreeSet<String>) {
+        self.named_services = services;
+    }
+
     /// Records that the directory is current up to `position`.
     pub fn confirm(&mut self, position: PlatformRevision) {
         if position.era == self.position.era {
@@ -278,23 +286,32 @@
     }
 
     /// Returns all records. Of several with the same address it returns only the one of the
-    /// endpoint that started last, since only the latest process at an address answers there.
+    /// endpoint that started last, since only the latest process at an address answers there. A record
+    /// of a service that the configuration does not name hides none of a service that it names: no
+    /// server need be behind it.
     #[must_use]
     pub fn list(&self) -> Vec<Arc<EndpointRecord>> {
-        let mut newest: BTreeMap<&str, &KnownEndpoint> = BTreeMap::new();
+        let mut by_address: BTreeMap<&str, &KnownEndpoint> = BTreeMap::new();
         for endpoint in self.endpoints.values() {
-            let known = newest.entry(&endpoint.record.address).or_insert(endpoint);
-            if (endpoint.record.born_ms, endpoint.position) > (known.record.born_ms, known.position)
-            {
-                *known = endpoint;
+            let listed = by_address
+                .entry(&endpoint.record.address)
+                .or_insert(endpoint);
+            if self.precedence(endpoint) > self.precedence(listed) {
+                *listed = endpoint;
             }
         }
-        let records = newest.into_values();
+        let records = by_address.into_values();
         records
             .map(|endpoint| Arc::clone(&endpoint.record))
             .collect()
     }
 
+    /// Returns the order of endpoints with the same address; the highest one is listed.
+    fn precedence(&self, endpoint: &KnownEndpoint) -> (bool, u64, PlatformRevision) {
+        let is_named = self.named_services.contains(&endpoint.record.service);
+        (is_named, endpoint.record.born_ms, endpoint.position)
+    }
+
     /// Returns the ids of the missing records that are kept for a grace period.
     #[must_use]
     pub fn missing(&self) -> BTreeSet<String> {
--- a/lib/src/endpoint_feed.rs
+++ b/lib/src/endpoint_feed.rs
@@ -1,5 +1,6 @@
 //! The endpoint list of an entry, received from the platform or from other entries.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -180,11 +181,14 @@
     pub(crate) fn merge_departed(&self, departed: Vec<DepartedEndpoint>) {
         let mut directory = self.directory();
         directory.merge_departed(departed, self.now_ms());
-        if self.has_changed(&directory)
-            && let Some(list) = self.list()
-        {
-            self.publish_directory(&directory, list.source.clone());
-        }
+        self.publish_if_changed(&directory);
+    }
+
+    /// Sets the services that the configuration in force names.
+    pub(crate) fn set_named_services(&self, services: BTreeSet<String>) {
+        let mut directory = self.directory();
+        directory.set_named_services(services);
+        self.publish_if_changed(&directory);
     }
 
     /// Removes the missing records whose grace period has ended; returns the time until the next
@@ -231,6 +235,15 @@
         })
     }
 
+    /// Publishes the list again, if there is one, unless it is still the same.
+    fn publish_if_changed(&self, directory: &EndpointDirectory) {
+        if self.has_changed(directory)
+            && let Some(list) = self.list()
+        {
+            self.publish_directory(directory, list.source.clone());
+        }
+    }
+
     fn publish_directory(&self, directory: &EndpointDirectory, source: ListSource) {
         self.set_list(EndpointList {
             records: directory.list(),
--- a/lib/src/route_table.rs
+++ b/lib/src/route_table.rs
@@ -1,5 +1,6 @@
 //! The routes, services and organisations of the configuration in force.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -112,6 +113,14 @@
         self.services.get(name)
     }
 
+    /// Returns the names of all services that are described or that a route leads to.
+    #[must_use]
+    pub fn service_names(&self) -> BTreeSet<String> {
+        let targets = self.rules().flat_map(|rule| &rule.targets);
+        let targets = targets.map(|target| &target.service);
+        targets.chain(self.services.keys()).cloned().collect()
+    }
+
     /// Returns all services.
     pub fn services(&self) -> impl Iterator<Item = &ServiceRule> {
         self.services.values()
--- a/lib/tests/test_endpoint_directory.rs
+++ b/lib/tests/test_endpoint_directory.rs
@@ -211,3 +211,19 @@
     expect_that!(ids(&directory), elements_are![eq("b")]);
     expect_that!(directory.position(), eq(at(9)));
 }
+
+/// Guards against a record of a service that nothing names, which hid the endpoint at its address.
+#[googletest::test]
+fn a_record_of_an_unnamed_service_hid_the_endpoint_at_its_address() {
+    let mut directory = EndpointDirectory::default();
+    let unnamed = EndpointRecord {
+        service: "unnamed".to_owned(),
+        ..record("b", "a:1", 2)
+    };
+    directory.set_named_services(["drafts".to_owned()].into());
+    directory.replace(vec![(record("a", "a:1", 1), 5), (unnamed, 6)], at(6), 0);
+    expect_that!(ids(&directory), elements_are![eq("a")]);
+    let services = ["drafts".to_owned(), "unnamed".to_owned()];
+    directory.set_named_services(services.into());
+    expect_that!(ids(&directory), elements_are![eq("b")]);
+}
