store_item: one unreadable item does not fail a list or a watch

Cause: an answer of the store was decoded as one document, so that one odd item made all items unreadable.

--- a/lib/src/json_client.rs
+++ b/lib/src/json_client.rs
@@ -131,7 +131,8 @@
         self.parse(&Method::GET, path, &body)
     }
 
-    /// Reads the document at `path`, with the headers of the answer.
+    /// Reads the document at `path`, with the headers of the answer. Bytes that are not UTF-8 are replaced,
+    /// so that one string of the document does not make all of it unreadable.
     ///
     /// # Errors
     ///
@@ -143,7 +144,8 @@
     ) -> Result<(HeaderMap, T), JsonError> {
         let answer = self.answer(Method::GET, path, Bytes::new(), timeout);
         let (headers, body) = answer.await?;
-        Ok((headers, self.parse(&Method::GET, path, &body)?))
+        let body = String::from_utf8_lossy(&body);
+        Ok((headers, self.parse(&Method::GET, path, body.as_bytes())?))
     }
 
     /// Sends `body` to `path` and returns the document in the answer.
