--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -89,6 +89,7 @@
     WatchFailed = 215 Info "watch on the platform failed",
     PlatformRestored = 216 Warn "platform was restored from an older copy",
     EndpointHeldBack = 217 Info "endpoint that has left is listed again by a restored platform",
+    ItemLeftOut = 218 Warn "item of the platform can't be used",
 
     OutcomeUnknown = 301 Warn "outcome of a request is unknown",
     RequestRetried = 302 Debug "request retried elsewhere",
