platform_client: one unreadable row does not hide all VMs

Cause: as in the store's lists, the answer was decoded as one document.

The items of both lists are decoded one by one; those that can't be read are left out, and their number and the first error are logged.

--- a/lib/src/platform_client.rs
+++ b/lib/src/platform_client.rs
@@ -8,6 +8,7 @@
 
 use crate::JsonClient;
 use crate::JsonError;
+use crate::readable_items;
 
 const MAX_ANSWER_BYTES: usize = 64 << 20;
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
@@ -33,6 +34,7 @@
     /// Revision of the whole service.
     pub revision: u64,
     /// All values, or only those that changed.
+    #[serde(deserialize_with = "readable_items::deserialize")]
     pub values: Vec<PublishedValue>,
 }
 
@@ -63,6 +65,7 @@
 #[document]
 pub struct VmList {
     /// Live and leaving VMs.
+    #[serde(deserialize_with = "readable_items::deserialize")]
     pub vms: Vec<VmRecord>,
     /// Size of the platform's answer, in bytes.
     #[serde(skip)]
