--- a/lib/tests/test_json_client.rs
+++ b/lib/tests/test_json_client.rs
@@ -101,3 +101,41 @@
         expect_that!(whole, ok(eq(&b"half"[..])));
     });
 }
+
+#[googletest::test]
+fn an_answer_whose_head_is_none_in_the_protocol_is_no_document() {
+    let heads = [
+        "HTTP/1.1 000 OK\r\n",
+        "HTTP/1.1 000\r\n",
+        "HTTP/1.1 099 OK\r\n",
+        "HTTP/1.1 200 OK\r\nX Odd: 1\r\n",
+        "HTTP/1.1 200 OK\r\nX-Odd : 1\r\n",
+        "HTTP/1.1 200 OK\r\n X-Odd: 1\r\n",
+        "HTTP/1.1 200 OK\r\nX\u{0}Odd: 1\r\n",
+        "HTTP/1.1 200 OK\r\nX\u{7f}Odd: 1\r\n",
+    ];
+    block_on(async {
+        let (listener, address) = listener().await;
+        let client = JsonClient::new(&address, CONNECT_TIMEOUT, MAX_ANSWER_BYTES);
+        let client_side = async {
+            for head in heads {
+                let answer = client.get::<u64>("/number", TIMEOUT * 20).await;
+                expect_that!(
+                    answer,
+                    err(matches_pattern!(JsonError::Exchange { .. })),
+                    "{head:?}"
+                );
+            }
+        };
+        let server_side = async {
+            for head in heads {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                let mut buffer = [0; 1024];
+                assert_that!(stream.read(&mut buffer).await.unwrap(), gt(0));
+                let answer = format!("{head}Content-Length: 1\r\n\r\n7");
+                stream.write_all(answer.as_bytes()).await.unwrap();
+            }
+        };
+        tokio::join!(client_side, server_side);
+    });
+}
