http_client: an answer needs the status of a final answer

Cause: the library refuses a status below 100 and one that has not three digits, skips interim answers but for 101, and knows any other number.

The client with which calls are sent and all documents are read takes a status of 200 to 599 only. Anything else is a lost answer: it is sent again elsewhere if it may run twice, and answered 502 if not.

--- a/lib/src/http_client.rs
+++ b/lib/src/http_client.rs
@@ -18,6 +18,7 @@
 use bytes::Bytes;
 use http::Request;
 use http::Response;
+use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
@@ -37,6 +38,10 @@
 /// Most bytes that a peer may send before a response head is complete. More than the library
 /// buffers, so that a body which follows its head at once is not cut.
 const MAX_UNANSWERED_BYTES: u64 = 1 << 20;
+/// Lowest status of a final answer; those below are of interim ones.
+const MIN_FINAL_STATUS: u16 = 200;
+/// Highest status that HTTP defines.
+const MAX_STATUS: u16 = 599;
 
 /// Error for a request without a response.
 #[derive(Debug, Snafu)]
@@ -193,19 +198,31 @@
         self.counters.begin_request();
         let sent = self.sender.send_request(request).await;
         self.counters.end_wait();
-        sent.map_err(|error| {
-            let step = "request to";
-            let peer = self.peer.clone();
-            let reason = error.to_string();
-            if self.written_bytes() == before_bytes {
-                HttpError::NotWritten { step, peer, reason }
-            } else {
-                HttpError::Written { step, peer, reason }
+        let step = "request to";
+        let peer = self.peer.clone();
+        match sent {
+            Ok(response) if is_final(response.status()) => Ok(response),
+            Ok(response) => {
+                let reason = format!("status {} of no final answer", response.status().as_u16());
+                Err(HttpError::Written { step, peer, reason })
             }
-        })
+            Err(error) => {
+                let reason = error.to_string();
+                Err(if self.written_bytes() == before_bytes {
+                    HttpError::NotWritten { step, peer, reason }
+                } else {
+                    HttpError::Written { step, peer, reason }
+                })
+            }
+        }
     }
 }
 
+/// Returns whether a status is one of a final answer. No request asks for another protocol.
+fn is_final(status: StatusCode) -> bool {
+    (MIN_FINAL_STATUS..=MAX_STATUS).contains(&status.as_u16())
+}
+
 /// Reads the body of a response, up to `max_bytes`.
 ///
 /// # Errors
