rank_session: several entries of one address are one rank

A server that starts again under another id leaves two entries for some seconds as well.

Cause: an agent stops reading the list once it holds as many entries as the group has ranks. A second entry of one rank stood for the rank that was missing: that one never heard of the planner, and planned expert maps beside it.

Entries with the same address count once.

--- a/lib/src/rank_session.rs
+++ b/lib/src/rank_session.rs
@@ -2,6 +2,7 @@
 //! agreement on expert maps, and planning of new maps.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -375,7 +376,9 @@
         self.next_peers_ms = now_ms + PEERS_INTERVAL_MS;
         match (self.read_peers)().await {
             Ok(mut peers) => {
-                peers.retain(|peer| peer.agent != self.own_address);
+                // Several entries with one address are those of one rank.
+                let mut addresses = HashSet::from([self.own_address]);
+                peers.retain(|peer| addresses.insert(peer.agent));
                 if peers != *self.peers.borrow() {
                     self.next_hello_ms = now_ms;
                 }
