--- a/lib/src/rank_session.rs
+++ b/lib/src/rank_session.rs
@@ -2,7 +2,6 @@
 //! agreement on expert maps, and planning of new maps.
 
 use std::collections::HashMap;
-use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,7 +21,6 @@
 use crate::Incarnation;
 use crate::MapOutcome;
 use crate::PlannerAction;
-use crate::RankLocation;
 use crate::RankReport;
 use crate::actor::Actor;
 use crate::choice_reporter;
@@ -30,7 +28,6 @@
 use crate::direct_orders;
 use crate::direct_orders::EngineLink;
 use crate::event;
-use crate::group_agent::ReadPeers;
 use crate::map_copies;
 use crate::protos::control::MapCopy;
 use crate::protos::control::PlannerBeacon;
@@ -44,8 +41,11 @@
 use crate::rank_command::RankCommand;
 use crate::rank_datagrams;
 use crate::rank_datagrams::RankDatagrams;
+use crate::rank_peers::RankPeers;
 use crate::rank_request_sender::RankRequestSender;
 use crate::rank_server;
+use crate::remote_planner::PLANNER_TIMEOUT_MS;
+use crate::remote_planner::RemotePlanner;
 use crate::shutdown;
 use crate::slowdown_reporter::SlowdownReporter;
 
@@ -54,12 +54,8 @@
     Duration::from_millis(1_000 / choice_reporter::ROUNDS_PER_S as u64);
 const PLAN_INTERVAL: Duration = Duration::from_millis(25);
 const BEACON_INTERVAL_MS: u64 = 200;
-/// Time without a beacon after which the planner of another rank counts as stopped.
-const PLANNER_TIMEOUT_MS: u64 = 700;
 /// Interval of datagrams without content, which announce the agent's address to the other ranks.
 const HELLO_INTERVAL_MS: u64 = 2_000;
-/// Interval of reads of the agents' addresses while the addresses of some ranks are missing.
-const PEERS_INTERVAL_MS: u64 = 1_000;
 /// Interval of reads of the expert model while none is published.
 const MODEL_INTERVAL_MS: u64 = 1_000;
 const ORDER_QUEUE_LENGTH: usize = 1;
@@ -77,14 +73,11 @@
     link: EngineLink,
     datagrams: RankDatagrams,
     slowdowns: SlowdownReporter,
-    read_peers: Arc<ReadPeers>,
-    own_address: SocketAddr,
     actor: Actor<RankCommand>,
     group: String,
     rank: u32,
     rank_count: u32,
-    /// Addresses of all other ranks.
-    peers: watch::Sender<Vec<RankLocation>>,
+    peers: RankPeers,
     choices: ChoiceReporter,
     /// Highest id of a map that the session has received in a copy request or planned itself.
     highest_map_id: u64,
@@ -108,10 +101,7 @@
     ),
     next_hello_ms: u64,
     next_beacon_ms: u64,
-    next_peers_ms: u64,
     next_model_ms: u64,
-    /// Incarnation of the group for which the addresses of all other ranks are known.
-    peers_group_incarnation: Option<u64>,
     /// Id of the map that the rank's experts were last read for, and the experts by slot.
     own_slots: Option<(u64, Vec<u32>)>,
     /// Whether the agent is about to end.
@@ -125,16 +115,6 @@
     until: Instant,
 }
 
-/// The planner of another rank, as its last beacon describes it.
-#[derive(Debug, Clone, Copy)]
-struct RemotePlanner {
-    rank: u32,
-    /// When the last beacon was received.
-    last_beacon_ms: u64,
-    /// Id of the map whose layout the planner knows.
-    known_map_id: u64,
-}
-
 impl RankSession {
     /// Starts a session for the rank that the engine reports; `None` if the engine does not answer.
     pub(crate) async fn start(
@@ -170,7 +150,8 @@
             link.clone(),
             actor.clone(),
         ));
-        let peers = watch::channel(Vec::new()).0;
+        let read_peers = Arc::clone(&agent.peers);
+        let peers = RankPeers::new(read_peers, agent.address, report.rank_count);
         let request_sender = RankRequestSender {
             datagrams: datagrams.clone(),
             actor: actor.clone(),
@@ -197,8 +178,6 @@
                 entries: agent.entries.clone(),
                 endpoint_address: agent.endpoint_address.clone(),
             },
-            read_peers: Arc::clone(&agent.peers),
-            own_address: agent.address,
             actor,
             group: report.group,
             rank: report.rank,
@@ -216,9 +195,7 @@
             outcome_channel: mpsc::channel(ORDER_QUEUE_LENGTH),
             next_hello_ms: 0,
             next_beacon_ms: 0,
-            next_peers_ms: 0,
             next_model_ms: 0,
-            peers_group_incarnation: None,
             own_slots: None,
             is_closing: false,
         })
@@ -287,7 +264,9 @@
             return;
         };
         self.slowdowns.report(report.slowdown_percent).await;
-        self.find_peers(report.group_incarnation, now_ms).await;
+        if self.peers.update(report.group_incarnation, now_ms).await {
+            self.next_hello_ms = now_ms;
+        }
         self.update_planner(now_ms).await;
         self.announce(&report, now_ms).await;
         let choices = match self.choices.next(&self.link.engine).await {
@@ -367,38 +346,13 @@
         self.model.clone()
     }
 
-    /// Reads the addresses of the other ranks until all are known, again for each incarnation of
-    /// the group, since a rank may have moved to another VM.
-    async fn find_peers(&mut self, group_incarnation: u64, now_ms: u64) {
-        if self.peers_group_incarnation == Some(group_incarnation) || now_ms < self.next_peers_ms {
-            return;
-        }
-        self.next_peers_ms = now_ms + PEERS_INTERVAL_MS;
-        match (self.read_peers)().await {
-            Ok(mut peers) => {
-                // Several entries with one address are those of one rank.
-                let mut addresses = HashSet::from([self.own_address]);
-                peers.retain(|peer| addresses.insert(peer.agent));
-                if peers != *self.peers.borrow() {
-                    self.next_hello_ms = now_ms;
-                }
-                let is_complete = peers.len() + 1 >= self.rank_count as usize;
-                self.peers_group_incarnation = is_complete.then_some(group_incarnation);
-                self.peers.send_replace(peers);
-            }
-            Err(error) => log::debug!("reading the addresses of agents: {error}"),
-        }
-    }
-
     /// Starts or stops the planner: the lowest live rank plans.
     async fn update_planner(&mut self, now_ms: u64) {
         if self.is_closing {
             return;
         }
-        let remote = self.remote_planner.filter(|remote| {
-            let is_live = now_ms.saturating_sub(remote.last_beacon_ms) < PLANNER_TIMEOUT_MS;
-            is_live && remote.rank < self.rank
-        });
+        let remote = self.remote_planner;
+        let remote = remote.filter(|remote| remote.is_live(now_ms) && remote.rank < self.rank);
         self.remote_planner = remote;
         if remote.is_some() || now_ms < PLANNER_TIMEOUT_MS {
             if self.planner.take().is_some() {
@@ -437,8 +391,7 @@
     }
 
     async fn send_to_all(&self, datagram: &RankDatagram) {
-        let agents: Vec<SocketAddr> = self.peers.borrow().iter().map(|peer| peer.agent).collect();
-        for agent in agents {
+        for agent in self.peers.agents() {
             self.datagrams.send_to(agent, datagram).await;
         }
     }
@@ -471,11 +424,9 @@
             }
             Some(Content::Copy(copy)) => self.handle_copy(copy).await,
             Some(Content::Planner(beacon)) => {
-                let is_preferred = self.remote_planner.is_none_or(|remote| {
-                    let is_expired =
-                        now_ms.saturating_sub(remote.last_beacon_ms) >= PLANNER_TIMEOUT_MS;
-                    rank <= remote.rank || is_expired
-                });
+                let known = self.remote_planner;
+                let is_preferred =
+                    known.is_none_or(|known| rank <= known.rank || !known.is_live(now_ms));
                 if is_preferred {
                     self.remote_planner = Some(RemotePlanner {
                         rank,
