--- a/lib/src/http_client.rs
+++ b/lib/src/http_client.rs
@@ -206,13 +206,13 @@
                 let reason = format!("status {} of no final answer", response.status().as_u16());
                 Err(HttpError::Written { step, peer, reason })
             }
+            Err(error) if self.written_bytes() == before_bytes => {
+                let reason = error.to_string();
+                Err(HttpError::NotWritten { step, peer, reason })
+            }
             Err(error) => {
                 let reason = error.to_string();
-                Err(if self.written_bytes() == before_bytes {
-                    HttpError::NotWritten { step, peer, reason }
-                } else {
-                    HttpError::Written { step, peer, reason }
-                })
+                Err(HttpError::Written { step, peer, reason })
             }
         }
     }
