hold_time: how long calls hold their slots in a module of its own

Whether the mean rests on ended calls was a flag that its users had to check. No change of behaviour.

--- a/lib/src/direct_service.rs
+++ b/lib/src/direct_service.rs
@@ -35,19 +35,15 @@
 use crate::expected_wait::ExpectedWait;
 use crate::expected_wait::MIN_RETRY_AFTER_MS;
 use crate::group_progress::GroupProgress;
+use crate::hold_time::HoldTime;
 use crate::limit_division::ServiceDivision;
 use crate::permit_forecast::PermitForecast;
 use crate::service_endpoints::ServiceEndpoints;
 
-/// Assumed time for which a call holds its slot, until a call ends or an engine model is set.
-const INITIAL_HOLD_TIME_MS: f64 = 300.0;
-/// Weight of a new sample in the moving average of hold times.
-const HOLD_TIME_WEIGHT: f64 = 0.05;
 /// Longest time that a call is queued for a slot.
 const MAX_WAIT_MS: u64 = 1_500;
 /// Shortest retry delay that is returned while the rank group is stalled or down.
 const STALL_RETRY_AFTER_MS: u64 = 2_000;
-const MS_PER_S: f64 = 1_000.0;
 /// What a call expects when no endpoint stays.
 const NO_ENDPOINT: ExpectedWait = no_wait(RefusalCode::NoEndpoint, MIN_RETRY_AFTER_MS);
 
@@ -63,10 +59,8 @@
     peer_demand: PeerDemand,
     /// Number of other entries that accept new calls.
     peer_count: u32,
-    /// Moving average of the time for which a call holds its slot.
-    mean_hold_time_ms: f64,
-    /// Whether `mean_hold_time_ms` rests on ended calls; until then it is an assumption.
-    has_hold_time_sample: bool,
+    /// For how long a call holds its slot.
+    hold_time: HoldTime,
     /// Whether the rank group of the service makes progress.
     progress: GroupProgress,
     /// How the entries divide the limits of the endpoints.
@@ -101,8 +95,7 @@
             concurrency_limit: None,
             peer_demand: PeerDemand::default(),
             peer_count: 0,
-            mean_hold_time_ms: INITIAL_HOLD_TIME_MS,
-            has_hold_time_sample: false,
+            hold_time: HoldTime::default(),
             progress: GroupProgress::default(),
             division,
             demand_rate: DemandRate::default(),
@@ -124,8 +117,8 @@
     pub(crate) fn set_engine(&mut self, model: Option<&EngineModel>) {
         let is_rank_group = model.is_some_and(|model| model.experts.is_some());
         self.progress.set_rank_group(is_rank_group);
-        if let Some(model) = model.filter(|_| !self.has_hold_time_sample) {
-            self.mean_hold_time_ms = model.mean_answer_ms().max(INITIAL_HOLD_TIME_MS);
+        if let Some(model) = model {
+            self.hold_time.assume(model);
         }
         match (&mut self.concurrency_limit, model) {
             (Some(limit), Some(model)) => limit.set_model(model.clone()),
@@ -232,9 +225,7 @@
             _ => {}
         }
         if result == SendResult::Answered {
-            let sample_ms = as_f64(elapsed_ms);
-            self.has_hold_time_sample = true;
-            self.mean_hold_time_ms += HOLD_TIME_WEIGHT * (sample_ms - self.mean_hold_time_ms);
+            self.hold_time.record(as_f64(elapsed_ms));
         }
         let endpoint = self.endpoints.get_mut(&running.endpoint);
         let is_same_run =
@@ -276,7 +267,7 @@
 
     /// Refuses queued calls that have waited too long.
     fn refuse_expired(&mut self, now_ms: u64, decisions: &mut Vec<(u64, DispatchDecision)>) {
-        let retry_after_ms = self.retry_after_ms(to_ms(self.mean_hold_time_ms));
+        let retry_after_ms = self.retry_after_ms(to_ms(self.hold_time.mean_ms()));
         let expected = no_wait(RefusalCode::Overloaded, retry_after_ms);
         for queued in self.queue.take_expired(now_ms) {
             let decision = self.decide_refusal(expected, now_ms);
@@ -587,7 +578,7 @@
         if ahead <= 0.0 {
             return 0;
         }
-        let wait_ms = ahead * self.mean_hold_time_ms / own_slots;
+        let wait_ms = ahead * self.hold_time.mean_ms() / own_slots;
         to_ms(wait_ms).max(1)
     }
 
@@ -617,7 +608,7 @@
     fn slots_within_limit(&self, limit: &EndpointLimit) -> f64 {
         let calls_per_s = limit.sent_calls_per_s();
         calls_per_s.map_or(f64::INFINITY, |calls_per_s| {
-            calls_per_s * self.mean_hold_time_ms / MS_PER_S
+            self.hold_time.slots_at(calls_per_s)
         })
     }
 
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -140,6 +140,7 @@
 mod group_planner;
 mod group_progress;
 mod heartbeat_timing;
+mod hold_time;
 mod http_client;
 mod idle_report;
 mod idle_time_tracker;
