--- a/review/13/fleet.py
+++ b/review/13/fleet.py
@@ -1,8 +1,7 @@
-"""Stand-ins for the platform's store, a group of two model servers, and callers, around real agents and an entry.
+"""Two entries that are stopped in turn (SIGTERM, SIGKILL after `grace_s`), one of which stands still as its SIGTERM comes.
 
-The group follows PROTOCOL.md: it begins a pass when it has work and no rank holds it, a rank switches to an armed map as
-its step begins, and an order without an answer is carried out seconds later. `fence_required` is false: the servers
-ignore fencing tokens. Callers come in bursts; between them the group is idle and makes no passes.
+Stand-ins: the platform's store, two servers that answer notes and drafts with streams of NOTE_S and DRAFT_S, and
+callers that go by the directories as PROTOCOL.md says (section Ingress).
 """
 
 import asyncio
@@ -22,115 +21,91 @@
 DAEMON = ROOT / "target/release/pomelorampd"
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
-RANKS = 2
-SETS = 2
-EXPERTS = 16
-PLACEMENTS = 9
-SPARE = 3
-IN_DEMAND = 5
-SLOTS = 12
-EPOCH = 1
-PASS_S = 0.036
-COPY_S = 0.015
-EVENTS = 12
-CALLERS = 16
-# applied_late: "carried out 2 to 12 s later"
-MIN_LATE_S = 2.0
-MAX_LATE_S = 12.0
-LENGTH_S = 105.0
-CALM_LENGTH_S = 32.0
-# Callers come for BURST_S of each PERIOD_S.
-PERIOD_S = 7.0
-BURST_S = 1.5
-# Other experts are in demand so long after the start of a burst.
-SHIFT_AT_S = 1.65
+SERVERS = 2
+SLOTS = 100
+NOTE_S = (2.0, 3.8)
+NOTE_DEADLINE_S = 4.0
+DRAFT_S = 6.0
+DRAFT_DEADLINE_S = 8.0
+EVENT_PAUSE_S = 0.1
+GRACE_S = 8.0
+CONTACT_S = 3.0
+# node_freeze: the site file has for_s = 4.0
+FREEZE_S = 2.0
+# roll_term, gap_s: "each gap_s"
+ROLL_GAP_S = 1.2
+RESTART_S = 1.5
+CALLER_LIFE_S = 8.0
+NEW_CALLERS_PER_S = 14
 
 PROCESS = os.getpid()
 NET = f"127.{1 + PROCESS // 250 % 250}.{1 + PROCESS % 250}"
 START = time.monotonic()
 BORN_MS = int(time.time() * 1000)
+ENTRY_IPS = [f"{NET}.100", f"{NET}.101"]
+STORE = f"{NET}.200:8223"
 record = open(FOLDER / "record.txt", "w", encoding="utf-8")
 
 
-def note(text):
-    record.write(f"{time.monotonic() - START:8.3f} {text}\n")
-    record.flush()
-
+def now():
+    return time.monotonic() - START
 
-def server_ip(rank):
-    return f"{NET}.{rank + 1}"
 
-
-ENTRY_IP = f"{NET}.100"
-STORE = f"{NET}.200:8223"
+def note(text):
+    record.write(f"{now():8.3f} {text}\n")
+    record.flush()
 
 
-# --- HTTP -----------------------------------------------------------------------------------------------------------
+# --- The platform's store and the servers ----------------------------------------------------------------------------
 
 
 async def read_request(reader):
     head = await reader.readuntil(b"\r\n\r\n")
     lines = head.decode("latin-1").split("\r\n")
-    method, target, _ = lines[0].split(" ", 2)
-    headers = {}
-    for line in lines[1:]:
-        if ":" in line:
-            name, value = line.split(":", 1)
-            headers[name.strip().lower()] = value.strip()
+    headers = dict(line.lower().split(": ", 1) for line in lines[1:] if ": " in line)
     body = await reader.readexactly(int(headers.get("content-length", 0)))
-    return method, target, headers, body
+    return lines[0].split(" ")[1], headers, body
 
 
 def answer(status, body, headers=()):
-    body = json.dumps(body).encode()
-    lines = [f"HTTP/1.1 {status} x", "Content-Type: application/json", f"Content-Length: {len(body)}"]
-    lines += [f"{name}: {value}" for name, value in headers]
+    lines = [f"HTTP/1.1 {status} x", f"Content-Length: {len(body)}", *headers]
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
-async def serve(ip, port, handle):
+async def serve(address, handle):
     async def connection(reader, writer):
         try:
             while True:
-                request = await read_request(reader)
-                if not await handle(request, writer):
-                    return
-        except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError, ValueError):
+                await handle(await read_request(reader), writer)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
             pass
         finally:
             writer.close()
 
-    await asyncio.start_server(connection, ip, port)
-
-
-# --- The platform's store -------------------------------------------------------------------------------------------
+    host, port = address.rsplit(":", 1)
+    await asyncio.start_server(connection, host, int(port))
 
 
 def config():
-    route = {
-        "name": "r1", "host": "a.example", "prefix": "/draft/", "kind": "streaming", "resumable": True,
-        "timeout_ms": 8000, "target_latency_ms": 500, "target_gap_ms": 120, "priority": 1, "service": "s1",
-        "max_attempts": 2, "public": True, "sticky": True,
-    }
-    engine = {
-        "slots": SLOTS, "stride": 4, "step_ms": 4.55, "per_seq_ms": 0.905, "read_per_s": 61400.0,
-        "usual": {"prompt": 700.0, "answer": 96.0}, "sets": SETS, "experts": EXPERTS, "placements": PLACEMENTS,
-        "spare": SPARE, "expert_mb": 10.0, "link_mbps": 8000.0, "expert_share": 0.85,
-    }
-    service = {"name": "s1", "health_path": "/health", "max_conns": 348, "engine": engine}
-    return {"version": 1, "routes": [route], "services": [service]}
-
-
-def server_item(rank):
-    return {
-        "service": "s1", "address": f"{server_ip(rank)}:8228", "zone": "zone-1", "version": "v1", "slots": SLOTS,
-        "state": "ready", "cold_remaining_ms": 0, "seq": 0, "born": BORN_MS,
-    }
+    def route(name, prefix, timeout_s):
+        return {
+            "name": name, "host": "a.example", "prefix": prefix, "kind": "streaming", "timeout_ms": int(timeout_s * 1000),
+            "target_latency_ms": 500, "target_gap_ms": 120, "priority": 1, "service": "s1", "max_attempts": 1,
+            "public": True,
+        }
+
+    routes = [route("r1", "/note/", NOTE_DEADLINE_S), route("r2", "/draft/", DRAFT_DEADLINE_S)]
+    return {"version": 1, "routes": routes, "services": [{"name": "s1", "health_path": "/health", "max_conns": 100}]}
 
 
 def store_items():
     items = [("op/config", config())]
-    items += [(f"servers/i-m{rank}", server_item(rank)) for rank in range(RANKS)]
+    for number in range(SERVERS):
+        items.append((f"servers/i-{number}", {
+            "service": "s1", "address": f"{NET}.{number + 1}:8228", "zone": "zone-1", "version": "v1", "slots": SLOTS,
+            "state": "ready", "cold_remaining_ms": 0, "seq": 0, "born": BORN_MS,
+        }))
     return [
         {"key": key, "value": b64encode(json.dumps(value).encode()).decode(), "revision": number, "created": number,
          "lease": 0}
@@ -139,367 +114,292 @@
 
 
 async def store(request, writer):
-    _, target, _, _ = request
+    target, _, _ = request
     items = store_items()
     query = {name: values[0] for name, values in parse_qs(urlsplit(target).query).items()}
-    prefix = query.get("prefix", "")
-    if target.startswith("/pomeloramp/kv-range"):
-        entries = [item for item in items if item["key"].startswith(prefix)]
-        body = {"entries": entries, "more_pages": False, "current_rev": len(items)}
-    elif target.startswith("/pomeloramp/kv-watch"):
+    if "kv-watch" in target:
         await asyncio.sleep(int(query["wait_ms"]) / 1000)
         body = {"events": [], "current_rev": len(items)}
     else:
-        body = {}
-    writer.write(answer(200, body, [("Store-Era", 0)]))
-    await writer.drain()
-    return True
+        entries = [item for item in items if item["key"].startswith(query["prefix"])]
+        body = {"entries": entries, "more_pages": False, "current_rev": len(items)}
+    writer.write(answer(200, json.dumps(body).encode(), ["Store-Era: 0"]))
 
 
-# --- The group of model servers -------------------------------------------------------------------------------------
+runs = {}  # request id -> [(arrival, end of the work or None)]
 
 
-def first_map():
-    rank_lists = [[e for e in range(EXPERTS) if e % RANKS == rank] for rank in range(RANKS)]
-    return [rank_lists for _ in range(SETS)]
+def server(own_id):
+    async def handle(request, writer):
+        target, headers, _ = request
+        request_id = headers["x-request-id"]
+        if headers.get("x-expect-instance", own_id) != own_id:
+            writer.write(answer(421, b""))
+            return
+        run = [now(), None]
+        runs.setdefault(request_id, []).append(run)
+        fields = [f"X-Request-Id: {request_id}", f"X-Response-Seal: {own_id}"]
+        work_s = DRAFT_S if target.startswith("/draft/") else random.Random(request_id).uniform(*NOTE_S)
+        lines = ["HTTP/1.1 200 OK", "Transfer-Encoding: chunked", "Content-Type: text/event-stream", *fields]
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+        for number in range(1, int(work_s / EVENT_PAUSE_S)):
+            await asyncio.sleep(EVENT_PAUSE_S)
+            event = f"id: {number}\ndata: t\n\n".encode()
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        run[1] = now()
 
+    return handle
 
-class Rank:
-    def __init__(self, number):
-        self.number = number
-        self.version = 0
-        self.map = first_map()
-        self.copied = None  # (version, map, time at which the copy is complete)
-        self.armed = None  # (version, step)
-        self.held = None
-        self.highest_version = 0
-        self.seq = 0
-        self.counts = [0] * (SETS * EXPERTS)
-        self.streams = []
-
-    def prepared(self):
-        if self.copied and self.copied[2] <= time.monotonic():
-            return self.copied[0]
-        return None
-
-    def carry_out(self, order, step):
-        """Carries out an order now and returns its status."""
-        if order.get("epoch", EPOCH) != EPOCH or order.get("expect", self.seq) != self.seq:
-            return 409
-        status = getattr(self, order["op"])(order, step)
-        self.seq += status == 202
-        return status
-
-    def prepare(self, order, _step):
-        own = [sets[self.number] for sets in order["map"]]
-        new = [set(own[s]) - set(self.map[s][self.number]) for s in range(SETS)]
-        if order["version"] <= self.highest_version or self.armed or max(map(len, new)) > SPARE:
-            return 409
-        self.highest_version = order["version"]
-        self.copied = (order["version"], order["map"], time.monotonic() + COPY_S * sum(map(len, new)))
-        return 202
-
-    def arm(self, order, step):
-        wanted = (order["version"], order["step"])
-        if self.armed == wanted:
-            return 200
-        if self.prepared() != order["version"] or order["step"] <= step:
-            return 409
-        self.armed = wanted
-        return 202
-
-    def disarm(self, order, _step):
-        if self.version == order["version"]:
-            return 409
-        if self.armed and self.armed[0] == order["version"]:
-            self.armed = None
-            return 202
-        return 200
-
-    def hold(self, order, step):
-        if self.held == order["step"]:
-            return 200
-        if self.held is not None or order["step"] <= step:
-            return 409
-        self.held = order["step"]
-        return 202
-
-    def go(self, order, _step):
-        if self.held is None:
-            return 200
-        if self.held != order["step"]:
-            return 409
-        self.held = None
-        return 202
-
-    def begin_pass(self, step):
-        if self.armed and self.armed[1] <= step:
-            self.version, self.map, _ = self.copied
-            self.armed = self.copied = None
-
-
-class Group:
-    def __init__(self):
-        self.ranks = [Rank(number) for number in range(RANKS)]
-        self.step = 0
-        self.switches = 0
-        self.mixed = []
-        self.random = random.Random(1)
-        self.hot = [set(range(0, EXPERTS, RANKS)) for _ in range(SETS)]
-
-    def shift_demand(self):
-        """Puts experts of one rank in demand, in each set."""
-        for number in range(SETS):
-            of_rank = self.ranks[0].map[number][self.random.randrange(RANKS)]
-            self.hot[number] = set(self.random.sample(of_rank, IN_DEMAND))
-        note(f"other experts are in demand: {[sorted(hot) for hot in self.hot]}")
-
-    async def run(self):
-        while True:
-            working = any(rank.streams for rank in self.ranks)
-            is_held = any(rank.held == self.step + 1 for rank in self.ranks)
-            if not working or is_held:
-                await asyncio.sleep(0.002)
-                continue
-            self.begin_pass()
-            await asyncio.sleep(PASS_S)
-
-    def begin_pass(self):
-        self.step += 1
-        before = [rank.version for rank in self.ranks]
-        for rank in self.ranks:
-            rank.begin_pass(self.step)
-        after = [rank.version for rank in self.ranks]
-        if after != before:
-            self.switches += 1
-            note(f"pass {self.step} begins; maps of the ranks: {[hex(v) for v in after]}")
-        if any(rank.version != after[0] or rank.map != self.ranks[0].map for rank in self.ranks):
-            self.mixed.append(self.step)
-            if len(self.mixed) <= 3:
-                note(f"MAP broken: pass {self.step} begins, maps of the ranks: {[hex(v) for v in after]}")
-        for rank in self.ranks:
-            for stream in rank.streams[:SLOTS]:
-                stream.put_nowait(self.step)
-                for place in range(SETS * EXPERTS):
-                    in_demand = place % EXPERTS in self.hot[place // EXPERTS]
-                    rank.counts[place] += 3200 if in_demand else 400
-
-
-class ModelServer:
-    def __init__(self, group, rank, trouble):
-        self.group = group
-        self.rank = rank
-        self.trouble = trouble
-
-    def report(self):
-        rank = self.rank
-        armed = rank.armed and {"version": rank.armed[0], "step": rank.armed[1]}
-        return {
-            "stage": "both", "models": [{"name": "m", "version": 1, "adapters": []}], "busy": False, "seq": rank.seq,
-            "queued": 0, "running": len(rank.streams), "kv_used": 0, "kv_total": 280000, "handles": 0,
-            "born": BORN_MS, "pace": 1.0, "size": RANKS, "step": self.group.step, "map": rank.version,
-            "prepared": rank.prepared(), "armed": armed, "held": rank.held,
-            "group": {"name": "g-1", "epoch": EPOCH, "rank": rank.number, "state": "open"},
-        }
 
-    async def handle(self, request, writer):
-        _, target, headers, body = request
-        path = urlsplit(target).path
-        if path == "/pomeloramp/report":
-            writer.write(answer(200, self.report()))
-        elif path == "/pomeloramp/picked" and "lists" in target:
-            lists = {"version": self.rank.version, "experts": [s[self.rank.number] for s in self.rank.map]}
-            writer.write(answer(200, {"map": lists, "prepared": None}))
-        elif path == "/pomeloramp/picked":
-            picked = {"step": self.group.step, "epoch": EPOCH, "counts": self.rank.counts}
-            writer.write(answer(200, picked))
-        elif path == "/pomeloramp/order":
-            status = self.trouble.order(self.rank, json.loads(body))
-            if status is None:
-                await asyncio.sleep(MAX_LATE_S)  # no answer
-                return False
-            writer.write(answer(status, {}))
-        elif path == "/health":
-            writer.write(answer(200, {}, [("X-Instance-Id", f"i-m{self.rank.number}")]))
-        else:
-            return await self.stream(headers, writer)
-        await writer.drain()
-        return True
+# --- Entries ---------------------------------------------------------------------------------------------------------
 
-    async def stream(self, headers, writer):
-        own_id = f"i-m{self.rank.number}"
-        if headers.get("x-expect-instance", own_id) != own_id:
-            writer.write(answer(421, {}))
-            return True
-        request_id = headers.get("x-request-id", "")
-        passes = asyncio.Queue()
-        self.rank.streams.append(passes)
-        try:
-            lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream", "Transfer-Encoding: chunked",
-                     f"X-Request-Id: {request_id}", f"X-Response-Seal: {own_id}", "X-Weight-Versions: 1"]
-            head = ("\r\n".join(lines) + "\r\n\r\n").encode()
-            first = int(headers.get("last-event-id", 0)) + 1
-            for number in range(first, EVENTS + 1):
-                await passes.get()
-                event = f"id: {number}\ndata: t\n\n".encode()
-                writer.write(head + f"{len(event):x}\r\n".encode() + event + b"\r\n")
-                head = b""
-                await writer.drain()
-            writer.write(head + b"0\r\n\r\n")
-            await writer.drain()
-        finally:
-            self.rank.streams.remove(passes)
-        return True
-
-
-# --- The disruption: orders without an answer -------------------------------------------------------------------------
-
-
-class Trouble:
-    """Decides which orders get no answer, and when they are carried out.
-
-    While the group is idle, rank 1's orders to hold a step get no answer, so that plans are abandoned. Once the first of
-    them is 2 s old, rank 1's next order to hold a step gets no answer either, and the first one is carried out.
-    """
-
-    def __init__(self, group):
-        self.group = group
-        self.late = []  # [rank, order, time of receipt]
-        self.orders = 0
-        self.unanswered = 0
-
-    def order(self, rank, order):
-        self.orders += 1
-        text = f"rank {rank.number} gets {self.text(order)}"
-        if TROUBLE and self.is_late(rank, order):
-            self.unanswered += 1
-            entry = [rank, order, time.monotonic()]
-            self.late.append(entry)
-            asyncio.get_running_loop().call_later(MAX_LATE_S - 1, self.carry_out_late, entry)
-            note(f"{text}: no answer, to be carried out later")
-            return None
-        status = rank.carry_out(order, self.group.step)
-        note(f"{text}: {status}")
-        return status
-
-    @staticmethod
-    def text(order):
-        version = f" {order['version']:#x}" if "version" in order else ""
-        step = f" step {order['step']}" if "step" in order else ""
-        return f"{order['op']}{version}{step}"
-
-    def is_late(self, rank, order):
-        is_idle = not any(rank.streams for rank in self.group.ranks)
-        if order["op"] != "hold" or rank.number != 1 or not is_idle or self.unanswered * 2 > self.orders:
-            return False
-        now = time.monotonic()
-        usable = [e for e in self.late if now - e[2] >= MIN_LATE_S and self.group.step < e[1]["step"] < order["step"]]
-        if usable:
-            asyncio.get_running_loop().call_later(0.01, self.carry_out_late, usable[0])
-        return True
-
-    def carry_out_late(self, entry):
-        if entry in self.late:
-            self.late.remove(entry)
-            rank, order, received = entry
-            status = rank.carry_out(order, self.group.step)
-            age = time.monotonic() - received
-            note(f"rank {rank.number} carries out {self.text(order)} {age:.2f} s late: {status}")
-
-
-# --- Processes ------------------------------------------------------------------------------------------------------
-
-
-class Daemon:
-    def __init__(self, role, settings, folder):
-        self.role = role
-        self.path = folder / f"{settings['node']}.json"
-        self.path.write_text(json.dumps(settings))
-        self.log = open(folder / f"{settings['node']}.log", "ab")
+
+class Entry:
+    def __init__(self, number, folder):
+        self.number = number
+        self.ip = ENTRY_IPS[number]
+        self.path = folder / f"front-{number}.json"
+        self.path.write_text(json.dumps(self.settings()))
+        self.log = open(folder / f"front-{number}.log", "ab")
         self.process = None
+        self.terminated = None
+        self.ended = None
+        self.woken = None
+
+    def settings(self):
+        ports = {"front": 8227, "ready": 8220, "control": 8229, "directory": 8224}
+        bounds = {
+            "contact_ms": int(CONTACT_S * 1000), "drain_ms": 2000, "grace_s": GRACE_S, "config_apply_ms": 2000,
+            "retry_ratio": 0.2, "retry_slack": 90, "retry_window_s": 10, "ttl_max_s": 5,
+        }
+        return {
+            "node": f"front-{self.number}", "role": "entry", "machine_class": "front", "ip": self.ip, "zone": "zone-1",
+            "region": "r", "listen": {name: f"{self.ip}:{port}" for name, port in ports.items()},
+            "internal_port_range": [7340, 7355], "seeds": [f"{ip}:8229" for ip in ENTRY_IPS], "bootstrap": True,
+            "heartbeat_ms": 1200, "bounds": bounds, "platform": {"address": STORE, "form": "read"},
+        }
 
     async def start(self):
         self.process = await asyncio.create_subprocess_exec(
-            str(DAEMON), "--platform", self.role, cwd=ROOT, stdout=self.log, stderr=self.log,
+            str(DAEMON), "--platform", "entry", cwd=ROOT, stdout=self.log, stderr=self.log,
             env={"POMELORAMP_CONFIG": str(self.path), "PATH": os.environ.get("PATH", "")},
         )
 
+    async def freeze(self):
+        note(f"entry {self.number} stands still (SIGSTOP)")
+        self.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(FREEZE_S)
+        self.process.send_signal(signal.SIGCONT)
+        self.woken = now()
+        note(f"entry {self.number} goes on (SIGCONT)")
+
+    async def stop_and_start(self):
+        """Planned work: SIGTERM, SIGKILL after `grace_s`, and a new start."""
+        self.terminated = now()
+        note(f"entry {self.number} gets SIGTERM")
+        self.process.send_signal(signal.SIGTERM)
+        try:
+            await asyncio.wait_for(self.process.wait(), GRACE_S)
+            self.ended = now()
+            note(f"entry {self.number} has ended by itself")
+        except asyncio.TimeoutError:
+            self.process.send_signal(signal.SIGKILL)
+            await self.process.wait()
+            self.ended = now()
+            note(f"entry {self.number} gets SIGKILL, {GRACE_S} s after SIGTERM")
+        await asyncio.sleep(RESTART_S)
+        await self.start()
+        note(f"entry {self.number} starts again")
+
     def kill(self):
         if self.process and self.process.returncode is None:
+            self.process.send_signal(signal.SIGCONT)
             self.process.send_signal(signal.SIGKILL)
 
 
-def settings(node, ip, **fields):
-    bounds = {
-        "contact_ms": 3000, "drain_ms": 2000, "grace_s": 8, "config_apply_ms": 2000, "retry_ratio": 0.2,
-        "retry_slack": 90, "retry_window_s": 10, "fence_required": False, "ttl_max_s": 5,
-    }
-    return {
-        "node": node, "ip": ip, "zone": "zone-1", "region": "r", "internal_port_range": [7340, 7355],
-        "seeds": [f"{ENTRY_IP}:8229"], "bootstrap": True, "heartbeat_ms": 1200, "bounds": bounds,
-        "platform": {"address": STORE, "form": "read"}, **fields,
-    }
-
-
-def entry_settings():
-    ports = {"front": 8227, "ready": 8220, "control": 8229, "directory": 8224}
-    listen = {name: f"{ENTRY_IP}:{port}" for name, port in ports.items()}
-    return settings("front-1", ENTRY_IP, role="entry", machine_class="front", listen=listen)
+# --- Callers ---------------------------------------------------------------------------------------------------------
 
 
-def agent_settings(rank):
-    ip = server_ip(rank)
-    return settings(f"side-{rank}", ip, role="agent", machine_class="side", listen={}, app=f"{ip}:8228", service="s1")
+class Attempt:
+    def __init__(self, request_id, address, is_draft):
+        self.request_id = request_id
+        self.address = address
+        self.path = "/draft/1" if is_draft else "/note/1"
+        self.deadline_s = DRAFT_DEADLINE_S if is_draft else NOTE_DEADLINE_S
+        self.sent = None
+        self.ended = None
+        self.outcome = None
 
 
-# --- Callers --------------------------------------------------------------------------------------------------------
+attempts = []
 
 
-class Callers:
-    def __init__(self):
-        self.outcomes = {}
+async def get(address, path):
+    reader, writer = await asyncio.open_connection(*address.rsplit(":", 1))
+    try:
+        writer.write(f"GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".encode())
+        await reader.readuntil(b"\r\n\r\n")
+        return json.loads(await reader.read())
+    finally:
+        writer.close()
 
-    async def run(self, number):
-        generator = random.Random(number)
-        while True:
-            while (time.monotonic() - START) % PERIOD_S > BURST_S:
-                await asyncio.sleep(0.01)
-            request_id = f"{generator.getrandbits(64):016x}"
-            try:
-                outcome = await asyncio.wait_for(self.call(request_id), 9)
-            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError) as error:
-                outcome = type(error).__name__
-            self.outcomes[outcome] = self.outcomes.get(outcome, 0) + 1
-            if outcome != "complete":
-                await asyncio.sleep(0.3)
 
-    @staticmethod
-    async def call(request_id):
-        reader, writer = await asyncio.open_connection(ENTRY_IP, 8227)
+async def resolve(generator):
+    """Returns the addresses and their lifetime, or None: up to three directories, one second for each."""
+    for ip in generator.sample(ENTRY_IPS, len(ENTRY_IPS)):
         try:
-            lines = ["POST /draft/x HTTP/1.1", "Host: a.example", f"X-Request-Id: {request_id}", "X-Model: m",
-                     "X-Token-Usage: 700,96", "X-Deadline-Ms: 8000", "Content-Length: 2"]
-            writer.write(("\r\n".join(lines) + "\r\n\r\n{}").encode())
-            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-            status = head.split(" ")[1]
-            if status != "200":
-                return f"status {status}"
-            body = await reader.readuntil(b"0\r\n\r\n")
-            return "complete" if body.count(b"id: ") == EVENTS else "incomplete"
-        finally:
-            writer.close()
-
-
-# --- The run --------------------------------------------------------------------------------------------------------
+            path = "/pomeloramp/resolve?name=a.example&region=r&zone=zone-1"
+            found = await asyncio.wait_for(get(f"{ip}:8224", path), 1)
+            if found.get("addrs"):
+                return found["addrs"], found["ttl_s"]
+        except (OSError, ValueError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            pass
+    return None
+
+
+async def caller(seed, stop):
+    """A caller with calls one after another; each call may be tried a second time after a promise."""
+    generator = random.Random(seed)
+    addresses, until, failed = [], 0, set()
+    end = now() + CALLER_LIFE_S
+    while now() < end and not stop.is_set():
+        if now() >= until:
+            found = await resolve(generator)
+            if found:
+                addresses, until, failed = found[0], now() + found[1] * generator.choice([1, 1, 3]), set()
+        usable = [address for address in addresses if address not in failed]
+        if not usable:
+            # It can't obtain a new response and keeps the one that it has.
+            failed.clear()
+            await asyncio.sleep(0.1)
+            continue
+        attempt = Attempt(f"{generator.getrandbits(64):016x}", generator.choice(usable), seed % 3 == 0)
+        await send(attempt)
+        if attempt.outcome in ("not connected", "not read"):
+            failed.add(attempt.address)
+        if attempt.outcome != "200":
+            await asyncio.sleep(0.1)
+
+
+async def send(attempt):
+    body = b"x" * 100
+    lines = [f"POST {attempt.path} HTTP/1.1", "Host: a.example", f"X-Request-Id: {attempt.request_id}",
+             f"X-Deadline-Ms: {int(attempt.deadline_s * 1000)}", f"Content-Length: {len(body)}"]
+    try:
+        connecting = asyncio.open_connection(*attempt.address.rsplit(":", 1))
+        reader, writer = await asyncio.wait_for(connecting, 1)
+    except (OSError, asyncio.TimeoutError):
+        attempt.outcome = "not connected"
+        return
+    attempts.append(attempt)
+    try:
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+        await writer.drain()
+        attempt.sent = now()
+        head = await asyncio.wait_for(read_answer(reader), attempt.deadline_s)
+        attempt.outcome = head.decode("latin-1").split(" ")[1]
+    except asyncio.TimeoutError:
+        attempt.outcome = "late"
+    except (OSError, asyncio.IncompleteReadError):
+        attempt.outcome = "cut"
+    finally:
+        attempt.ended = now()
+        writer.close()
+
+
+async def read_answer(reader):
+    """Reads a whole answer and returns its head."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    fields = head.decode("latin-1").lower()
+    if "content-length: " in fields:
+        await reader.readexactly(int(fields.split("content-length: ")[1].split("\r\n")[0]))
+        return head
+    while size := int(await reader.readuntil(b"\r\n"), 16):
+        await reader.readexactly(size + 2)
+    await reader.readexactly(2)
+    return head
+
+
+# --- The rule --------------------------------------------------------------------------------------------------------
+
+
+def lost(entries):
+    """Returns the attempts that break LOST around planned work, with its bounds and excuses."""
+    found = []
+    for attempt in attempts:
+        entry = entries[ENTRY_IPS.index(attempt.address.split(":")[0])]
+        if attempt.outcome != "cut" or entry.terminated is None or attempt.sent is None:
+            continue
+        own = runs.get(attempt.request_id, [])
+        passed_on = bool(own)
+        in_window = entry.terminated <= attempt.ended <= entry.terminated + GRACE_S + 1
+        # "with no unplanned disruption from contact_ms before the request to its end"
+        disturbed = entry.woken is not None and attempt.sent < entry.woken + CONTACT_S
+        # "the server was still at work in the last sixth of grace_s on a request sent no later than 3 s after SIGTERM"
+        sent_early = attempt.sent <= entry.terminated + 3
+        deadline_reached = attempt.ended >= attempt.sent + attempt.deadline_s
+        if passed_on and in_window and not disturbed and not sent_early and not deadline_reached:
+            found.append((attempt, entry, own))
+    return found
+
+
+async def play(folder, daemons):
+    await serve(STORE, store)
+    for number in range(SERVERS):
+        await serve(f"{NET}.{number + 1}:8228", server(f"i-{number}"))
+    entries = [Entry(number, folder) for number in range(len(ENTRY_IPS))]
+    daemons += entries
+    for entry in entries:
+        await entry.start()
+    await asyncio.sleep(2)
+    stop = asyncio.Event()
+    callers = []
+
+    async def start_callers():
+        number = 0
+        while not stop.is_set():
+            callers.append(asyncio.create_task(caller(number, stop)))
+            number += 1
+            await asyncio.sleep(1 / NEW_CALLERS_PER_S)
+
+    starting = asyncio.create_task(start_callers())
+    await asyncio.sleep(3)
+    first = asyncio.create_task(entries[0].stop_and_start())
+    await asyncio.sleep(ROLL_GAP_S - 0.1)
+    freezing = asyncio.create_task(entries[1].freeze()) if TROUBLE else None
+    await asyncio.sleep(0.1)
+    second = asyncio.create_task(entries[1].stop_and_start())
+    await asyncio.gather(first, second)
+    if freezing:
+        await freezing
+    await asyncio.sleep(4)
+    stop.set()
+    await starting
+    await asyncio.gather(*callers)
+    outcomes = {}
+    for attempt in attempts:
+        run = runs.get(attempt.request_id, [])
+        outcomes[attempt.outcome] = outcomes.get(attempt.outcome, 0) + 1
+        note(f"{attempt.request_id} {attempt.path} to {attempt.address.split('.')[-1]} sent "
+             f"{attempt.sent or 0:.3f} ended {attempt.ended:.3f}: {attempt.outcome}; runs {[[round(t, 3) if t else None for t in r] for r in run]}")
+    note(f"attempts: {outcomes}")
+    broken = lost(entries)
+    for attempt, entry, own in broken:
+        note(f"LOST broken: {attempt.request_id}, sent {attempt.sent - entry.terminated:.2f} s after SIGTERM of entry "
+             f"{entry.number}, was passed on and cut {attempt.ended - entry.terminated:.2f} s after it")
+    if broken:
+        return 1
+    return 0 if outcomes.get("200", 0) >= 20 else 2
 
 
 async def main():
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
     with tempfile.TemporaryDirectory() as folder:
-        group = Group()
-        trouble = Trouble(group)
         daemons = []
         try:
-            return await play(Path(folder), group, trouble, daemons)
+            return await play(Path(folder), daemons)
         finally:
             for daemon in daemons:
                 daemon.kill()
@@ -508,47 +408,11 @@
                     await daemon.process.wait()
 
 
-async def play(folder, group, trouble, daemons):
-    loop = asyncio.get_running_loop()
-    await serve(*STORE.rsplit(":", 1), store)
-    for rank in group.ranks:
-        await serve(server_ip(rank.number), 8228, ModelServer(group, rank, trouble).handle)
-    entry = Daemon("entry", entry_settings(), folder)
-    agents = [Daemon("endpoint", agent_settings(rank), folder) for rank in range(RANKS)]
-    daemons += [entry, *agents]
-    for daemon in daemons:
-        await daemon.start()
-    await asyncio.sleep(2)
-    callers = Callers()
-    tasks = [loop.create_task(callers.run(number)) for number in range(CALLERS)]
-    tasks += [loop.create_task(group.run())]
-    end = time.monotonic() + (LENGTH_S if TROUBLE else CALM_LENGTH_S)
-    next_burst = 0
-    while time.monotonic() < end and not group.mixed:
-        await asyncio.sleep(0.02)
-        burst, at = divmod(time.monotonic() - START, PERIOD_S)
-        if burst > next_burst and at >= SHIFT_AT_S:
-            next_burst = burst
-            group.shift_demand()
-    await asyncio.sleep(0.5)
-    for task in tasks:
-        task.cancel()
-    note(f"callers: {callers.outcomes}")
-    note(f"orders: {trouble.orders}, without an answer: {trouble.unanswered}")
-    note(f"passes: {group.step}, changes of map: {group.switches}, mixed passes: {len(group.mixed)}")
-    if group.mixed:
-        return 1
-    if group.switches < 2 or callers.outcomes.get("complete", 0) < 20:
-        note("the run is no test: too few changes of map or calls")
-        return 2
-    return 0
-
-
 if __name__ == "__main__":
     code = 2
     try:
         code = asyncio.run(main())
-    except Exception as error:  # the case could not run
+    except (Exception, asyncio.CancelledError) as error:  # the case could not run
         note(f"the case could not run: {error!r}")
     note(f"exit {code}")
     sys.exit(code)
