--- a/review/12/fleet.py
+++ b/review/12/fleet.py
@@ -546,6 +546,11 @@
         try:
             return await play(Path(folder), group, trouble, daemons)
         finally:
+            # Nothing may start a process once those that run are being ended.
+            others = asyncio.all_tasks() - {asyncio.current_task()}
+            for task in others:
+                task.cancel()
+            await asyncio.gather(*others, return_exceptions=True)
             for daemon in daemons:
                 daemon.kill()
             for daemon in daemons:
--- a/review/13/fleet.py
+++ b/review/13/fleet.py
@@ -295,9 +295,9 @@
         return
     attempts.append(attempt)
     try:
+        attempt.sent = now()
         writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
         await writer.drain()
-        attempt.sent = now()
         head = await asyncio.wait_for(read_answer(reader), attempt.deadline_s)
         attempt.outcome = head.decode("latin-1").split(" ")[1]
     except asyncio.TimeoutError:
@@ -401,6 +401,11 @@
         try:
             return await play(Path(folder), daemons)
         finally:
+            # Nothing may start a process once those that run are being ended.
+            others = asyncio.all_tasks() - {asyncio.current_task()}
+            for task in others:
+                task.cancel()
+            await asyncio.gather(*others, return_exceptions=True)
             for daemon in daemons:
                 daemon.kill()
             for daemon in daemons:
