expert maps: a late hold, arm or release is executed in the state it was decided for, or not at all

A pass began with the new map at one rank and the old one at another.

Cause: a hold without an answer for a plan that was given up took effect when the rank was asked to hold a later step for a later map. The agent looked at the map that its engine had copied, not at the step that it held, promised, and had the engine switch at the step that was held, before the others.

Mend: holds, arms and releases name the number of orders that the engine had begun, as copies do, and a rank promises only if the engine holds the very step that it was asked for.

Why it works: an order takes effect only if nothing was begun since the report that it was decided on, so that the state in which it acts is the one that the agent saw.

--- a/lib/src/direct_orders.rs
+++ b/lib/src/direct_orders.rs
@@ -116,7 +116,9 @@
         step = match step {
             SequencerAction::Read => sequencer.on_report(link.read().await?),
             SequencerAction::Order(engine_order) => {
-                let result = send_order(engine_order, link, fencing, map_id_of(order), None).await;
+                let order_count = sequencer.expected_order_count();
+                let map_id = map_id_of(order);
+                let result = send_order(engine_order, link, fencing, map_id, order_count).await;
                 sequencer.on_result(result)
             }
             SequencerAction::Done(report) => return Ok(report),
--- a/lib/src/engine_sequencer.rs
+++ b/lib/src/engine_sequencer.rs
@@ -55,6 +55,13 @@
         SequencerAction::Read
     }
 
+    /// Returns the engine's order count that the last order is based on; the order must not be executed
+    /// at another one.
+    #[must_use]
+    pub fn expected_order_count(&self) -> Option<u64> {
+        self.report.as_ref()?.order_count
+    }
+
     /// Handles the engine's report and returns the next action.
     pub fn on_report(&mut self, report: RankReport) -> SequencerAction {
         self.report = Some(report);
@@ -120,6 +127,7 @@
 
 /// Updates the report with the effect of an order that the engine confirmed.
 fn apply_effect(report: &mut RankReport, order: &EngineOrder) {
+    report.order_count = report.order_count.map(|count| count + 1);
     match order {
         EngineOrder::Copy { .. } => {}
         EngineOrder::Arm { map_id, step } => {
--- a/lib/src/map_participant.rs
+++ b/lib/src/map_participant.rs
@@ -282,9 +282,10 @@
         report: MapEngineReport,
     ) -> Vec<MapAction> {
         let map_id = request.ballot;
+        // A delayed order may hold another step, which is not what the others promise.
         let staged = report
             .uncommitted()
-            .filter(|staged| staged.map_id == map_id);
+            .filter(|staged| staged.map_id == map_id && staged.switch_step == request.switch_step);
         let Some(staged) = staged else {
             return vec![self.state.prepare_reply(call_id, MapRefusal::NotStaged)];
         };
--- a/lib/tests/test_late_engine_orders.rs
+++ b/lib/tests/test_late_engine_orders.rs
@@ -1,10 +1,13 @@
 //! Tests of the agent of a rank whose engine leaves orders unanswered and executes them late.
 
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::UdpSocket;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use googletest::prelude::*;
@@ -56,40 +59,78 @@
 const LOWER_MAP: u64 = (2 << 32) + 1;
 const LATER_MAP: u64 = 3 << 32;
 
-/// Returns whether an order is left unanswered, to be executed late.
-type IsLate = fn(&EngineOrder) -> bool;
+/// All orders that are left unanswered, if they are to be executed late.
+const ALL: usize = usize::MAX;
 
-fn is_copy(order: &EngineOrder) -> bool {
-    matches!(order, EngineOrder::Copy { .. })
+/// A kind of order to an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum OrderKind {
+    Copy,
+    Arm,
+    Hold,
+    Release,
 }
 
-fn is_arm(order: &EngineOrder) -> bool {
-    matches!(order, EngineOrder::Arm { .. })
+impl OrderKind {
+    fn of(order: &EngineOrder) -> Self {
+        match order {
+            EngineOrder::Copy { .. } => Self::Copy,
+            EngineOrder::Arm { .. } => Self::Arm,
+            EngineOrder::Hold { .. } => Self::Hold,
+            EngineOrder::ReleaseHold { .. } => Self::Release,
+        }
+    }
+}
+
+/// State of a rank that switches to a map.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    Copied,
+    Promised,
+    Armed,
 }
 
 /// The engine of the rank, and which orders it leaves unanswered.
 struct Engine {
     model: LateEngine,
     step: u64,
-    is_late: IsLate,
+    late_kind: OrderKind,
+    /// Number of further orders of that kind that are left unanswered.
+    late_count: usize,
+    /// Whether the first late order is executed as soon as another one is left unanswered.
+    executes_first_late: bool,
     /// Whether the rank let the group start a step that it had promised to hold for a map.
     has_broken_promise: bool,
 }
 
 impl Engine {
     fn order(&mut self, order: EngineOrder, terms: OrderTerms) -> OrderResult {
-        if (self.is_late)(&order) {
+        if self.late_count > 0 && self.late_kind == OrderKind::of(&order) {
+            self.late_count -= 1;
             self.model.late_orders.push((order, terms));
+            if std::mem::take(&mut self.executes_first_late) {
+                self.model.execute_late(0, self.step);
+            }
             return OrderResult::Unknown;
         }
         let is_armed = self.model.armed.is_some();
         let result = self.model.apply(&order, terms, self.step);
-        let is_released = matches!(order, EngineOrder::ReleaseHold { .. });
+        let is_released = OrderKind::of(&order) == OrderKind::Release;
         if is_released && result == OrderResult::Done && !is_armed {
             self.has_broken_promise = true;
         }
         result
     }
+
+    /// Leaves the next `count` orders of a kind unanswered.
+    fn leave_unanswered(&mut self, kind: OrderKind, count: usize) {
+        self.late_kind = kind;
+        self.late_count = count;
+    }
+
+    fn execute_late(&mut self) -> Option<OrderResult> {
+        self.model.execute_late(0, self.step)
+    }
 }
 
 /// An agent beside an engine, and the socket of the other rank's agent.
@@ -105,6 +146,14 @@
     Box::pin(async move { Ok(value) })
 }
 
+/// Returns an address that no other rank of this process uses.
+fn free_address() -> SocketAddr {
+    static HOSTS: AtomicU8 = AtomicU8::new(1);
+    let host = HOSTS.fetch_add(1, Ordering::Relaxed);
+    let free = UdpSocket::bind((Ipv4Addr::new(127, 0, 7, host), 0)).unwrap();
+    free.local_addr().unwrap()
+}
+
 fn group_model() -> GroupModel {
     GroupModel {
         experts: ExpertModel {
@@ -123,15 +172,15 @@
 impl Rank {
     /// Starts an agent beside an engine that checks fencing tokens or ignores them.
     async fn start(checks_tokens: bool) -> Self {
-        let free = UdpSocket::bind("127.0.0.1:0").unwrap();
         let engine = Engine {
             model: LateEngine::new(checks_tokens),
             step: 10,
-            is_late: |_| false,
+            late_kind: OrderKind::Copy,
+            late_count: 0,
+            executes_first_late: false,
             has_broken_promise: false,
         };
-        let address = free.local_addr().unwrap();
-        drop(free);
+        let address = free_address();
         let mut rank = Self {
             engine: Arc::new(Mutex::new(engine)),
             address,
@@ -197,6 +246,10 @@
         let (_close, task) = self.running.take().unwrap();
         task.abort();
         let _ = task.await;
+        // The tasks of the agent close its socket a moment later.
+        while UdpSocket::bind(self.address).is_err() {
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
         self.start_agent();
     }
 
@@ -353,16 +406,30 @@
         }
     }
 
-    /// Has the rank switch to a map as nothing else happens.
-    async fn switch_to(&mut self, map_id: u64, switch_step: u64) {
+    /// Has the rank switch to a map; executes a late order in the state that `late_at` names.
+    async fn switch_to(&mut self, map_id: u64, switch_step: u64, late_at: Option<State>) {
+        let execute_late = |rank: &Self, state: State| {
+            if late_at == Some(state) {
+                let result = rank.engine().execute_late();
+                expect_that!(result, some(not(eq(OrderResult::Done))), "{state:?}");
+            }
+        };
         self.copy_completely(map_id).await;
+        execute_late(self, State::Copied);
         assert_that!(self.prepare(map_id, switch_step).await, eq(true));
+        execute_late(self, State::Promised);
         self.decide_completely(map_id, true).await;
+        execute_late(self, State::Armed);
+        expect_that!(self.engine().has_broken_promise, eq(false));
+        expect_that!(self.engine().model.held_step, none());
+        self.start_step(switch_step);
+        expect_that!(self.engine().model.map, eq(map_id));
+    }
+
+    fn start_step(&self, step: u64) {
         let mut engine = self.engine();
-        expect_that!(engine.model.held_step, none());
-        engine.step = switch_step;
-        engine.model.start_step(switch_step);
-        expect_that!(engine.model.map, eq(map_id));
+        engine.step = step;
+        engine.model.start_step(step);
     }
 }
 
@@ -373,28 +440,27 @@
 async fn a_late_copy_of_a_forgotten_map_replaced_the_promised_one() {
     for checks_tokens in [true, false] {
         let mut rank = Rank::start(checks_tokens).await;
-        rank.engine().is_late = is_copy;
+        rank.engine().leave_unanswered(OrderKind::Copy, ALL);
         rank.copy(FORGOTTEN_MAP, |engine| !engine.model.late_orders.is_empty())
             .await;
         rank.restart_agent().await;
-        rank.engine().is_late = |_| false;
+        rank.engine().late_count = 0;
         rank.copy_completely(LOWER_MAP).await;
         assert_that!(rank.prepare(LOWER_MAP, 12).await, eq(true));
-        rank.engine().is_late = is_arm;
+        rank.engine().leave_unanswered(OrderKind::Arm, ALL);
         rank.decide(LOWER_MAP, true).await;
         rank.wait_for(|engine| {
             engine
                 .model
                 .late_orders
                 .iter()
-                .any(|(order, _)| is_arm(order))
+                .any(|(order, _)| OrderKind::of(order) == OrderKind::Arm)
         })
         .await;
         let executed = {
             let mut engine = rank.engine();
-            let step = engine.step;
-            engine.is_late = |_| false;
-            engine.model.execute_late(0, step)
+            engine.late_count = 0;
+            engine.execute_late()
         };
         tokio::time::sleep(PROMISE_TIME).await;
         expect_that!(executed, some(not(eq(OrderResult::Done))));
@@ -402,8 +468,72 @@
         rank.decide_completely(LOWER_MAP, true).await;
         expect_that!(rank.engine().model.armed, some(eq((LOWER_MAP, 12))));
         expect_that!(rank.engine().model.held_step, none());
-        rank.engine().step = 12;
-        rank.engine().model.start_step(12);
-        rank.switch_to(LATER_MAP, 14).await;
+        rank.start_step(12);
+        rank.switch_to(LATER_MAP, 14, None).await;
+    }
+}
+
+/// Guards against MAP in review case 14: a rank took a late hold at an earlier step for the one that it was
+/// to promise, and switched to the map at that step, before the others.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_hold_at_another_step_was_taken_for_the_promised_one() {
+    for checks_tokens in [true, false] {
+        let mut rank = Rank::start(checks_tokens).await;
+        rank.copy_completely(LOWER_MAP).await;
+        rank.engine().leave_unanswered(OrderKind::Hold, ALL);
+        assert_that!(rank.prepare(LOWER_MAP, 12).await, eq(false));
+        rank.decide_completely(LOWER_MAP, false).await;
+        rank.copy_completely(FORGOTTEN_MAP).await;
+        rank.engine().executes_first_late = true;
+        let is_promised = rank.prepare(FORGOTTEN_MAP, 14).await;
+        let held_step = rank.engine().model.held_step;
+        expect_that!(
+            is_promised && held_step != Some(14),
+            eq(false),
+            "{held_step:?}"
+        );
+        rank.engine().late_count = 0;
+        rank.decide_completely(FORGOTTEN_MAP, false).await;
+        rank.switch_to(LATER_MAP, 16, None).await;
+    }
+}
+
+/// Leaves the first order of a kind for one map unanswered, and executes it while the rank switches to a
+/// later map.
+async fn execute_late_in(kind: OrderKind, checks_tokens: bool, late_at: State) {
+    let mut rank = Rank::start(checks_tokens).await;
+    rank.engine().leave_unanswered(kind, 1);
+    rank.copy_completely(LOWER_MAP).await;
+    assert_that!(rank.prepare(LOWER_MAP, 12).await, eq(true));
+    if kind == OrderKind::Hold {
+        rank.decide_completely(LOWER_MAP, false).await;
+        rank.engine().has_broken_promise = false;
+    } else {
+        rank.decide_completely(LOWER_MAP, true).await;
+        rank.start_step(12);
+    }
+    assert_that!(rank.engine().model.late_orders.len(), eq(1));
+    rank.switch_to(FORGOTTEN_MAP, 14, Some(late_at)).await;
+    rank.switch_to(LATER_MAP, 16, None).await;
+}
+
+/// Guards against any kind of order that is executed in another state than it was decided for.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn late_orders_of_each_kind_changed_a_later_switch() {
+    let mut runs = Vec::new();
+    for kind in [
+        OrderKind::Copy,
+        OrderKind::Hold,
+        OrderKind::Arm,
+        OrderKind::Release,
+    ] {
+        for checks_tokens in [true, false] {
+            for late_at in [State::Copied, State::Promised, State::Armed] {
+                runs.push(execute_late_in(kind, checks_tokens, late_at));
+            }
+        }
     }
+    futures::future::join_all(runs).await;
 }
--- a/lib/tests/test_late_map_orders.rs
+++ b/lib/tests/test_late_map_orders.rs
@@ -8,6 +8,7 @@
 use pomeloramp_lib::CoordinatorRequest;
 use pomeloramp_lib::EngineOrder;
 use pomeloramp_lib::EngineSequencer;
+use pomeloramp_lib::ExpertSlots;
 use pomeloramp_lib::Incarnation;
 use pomeloramp_lib::MapAction;
 use pomeloramp_lib::MapCoordinator;
@@ -16,8 +17,10 @@
 use pomeloramp_lib::MapReply;
 use pomeloramp_lib::MapRequest;
 use pomeloramp_lib::OrderResult;
+use pomeloramp_lib::OrderTerms;
 use pomeloramp_lib::RankReport;
 use pomeloramp_lib::SequencerAction;
+use pomeloramp_testutils::LateEngine;
 use proptest::prelude::*;
 use proptest::test_runner::TestCaseError;
 
@@ -27,82 +30,17 @@
 const MAX_OPERATIONS: usize = 700;
 const CASES: u32 = 600;
 
-/// A model of an engine on the direct path.
-#[derive(Debug, Clone, Default)]
-struct Engine {
-    map: u64,
-    highest_map_id: u64,
-    copied: Option<u64>,
-    armed: Option<(u64, u64)>,
-    held_step: Option<u64>,
-    late_orders: Vec<EngineOrder>,
-}
-
-impl Engine {
-    /// Executes an order; `step` is the last step that was started.
-    fn apply(&mut self, order: &EngineOrder, step: u64) -> OrderResult {
-        let done = match *order {
-            EngineOrder::Copy { map_id, .. } => self.copy(map_id),
-            EngineOrder::Arm {
-                map_id,
-                step: switch_step,
-            } => {
-                let is_same = self.armed == Some((map_id, switch_step));
-                let fits =
-                    self.copied == Some(map_id) && switch_step > step && self.armed.is_none();
-                if fits {
-                    self.armed = Some((map_id, switch_step));
-                }
-                fits || is_same
-            }
-            EngineOrder::Hold { step: switch_step } => {
-                let is_same = self.held_step == Some(switch_step);
-                let fits = self.held_step.is_none() && switch_step > step;
-                if fits {
-                    self.held_step = Some(switch_step);
-                }
-                fits || is_same
-            }
-            EngineOrder::ReleaseHold { step: switch_step } => {
-                if self.held_step == Some(switch_step) {
-                    self.held_step = None;
-                }
-                true
-            }
-        };
-        if done {
-            OrderResult::Done
-        } else {
-            OrderResult::Refused
-        }
-    }
-
-    fn copy(&mut self, map_id: u64) -> bool {
-        let fits = map_id > self.highest_map_id && self.armed.is_none();
-        if fits {
-            self.highest_map_id = map_id;
-            self.copied = Some(map_id);
-        }
-        fits
-    }
-
-    fn report(&self, rank: usize, step: u64) -> RankReport {
-        RankReport {
-            group: "group".to_owned(),
-            group_incarnation: 1,
-            rank: u32::try_from(rank).unwrap(),
-            rank_count: u32::try_from(RANKS).unwrap(),
-            is_open: true,
-            started_ms: 1,
-            step,
-            active_map_id: self.map,
-            copied_map_id: self.copied,
-            armed_map_id: self.armed.map(|(map_id, _)| map_id),
-            armed_step: self.armed.map(|(_, switch_step)| switch_step),
-            slowdown_percent: 100,
-            held_step: self.held_step,
-            order_count: None,
-        }
+/// Terms that any engine accepts at any number of orders.
+const ANY_COUNT: OrderTerms = OrderTerms {
+    group_incarnation: 1,
+    fencing_token: u64::MAX,
+    expected_order_count: None,
+};
+
+fn copy_order(map_id: u64) -> EngineOrder {
+    EngineOrder::Copy {
+        map_id,
+        slots: ExpertSlots::new(1, 1, vec![1]).unwrap(),
     }
 }
 
@@ -110,6 +48,22 @@
     participant: MapParticipant,
     /// The map order that is being executed, and its next action.
     current_order: Option<(EngineSequencer, SequencerAction)>,
+    /// Fencing token of the agent's orders.
+    token: u64,
+}
+
+impl Agent {
+    /// Returns the terms of an order, with a token that is as high as the ids that the engine reports.
+    fn terms(&mut self, map_id: u64, engine: &LateEngine, expected: Option<u64>) -> OrderTerms {
+        let armed = engine.armed.map_or(0, |(armed, _)| armed);
+        let reported = engine.map.max(engine.copied.unwrap_or(0)).max(armed);
+        self.token = self.token.max(map_id).max(reported);
+        OrderTerms {
+            group_incarnation: 1,
+            fencing_token: self.token,
+            expected_order_count: expected,
+        }
+    }
 }
 
 /// The sender of a request. Replies to an abandoned coordinator are dropped.
@@ -136,7 +90,7 @@
 
 /// A rank group with its agents, one proposing coordinator and one recovering coordinator per rank.
 struct Group {
-    engines: Vec<Engine>,
+    engines: Vec<LateEngine>,
     agents: Vec<Agent>,
     /// The coordinators with their nonces: first the proposing one, then that of each rank.
     coordinators: Vec<Option<(u32, MapCoordinator)>>,
@@ -151,9 +105,10 @@
 }
 
 impl Group {
-    fn new() -> Self {
+    /// Creates a group whose engines check fencing tokens or ignore them.
+    fn new(checks_tokens: bool) -> Self {
         let mut group = Self {
-            engines: vec![Engine::default(); RANKS],
+            engines: vec![LateEngine::new(checks_tokens); RANKS],
             agents: Vec::new(),
             coordinators: (0..=RANKS).map(|_| None).collect(),
             network: VecDeque::new(),
@@ -176,6 +131,7 @@
         Agent {
             participant: MapParticipant::new(incarnation, rank as u64),
             current_order: None,
+            token: 0,
         }
     }
 
@@ -191,13 +147,7 @@
         }
         self.step = next;
         for engine in &mut self.engines {
-            if let Some((map_id, switch_step)) = engine.armed
-                && switch_step == next
-            {
-                engine.map = map_id;
-                engine.armed = None;
-                engine.copied = None;
-            }
+            engine.start_step(next);
         }
         let first = self.engines[0].map;
         let is_same_map = self.engines.iter().all(|engine| engine.map == first);
@@ -205,14 +155,33 @@
         Ok(())
     }
 
-    /// Copies a new map to all ranks that accept it, and proposes it.
-    fn propose(&mut self) {
+    /// Copies a new map to the ranks, and proposes it. `fates` selects whose order to copy is executed
+    /// late, and the id among those of the round: all who know an earlier map may be gone.
+    fn propose(&mut self, fates: u8) {
         self.next_id += 1;
-        let map_id = u64::from(self.next_id) << 32;
-        for (engine, agent) in self.engines.iter_mut().zip(&self.agents) {
+        let known = self
+            .engines
+            .iter()
+            .zip(&self.agents)
+            .map(|(engine, agent)| {
+                let copied_or_active = engine.copied.unwrap_or(0).max(engine.map);
+                copied_or_active.max(agent.participant.highest_ballot())
+            });
+        let round = (known.max().unwrap_or(0) >> 32) + 1;
+        let nonce = (u64::from(fates) << 16) | u64::from(self.next_id & 0xffff);
+        let map_id = (round << 32) | nonce;
+        for (rank, engine) in self.engines.iter_mut().enumerate() {
             // An agent sends one order at a time, and no copy order while it holds a step.
-            if engine.held_step.is_none() && agent.current_order.is_none() {
-                engine.copy(map_id);
+            let agent = &mut self.agents[rank];
+            if engine.held_step.is_some() || agent.current_order.is_some() {
+                continue;
+            }
+            let order = copy_order(map_id);
+            let terms = agent.terms(map_id, engine, Some(engine.order_count));
+            if fates & (1 << rank) != 0 {
+                engine.late_orders.push((order, terms));
+            } else {
+                engine.apply(&order, terms, self.step);
             }
         }
         let coordinator = MapCoordinator::builder()
@@ -390,23 +359,28 @@
         };
         let engine = &mut self.engines[rank];
         let after = match next {
-            SequencerAction::Read => sequencer.on_report(engine.report(rank, self.step)),
+            SequencerAction::Read => sequencer.on_report(engine.report(rank, RANKS, self.step)),
             SequencerAction::Order(order) => {
+                let expected = sequencer.expected_order_count();
+                let terms = self.agents[rank].terms(0, engine, expected);
                 let result = match fate % 8 {
                     // Neither executed nor answered.
                     0 => OrderResult::Unknown,
                     // Executed later, not answered.
                     1 | 2 => {
-                        engine.late_orders.push(order);
+                        engine.late_orders.push((order, terms));
                         OrderResult::Unknown
                     }
                     // Executed, but the answer is lost.
                     3 => {
-                        engine.apply(&order, self.step);
+                        engine.apply(&order, terms, self.step);
                         OrderResult::Unknown
                     }
-                    _ => engine.apply(&order, self.step),
+                    _ => engine.apply(&order, terms, self.step),
                 };
+                if result == OrderResult::Fenced {
+                    self.agents[rank].token += 1 << 32;
+                }
                 sequencer.on_result(result)
             }
             SequencerAction::Done(_) => return,
@@ -423,13 +397,7 @@
     }
 
     fn execute_late_order(&mut self, rank: usize, index: usize) {
-        let step = self.step;
-        let engine = &mut self.engines[rank];
-        if engine.late_orders.is_empty() {
-            return;
-        }
-        let order = engine.late_orders.remove(index % engine.late_orders.len());
-        engine.apply(&order, step);
+        self.engines[rank].execute_late(index, self.step);
     }
 
     fn restart(&mut self, rank: usize) {
@@ -447,7 +415,7 @@
             20..=23 => self.tick(),
             24..=27 => self.start_step()?,
             28 => self.execute_late_order(rank, usize::from(second)),
-            29 => self.propose(),
+            29 => self.propose(second),
             30 => self.restart(rank),
             _ => {
                 // A message is lost.
@@ -476,14 +444,14 @@
 
 #[googletest::test]
 fn an_order_that_is_executed_after_newer_ones_changes_no_map() {
-    let mut engine = Engine::default();
-    engine.copy(5);
+    let mut engine = LateEngine::new(false);
+    engine.apply(&copy_order(5), ANY_COUNT, 0);
     let arm = EngineOrder::Arm { map_id: 5, step: 3 };
-    expect_that!(engine.apply(&arm, 3), eq(OrderResult::Refused));
+    expect_that!(engine.apply(&arm, ANY_COUNT, 3), eq(OrderResult::Refused));
     let mut sequencer = EngineSequencer::new(MapOrder::Commit { map_id: 5 });
     let held_report = RankReport {
         held_step: Some(4),
-        ..engine.report(0, 3)
+        ..engine.report(0, RANKS, 3)
     };
     // While the arm order is unanswered, the rank must not release the hold.
     let arm = EngineOrder::Arm { map_id: 5, step: 4 };
@@ -506,9 +474,10 @@
 
     #[test]
     fn steps_use_one_map_despite_late_lost_and_duplicated_orders(
-        operations in prop::collection::vec(any::<(u8, u8, u8)>(), 0..MAX_OPERATIONS)
+        operations in prop::collection::vec(any::<(u8, u8, u8)>(), 0..MAX_OPERATIONS),
+        checks_tokens in any::<bool>(),
     ) {
-        let mut group = Group::new();
+        let mut group = Group::new(checks_tokens);
         for operation in operations {
             group.operate(operation)?;
         }
@@ -534,14 +503,14 @@
 #[googletest::test]
 fn an_agent_that_is_restarted_between_arming_and_releasing_stalls_nobody() {
     for restarted in 0..RANKS {
-        let mut group = Group::new();
+        let mut group = Group::new(true);
         run_until(&mut group, |group| {
             let agents = group.agents.iter();
             agents
                 .clone()
                 .all(|agent| agent.participant.engine_report().is_some())
         });
-        group.propose();
+        group.propose(0);
         let is_armed_and_held = |group: &Group| {
             let engine = &group.engines[restarted];
             engine.armed.is_some() && engine.held_step.is_some()
