crash suspects: all parts of a prompt count, and what a report has no room for is told later

A part that crashes endpoints was never refused behind the 64th part of a prompt; every call with it crashed two endpoints.

Cause: the adapter kept the first 64 parts. The part was no suspect, and the parts before it survive in sound calls. The same kind of count ended other lists early: 32 suspects in a report, always the same ones, and 1,024 suspects in all, fewer than twelve calls with long prompts have at one crash.

Why it works: the parts of a prompt are bounded by the head of the request. The bound on a report stays 32 suspects, and what has no room goes first in the next. Memory stays bounded (some 7 MB if full).

--- a/lib/src/crash_tracker.rs
+++ b/lib/src/crash_tracker.rs
@@ -154,15 +154,17 @@
             calls.len()
         );
         for call in calls {
+            let quarantine = &mut self.quarantine;
+            let quarantined = quarantine.record_crash(&call.suspects, call.crash, now_ms);
             event!(
                 CallAtCrash,
-                "request_id={} endpoint={endpoint} crash={:08x} suspects={}",
+                "request_id={} endpoint={endpoint} crash={:08x} suspects={} suspect_count={}",
                 call.request_id,
                 call.crash,
-                call.suspect_list()
+                call.suspect_list(|suspect| quarantine.is_suspected(suspect, now_ms)),
+                call.suspects.len()
             );
-            let quarantine = &mut self.quarantine;
-            for suspect in quarantine.record_crash(&call.suspects, call.crash, now_ms) {
+            for suspect in quarantined {
                 self.log_quarantined(suspect, OWN_SOURCE, now_ms);
             }
         }
--- a/lib/src/crashed_call.rs
+++ b/lib/src/crashed_call.rs
@@ -6,6 +6,9 @@
 use crate::EndpointRecord;
 use crate::short_hash::short_hash;
 
+/// Most suspects of a call in a log line.
+const MAX_LISTED_SUSPECTS: usize = 64;
+
 /// A call whose connection to its endpoint broke.
 #[derive(Debug, Clone)]
 pub(crate) struct CrashedCall {
@@ -30,10 +33,13 @@
         }
     }
 
-    /// Returns the suspects separated by commas, for log lines.
-    pub(crate) fn suspect_list(&self) -> String {
+    /// Returns the suspects that `is_relevant` selects, separated by commas, for log lines; at most
+    /// [`MAX_LISTED_SUSPECTS`].
+    pub(crate) fn suspect_list(&self, is_relevant: impl Fn(CrashSuspect) -> bool) -> String {
         let suspects = self.suspects.iter();
-        let suspects: Vec<String> = suspects.map(ToString::to_string).collect();
-        suspects.join(",")
+        let suspects = suspects.filter(|suspect| is_relevant(**suspect));
+        let listed = suspects.take(MAX_LISTED_SUSPECTS);
+        let listed: Vec<String> = listed.map(ToString::to_string).collect();
+        listed.join(",")
     }
 }
--- a/lib/src/suspect_quarantine.rs
+++ b/lib/src/suspect_quarantine.rs
@@ -128,26 +128,49 @@
     }
 
     /// Returns what other entries have to learn: recent changes, and each refused suspect in every round
-    /// with `is_full`. Suspects with the most crashes come first.
+    /// with `is_full`. Suspects with the most crashes come first, then those that were not reported for
+    /// longest. What has no room is due again in the next report.
     #[must_use]
-    pub fn reports(&self, is_full: bool, now_ms: u64) -> Vec<SuspectReport> {
+    pub fn reports(&mut self, is_full: bool, now_ms: u64) -> Vec<SuspectReport> {
+        let mut due = self.due_reports(is_full, now_ms);
+        let room = self.settings.max_reports.min(due.len());
+        for suspect in due.split_off(room) {
+            if let Some(record) = self.records.get_mut(&suspect) {
+                record.leave_out();
+            }
+        }
+        let reports = due.into_iter().filter_map(|suspect| {
+            let record = self.records.get_mut(&suspect)?;
+            record.record_report(now_ms);
+            Some(SuspectReport {
+                suspect: Some(message(suspect)),
+                crashes: record.reported_crashes(now_ms),
+                void_for_ms: record.void_for_ms(now_ms),
+            })
+        });
+        reports.collect()
+    }
+
+    /// Returns the suspects that a report is due for, the most important first.
+    fn due_reports(&self, is_full: bool, now_ms: u64) -> Vec<CrashSuspect> {
         let relay_ms = self.settings.change_relay_ms;
         let due = self.records.iter().filter(|(suspect, record)| {
             let is_recent = now_ms.saturating_sub(record.changed_ms()) <= relay_ms;
-            is_recent || (is_full && self.refused_for_ms(**suspect, now_ms).is_some())
+            let is_refused = || self.refused_for_ms(**suspect, now_ms).is_some();
+            is_recent || record.was_left_out() || (is_full && is_refused())
         });
         let mut due: Vec<_> = due.collect();
         due.sort_by_key(|(suspect, record)| {
             let crashes = record.counted(now_ms).count();
-            (Reverse(crashes), record.changed_ms(), **suspect)
-        });
-        due.truncate(self.settings.max_reports);
-        let reports = due.into_iter().map(|(suspect, record)| SuspectReport {
-            suspect: Some(message(*suspect)),
-            crashes: record.reported_crashes(now_ms),
-            void_for_ms: record.void_for_ms(now_ms),
+            let changed_ms = record.changed_ms();
+            (
+                Reverse(crashes),
+                record.reported_ms(),
+                changed_ms,
+                **suspect,
+            )
         });
-        reports.collect()
+        due.into_iter().map(|(suspect, _)| *suspect).collect()
     }
 
     /// Returns the endpoint runs at whose crashes a suspect was and which count.
@@ -158,6 +181,13 @@
         crashes.map(|(crash, _)| crash).collect()
     }
 
+    /// Returns whether a suspect was at a crash that counts.
+    #[must_use]
+    pub fn is_suspected(&self, suspect: CrashSuspect, now_ms: u64) -> bool {
+        let record = self.records.get(&suspect);
+        record.is_some_and(|record| record.counted(now_ms).next().is_some())
+    }
+
     /// Returns the number of suspects that are refused.
     #[must_use]
     pub fn refused_count(&self, now_ms: u64) -> usize {
@@ -211,8 +241,8 @@
             return false;
         };
         self.records.iter().any(|(other, other_record)| {
-            !suspects.contains(other)
-                && self.refused_for_ms(*other, now_ms).is_some()
+            self.refused_for_ms(*other, now_ms).is_some()
+                && !suspects.contains(other)
                 && record.is_within(other_record, now_ms)
         })
     }
@@ -242,14 +272,20 @@
 
     /// Removes the records with the fewest crashes, the oldest first, while there are too many.
     fn evict(&mut self) {
-        while self.records.len() > self.settings.max_suspects {
-            let least = self.records.iter().min_by_key(|(suspect, record)| {
-                (record.crash_count(), record.changed_ms(), **suspect)
-            });
-            let Some(suspect) = least.map(|(suspect, _)| *suspect) else {
-                return;
-            };
-            self.records.remove(&suspect);
+        let excess = self
+            .records
+            .len()
+            .saturating_sub(self.settings.max_suspects);
+        if excess == 0 {
+            return;
+        }
+        let records = self.records.iter();
+        let mut ranked: Vec<_> = records
+            .map(|(suspect, record)| (record.crash_count(), record.changed_ms(), *suspect))
+            .collect();
+        let (evicted, _, _) = ranked.select_nth_unstable(excess);
+        for (_, _, suspect) in evicted {
+            self.records.remove(suspect);
         }
     }
 }
--- a/lib/src/suspect_quarantine_settings.rs
+++ b/lib/src/suspect_quarantine_settings.rs
@@ -40,14 +40,15 @@
     /// Time for which a change is reported to the other entries.
     #[builder(default = 1_000)]
     pub change_relay_ms: u64,
-    /// Maximum number of suspects that were at crashes.
-    #[builder(default = 1_024)]
+    /// Maximum number of suspects that were at crashes. Room for those of all calls at one crash, each
+    /// with as many parts as a request head holds.
+    #[builder(default = 16_384)]
     pub max_suspects: usize,
     /// Maximum number of crashes of one suspect; the latest are kept.
     #[builder(default = 16)]
     pub max_crashes: usize,
     /// Maximum number of survivals.
-    #[builder(default = 16_384)]
+    #[builder(default = 65_536)]
     pub max_survivals: usize,
     /// Maximum number of suspects in one report.
     #[builder(default = 32)]
--- a/lib/src/suspect_record.rs
+++ b/lib/src/suspect_record.rs
@@ -15,6 +15,10 @@
     void_until_ms: u64,
     /// Time of the last change that other entries have to learn.
     changed_ms: u64,
+    /// Time at which the suspect was last reported; zero for never.
+    reported_ms: u64,
+    /// Whether a report was due that had no room for the suspect.
+    was_left_out: bool,
 }
 
 impl SuspectRecord {
@@ -44,6 +48,27 @@
         self.changed_ms
     }
 
+    /// Returns the time at which the suspect was last reported to other entries; zero for never.
+    pub(crate) fn reported_ms(&self) -> u64 {
+        self.reported_ms
+    }
+
+    /// Returns whether a report was due that had no room for the suspect.
+    pub(crate) fn was_left_out(&self) -> bool {
+        self.was_left_out
+    }
+
+    /// Records that the suspect was reported to other entries.
+    pub(crate) fn record_report(&mut self, now_ms: u64) {
+        self.reported_ms = now_ms;
+        self.was_left_out = false;
+    }
+
+    /// Records that a report was due and had no room for the suspect, so that a later one has to tell it.
+    pub(crate) fn leave_out(&mut self) {
+        self.was_left_out = true;
+    }
+
     /// Returns how long crashes count at most that are void.
     pub(crate) fn void_for_ms(&self, now_ms: u64) -> u64 {
         self.void_until_ms.saturating_sub(now_ms)
--- a/lib/tests/test_suspect_quarantine.rs
+++ b/lib/tests/test_suspect_quarantine.rs
@@ -12,6 +12,7 @@
 use proptest::prop_assert;
 use proptest::prop_assert_eq;
 use proptest::proptest;
+use prost::Message;
 
 const CAUSE: CrashSuspect = part(1);
 const COMPANION: CrashSuspect = part(2);
@@ -34,7 +35,7 @@
 }
 
 /// Reports all of `from` to `to`.
-fn tell(from: &SuspectQuarantine, to: &mut SuspectQuarantine, now_ms: u64) {
+fn tell(from: &mut SuspectQuarantine, to: &mut SuspectQuarantine, now_ms: u64) {
     to.merge(&from.reports(true, now_ms), now_ms);
 }
 
@@ -91,12 +92,12 @@
         crashed.record_crash(&[COMPANION], crash, 1_000);
     }
     expect_true!(is_refused(&crashed, &[COMPANION], 1_500));
-    tell(&crashed, &mut survived, 1_100);
+    tell(&mut crashed, &mut survived, 1_100);
     expect_false!(is_refused(&survived, &[COMPANION], 1_600));
-    tell(&survived, &mut crashed, 1_300);
+    tell(&mut survived, &mut crashed, 1_300);
     expect_false!(is_refused(&crashed, &[COMPANION], 1_600));
     // Nobody brings the refusal back.
-    tell(&crashed, &mut survived, 1_400);
+    tell(&mut crashed, &mut survived, 1_400);
     expect_false!(is_refused(&survived, &[COMPANION], 2_000));
 }
 
@@ -237,6 +238,76 @@
     expect_true!(is_refused(&quarantine, &[CAUSE], 2_200));
 }
 
+/// Parts of a prompt as long as a request head may be.
+const LONG_PROMPT_PARTS: u64 = 1_260;
+/// Calls that an endpoint runs at once.
+const CALLS_AT_CRASH: u64 = 12;
+/// Interval of reports between entries.
+const REPORT_INTERVAL_MS: u64 = 200;
+/// Most bytes that an entry tells of suspects in one report: as much as before prompts counted whole.
+const MAX_REPORT_BYTES: usize = 8 << 10;
+
+/// Returns the suspects of a call with a long prompt whose other parts no other call has.
+fn long_prompt(first_part: u64, cause: Option<CrashSuspect>) -> Vec<CrashSuspect> {
+    let parts = first_part..first_part + LONG_PROMPT_PARTS;
+    let mut suspects: Vec<CrashSuspect> = parts.map(part).collect();
+    // In the middle, and neither the lowest nor the highest id.
+    suspects.splice(600..600, cause);
+    suspects
+}
+
+/// Guards against BUDGET in review case 6, where prompts are long: a cause that is lost among the parts of
+/// all calls at its crashes, none of which was ever seen before.
+#[googletest::test]
+fn a_cause_was_lost_among_long_prompts_of_new_parts() {
+    let cause = part(50_000_000);
+    let mut quarantine = quarantine();
+    let mut first_part = 40_000_000;
+    for crash in 0..3 {
+        let now_ms = 1_000 + u64::from(crash) * 5_000;
+        for call in 0..CALLS_AT_CRASH {
+            let cause = (call == 5).then_some(cause);
+            let suspects = long_prompt(first_part, cause);
+            quarantine.record_crash(&suspects, crash, now_ms);
+            first_part += 2 * LONG_PROMPT_PARTS + u64::from(crash) * 30_000_000;
+        }
+    }
+    expect_true!(is_refused(&quarantine, &[cause], 12_000));
+    let sound = long_prompt(90_000_000, None);
+    expect_false!(is_refused(&quarantine, &sound, 12_000));
+}
+
+/// Guards against suspects that no report has room for: the entries that see the crashes of a cause at the
+/// same time never put them together.
+#[googletest::test]
+fn a_cause_among_many_suspects_was_told_to_no_other_entry() {
+    let cause = part(5_000_000);
+    let mut entries = [quarantine(), quarantine(), quarantine()];
+    for (number, entry) in (0..).zip(&mut entries) {
+        let mut suspects: Vec<CrashSuspect> =
+            (0..200).map(|id| part(1_000 * number + id)).collect();
+        suspects.push(cause);
+        entry.record_crash(&suspects, u32::try_from(number).unwrap(), 1_000);
+    }
+    let mut now_ms = 1_000;
+    while now_ms < 4_000 {
+        now_ms += REPORT_INTERVAL_MS;
+        for from in 0..entries.len() {
+            let reports = entries[from].reports(false, now_ms);
+            let bytes: usize = reports.iter().map(Message::encoded_len).sum();
+            expect_that!(bytes, le(MAX_REPORT_BYTES));
+            for (to, entry) in entries.iter_mut().enumerate() {
+                if to != from {
+                    entry.merge(&reports, now_ms);
+                }
+            }
+        }
+    }
+    for entry in &entries {
+        expect_true!(is_refused(entry, &[cause], now_ms));
+    }
+}
+
 #[googletest::test]
 fn content_whose_crashes_entries_saw_at_the_same_time_was_not_quarantined() {
     let mut entries = [quarantine(), quarantine(), quarantine()];
