crash suspects: a call that an endpoint left unanswered was at a crash if the endpoint runs anew

A part of prompts that makes endpoints go dark was never refused; every call with it took two endpoints down.

Cause: only a broken connection was evidence. A call at a dark endpoint ends by silence, and when its connection is reset at last, the next run of the endpoint listens already.

Why it works: an unanswered call is kept for 15 s, and counts as one at a crash only when the list shows a later run of its endpoint. What stands still or is cut off goes on in its run, so that silence alone makes nothing suspect. Survivals void such crashes by the time at which the call ended.

--- a/lib/src/crash_tracker.rs
+++ b/lib/src/crash_tracker.rs
@@ -7,10 +7,16 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use tokio::sync::watch;
+
 use crate::CrashDetector;
 use crate::CrashSuspect;
+use crate::EndpointList;
+use crate::EndpointRun;
 use crate::SuspectQuarantine;
 use crate::SuspectQuarantineSettings;
+use crate::UnansweredCall;
+use crate::UnansweredCalls;
 use crate::clock::Clock;
 use crate::crashed_call::CrashedCall;
 use crate::event;
@@ -25,6 +31,10 @@
 /// Delay after a broken connection after which a crashed endpoint no longer listens.
 const CRASH_CHECK_DELAY: Duration = Duration::from_millis(100);
 const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(400);
+/// Evidence in log lines: the connection of a call broke, and nobody listened at its endpoint.
+const CONNECTION_EVIDENCE: &str = "connection";
+/// Evidence in log lines: the endpoint left the call unanswered, and runs anew.
+const NEW_RUN_EVIDENCE: &str = "new_run";
 /// Source in log lines of what this entry has seen itself.
 const OWN_SOURCE: &str = "own";
 
@@ -38,6 +48,8 @@
 #[derive(Debug)]
 struct State {
     detector: CrashDetector<CrashedCall>,
+    /// Calls whose endpoints have crashed if a later run of them starts soon.
+    unanswered: UnansweredCalls<CrashedCall>,
     quarantine: SuspectQuarantine,
     /// Time of the last report of all refused suspects.
     full_report_ms: u64,
@@ -49,6 +61,7 @@
         let settings = SuspectQuarantineSettings::builder().build();
         let state = State {
             detector: CrashDetector::default(),
+            unanswered: UnansweredCalls::default(),
             quarantine: SuspectQuarantine::new(settings),
             full_report_ms: 0,
         };
@@ -86,6 +99,44 @@
         }
     }
 
+    /// Records that an endpoint left a call unanswered, or that its connection broke: evidence of a crash
+    /// as soon as `list`, or a later one, shows that the run of the endpoint has ended.
+    pub(crate) fn record_unanswered_call(
+        &self,
+        call: CrashedCall,
+        run: EndpointRun,
+        list: Option<&EndpointList>,
+    ) {
+        let now_ms = self.clock.now_ms();
+        self.lock().unanswered.record(call, run, now_ms);
+        if let Some(list) = list {
+            self.check_runs(list);
+        }
+    }
+
+    /// Records the crashes of endpoints that left calls unanswered and run anew.
+    pub(crate) fn check_runs(&self, list: &EndpointList) {
+        let now_ms = self.clock.now_ms();
+        let mut state = self.lock();
+        if state.unanswered.is_empty() {
+            return;
+        }
+        let has_ended = |run: &EndpointRun| run.has_ended(list);
+        for crashed in state.unanswered.take_crashed(has_ended, now_ms) {
+            state.record_ended_run(&crashed, now_ms);
+        }
+    }
+
+    /// Checks each list of endpoints for those that run anew, until there are no further lists.
+    pub(crate) async fn follow_runs(self, mut lists: watch::Receiver<Option<Arc<EndpointList>>>) {
+        while lists.changed().await.is_ok() {
+            let list = lists.borrow_and_update().clone();
+            if let Some(list) = list {
+                self.check_runs(&list);
+            }
+        }
+    }
+
     /// Checks after a while whether an endpoint whose connection broke has crashed.
     pub(crate) fn watch_for_crash(&self, endpoint: &str, address: &str) {
         let tracker = self.clone();
@@ -156,20 +207,42 @@
         for call in calls {
             let quarantine = &mut self.quarantine;
             let quarantined = quarantine.record_crash(&call.suspects, call.crash, now_ms);
-            event!(
-                CallAtCrash,
-                "request_id={} endpoint={endpoint} crash={:08x} suspects={} suspect_count={}",
-                call.request_id,
-                call.crash,
-                call.suspect_list(|suspect| quarantine.is_suspected(suspect, now_ms)),
-                call.suspects.len()
-            );
+            self.log_call_at_crash(call, endpoint, CONNECTION_EVIDENCE, now_ms);
             for suspect in quarantined {
                 self.log_quarantined(suspect, OWN_SOURCE, now_ms);
             }
         }
     }
 
+    /// Records that an endpoint has crashed which left a call unanswered and runs anew.
+    fn record_ended_run(&mut self, crashed: &UnansweredCall<CrashedCall>, now_ms: u64) {
+        let UnansweredCall {
+            call,
+            run,
+            ended_ms,
+        } = crashed;
+        let quarantine = &mut self.quarantine;
+        let quarantined =
+            quarantine.record_past_crash(&call.suspects, call.crash, *ended_ms, now_ms);
+        self.log_call_at_crash(call, &run.id, NEW_RUN_EVIDENCE, now_ms);
+        for suspect in quarantined {
+            self.log_quarantined(suspect, OWN_SOURCE, now_ms);
+        }
+    }
+
+    fn log_call_at_crash(&self, call: &CrashedCall, endpoint: &str, evidence: &str, now_ms: u64) {
+        let quarantine = &self.quarantine;
+        event!(
+            CallAtCrash,
+            "request_id={} endpoint={endpoint} crash={:08x} evidence={evidence} suspects={} \
+             suspect_count={}",
+            call.request_id,
+            call.crash,
+            call.suspect_list(|suspect| quarantine.is_suspected(suspect, now_ms)),
+            call.suspects.len()
+        );
+    }
+
     fn log_quarantined(&self, suspect: CrashSuspect, source: &str, now_ms: u64) {
         let crashes = self.quarantine.crashes(suspect, now_ms);
         let crashes: Vec<String> = crashes.iter().map(|crash| format!("{crash:08x}")).collect();
--- a/lib/src/crashed_call.rs
+++ b/lib/src/crashed_call.rs
@@ -3,13 +3,12 @@
 use std::sync::Arc;
 
 use crate::CrashSuspect;
-use crate::EndpointRecord;
-use crate::short_hash::short_hash;
+use crate::EndpointRun;
 
 /// Most suspects of a call in a log line.
 const MAX_LISTED_SUSPECTS: usize = 64;
 
-/// A call whose connection to its endpoint broke.
+/// A call whose connection to its endpoint broke, or that the endpoint left unanswered.
 #[derive(Debug, Clone)]
 pub(crate) struct CrashedCall {
     pub(crate) request_id: String,
@@ -20,16 +19,12 @@
 }
 
 impl CrashedCall {
-    /// Creates the record of a call that broke at `endpoint`.
-    pub(crate) fn new(
-        request_id: &str,
-        suspects: &Arc<[CrashSuspect]>,
-        endpoint: &EndpointRecord,
-    ) -> Self {
+    /// Creates the record of a call that the run of an endpoint did not answer.
+    pub(crate) fn new(request_id: &str, suspects: &Arc<[CrashSuspect]>, run: &EndpointRun) -> Self {
         Self {
             request_id: request_id.to_owned(),
             suspects: Arc::clone(suspects),
-            crash: short_hash(&format!("{} {}", endpoint.id, endpoint.born_ms)),
+            crash: run.hash(),
         }
     }
 
--- a/lib/src/direct_entry.rs
+++ b/lib/src/direct_entry.rs
@@ -139,6 +139,7 @@
         metrics.observe_pauses(&endpoint_pauses);
         let crash_tracker = CrashTracker::new(clock);
         metrics.observe_quarantine(&crash_tracker);
+        tokio::spawn(crash_tracker.clone().follow_runs(endpoints.lists()));
         let policy = DrainPolicy::new(Duration::from_millis(settings.grace_ms));
         let drain = Arc::new(EntryDrain::new(policy));
         let in_flight = InFlightCounter::default();
--- a/lib/src/direct_relay.rs
+++ b/lib/src/direct_relay.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::Response;
@@ -18,6 +19,7 @@
 use crate::DispatchDecision;
 use crate::DispatchQuery;
 use crate::EndpointRequestHead;
+use crate::EndpointRun;
 use crate::MeasuredCall;
 use crate::ObstacleCounts;
 use crate::OrganisationRule;
@@ -48,6 +50,8 @@
 const RING_FULL_RETRY_MS: u64 = 500;
 /// Largest body of an answer that is not a stream.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
+/// Time without an event after which a caller that leaves counts as having waited for a silent endpoint.
+const MIN_SILENCE: Duration = Duration::from_millis(300);
 /// Most sends of one call that found no endpoint listening; none of them wrote a byte.
 const MAX_UNWRITTEN_SENDS: u32 = 4;
 /// A caller whose time left is below this share of the route's timeout counts as returning after a
@@ -85,6 +89,8 @@
     pub(crate) resume_after: Option<u64>,
     /// Times of the events that the caller was sent; the silence limit counts from the last one.
     pub(crate) times: StreamTimes,
+    /// The endpoint that the call waits for; absent while it is at none.
+    pub(crate) awaited: Option<AwaitedEndpoint>,
     /// How the latest answer marks its end; absent until one has begun.
     pub(crate) framing: Option<AnswerFraming>,
     /// Bytes of an unfinished event at the end of the latest answer.
@@ -97,6 +103,14 @@
     pub(crate) _guard: InFlightGuard,
 }
 
+/// The endpoint that a call waits for.
+#[derive(Debug, Clone)]
+pub(crate) struct AwaitedEndpoint {
+    run: EndpointRun,
+    /// When the call was sent, or the endpoint's last event came.
+    heard: Instant,
+}
+
 /// An answer whose head has arrived and whose body is still to be read.
 pub(crate) struct OpenAnswer {
     pub(crate) slot: DirectSlot,
@@ -209,6 +223,7 @@
         failure: SendFailure,
     ) -> Result<(), DirectRefusal> {
         self.record_crash_evidence(&slot, &failure.crash_evidence);
+        self.awaited = None;
         let reason = failure.reason.as_str();
         let may_repeat = failure.is_not_run || self.rule.repeatability.may_repeat();
         let is_retried = if failure.is_written {
@@ -273,31 +288,67 @@
     }
 
     /// Makes `endpoint_id` the endpoint that the call is at, after a send elsewhere was given up.
-    pub(crate) fn return_to(&mut self, endpoint_id: &str, framing: Option<AnswerFraming>) {
+    pub(crate) fn return_to(
+        &mut self,
+        endpoint_id: &str,
+        framing: Option<AnswerFraming>,
+        awaited: Option<AwaitedEndpoint>,
+    ) {
         self.next_slot = None;
+        self.awaited = awaited;
         self.tried.retain(|id| id != endpoint_id);
         self.tried.push(endpoint_id.to_owned());
         self.framing = framing;
     }
 
     /// Reports to the crash tracker what a failed send shows of a crash.
-    fn record_crash_evidence(&self, slot: &DirectSlot, evidence: &CrashEvidence) {
+    pub(crate) fn record_crash_evidence(&self, slot: &DirectSlot, evidence: &CrashEvidence) {
         let Some(endpoint) = slot.endpoint() else {
             return;
         };
         let tracker = &self.state.crash_tracker;
         match evidence {
             CrashEvidence::None => {}
+            CrashEvidence::Silence => self.record_unanswered(EndpointRun::of(endpoint)),
             CrashEvidence::ConnectionBroken => {
-                let call = CrashedCall::new(&self.call.request_id, &self.suspects, endpoint);
+                let run = EndpointRun::of(endpoint);
+                let call = CrashedCall::new(&self.call.request_id, &self.suspects, &run);
                 tracker.record_broken_call(call, &endpoint.id);
                 tracker.watch_for_crash(&endpoint.id, &endpoint.address);
+                self.record_unanswered(run);
             }
             CrashEvidence::NotListening => tracker.record_dead_endpoint(&endpoint.id),
             CrashEvidence::OtherEndpointDead(dead) => tracker.record_dead_endpoint(dead),
         }
     }
 
+    /// Reports to the crash tracker that the run of an endpoint left the call unanswered.
+    fn record_unanswered(&self, run: EndpointRun) {
+        let call = CrashedCall::new(&self.call.request_id, &self.suspects, &run);
+        let list = self.state.endpoints.list();
+        let tracker = &self.state.crash_tracker;
+        tracker.record_unanswered_call(call, run, list.as_deref());
+    }
+
+    /// Reports the same when the caller leaves while the endpoint is silent.
+    pub(crate) fn record_silence_at_end(&self) {
+        let Some(awaited) = &self.awaited else {
+            return;
+        };
+        if awaited.heard.elapsed() >= MIN_SILENCE {
+            self.record_unanswered(awaited.run.clone());
+        }
+    }
+
+    /// Records an event of the endpoint that the call is at.
+    pub(crate) fn record_event(&mut self, now: Instant) {
+        self.times.record_event(self.arrived, now);
+        self.in_flight.progress().record_event(now);
+        if let Some(awaited) = &mut self.awaited {
+            awaited.heard = now;
+        }
+    }
+
     /// Withdraws a refusal's promise that the call did not run if an earlier send may have run it.
     fn withdraw_not_run_promise(&self, refusal: DirectRefusal) -> DirectRefusal {
         if self.may_have_run && refusal.retry_after_ms.is_some() {
@@ -544,6 +595,10 @@
         };
         self.log_send(slot, &endpoint.id);
         self.in_flight.progress().record_send(&endpoint.id);
+        self.awaited = Some(AwaitedEndpoint {
+            run: EndpointRun::of(endpoint),
+            heard: Instant::now(),
+        });
         let exchange = DirectExchange {
             protocol: &self.state.protocol,
             call: &self.call,
@@ -644,6 +699,7 @@
 impl Drop for DirectRelay {
     fn drop(&mut self) {
         if !self.has_ended.load(Ordering::Relaxed) {
+            self.record_silence_at_end();
             self.record_end(
                 "abandoned",
                 "caller disconnected while an endpoint was awaited",
--- a/lib/src/direct_server.rs
+++ b/lib/src/direct_server.rs
@@ -121,6 +121,7 @@
         timeouts,
         tried: Vec::new(),
         times: StreamTimes::default(),
+        awaited: None,
         framing: None,
         unfinished_bytes: 0,
         retries_left: 0.0,
--- a/lib/src/direct_stream.rs
+++ b/lib/src/direct_stream.rs
@@ -149,8 +149,7 @@
             Ok(StreamPart::Event(event)) => {
                 relay.resume_after = event.id.or(relay.resume_after);
                 let now = Instant::now();
-                relay.times.record_event(relay.arrived, now);
-                relay.in_flight.progress().record_event(now);
+                relay.record_event(now);
                 if sender.send(StreamItem::Bytes(event.bytes)).await.is_err() {
                     return finish_abandoned(&relay, open);
                 }
@@ -206,6 +205,7 @@
     relay.log_retry(&open.slot, &failure.reason);
     relay.may_have_run = true;
     let framing = relay.framing;
+    let awaited = relay.awaited.clone();
     let longest = relay.timeouts.longest_silence();
     let opening = relay.open_moved(slot);
     let moved = if failure.is_slow() {
@@ -215,9 +215,14 @@
     };
     let Some(Ok((slot, response))) = moved else {
         let endpoint = open.slot.endpoint();
-        relay.return_to(endpoint.map_or("", |endpoint| &endpoint.id), framing);
+        relay.return_to(
+            endpoint.map_or("", |endpoint| &endpoint.id),
+            framing,
+            awaited,
+        );
         return open;
     };
+    relay.record_crash_evidence(&open.slot, &failure.crash_evidence);
     open.slot.release(failure.result);
     log_resumed(relay, &slot);
     OpenStream::new(slot, response.into_body(), true)
@@ -456,6 +461,7 @@
 
 /// Records a stream whose caller has disconnected.
 fn finish_abandoned(relay: &DirectRelay, open: OpenStream) {
+    relay.record_silence_at_end();
     open.slot.release(SendResult::Abandoned);
     relay.record_end("abandoned", "caller disconnected");
 }
--- a/lib/src/send_failure.rs
+++ b/lib/src/send_failure.rs
@@ -11,6 +11,8 @@
 pub(crate) enum CrashEvidence {
     /// No indication of a crash.
     None,
+    /// The endpoint did not answer in time: it may have crashed, stand still or be cut off.
+    Silence,
     /// The connection broke after the call was written.
     ConnectionBroken,
     /// No connection to the endpoint could be established.
@@ -94,6 +96,7 @@
     pub(crate) fn timed_out() -> Self {
         Self {
             refusal: DirectRefusal::late("the answer did not come within the deadline"),
+            crash_evidence: CrashEvidence::Silence,
             ..Self::lost(SendResult::Unreachable, "no answer in time".to_owned())
         }
     }
@@ -103,6 +106,7 @@
         Self {
             result: SendResult::Abandoned,
             reason: "endpoint is slow".to_owned(),
+            crash_evidence: CrashEvidence::None,
             ..Self::timed_out()
         }
     }
--- a/lib/src/suspect_quarantine.rs
+++ b/lib/src/suspect_quarantine.rs
@@ -54,7 +54,35 @@
         crash: u32,
         now_ms: u64,
     ) -> Vec<CrashSuspect> {
-        let until_ms = now_ms + self.settings.evidence_ms;
+        self.record_crash_with(suspects, now_ms, now_ms, |record, settings| {
+            record.record_crash(crash, settings, now_ms)
+        })
+    }
+
+    /// Records the same of a run that is known to have ended, some time after it crashed at `crashed_ms`:
+    /// it has crashed once, however often it was found dead.
+    pub fn record_past_crash(
+        &mut self,
+        suspects: &[CrashSuspect],
+        crash: u32,
+        crashed_ms: u64,
+        now_ms: u64,
+    ) -> Vec<CrashSuspect> {
+        self.record_crash_with(suspects, crashed_ms, now_ms, |record, settings| {
+            !record.knows(crash) && record.record_crash(crash, settings, now_ms)
+        })
+    }
+
+    /// Records a crash at `crashed_ms` by `record_crash`, which returns whether it was not known, for the
+    /// suspects of which no survival makes it void.
+    fn record_crash_with(
+        &mut self,
+        suspects: &[CrashSuspect],
+        crashed_ms: u64,
+        now_ms: u64,
+        record_crash: impl Fn(&mut SuspectRecord, &SuspectQuarantineSettings) -> bool,
+    ) -> Vec<CrashSuspect> {
+        let until_ms = crashed_ms + self.settings.evidence_ms;
         let mut quarantined = Vec::new();
         for suspect in suspects {
             let void_until_ms = self.void_until_ms(*suspect);
@@ -63,7 +91,7 @@
             }
             let record = self.records.entry(*suspect).or_default();
             record.void_crashes(void_until_ms, now_ms);
-            let is_new = record.record_crash(crash, &self.settings, now_ms);
+            let is_new = record_crash(record, &self.settings);
             if is_new && self.has_enough_crashes(*suspect, now_ms) {
                 quarantined.push(*suspect);
             }
--- a/lib/src/suspect_record.rs
+++ b/lib/src/suspect_record.rs
@@ -39,6 +39,11 @@
         self.crashes.len()
     }
 
+    /// Returns whether the crash of a run is known.
+    pub(crate) fn knows(&self, crash: u32) -> bool {
+        self.crashes.contains_key(&crash)
+    }
+
     pub(crate) fn has_crashes(&self) -> bool {
         !self.crashes.is_empty()
     }
--- a/lib/tests/test_wake_times.rs
+++ b/lib/tests/test_wake_times.rs
@@ -12,7 +12,9 @@
     let started = Instant::now();
     let at = |ms: u64| started + Duration::from_millis(ms);
     let mut times = WakeTimes::new(started);
-    times_ms.iter().for_each(|ms| times.record(at(*ms)));
+    for ms in times_ms {
+        times.record(at(*ms));
+    }
     let noticed = at(noticed_ms);
     (noticed - times.earliest_sent(noticed)).as_millis()
 }
