expert maps: a hold that was read back is told to others only once no earlier order can drop it

Mend: a process that reads a hold back first has its engine begin an order, `arm` for the copied map, and answers as not ready until the engine shows it. An armed and held map is undecided, as after a restart between arm and release; to drop it, the rank disarms it before it lets go. A hold without a copied map was never promised and is released.

Why it works: every order of the process before names a lower number of begun orders and is refused. The rank's own hold keeps the step from starting meanwhile. Cost: one order after a restart under a hold.

--- a/lib/src/direct_orders.rs
+++ b/lib/src/direct_orders.rs
@@ -159,6 +159,7 @@
     match order {
         EngineOrder::Copy { map_id, .. } => format!("copy {map_id:#x}"),
         EngineOrder::Arm { map_id, step } => format!("arm {map_id:#x} at step {step}"),
+        EngineOrder::Disarm { map_id } => format!("disarm {map_id:#x}"),
         EngineOrder::Hold { step } => format!("hold step {step}"),
         EngineOrder::ReleaseHold { step } => format!("release step {step}"),
     }
@@ -181,6 +182,8 @@
     match order {
         MapOrder::Read => 0,
         MapOrder::Stage { map, .. } => map.map_id,
-        MapOrder::Commit { map_id } | MapOrder::Release { map_id } => *map_id,
+        MapOrder::Confirm { map_id }
+        | MapOrder::Commit { map_id }
+        | MapOrder::Release { map_id } => *map_id,
     }
 }
--- a/lib/src/engine_order.rs
+++ b/lib/src/engine_order.rs
@@ -23,6 +23,11 @@
         /// First step that uses the map; must not have started.
         step: u64,
     },
+    /// Cancels the switch to a map that is not in use yet.
+    Disarm {
+        /// Id of the armed map.
+        map_id: u64,
+    },
     /// Prevents the group from starting a step until the hold is released.
     Hold {
         /// The step to block; must not have started.
--- a/lib/src/engine_sequencer.rs
+++ b/lib/src/engine_sequencer.rs
@@ -108,6 +108,12 @@
             let step = *switch_step;
             (is_copied && is_free && is_ahead).then_some(EngineOrder::Hold { step })
         }
+        MapOrder::Confirm { map_id } => {
+            let step = report.held_step?;
+            let map_id = *map_id;
+            let can_arm = report.copied_map_id == Some(map_id) && report.armed_map_id.is_none();
+            can_arm.then_some(EngineOrder::Arm { map_id, step })
+        }
         MapOrder::Commit { map_id } => {
             let step = report.held_step?;
             if report.armed_map_id == Some(*map_id) || report.active_map_id == *map_id {
@@ -119,8 +125,10 @@
         }
         MapOrder::Release { .. } => {
             let step = report.held_step?;
-            let is_armed = report.armed_map_id.is_some();
-            (!is_armed).then_some(EngineOrder::ReleaseHold { step })
+            let disarm = report
+                .armed_map_id
+                .map(|map_id| EngineOrder::Disarm { map_id });
+            Some(disarm.unwrap_or(EngineOrder::ReleaseHold { step }))
         }
     }
 }
@@ -134,6 +142,10 @@
             report.armed_map_id = Some(*map_id);
             report.armed_step = Some(*step);
         }
+        EngineOrder::Disarm { .. } => {
+            report.armed_map_id = None;
+            report.armed_step = None;
+        }
         EngineOrder::Hold { step } => report.held_step = Some(*step),
         EngineOrder::ReleaseHold { .. } => report.held_step = None,
     }
--- a/lib/src/map_engine_report.rs
+++ b/lib/src/map_engine_report.rs
@@ -17,6 +17,8 @@
     pub staged: Option<StagedMap>,
     /// Whether the engine is blocked before `step` until the staged map is decided.
     pub is_held: bool,
+    /// Whether an order that was sent before may still be executed and end the hold.
+    pub may_be_released_late: bool,
 }
 
 impl MapEngineReport {
--- a/lib/src/map_order.rs
+++ b/lib/src/map_order.rs
@@ -16,6 +16,12 @@
         /// The first step that uses the map.
         switch_step: u64,
     },
+    /// Lets the engine begin an order that changes nothing for the held map, so that no order which was sent
+    /// before is executed any more.
+    Confirm {
+        /// Id of the staged map.
+        map_id: u64,
+    },
     /// Ends the hold and switches to the staged map at its switch step; no effect if another map is
     /// staged.
     Commit {
--- a/lib/src/map_participant.rs
+++ b/lib/src/map_participant.rs
@@ -39,6 +39,7 @@
 #[derive(Debug)]
 enum PendingOrder {
     Read,
+    Confirm,
     Stage {
         call_id: u64,
         request: PrepareMapRequest,
@@ -101,8 +102,9 @@
             self.state.highest_switch_step = 0;
             self.state.restore_from(report);
         }
+        self.state.confirm(report);
         let mut actions = match pending {
-            None | Some(PendingOrder::Read) => Vec::new(),
+            None | Some(PendingOrder::Read | PendingOrder::Confirm) => Vec::new(),
             Some(PendingOrder::Stage { call_id, request }) => {
                 self.on_stage_report(call_id, &request, report)
             }
@@ -132,7 +134,7 @@
             Some(PendingOrder::Commit { call_id, .. } | PendingOrder::Release { call_id }) => {
                 call_id.map(|call_id| self.state.decide_reply(call_id, MapRefusal::Busy))
             }
-            Some(PendingOrder::Read) | None => None,
+            Some(PendingOrder::Read | PendingOrder::Confirm) | None => None,
         };
         reply.into_iter().collect()
     }
@@ -146,7 +148,7 @@
             return Vec::new();
         };
         let is_same_incarnation = peer.group_incarnation == engine.group_incarnation;
-        if self.pending.is_some() || !is_same_incarnation {
+        if self.pending.is_some() || self.state.is_unconfirmed || !is_same_incarnation {
             return Vec::new();
         }
         let map_id = promise.map_id;
@@ -165,8 +167,8 @@
         self.state.now_ms = now_ms;
         let mut actions = Vec::new();
         if self.pending.is_none() {
-            self.pending = Some(PendingOrder::Read);
-            actions.push(MapAction::Order(MapOrder::Read));
+            let order = self.order_confirm().unwrap_or_else(|| self.order_read());
+            actions.push(order);
         }
         let Some(since_ms) = self.state.undecided_since_ms else {
             return actions;
@@ -198,7 +200,7 @@
     /// Returns the reply to a state request without a ballot.
     #[must_use]
     pub fn state(&self) -> MapStateReply {
-        let has_report = self.state.engine_report.is_some();
+        let has_report = self.state.engine_report.is_some() && !self.state.is_unconfirmed;
         // A coordinator that reads the state of an agent which ends would wait for its promise.
         let is_leaving = self.is_closing && self.is_settled();
         self.state.state_reply(if has_report && !is_leaving {
@@ -406,6 +408,22 @@
         Some(self.order_release(None, staged.map_id))
     }
 
+    fn order_read(&mut self) -> MapAction {
+        self.pending = Some(PendingOrder::Read);
+        MapAction::Order(MapOrder::Read)
+    }
+
+    /// Confirms a promise that was read back from the engine, before anybody is told of it.
+    ///
+    /// The process that made it may have dropped it, by an order without an answer. Once the engine has
+    /// begun another order, that one is refused.
+    fn order_confirm(&mut self) -> Option<MapAction> {
+        let promise = self.state.unconfirmed_promise()?;
+        self.pending = Some(PendingOrder::Confirm);
+        let map_id = promise.map_id;
+        Some(MapAction::Order(MapOrder::Confirm { map_id }))
+    }
+
     fn order_commit(&mut self, call_id: Option<u64>, map_id: u64) -> MapAction {
         self.pending = Some(PendingOrder::Commit { call_id, map_id });
         MapAction::Order(MapOrder::Commit { map_id })
--- a/lib/src/participant_state.rs
+++ b/lib/src/participant_state.rs
@@ -9,6 +9,7 @@
 use crate::protos::control::MapRefusal;
 use crate::protos::control::MapStateReply;
 use crate::protos::control::PrepareMapReply;
+use crate::rank_report::PLACEHOLDER_MAP_ID;
 
 /// The promise to start a step only after a map for it is decided.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -36,6 +37,9 @@
     /// What the rank has promised and is undecided. Anything else that is staged comes from a delayed
     /// order.
     promise: Option<Promise>,
+    /// Whether the promise was read back from the engine, and an order of the process that made it may
+    /// still be executed.
+    pub(crate) is_unconfirmed: bool,
     /// The last map that this process committed; zero for none.
     pub(crate) committed_map_id: u64,
     /// The last map that this process aborted by a decision; zero for none.
@@ -57,6 +61,7 @@
             highest_ballot: 0,
             engine_report: None,
             promise: None,
+            is_unconfirmed: false,
             committed_map_id: 0,
             aborted_map_id: 0,
             highest_switch_step: 0,
@@ -75,6 +80,9 @@
         let Some(engine) = self.engine_report else {
             return MapRefusal::NotReady;
         };
+        if self.is_unconfirmed {
+            return MapRefusal::NotReady;
+        }
         if engine.group_incarnation != group_incarnation {
             return MapRefusal::OtherGroup;
         }
@@ -87,13 +95,28 @@
     /// Restores what the engine has kept for the agent: the staged map, which an earlier process may
     /// have promised, and a lower bound for the highest ballot.
     pub(crate) fn restore_from(&mut self, report: MapEngineReport) {
-        self.promise = report.uncommitted().map(Promise::about);
+        // Only a map that was copied was promised.
+        let staged = report.uncommitted();
+        let promised = staged.filter(|staged| staged.map_id != PLACEHOLDER_MAP_ID);
+        self.promise = promised.map(Promise::about);
+        self.is_unconfirmed = self.promise.is_some();
         self.highest_ballot = self
             .highest_ballot
             .max(report.active_map_id)
             .max(report.staged.map_or(0, |staged| staged.map_id));
     }
 
+    /// Records what the engine reports of a promise that was read back: it is confirmed once no order of
+    /// the process that made it can be executed any more.
+    pub(crate) fn confirm(&mut self, report: MapEngineReport) {
+        self.is_unconfirmed &= report.may_be_released_late;
+    }
+
+    /// Returns the promise that was read back and is to be confirmed.
+    pub(crate) fn unconfirmed_promise(&self) -> Option<Promise> {
+        self.promise.filter(|_| self.is_unconfirmed)
+    }
+
     /// Records that the rank promises the map that its engine has staged.
     pub(crate) fn promise(&mut self, staged: StagedMap) {
         self.promise = Some(Promise::about(staged));
--- a/lib/src/rank_engine_client.rs
+++ b/lib/src/rank_engine_client.rs
@@ -191,7 +191,8 @@
 impl From<&MapOrder> for OrderKind {
     fn from(order: &MapOrder) -> Self {
         match order {
-            MapOrder::Read => Self::Read,
+            // The engine executes orders of an earlier connection before it answers on a later one.
+            MapOrder::Read | MapOrder::Confirm { .. } => Self::Read,
             MapOrder::Stage { map, switch_step } => Self::Stage {
                 map_id: map.map_id,
                 switch_step: *switch_step,
@@ -217,6 +218,7 @@
                     committed: staged.committed,
                 }),
                 is_held: report.held,
+                may_be_released_late: false,
             },
         }
     }
--- a/lib/src/rank_report.rs
+++ b/lib/src/rank_report.rs
@@ -58,6 +58,7 @@
             active_map_id: self.active_map_id,
             staged: self.staged(),
             is_held: self.held_step.is_some_and(|held| held <= self.step + 1),
+            may_be_released_late: self.held_step.is_some() && self.armed_map_id.is_none(),
         }
     }
 
--- a/lib/tests/test_late_engine_orders.rs
+++ b/lib/tests/test_late_engine_orders.rs
@@ -67,6 +67,7 @@
 enum OrderKind {
     Copy,
     Arm,
+    Disarm,
     Hold,
     Release,
 }
@@ -76,6 +77,7 @@
         match order {
             EngineOrder::Copy { .. } => Self::Copy,
             EngineOrder::Arm { .. } => Self::Arm,
+            EngineOrder::Disarm { .. } => Self::Disarm,
             EngineOrder::Hold { .. } => Self::Hold,
             EngineOrder::ReleaseHold { .. } => Self::Release,
         }
@@ -246,10 +248,8 @@
         let (_close, task) = self.running.take().unwrap();
         task.abort();
         let _ = task.await;
-        // The tasks of the agent close its socket a moment later.
-        while UdpSocket::bind(self.address).is_err() {
-            tokio::time::sleep(POLL_INTERVAL).await;
-        }
+        // Requests that wait for a reply keep the socket of the agent open.
+        self.address = free_address();
         self.start_agent();
     }
 
@@ -337,9 +337,11 @@
 
     /// Asks for the promise of a copied map, and returns whether the rank promises it.
     async fn prepare(&mut self, map_id: u64, switch_step: u64) -> bool {
+        let until = tokio::time::Instant::now() + ANSWER_TIME;
         let mut state = self.state().await;
         while state.switch_step != 0 {
             // The agent has not read yet that the engine uses the map before.
+            assert_that!(tokio::time::Instant::now(), lt(until), "{state:?}");
             tokio::time::sleep(POLL_INTERVAL).await;
             state = self.state().await;
         }
@@ -537,3 +539,33 @@
     }
     futures::future::join_all(runs).await;
 }
+
+/// Guards against a restarted agent that answers for a hold which a late release of the process before it
+/// still drops: the others would switch without it.
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_release_of_the_process_before_dropped_a_promise_that_was_read_back() {
+    for checks_tokens in [true, false] {
+        let mut rank = Rank::start(checks_tokens).await;
+        rank.copy_completely(LOWER_MAP).await;
+        assert_that!(rank.prepare(LOWER_MAP, 12).await, eq(true));
+        rank.engine().leave_unanswered(OrderKind::Release, ALL);
+        rank.decide(LOWER_MAP, false).await;
+        rank.wait_for(|engine| !engine.model.late_orders.is_empty())
+            .await;
+        rank.restart_agent().await;
+        rank.engine().late_count = 0;
+        let state = rank.state().await;
+        let executed = rank.engine().execute_late();
+        if state.prepared_map_id == LOWER_MAP {
+            expect_that!(executed, some(not(eq(OrderResult::Done))));
+            expect_that!(rank.engine().model.held_step, some(eq(12)));
+        }
+        // Whatever is decided now, the group gets its next map.
+        rank.decide_completely(LOWER_MAP, false).await;
+        expect_that!(rank.engine().model.held_step, none());
+        expect_that!(rank.engine().model.armed, none());
+        rank.engine().has_broken_promise = false;
+        rank.switch_to(LATER_MAP, 14, None).await;
+    }
+}
--- a/lib/testutils/src/fake_rank_engine.rs
+++ b/lib/testutils/src/fake_rank_engine.rs
@@ -53,7 +53,10 @@
                 });
             }
             MapOrder::Release { map_id } if staged_map_id == Some(*map_id) => self.staged = None,
-            MapOrder::Read | MapOrder::Commit { .. } | MapOrder::Release { .. } => {}
+            MapOrder::Read
+            | MapOrder::Confirm { .. }
+            | MapOrder::Commit { .. }
+            | MapOrder::Release { .. } => {}
         }
         self.report()
     }
@@ -94,6 +97,7 @@
             active_map_id: self.active_map_id,
             staged: self.staged,
             is_held: self.is_held(),
+            may_be_released_late: false,
         }
     }
 }
--- a/lib/testutils/src/late_engine.rs
+++ b/lib/testutils/src/late_engine.rs
@@ -109,6 +109,7 @@
         match *order {
             EngineOrder::Copy { .. } => false,
             EngineOrder::Arm { map_id, step } => self.armed == Some((map_id, step)),
+            EngineOrder::Disarm { map_id } => self.armed.is_none_or(|(armed, _)| armed != map_id),
             EngineOrder::Hold { step } => self.held_step == Some(step),
             EngineOrder::ReleaseHold { .. } => self.held_step.is_none(),
         }
@@ -124,6 +125,9 @@
                 }
                 fits
             }
+            EngineOrder::Disarm { map_id } => {
+                self.armed.take_if(|(armed, _)| *armed == map_id).is_some()
+            }
             EngineOrder::Hold { step: at } => {
                 let fits = self.held_step.is_none() && at > step;
                 if fits {
