--- a/lib/src/direct_relay.rs
+++ b/lib/src/direct_relay.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http::Response;
@@ -19,7 +18,6 @@
 use crate::DispatchDecision;
 use crate::DispatchQuery;
 use crate::EndpointRequestHead;
-use crate::EndpointRun;
 use crate::MeasuredCall;
 use crate::ObstacleCounts;
 use crate::OrganisationRule;
@@ -28,10 +26,10 @@
 use crate::SendResult;
 use crate::answer_framing::AnswerFraming;
 use crate::as_ms::as_ms;
+use crate::awaited_endpoint::AwaitedEndpoint;
 use crate::call_timeouts::CallTimeouts;
 use crate::caller_connection::CallerConnection;
 use crate::calls_in_flight::CallInFlight;
-use crate::crashed_call::CrashedCall;
 use crate::direct_actor::DirectCommand;
 use crate::direct_actor::DispatchReply;
 use crate::direct_exchange::DirectExchange;
@@ -42,7 +40,6 @@
 use crate::event;
 use crate::http_client;
 use crate::in_flight::InFlightGuard;
-use crate::send_failure::CrashEvidence;
 use crate::send_failure::SendFailure;
 use crate::stream_times::StreamTimes;
 
@@ -50,8 +47,6 @@
 const RING_FULL_RETRY_MS: u64 = 500;
 /// Largest body of an answer that is not a stream.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
-/// Time without an event after which a caller that leaves counts as having waited for a silent endpoint.
-const MIN_SILENCE: Duration = Duration::from_millis(300);
 /// Most sends of one call that found no endpoint listening; none of them wrote a byte.
 const MAX_UNWRITTEN_SENDS: u32 = 4;
 /// A caller whose time left is below this share of the route's timeout counts as returning after a
@@ -103,14 +98,6 @@
     pub(crate) _guard: InFlightGuard,
 }
 
-/// The endpoint that a call waits for.
-#[derive(Debug, Clone)]
-pub(crate) struct AwaitedEndpoint {
-    run: EndpointRun,
-    /// When the call was sent, or the endpoint's last event came.
-    heard: Instant,
-}
-
 /// An answer whose head has arrived and whose body is still to be read.
 pub(crate) struct OpenAnswer {
     pub(crate) slot: DirectSlot,
@@ -197,14 +184,6 @@
         self.framing != Some(AnswerFraming::Connection)
     }
 
-    /// Records that the endpoint answered the whole call, unless it may have crashed while it did: the
-    /// end of a connection alone does not tell.
-    pub(crate) fn record_whole_answer(&self) {
-        if self.is_framed() {
-            self.state.crash_tracker.record_survival(&self.suspects);
-        }
-    }
-
     /// Releases the slot of a send that ran and failed, before the call is retried.
     fn release_for_retry(&mut self, slot: DirectSlot) {
         self.may_have_run = true;
@@ -301,54 +280,6 @@
         self.framing = framing;
     }
 
-    /// Reports to the crash tracker what a failed send shows of a crash.
-    pub(crate) fn record_crash_evidence(&self, slot: &DirectSlot, evidence: &CrashEvidence) {
-        let Some(endpoint) = slot.endpoint() else {
-            return;
-        };
-        let tracker = &self.state.crash_tracker;
-        match evidence {
-            CrashEvidence::None => {}
-            CrashEvidence::Silence => self.record_unanswered(EndpointRun::of(endpoint)),
-            CrashEvidence::ConnectionBroken => {
-                let run = EndpointRun::of(endpoint);
-                let call = CrashedCall::new(&self.call.request_id, &self.suspects, &run);
-                tracker.record_broken_call(call, &endpoint.id);
-                tracker.watch_for_crash(&endpoint.id, &endpoint.address);
-                self.record_unanswered(run);
-            }
-            CrashEvidence::NotListening => tracker.record_dead_endpoint(&endpoint.id),
-            CrashEvidence::OtherEndpointDead(dead) => tracker.record_dead_endpoint(dead),
-        }
-    }
-
-    /// Reports to the crash tracker that the run of an endpoint left the call unanswered.
-    fn record_unanswered(&self, run: EndpointRun) {
-        let call = CrashedCall::new(&self.call.request_id, &self.suspects, &run);
-        let list = self.state.endpoints.list();
-        let tracker = &self.state.crash_tracker;
-        tracker.record_unanswered_call(call, run, list.as_deref());
-    }
-
-    /// Reports the same when the caller leaves while the endpoint is silent.
-    pub(crate) fn record_silence_at_end(&self) {
-        let Some(awaited) = &self.awaited else {
-            return;
-        };
-        if awaited.heard.elapsed() >= MIN_SILENCE {
-            self.record_unanswered(awaited.run.clone());
-        }
-    }
-
-    /// Records an event of the endpoint that the call is at.
-    pub(crate) fn record_event(&mut self, now: Instant) {
-        self.times.record_event(self.arrived, now);
-        self.in_flight.progress().record_event(now);
-        if let Some(awaited) = &mut self.awaited {
-            awaited.heard = now;
-        }
-    }
-
     /// Withdraws a refusal's promise that the call did not run if an earlier send may have run it.
     fn withdraw_not_run_promise(&self, refusal: DirectRefusal) -> DirectRefusal {
         if self.may_have_run && refusal.retry_after_ms.is_some() {
@@ -595,10 +526,7 @@
         };
         self.log_send(slot, &endpoint.id);
         self.in_flight.progress().record_send(&endpoint.id);
-        self.awaited = Some(AwaitedEndpoint {
-            run: EndpointRun::of(endpoint),
-            heard: Instant::now(),
-        });
+        self.awaited = Some(AwaitedEndpoint::sent_to(endpoint));
         let exchange = DirectExchange {
             protocol: &self.state.protocol,
             call: &self.call,
