--- a/lib/tests/test_unanswered_calls.rs
+++ b/lib/tests/test_unanswered_calls.rs
@@ -1,5 +1,7 @@
 //! Tests of what shows that an endpoint which left a call unanswered has crashed.
 
+use std::collections::BTreeSet;
+
 use googletest::prelude::*;
 use pomeloramp_lib::CrashSuspect;
 use pomeloramp_lib::EndpointList;
@@ -30,8 +32,8 @@
 fn list(records: &[EndpointRecord]) -> EndpointList {
     EndpointList {
         records: records.iter().cloned().map(Into::into).collect(),
-        missing: Default::default(),
-        held_back: Default::default(),
+        missing: BTreeSet::default(),
+        held_back: BTreeSet::default(),
         position: PlatformRevision::default(),
         source: ListSource::Platform,
     }
